Add the model, its fold and the wire encodings

Cause: every other library works on these structs. Change: control state as a fold of log records, table checks, cereal encodings with bounded decoding, tables as JSON.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 	tools/run-tests.sh build-tsan
 
 format:
-	git ls-files '*.cpp' '*.h' | xargs clang-format -i
+	git ls-files -co --exclude-standard '*.cpp' '*.h' | xargs clang-format -i
 
 lint: configure
 	tools/lint.sh $(BUILD)
--- a/lib/core/src/timers.cpp
+++ b/lib/core/src/timers.cpp
@@ -4,9 +4,8 @@
 
 namespace nutmegwell::core {
 
-TimerService::Subscription TimerService::subscribe(TimePoint Now,
-                                                   Duration Interval,
-                                                   Callback Function) {
+TimerService::Subscription
+TimerService::subscribe(TimePoint Now, Duration Interval, Callback Function) {
   Subscription Id = Next_++;
   Entries_.emplace(std::make_pair(Now + Interval, Id),
                    Entry{Interval, std::move(Function)});
@@ -15,9 +14,8 @@
 
 void TimerService::cancel(Subscription Id) {
   auto Found =
-      std::find_if(Entries_.begin(), Entries_.end(), [Id](const auto &Item) {
-        return Item.first.second == Id;
-      });
+      std::find_if(Entries_.begin(), Entries_.end(),
+                   [Id](const auto &Item) { return Item.first.second == Id; });
   if (Found != Entries_.end())
     Entries_.erase(Found);
 }
--- /dev/null
+++ b/lib/model/include/nutmegwell/model/names.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+
+namespace nutmegwell::model {
+
+/// Name of a process's host as set by the platform, unique in a region.
+using NodeName = std::string;
+using DomainName = std::string;
+using RackName = std::string;
+using AccountName = std::string;
+using ServiceName = std::string;
+
+} // namespace nutmegwell::model
--- /dev/null
+++ b/lib/model/src/fold_tables.cpp
@@ -0,0 +1,50 @@
+#include "fold.h"
+
+namespace nutmegwell::model {
+
+namespace {
+
+Verdict staleVersion(const char *What, core::Version Expected,
+                     core::Version InForce) {
+  return {"stale_version",
+          std::string(What) + " is at version " + std::to_string(InForce) +
+              ", the change expected " + std::to_string(Expected)};
+}
+
+} // namespace
+
+Verdict fold(ControlState &State, const RoutesPublished &Change) {
+  if (Change.Expected_ != State.RoutesVersion_)
+    return staleVersion("routes", Change.Expected_, State.RoutesVersion_);
+  // The pools table may have changed since the publisher checked the join.
+  auto Findings = validateRoutes(Change.Table_, State.Pools_);
+  if (!Findings.empty())
+    return {"invalid_table", Findings.front().Message_};
+  State.Routes_ = Change.Table_;
+  ++State.RoutesVersion_;
+  return {};
+}
+
+Verdict fold(ControlState &State, const PoolsPublished &Change) {
+  if (Change.Expected_ != State.PoolsVersion_)
+    return staleVersion("pools", Change.Expected_, State.PoolsVersion_);
+  // The routes table may have changed since the publisher checked the join.
+  auto Findings = validateRoutes(State.Routes_, Change.Table_);
+  if (!Findings.empty())
+    return {"invalid_table", Findings.front().Message_};
+  State.Pools_ = Change.Table_;
+  ++State.PoolsVersion_;
+  return {};
+}
+
+Verdict fold(ControlState &State, const DomainChanged &Change) {
+  DomainState &Domain = State.Domains_[Change.Domain_];
+  if (Change.Expected_ != Domain.Version_)
+    return staleVersion(Change.Domain_.c_str(), Change.Expected_,
+                        Domain.Version_);
+  Domain.InService_ = Change.InService_;
+  ++Domain.Version_;
+  return {};
+}
+
+} // namespace nutmegwell::model
--- /dev/null
+++ b/lib/model/src/tables.cpp
@@ -0,0 +1,152 @@
+#include "nutmegwell/model/tables.h"
+
+#include <algorithm>
+#include <set>
+
+namespace nutmegwell::model {
+
+namespace {
+
+constexpr const char *LevelNames[] = {"worker", "rack", "domain"};
+constexpr auto MaxTimeout = std::chrono::hours(24);
+constexpr std::uint32_t MaxQueue = 100000;
+constexpr std::uint32_t MaxAccelerators = 1000000;
+constexpr std::uint32_t MaxRequests = 100000;
+
+bool validName(const std::string &Name) {
+  constexpr std::size_t MaxLength = 64;
+  if (Name.empty() || Name.size() > MaxLength)
+    return false;
+  return std::all_of(Name.begin(), Name.end(), [](unsigned char C) {
+    return std::isalnum(C) || C == '-' || C == '_' || C == '.';
+  });
+}
+
+std::set<ServiceName> servicesOf(const PoolsTable &Pools) {
+  std::set<ServiceName> Services;
+  for (const PoolRow &Row : Pools.Rows_)
+    Services.insert(Row.Service_);
+  return Services;
+}
+
+/// Collects the findings of one row.
+struct RowCheck {
+  std::vector<Finding> &Findings_;
+  const char *Table_;
+  std::size_t Row_;
+
+  void require(bool Holds, const char *Field, std::string Message) {
+    if (!Holds)
+      Findings_.push_back({Table_, Row_, Field, std::move(Message)});
+  }
+};
+
+void checkPoolRow(const PoolRow &Row, RowCheck &Check) {
+  constexpr const char *NameRule =
+      "must be 1 to 64 letters, digits, '-', '_' or '.'";
+  Check.require(validName(Row.Name_), "name", NameRule);
+  Check.require(validName(Row.Account_), "account", NameRule);
+  Check.require(validName(Row.Service_), "service", NameRule);
+  Check.require(Row.Limit_ <= MaxAccelerators, "limit",
+                "must be at most 1000000 accelerators");
+  Check.require(Row.Limit_ >= Row.Guaranteed_, "limit",
+                "is below guaranteed (" + std::to_string(Row.Guaranteed_) +
+                    ")");
+  Check.require(Row.Block_ >= 1, "block", "must be at least 1 accelerator");
+  Check.require(
+      Row.Block_ == 0 || Row.Guaranteed_ % Row.Block_ == 0, "guaranteed",
+      "is not a multiple of block (" + std::to_string(Row.Block_) + ")");
+  Check.require(Row.Requests_ <= MaxRequests, "requests",
+                "must be at most 100000");
+}
+
+} // namespace
+
+const char *toString(Level Value) {
+  return LevelNames[static_cast<int>(Value)];
+}
+
+bool parseLevel(const std::string &Text, Level &Value) {
+  for (int I = 0; I < 3; ++I)
+    if (Text == LevelNames[I]) {
+      Value = static_cast<Level>(I);
+      return true;
+    }
+  return false;
+}
+
+std::vector<Finding> validateRoutes(const RoutesTable &Routes,
+                                    const PoolsTable &Pools) {
+  std::vector<Finding> Findings;
+  std::set<std::string> Paths;
+  const std::set<ServiceName> Services = servicesOf(Pools);
+  for (std::size_t I = 0; I < Routes.Rows_.size(); ++I) {
+    const RouteRow &Row = Routes.Rows_[I];
+    RowCheck Check{Findings, "routes", I + 1};
+    Check.require(!Row.Path_.empty() && Row.Path_[0] == '/', "path",
+                  "must start with '/'");
+    Check.require(Row.Path_.rfind("/v1/", 0) != 0 && Row.Path_ != "/v1" &&
+                      Row.Path_ != "/metrics",
+                  "path", "is reserved for the interface of nutmegwell");
+    Check.require(Paths.insert(Row.Path_).second, "path",
+                  "duplicate of another row: '" + Row.Path_ + "'");
+    Check.require(Services.count(Row.Service_) > 0, "service",
+                  "no pools row names service '" + Row.Service_ + "'");
+    Check.require(Row.Timeout_ > core::Duration::zero() &&
+                      Row.Timeout_ <= MaxTimeout,
+                  "timeout_ms", "must be 1 ms to 24 h");
+    Check.require(Row.Queue_ <= MaxQueue, "queue", "must be at most 100000");
+  }
+  return Findings;
+}
+
+std::vector<Finding> validatePools(const PoolsTable &Pools,
+                                   const RoutesTable &Routes,
+                                   const DomainCapacity &Capacity) {
+  std::vector<Finding> Findings;
+  std::set<std::string> Names;
+  std::set<std::tuple<AccountName, ServiceName, DomainName>> Keys;
+  std::map<DomainName, std::uint64_t> Guaranteed;
+  for (std::size_t I = 0; I < Pools.Rows_.size(); ++I) {
+    const PoolRow &Row = Pools.Rows_[I];
+    RowCheck Check{Findings, "pools", I + 1};
+    checkPoolRow(Row, Check);
+    Check.require(Names.insert(Row.Name_).second, "name",
+                  "duplicate of another row: '" + Row.Name_ + "'");
+    Check.require(Keys.emplace(Row.Account_, Row.Service_, Row.Domain_).second,
+                  "account",
+                  "another row has the same account, service and domain");
+    auto Known = Capacity.find(Row.Domain_);
+    Check.require(Known != Capacity.end(), "domain",
+                  "unknown failure domain '" + Row.Domain_ + "'");
+    Guaranteed[Row.Domain_] += Row.Guaranteed_;
+    if (Known != Capacity.end())
+      Check.require(Guaranteed[Row.Domain_] <= Known->second, "guaranteed",
+                    "guarantees of domain '" + Row.Domain_ + "' add up to " +
+                        std::to_string(Guaranteed[Row.Domain_]) + " of " +
+                        std::to_string(Known->second) + " accelerators");
+  }
+  const std::set<ServiceName> Services = servicesOf(Pools);
+  for (const RouteRow &Route : Routes.Rows_)
+    if (!Services.count(Route.Service_))
+      Findings.push_back({"pools", 0, "service",
+                          "route '" + Route.Path_ + "' needs service '" +
+                              Route.Service_ + "'"});
+  return Findings;
+}
+
+const RouteRow *findRoute(const RoutesTable &Routes, const std::string &Path) {
+  const RouteRow *Best = nullptr;
+  for (const RouteRow &Row : Routes.Rows_) {
+    const std::string &Prefix = Row.Path_;
+    if (Path.compare(0, Prefix.size(), Prefix) != 0)
+      continue;
+    bool AtSeparator = Path.size() == Prefix.size() || Prefix.back() == '/' ||
+                       Path[Prefix.size()] == '/' || Path[Prefix.size()] == '?';
+    if (AtSeparator && (!Best || Prefix.size() > Best->Path_.size()))
+      Best = &Row;
+  }
+  return Best;
+}
+
+} // namespace nutmegwell::model
--- /dev/null
+++ b/lib/model/tests/tablestest.cpp
@@ -0,0 +1,45 @@
+#include "nutmegwell/model/tables.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace nutmegwell::model;
+
+class TablesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TablesTest);
+  CPPUNIT_TEST(findingsNameTableRowAndField);
+  CPPUNIT_TEST(longestRouteWins);
+  CPPUNIT_TEST_SUITE_END();
+
+  static PoolRow pool(const char *Name, std::uint32_t Guaranteed) {
+    PoolRow Row;
+    Row.Name_ = Name;
+    Row.Account_ = Name;
+    Row.Service_ = "svc";
+    Row.Domain_ = "a";
+    Row.Guaranteed_ = Guaranteed;
+    Row.Limit_ = 16;
+    return Row;
+  }
+
+  /// Guards against guarantees that no reclaim could honour.
+  void findingsNameTableRowAndField() {
+    PoolsTable Pools{{pool("p1", 6), pool("p2", 6)}};
+    auto Findings = validatePools(Pools, RoutesTable(), {{"a", 8}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Findings.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("pools"), Findings[0].Table_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Findings[0].Row_);
+    CPPUNIT_ASSERT_EQUAL(std::string("guaranteed"), Findings[0].Field_);
+  }
+
+  /// Guards against "/ab" matching the route "/a".
+  void longestRouteWins() {
+    RoutesTable Routes;
+    Routes.Rows_.resize(2);
+    Routes.Rows_[0].Path_ = "/a";
+    Routes.Rows_[1].Path_ = "/a/b";
+    CPPUNIT_ASSERT(findRoute(Routes, "/a/b/c") == &Routes.Rows_[1]);
+    CPPUNIT_ASSERT(findRoute(Routes, "/a/c") == &Routes.Rows_[0]);
+    CPPUNIT_ASSERT(findRoute(Routes, "/ab") == nullptr);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TablesTest);
--- /dev/null
+++ b/lib/wire/include/nutmegwell/wire/tablejson.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "nutmegwell/model/tables.h"
+#include <string>
+#include <vector>
+
+namespace nutmegwell::wire {
+
+/// Reads a table from JSON of the form {"routes": [{...}, ...]} or
+/// {"pools": [{...}, ...]}. Returns one finding for each malformed or unknown
+/// field; \p Table is complete only without findings.
+std::vector<model::Finding> parseRoutes(const std::string &Text,
+                                        model::RoutesTable &Table);
+std::vector<model::Finding> parsePools(const std::string &Text,
+                                       model::PoolsTable &Table);
+
+/// Returns a table in the form that the parsers read.
+std::string formatRoutes(const model::RoutesTable &Table);
+std::string formatPools(const model::PoolsTable &Table);
+
+} // namespace nutmegwell::wire
--- /dev/null
+++ b/lib/wire/src/json.cpp
@@ -0,0 +1,108 @@
+#include "nutmegwell/wire/json.h"
+
+#include <cxxtools/json.h>
+#include <sstream>
+
+namespace nutmegwell::wire {
+
+namespace {
+
+constexpr int MaxDepth = 32;
+
+/// Returns false when brackets outside of strings nest too deep. The parser
+/// frees its tree by recursion, so the depth must be bounded before.
+bool depthIsBounded(const std::string &Text) {
+  int Depth = 0;
+  bool InString = false;
+  for (std::size_t I = 0; I < Text.size(); ++I) {
+    char C = Text[I];
+    if (InString) {
+      if (C == '\\')
+        ++I;
+      else if (C == '"')
+        InString = false;
+      continue;
+    }
+    if (C == '"')
+      InString = true;
+    else if (C == '{' || C == '[')
+      ++Depth;
+    else if (C == '}' || C == ']')
+      --Depth;
+    if (Depth > MaxDepth)
+      return false;
+  }
+  return true;
+}
+
+absl::Status invalid(const std::string &Message) {
+  return core::makeError(absl::StatusCode::kInvalidArgument, "parse JSON", "",
+                         Message);
+}
+
+} // namespace
+
+absl::StatusOr<cxxtools::SerializationInfo> parseJson(const std::string &Text) {
+  if (!depthIsBounded(Text))
+    return invalid("more than 32 nested levels");
+  try {
+    std::istringstream In(Text);
+    cxxtools::SerializationInfo Value;
+    In >> cxxtools::Json(Value);
+    return Value;
+  } catch (const std::exception &Error) {
+    return invalid(Error.what());
+  }
+}
+
+std::string formatJson(const cxxtools::SerializationInfo &Value,
+                       bool Beautify) {
+  std::ostringstream Out;
+  Out << cxxtools::Json(Value, Beautify);
+  return Out.str();
+}
+
+std::string textMember(const cxxtools::SerializationInfo &Object,
+                       const std::string &Name, const std::string &Default) {
+  const auto *Member = Object.findMember(Name);
+  if (!Member || Member->category() != cxxtools::SerializationInfo::Value)
+    return Default;
+  std::string Text;
+  Member->getValue(Text);
+  return Text;
+}
+
+bool numberMember(const cxxtools::SerializationInfo &Object,
+                  const std::string &Name, std::int64_t Min, std::int64_t Max,
+                  std::int64_t &Value) {
+  const auto *Member = Object.findMember(Name);
+  if (!Member)
+    return true;
+  if (Member->category() != cxxtools::SerializationInfo::Value)
+    return false;
+  std::string Text;
+  Member->getValue(Text);
+  try {
+    std::size_t Used = 0;
+    long long Number = std::stoll(Text, &Used);
+    if (Used != Text.size() || Number < Min || Number > Max)
+      return false;
+    Value = Number;
+    return true;
+  } catch (const std::exception &) {
+    return false;
+  }
+}
+
+bool boolMember(const cxxtools::SerializationInfo &Object,
+                const std::string &Name, bool &Value) {
+  const auto *Member = Object.findMember(Name);
+  if (!Member)
+    return true;
+  if (!Member->isBool())
+    return false;
+  Member->getValue(Value);
+  return true;
+}
+
+} // namespace nutmegwell::wire
--- /dev/null
+++ b/lib/wire/tests/binarytest.cpp
@@ -0,0 +1,74 @@
+#include "nutmegwell/wire/binary.h"
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace nutmegwell;
+
+class BinaryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(BinaryTest);
+  CPPUNIT_TEST(datagramSurvivesRoundTrip);
+  CPPUNIT_TEST(everyTruncationIsRefused);
+  CPPUNIT_TEST(hostileLengthIsRefused);
+  CPPUNIT_TEST(flippedBytesNeverCrash);
+  CPPUNIT_TEST(stateSurvivesRoundTrip);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::string sample() {
+    model::Heartbeat Beat;
+    Beat.Node_ = "w1";
+    Beat.Tasks_.push_back({{3, 4}, 2, model::TaskState::Running, 0xFF, "cp"});
+    return wire::encode(model::Datagram(Beat));
+  }
+
+  /// Guards against fields that one side writes and the other skips.
+  void datagramSurvivesRoundTrip() {
+    auto Decoded = wire::decodeDatagram(sample());
+    CPPUNIT_ASSERT(Decoded.ok());
+    const auto &Beat = std::get<model::Heartbeat>(*Decoded);
+    CPPUNIT_ASSERT_EQUAL(std::string("w1"), Beat.Node_);
+    CPPUNIT_ASSERT(Beat.Tasks_.at(0).State_ == model::TaskState::Running);
+    CPPUNIT_ASSERT_EQUAL(std::string("cp"), Beat.Tasks_.at(0).Checkpoint_);
+  }
+
+  /// Guards against a cut datagram that is taken as a shorter message.
+  void everyTruncationIsRefused() {
+    const std::string Bytes = sample();
+    for (std::size_t Size = 0; Size < Bytes.size(); ++Size)
+      CPPUNIT_ASSERT(!wire::decodeDatagram(Bytes.substr(0, Size)).ok());
+  }
+
+  /// Guards against a length field that allocates gigabytes.
+  void hostileLengthIsRefused() {
+    std::string Bytes = sample().substr(0, 8);
+    Bytes += "\xff\xff\xff\xff";
+    CPPUNIT_ASSERT(!wire::decodeDatagram(Bytes).ok());
+  }
+
+  /// Guards against input that ends the process.
+  void flippedBytesNeverCrash() {
+    const bool Passed = rc::check("flipped bytes", [] {
+      std::string Bytes = sample();
+      const auto At = *rc::gen::inRange<std::size_t>(0, Bytes.size());
+      Bytes[At] = static_cast<char>(*rc::gen::arbitrary<unsigned char>());
+      auto Decoded = wire::decodeDatagram(Bytes);
+      if (Decoded.ok())
+        wire::encode(*Decoded);
+    });
+    CPPUNIT_ASSERT(Passed);
+  }
+
+  /// Guards against a snapshot that loses control state.
+  void stateSurvivesRoundTrip() {
+    model::ControlState State;
+    model::Record Change{{1, 1}, model::CellClaimed{"a", 1, "e1", 9}};
+    model::apply(State, Change, 4);
+    auto Decoded = wire::decodeState(wire::encode(State));
+    CPPUNIT_ASSERT(Decoded.ok());
+    CPPUNIT_ASSERT_EQUAL(core::Offset{5}, Decoded->Next_);
+    CPPUNIT_ASSERT_EQUAL(std::string("e1"), Decoded->Cells_["a"].Holder_);
+    CPPUNIT_ASSERT_EQUAL(std::string("repeated_record"),
+                         model::apply(*Decoded, Change, 5).Code_);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BinaryTest);
--- /dev/null
+++ b/lib/wire/tests/tablejsontest.cpp
@@ -0,0 +1,50 @@
+#include "nutmegwell/wire/tablejson.h"
+#include "nutmegwell/wire/json.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace nutmegwell;
+
+class TableJsonTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TableJsonTest);
+  CPPUNIT_TEST(poolsSurviveRoundTrip);
+  CPPUNIT_TEST(unknownFieldIsAFinding);
+  CPPUNIT_TEST(malformedTextIsAFinding);
+  CPPUNIT_TEST(deepNestingIsRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against an editor's round trip that changes a table.
+  void poolsSurviveRoundTrip() {
+    const std::string Text =
+        R"({"pools":[{"name":"p","account":"a","service":"s","domain":"d",)"
+        R"("guaranteed":8,"block":4,"level":"rack","limit":16,"requests":3}]})";
+    model::PoolsTable First, Second;
+    CPPUNIT_ASSERT(wire::parsePools(Text, First).empty());
+    CPPUNIT_ASSERT(wire::parsePools(wire::formatPools(First), Second).empty());
+    CPPUNIT_ASSERT(Second.Rows_.at(0).Level_ == model::Level::Rack);
+    CPPUNIT_ASSERT_EQUAL(4u, Second.Rows_.at(0).Block_);
+  }
+
+  /// Guards against a misspelt field that silently keeps its default.
+  void unknownFieldIsAFinding() {
+    model::RoutesTable Table;
+    auto Findings = wire::parseRoutes(
+        R"({"routes":[{"path":"/a","service":"s","timout_ms":5}]})", Table);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Findings.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("timout_ms"), Findings[0].Field_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Findings[0].Row_);
+  }
+
+  /// Guards against text that is published in part.
+  void malformedTextIsAFinding() {
+    model::RoutesTable Table;
+    for (const char *Text : {"", "{", "[]", "{\"routes\":{}}", "nonsense"})
+      CPPUNIT_ASSERT(!wire::parseRoutes(Text, Table).empty());
+  }
+
+  /// Guards against recursion that exhausts the stack.
+  void deepNestingIsRefused() {
+    CPPUNIT_ASSERT(!wire::parseJson(std::string(100000, '[')).ok());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TableJsonTest);
