--- /dev/null
+++ b/lib/net/include/nutmegwell/net/address.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace nutmegwell::net {
+
+/// An IPv4 address and a port.
+struct Address {
+  std::string Ip_;
+  std::uint16_t Port_ = 0;
+
+  friend bool operator==(const Address &A, const Address &B) {
+    return A.Ip_ == B.Ip_ && A.Port_ == B.Port_;
+  }
+  friend bool operator<(const Address &A, const Address &B) {
+    return A.Ip_ != B.Ip_ ? A.Ip_ < B.Ip_ : A.Port_ < B.Port_;
+  }
+};
+
+/// Returns "IP:PORT".
+std::string toString(const Address &Value);
+
+/// Parses "IP:PORT" with an IPv4 address in numbers. Returns false for another
+/// form.
+bool parseAddress(const std::string &Text, Address &Value);
+
+/// Returns the port of a socket that the kernel bound, or 0.
+std::uint16_t localPort(int Socket);
+
+/// Returns a TCP port of the loopback address that is free now, or 0.
+std::uint16_t freeTcpPort();
+
+} // namespace nutmegwell::net
--- /dev/null
+++ b/lib/net/include/nutmegwell/net/http.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "nutmegwell/core/status.h"
+#include "nutmegwell/core/time.h"
+#include "nutmegwell/net/address.h"
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace nutmegwell::net {
+
+struct HttpRequest {
+  std::string Method_ = "GET";
+  /// Path without the query.
+  std::string Path_;
+  std::string Query_;
+  std::vector<std::pair<std::string, std::string>> Headers_;
+  std::string Body_;
+
+  /// Returns the header \p Name, compared without case, or an empty string.
+  std::string header(const std::string &Name) const;
+
+  /// Returns the decoded query parameter \p Name, or an empty string.
+  std::string parameter(const std::string &Name) const;
+};
+
+struct HttpResponse {
+  unsigned Status_ = 200;
+  std::string ContentType_ = "application/json";
+  std::string Body_;
+};
+
+/// Bounds of a server.
+struct HttpLimits {
+  std::size_t MaxBody_ = 1 << 20;
+  /// Requests handled at one time; each holds a thread.
+  unsigned MaxThreads_ = 256;
+  /// Time for a sender to deliver a request.
+  core::Duration ReadTimeout_ = std::chrono::seconds(10);
+  core::Duration KeepAlive_ = std::chrono::seconds(30);
+};
+
+/// Called on a traffic thread for each request.
+using HttpHandler = std::function<HttpResponse(const HttpRequest &)>;
+
+/// HTTP server over cxxtools with its own event loop thread.
+class HttpServer {
+public:
+  HttpServer(const Address &Listen, const HttpLimits &Limits,
+             HttpHandler Handler);
+  HttpServer(const HttpServer &) = delete;
+  HttpServer &operator=(const HttpServer &) = delete;
+  ~HttpServer();
+
+  /// Waits until every request being handled is answered, then closes.
+  void stop();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+/// One kept connection to a server. Not safe for use from several threads.
+class HttpClient {
+public:
+  explicit HttpClient(const Address &Server);
+  HttpClient(const HttpClient &) = delete;
+  HttpClient &operator=(const HttpClient &) = delete;
+  ~HttpClient();
+
+  /// Sends a request and returns the whole answer. Fails with the step
+  /// "connect" when nothing was sent, and with the step "exchange" when the
+  /// server may have acted on the request.
+  absl::StatusOr<HttpResponse> call(const HttpRequest &Request,
+                                    core::Duration Timeout);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace nutmegwell::net
--- /dev/null
+++ b/lib/net/src/httpserver.cpp
@@ -0,0 +1,164 @@
+#include "nutmegwell/net/http.h"
+
+#include <condition_variable>
+#include <cxxtools/eventloop.h>
+#include <cxxtools/http/reply.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/http/responder.h>
+#include <cxxtools/http/server.h>
+#include <cxxtools/http/service.h>
+#include <cxxtools/query_params.h>
+#include <cxxtools/regex.h>
+#include <istream>
+#include <mutex>
+#include <ostream>
+#include <strings.h>
+#include <thread>
+
+namespace nutmegwell::net {
+
+namespace {
+
+cxxtools::Milliseconds toMilliseconds(core::Duration Value) {
+  return cxxtools::Milliseconds(
+      std::chrono::duration<double, std::milli>(Value).count());
+}
+
+HttpRequest convert(const cxxtools::http::Request &Request) {
+  HttpRequest Result;
+  Result.Method_ = Request.method();
+  Result.Path_ = Request.url();
+  Result.Query_ = Request.qparams();
+  for (const auto &Header : Request.header())
+    Result.Headers_.emplace_back(Header.first, Header.second);
+  Result.Body_ = Request.bodyStr();
+  return Result;
+}
+
+class HandlerService;
+
+/// Hands one request to the handler.
+class HandlerResponder : public cxxtools::http::Responder {
+public:
+  explicit HandlerResponder(HandlerService &Owner);
+  void beginRequest(cxxtools::net::TcpSocket &Socket, std::istream &In,
+                    cxxtools::http::Request &Request) override;
+  std::size_t readBody(std::istream &In) override;
+  void reply(std::ostream &Out, cxxtools::http::Request &Request,
+             cxxtools::http::Reply &Reply) override;
+
+private:
+  HandlerService &Owner_;
+  cxxtools::http::Request *Request_ = nullptr;
+  std::size_t BodySize_ = 0;
+};
+
+/// Creates responders and counts those in use.
+class HandlerService : public cxxtools::http::Service {
+public:
+  HandlerService(const HttpLimits &Limits, HttpHandler Handler)
+      : Limits_(Limits), Handler_(std::move(Handler)) {}
+
+  const HttpLimits Limits_;
+  const HttpHandler Handler_;
+
+protected:
+  cxxtools::http::Responder *
+  createResponder(const cxxtools::http::Request &) override {
+    return new HandlerResponder(*this);
+  }
+  void releaseResponder(cxxtools::http::Responder *Used) override {
+    delete Used;
+  }
+};
+
+HandlerResponder::HandlerResponder(HandlerService &Owner)
+    : cxxtools::http::Responder(Owner), Owner_(Owner) {}
+
+void HandlerResponder::beginRequest(cxxtools::net::TcpSocket &Socket,
+                                    std::istream &In,
+                                    cxxtools::http::Request &Request) {
+  cxxtools::http::Responder::beginRequest(Socket, In, Request);
+  Request_ = &Request;
+  BodySize_ = 0;
+}
+
+std::size_t HandlerResponder::readBody(std::istream &In) {
+  std::size_t Read = 0;
+  std::streambuf *Buffer = In.rdbuf();
+  while (Buffer->in_avail() > 0) {
+    char C = static_cast<char>(Buffer->sbumpc());
+    ++Read;
+    // A body above the bound is read and dropped, so that the sender gets the
+    // answer; the connection's read timeout bounds how long that takes.
+    if (++BodySize_ <= Owner_.Limits_.MaxBody_)
+      Request_->body().put(C);
+  }
+  return Read;
+}
+
+void HandlerResponder::reply(std::ostream &Out,
+                             cxxtools::http::Request &Request,
+                             cxxtools::http::Reply &Reply) {
+  HttpResponse Response;
+  if (BodySize_ > Owner_.Limits_.MaxBody_) {
+    Response.Status_ = 413;
+    Response.Body_ = R"({"code":"body_too_large","outcome":"not_run",)"
+                     R"("step":"read","peer":"","message":"body too large"})";
+  } else {
+    Response = Owner_.Handler_(convert(Request));
+  }
+  Reply.httpReturn(Response.Status_, Response.Status_ < 400 ? "OK" : "Error");
+  Reply.setHeader("Content-Type", Response.ContentType_.c_str());
+  Out << Response.Body_;
+}
+
+} // namespace
+
+std::string HttpRequest::header(const std::string &Name) const {
+  for (const auto &Header : Headers_)
+    if (strcasecmp(Header.first.c_str(), Name.c_str()) == 0)
+      return Header.second;
+  return std::string();
+}
+
+std::string HttpRequest::parameter(const std::string &Name) const {
+  cxxtools::QueryParams Parameters(Query_);
+  return Parameters.has(Name) ? Parameters.param(Name) : std::string();
+}
+
+struct HttpServer::Impl {
+  Impl(const Address &Listen, const HttpLimits &Limits, HttpHandler Handler)
+      : Service_(Limits, std::move(Handler)),
+        Server_(Loop_, Listen.Ip_, Listen.Port_) {
+    Server_.minThreads(4);
+    Server_.maxThreads(Limits.MaxThreads_);
+    Server_.readTimeout(toMilliseconds(Limits.ReadTimeout_));
+    Server_.keepAliveTimeout(toMilliseconds(Limits.KeepAlive_));
+    Server_.addService(cxxtools::Regex(".*"), Service_);
+    Thread_ = std::thread([this] { Loop_.run(); });
+  }
+
+  void stop() {
+    if (!Thread_.joinable())
+      return;
+    Service_.waitIdle();
+    Loop_.exit();
+    Thread_.join();
+  }
+
+  cxxtools::EventLoop Loop_;
+  HandlerService Service_;
+  cxxtools::http::Server Server_;
+  std::thread Thread_;
+};
+
+HttpServer::HttpServer(const Address &Listen, const HttpLimits &Limits,
+                       HttpHandler Handler)
+    : Impl_(std::make_unique<Impl>(Listen, Limits, std::move(Handler))) {}
+
+HttpServer::~HttpServer() { stop(); }
+
+void HttpServer::stop() { Impl_->stop(); }
+
+} // namespace nutmegwell::net
--- /dev/null
+++ b/lib/routing/src/snapshot.cpp
@@ -0,0 +1,16 @@
+#include "nutmegwell/routing/snapshot.h"
+
+namespace nutmegwell::routing {
+
+const model::PoolRow *findPool(const model::PoolsTable &Pools,
+                               const model::AccountName &Account,
+                               const model::ServiceName &Service) {
+  const model::PoolRow *Best = nullptr;
+  for (const model::PoolRow &Row : Pools.Rows_)
+    if (Row.Account_ == Account && Row.Service_ == Service &&
+        (!Best || Row.Requests_ > Best->Requests_))
+      Best = &Row;
+  return Best;
+}
+
+} // namespace nutmegwell::routing
--- /dev/null
+++ b/lib/sched/include/nutmegwell/sched/plan.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "nutmegwell/core/ids.h"
+#include "nutmegwell/core/time.h"
+#include "nutmegwell/model/job.h"
+#include "nutmegwell/model/tables.h"
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace nutmegwell::sched {
+
+/// A worker of the cell as the scheduler sees it.
+struct WorkerView {
+  model::NodeName Name_;
+  model::RackName Rack_;
+  std::uint32_t Accelerators_ = 0;
+  /// False for a worker that takes no new work.
+  bool Usable_ = true;
+};
+
+struct WaitingJob {
+  core::JobId Id_;
+  model::JobSpec Spec_;
+  /// How long the job has waited since it was submitted or put back.
+  core::Duration Waited_{};
+  /// Accelerator time that the job has used in earlier attempts.
+  core::Duration Attained_{};
+};
+
+struct RunningJob {
+  core::JobId Id_;
+  model::JobSpec Spec_;
+  model::Placement Placement_;
+  /// Time since its last checkpoint: what preemption would lose.
+  core::Duration SinceCheckpoint_{};
+  core::Duration Attained_{};
+  /// True while the job is being stopped; its accelerators come free soon.
+  bool Stopping_ = false;
+};
+
+/// All that a decision for one cell depends on.
+struct CellView {
+  model::DomainName Domain_;
+  /// False when nothing may start: out of service, or no fresh log.
+  bool MayStart_ = true;
+  std::vector<WorkerView> Workers_;
+  std::vector<model::PoolRow> Pools_;
+  std::vector<WaitingJob> Waiting_;
+  std::vector<RunningJob> Running_;
+};
+
+struct StartDecision {
+  core::JobId Job_;
+  model::Placement Placement_;
+};
+
+struct PreemptDecision {
+  core::JobId Job_;
+  std::string Reason_;
+};
+
+/// Why a job waits and what would let it start, in one plain sentence.
+struct WaitReason {
+  core::JobId Job_;
+  std::string Reason_;
+};
+
+struct Plan {
+  std::vector<StartDecision> Starts_;
+  std::vector<PreemptDecision> Preemptions_;
+  std::vector<WaitReason> Waits_;
+};
+
+/// Returns what to start and what to preempt in one cell.
+Plan decide(const CellView &View);
+
+/// Returns why no cell with this many accelerators and this pool could ever run
+/// the job, or an empty string when it can.
+std::string impossibleReason(const model::JobSpec &Spec,
+                             const model::PoolsTable &Pools,
+                             const model::DomainCapacity &Capacity);
+
+} // namespace nutmegwell::sched
