--- /dev/null
+++ b/lib/membership/include/nutmegwell/membership/membership.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "nutmegwell/core/time.h"
+#include "nutmegwell/model/messages.h"
+#include "nutmegwell/model/tables.h"
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace nutmegwell::membership {
+
+enum class NodeState : std::uint8_t { Alive, Silent, Lapsed, Leaving };
+
+const char *toString(NodeState Value);
+
+struct MembershipSettings {
+  core::Duration SilentAfter_ = std::chrono::milliseconds(2500);
+  core::Duration LapseAfter_ = std::chrono::seconds(6);
+  /// A lapsed node is forgotten after this time.
+  core::Duration ForgetAfter_ = std::chrono::minutes(10);
+  /// Failed starts in a row, across jobs, that quarantine a worker.
+  std::uint32_t FailureLimit_ = 3;
+  core::Duration FirstQuarantine_ = std::chrono::seconds(30);
+  core::Duration LongestQuarantine_ = std::chrono::minutes(10);
+};
+
+/// A node as its heartbeats describe it.
+struct Node {
+  model::Heartbeat Last_;
+  /// "IP:PORT" from which the last heartbeat came.
+  std::string Address_;
+  core::TimePoint LastHeard_{};
+  NodeState State_ = NodeState::Alive;
+  /// Incarnations that were replaced; a late heartbeat of one is ignored.
+  std::deque<core::Incarnation> Replaced_;
+  std::uint32_t FailedStarts_ = 0;
+  core::TimePoint QuarantinedUntil_{};
+  core::Duration NextQuarantine_{};
+};
+
+struct MembershipState {
+  std::map<model::NodeName, Node> Nodes_;
+};
+
+/// A change that the control state must react to.
+struct NodeChange {
+  model::NodeName Node_;
+  NodeState From_ = NodeState::Alive;
+  NodeState To_ = NodeState::Alive;
+  /// True when the node is new or came back as another process.
+  bool NewIncarnation_ = false;
+};
+
+/// Notes a heartbeat. Ignores one that is older than the last of its node.
+std::vector<NodeChange> noteHeartbeat(MembershipState &State,
+                                      const model::Heartbeat &Beat,
+                                      const std::string &From,
+                                      core::TimePoint Now);
+
+/// Moves nodes whose heartbeats are overdue.
+std::vector<NodeChange> advance(MembershipState &State, core::TimePoint Now,
+                                const MembershipSettings &Settings);
+
+/// Notes whether a start on a worker succeeded. Enough failures in a row
+/// quarantine it; each further one doubles the time.
+void noteStart(MembershipState &State, const model::NodeName &Worker,
+               bool Succeeded, core::TimePoint Now,
+               const MembershipSettings &Settings);
+
+/// Returns true when the node may get new work.
+bool takesWork(const Node &Target, core::TimePoint Now);
+
+/// Returns the accelerators that the known workers of each domain announced,
+/// lapsed ones included: a failed host does not make a table wrong.
+model::DomainCapacity capacityOf(const MembershipState &State);
+
+} // namespace nutmegwell::membership
--- /dev/null
+++ b/lib/membership/src/membership.cpp
@@ -0,0 +1,117 @@
+#include "nutmegwell/membership/membership.h"
+
+#include <algorithm>
+
+namespace nutmegwell::membership {
+
+namespace {
+
+constexpr std::size_t MaxReplaced = 8;
+
+constexpr const char *StateNames[] = {"alive", "silent", "lapsed", "leaving"};
+
+bool wasReplaced(const Node &Known, core::Incarnation Value) {
+  return std::find(Known.Replaced_.begin(), Known.Replaced_.end(), Value) !=
+         Known.Replaced_.end();
+}
+
+void replaceIncarnation(Node &Known) {
+  Known.Replaced_.push_back(Known.Last_.Incarnation_);
+  if (Known.Replaced_.size() > MaxReplaced)
+    Known.Replaced_.pop_front();
+}
+
+NodeState overdueState(const Node &Known, core::TimePoint Now,
+                       const MembershipSettings &Settings) {
+  core::Duration Quiet = Now - Known.LastHeard_;
+  if (Quiet >= Settings.LapseAfter_)
+    return NodeState::Lapsed;
+  if (Known.State_ == NodeState::Leaving)
+    return NodeState::Leaving;
+  if (Quiet >= Settings.SilentAfter_)
+    return NodeState::Silent;
+  return Known.State_;
+}
+
+} // namespace
+
+const char *toString(NodeState Value) {
+  return StateNames[static_cast<int>(Value)];
+}
+
+std::vector<NodeChange> noteHeartbeat(MembershipState &State,
+                                      const model::Heartbeat &Beat,
+                                      const std::string &From,
+                                      core::TimePoint Now) {
+  auto [Place, Inserted] = State.Nodes_.emplace(Beat.Node_, Node());
+  Node &Known = Place->second;
+  const NodeState Before = Inserted ? NodeState::Lapsed : Known.State_;
+  bool NewIncarnation = Inserted;
+  if (!Inserted) {
+    if (wasReplaced(Known, Beat.Incarnation_))
+      return {};
+    if (Known.Last_.Incarnation_ != Beat.Incarnation_) {
+      replaceIncarnation(Known);
+      NewIncarnation = true;
+    } else if (Beat.Sequence_ <= Known.Last_.Sequence_) {
+      return {};
+    }
+  }
+  Known.Last_ = Beat;
+  Known.Address_ = From;
+  Known.LastHeard_ = Now;
+  Known.State_ = Beat.Leaving_ ? NodeState::Leaving : NodeState::Alive;
+  if (Known.State_ == Before && !NewIncarnation)
+    return {};
+  return {{Beat.Node_, Before, Known.State_, NewIncarnation}};
+}
+
+std::vector<NodeChange> advance(MembershipState &State, core::TimePoint Now,
+                                const MembershipSettings &Settings) {
+  std::vector<NodeChange> Changes;
+  for (auto Place = State.Nodes_.begin(); Place != State.Nodes_.end();) {
+    Node &Known = Place->second;
+    NodeState Next = overdueState(Known, Now, Settings);
+    if (Next != Known.State_) {
+      Changes.push_back({Place->first, Known.State_, Next, false});
+      Known.State_ = Next;
+    }
+    bool Forget = Now - Known.LastHeard_ >= Settings.ForgetAfter_;
+    Place = Forget ? State.Nodes_.erase(Place) : std::next(Place);
+  }
+  return Changes;
+}
+
+void noteStart(MembershipState &State, const model::NodeName &Worker,
+               bool Succeeded, core::TimePoint Now,
+               const MembershipSettings &Settings) {
+  auto Place = State.Nodes_.find(Worker);
+  if (Place == State.Nodes_.end())
+    return;
+  Node &Known = Place->second;
+  if (Succeeded) {
+    Known.FailedStarts_ = 0;
+    Known.NextQuarantine_ = {};
+    return;
+  }
+  if (++Known.FailedStarts_ < Settings.FailureLimit_)
+    return;
+  Known.NextQuarantine_ =
+      Known.NextQuarantine_ == core::Duration::zero()
+          ? Settings.FirstQuarantine_
+          : std::min(Known.NextQuarantine_ * 2, Settings.LongestQuarantine_);
+  Known.QuarantinedUntil_ = Now + Known.NextQuarantine_;
+}
+
+bool takesWork(const Node &Target, core::TimePoint Now) {
+  return Target.State_ == NodeState::Alive && Now >= Target.QuarantinedUntil_;
+}
+
+model::DomainCapacity capacityOf(const MembershipState &State) {
+  model::DomainCapacity Capacity;
+  for (const auto &[Name, Known] : State.Nodes_)
+    Capacity[Known.Last_.Domain_] += Known.Last_.Accelerators_;
+  return Capacity;
+}
+
+} // namespace nutmegwell::membership
--- /dev/null
+++ b/lib/membership/tests/membershiptest.cpp
@@ -0,0 +1,76 @@
+#include "nutmegwell/membership/membership.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace nutmegwell;
+using namespace nutmegwell::membership;
+using namespace std::chrono_literals;
+
+class MembershipTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MembershipTest);
+  CPPUNIT_TEST(silenceLapseAndReturn);
+  CPPUNIT_TEST(lateHeartbeatOfReplacedProcessIsIgnored);
+  CPPUNIT_TEST(leavingNodeTakesNoWork);
+  CPPUNIT_TEST(workerThatFailsEverythingIsQuarantined);
+  CPPUNIT_TEST_SUITE_END();
+
+  MembershipState State_;
+  MembershipSettings Settings_;
+  core::TimePoint Start_{1000s};
+
+  std::vector<NodeChange> beat(core::Incarnation Process,
+                               std::uint64_t Sequence, bool Leaving = false,
+                               core::Duration At = {}) {
+    model::Heartbeat Beat;
+    Beat.Node_ = "w1";
+    Beat.Incarnation_ = Process;
+    Beat.Sequence_ = Sequence;
+    Beat.Leaving_ = Leaving;
+    return noteHeartbeat(State_, Beat, "127.0.0.1:1", Start_ + At);
+  }
+
+  /// Guards against work sent to a node that stopped answering.
+  void silenceLapseAndReturn() {
+    beat(1, 1);
+    CPPUNIT_ASSERT(advance(State_, Start_ + 2s, Settings_).empty());
+    CPPUNIT_ASSERT(advance(State_, Start_ + 3s, Settings_).at(0).To_ ==
+                   NodeState::Silent);
+    CPPUNIT_ASSERT(!takesWork(State_.Nodes_["w1"], Start_ + 3s));
+    CPPUNIT_ASSERT(advance(State_, Start_ + 6s, Settings_).at(0).To_ ==
+                   NodeState::Lapsed);
+    auto Changes = beat(1, 2, false, 7s);
+    CPPUNIT_ASSERT(Changes.at(0).To_ == NodeState::Alive);
+    CPPUNIT_ASSERT(!Changes.at(0).NewIncarnation_);
+  }
+
+  /// Guards against a delayed datagram that revives a dead process's tasks.
+  void lateHeartbeatOfReplacedProcessIsIgnored() {
+    beat(1, 5);
+    CPPUNIT_ASSERT(beat(2, 1).at(0).NewIncarnation_);
+    CPPUNIT_ASSERT(beat(1, 6).empty());
+    CPPUNIT_ASSERT(beat(2, 1).empty());
+    CPPUNIT_ASSERT_EQUAL(core::Incarnation{2},
+                         State_.Nodes_["w1"].Last_.Incarnation_);
+  }
+
+  /// Guards against new work for a node that said it is leaving.
+  void leavingNodeTakesNoWork() {
+    beat(1, 1);
+    CPPUNIT_ASSERT(beat(1, 2, true).at(0).To_ == NodeState::Leaving);
+    CPPUNIT_ASSERT(!takesWork(State_.Nodes_["w1"], Start_));
+  }
+
+  /// Guards against a broken worker that drains the queue by failing jobs.
+  void workerThatFailsEverythingIsQuarantined() {
+    beat(1, 1);
+    for (int I = 0; I < 3; ++I)
+      noteStart(State_, "w1", false, Start_, Settings_);
+    CPPUNIT_ASSERT(!takesWork(State_.Nodes_["w1"], Start_ + 29s));
+    CPPUNIT_ASSERT(takesWork(State_.Nodes_["w1"], Start_ + 30s));
+    noteStart(State_, "w1", false, Start_ + 30s, Settings_);
+    CPPUNIT_ASSERT(!takesWork(State_.Nodes_["w1"], Start_ + 89s));
+    noteStart(State_, "w1", true, Start_ + 90s, Settings_);
+    CPPUNIT_ASSERT(takesWork(State_.Nodes_["w1"], Start_ + 90s));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTest);
--- a/lib/model/include/nutmegwell/model/records.h
+++ b/lib/model/include/nutmegwell/model/records.h
@@ -79,6 +79,8 @@
   core::Term Term_ = 0;
   std::string Checkpoint_;
   std::string Reason_;
+  /// True when a task failed, as opposed to being preempted or lost.
+  bool TaskFailed_ = false;
 };
 
 struct JobFinished {
--- a/lib/model/src/fold_jobs.cpp
+++ b/lib/model/src/fold_jobs.cpp
@@ -109,6 +109,10 @@
     endJob(State, *Target, JobState::Cancelled, "cancelled by its caller");
     return {};
   }
+  if (Change.TaskFailed_ && ++Target->FailedAttempts_ >= MaxFailedAttempts) {
+    endJob(State, *Target, JobState::Failed, Change.Reason_);
+    return {};
+  }
   Target->State_ = JobState::Waiting;
   Target->Placement_.clear();
   Target->Domain_.clear();
--- a/lib/wire/src/fields.h
+++ b/lib/wire/src/fields.h
@@ -55,9 +55,9 @@
 
 template <class A> void serialize(A &Fields, Job &V) {
   Fields(V.Id_, V.Spec_);
-  enumeration(Fields, V.State_, JobState::Refused);
-  Fields(V.Attempt_, V.Domain_, V.Placement_, V.Checkpoint_, V.Reason_,
-         V.CancelRequested_);
+  enumeration(Fields, V.State_, JobState::Failed);
+  Fields(V.Attempt_, V.FailedAttempts_, V.Domain_, V.Placement_, V.Checkpoint_,
+         V.Reason_, V.CancelRequested_);
 }
 
 template <class A> void serialize(A &Fields, RoutesPublished &V) {
@@ -101,12 +101,13 @@
 }
 
 template <class A> void serialize(A &Fields, JobRequeued &V) {
-  Fields(V.Job_, V.Attempt_, V.Domain_, V.Term_, V.Checkpoint_, V.Reason_);
+  Fields(V.Job_, V.Attempt_, V.Domain_, V.Term_, V.Checkpoint_, V.Reason_,
+         V.TaskFailed_);
 }
 
 template <class A> void serialize(A &Fields, JobFinished &V) {
   Fields(V.Job_, V.Attempt_, V.Domain_, V.Term_);
-  enumeration(Fields, V.State_, JobState::Refused);
+  enumeration(Fields, V.State_, JobState::Failed);
   Fields(V.Reason_);
 }
 
