--- /dev/null
+++ b/lib/entry/include/nutmegwell/entry/control.h
@@ -0,0 +1,220 @@
+#pragma once
+
+#include "nutmegwell/core/time.h"
+#include "nutmegwell/membership/membership.h"
+#include "nutmegwell/model/controlstate.h"
+#include "nutmegwell/model/messages.h"
+#include "nutmegwell/routing/snapshot.h"
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+/// Control of an entry host as a pure function: state and event to effects. The
+/// daemon runs it on its control thread, tests and measurements run it alone.
+namespace nutmegwell::entry {
+
+struct EntrySettings {
+  model::NodeName Node_;
+  core::Incarnation Incarnation_ = 0;
+  /// UDP addresses of the other entry hosts.
+  std::vector<std::string> Entries_;
+  core::Duration CellLease_ = std::chrono::seconds(6);
+  core::Duration CellRenewInterval_ = std::chrono::seconds(2);
+  /// Time beyond the lease before another host claims a cell.
+  core::Duration ClaimMargin_ = std::chrono::seconds(1);
+  core::Duration StartPermit_ = std::chrono::seconds(2);
+  /// Age of the last read at the log's tail up to which permits are given.
+  core::Duration LogFreshness_ = std::chrono::seconds(1);
+  core::Duration TaskLease_ = std::chrono::seconds(15);
+  core::Duration ReservationLease_ = std::chrono::seconds(5);
+  /// Time from the commit in which every task of a gang must have started.
+  core::Duration StartBound_ = std::chrono::seconds(5);
+  core::Duration CheckpointGrace_ = std::chrono::seconds(5);
+  core::Duration ResendInterval_ = std::chrono::milliseconds(500);
+  /// Wait of hosts that do not hold a job's preferred cell.
+  core::Duration OtherCellDelay_ = std::chrono::milliseconds(500);
+  /// Time between decisions while jobs wait and nothing else changes.
+  core::Duration ScheduleInterval_ = std::chrono::milliseconds(500);
+  core::Duration HeartbeatInterval_ = std::chrono::seconds(1);
+  core::Duration PeerLapse_ = std::chrono::seconds(3);
+  membership::MembershipSettings Membership_;
+};
+
+/// What this host knows of one cell's tenure.
+struct CellTracker {
+  std::uint64_t Renewals_ = 0;
+  /// When this host last read a claim or renewal.
+  core::TimePoint SeenAt_{};
+  /// End of this host's own lease, counted from before the append.
+  core::TimePoint MineUntil_{};
+  bool Pending_ = false;
+  core::TimePoint PendingSince_{};
+};
+
+enum class GangPhase : std::uint8_t {
+  Reserving,
+  Committing,
+  Starting,
+  Running,
+  Stopping
+};
+
+/// One attempt of a job as the cell's holder drives it.
+struct Gang {
+  core::JobId Job_;
+  std::uint32_t Attempt_ = 0;
+  model::DomainName Domain_;
+  core::Term Term_ = 0;
+  model::JobSpec Spec_;
+  model::Placement Placement_;
+  GangPhase Phase_ = GangPhase::Reserving;
+  /// When the phase began.
+  core::TimePoint Since_{};
+  core::TimePoint LastSent_{};
+  /// Workers of the gang and the process that was reserved on each.
+  std::map<model::NodeName, core::Incarnation> Members_;
+  /// Workers that have answered the step of the phase.
+  std::set<model::NodeName> Answered_;
+  bool TaskFailed_ = false;
+  /// True while a record that ends the phase is on its way to the log.
+  bool RecordPending_ = false;
+};
+
+struct PeerEntry {
+  core::Incarnation Incarnation_ = 0;
+  core::Offset Next_ = 0;
+  core::TimePoint LastHeard_{};
+  bool Leaving_ = false;
+};
+
+/// What a record of this host was appended for.
+struct PendingRecord {
+  /// Ticket of a caller's command, or 0.
+  std::uint64_t Ticket_ = 0;
+  model::DomainName Domain_;
+  core::JobId Job_;
+};
+
+struct EntryState {
+  EntrySettings Settings_;
+  model::ControlState Fold_;
+  membership::MembershipState Nodes_;
+  std::map<model::NodeName, PeerEntry> Peers_;
+  std::map<model::DomainName, CellTracker> Cells_;
+  std::map<core::JobId, Gang> Gangs_;
+  std::map<core::JobId, core::TimePoint> WaitingSince_;
+  std::map<core::JobId, std::string> WaitReasons_;
+  /// Highest attempt number that this host used for a job.
+  std::map<core::JobId, std::uint32_t> LastAttempt_;
+  std::map<core::RecordId, PendingRecord> Pending_;
+  std::uint64_t NextSequence_ = 1;
+  core::TimePoint LastTail_{};
+  core::TimePoint LastHeartbeat_{};
+  core::TimePoint LastSchedule_{};
+  core::TimePoint StartedAt_{};
+  bool LogAvailable_ = false;
+  bool Stopping_ = false;
+  /// True when something changed that may let a job start.
+  bool Dirty_ = false;
+};
+
+/// A change that a caller or operator asked for.
+struct Command {
+  std::uint64_t Ticket_ = 0;
+  model::RecordBody Body_;
+};
+
+struct LogEntry {
+  core::Offset At_ = 0;
+  model::Batch Records_;
+};
+
+/// The reader restarted from a snapshot or from the state of a peer.
+struct LogReplaced {
+  model::ControlState State_;
+};
+
+/// The reader reached the tail with a read that began at ReadAt_.
+struct LogTail {
+  core::TimePoint ReadAt_{};
+};
+
+struct LogAvailability {
+  bool Available_ = false;
+};
+
+struct AppendFailed {
+  core::RecordId Id_;
+  /// False when the record is certainly not in the log.
+  bool InDoubt_ = false;
+};
+
+struct DatagramReceived {
+  std::string From_;
+  model::Datagram Message_;
+};
+
+/// Due every 100 ms.
+struct Tick {};
+
+struct StopRequested {};
+
+using Event =
+    std::variant<Command, LogEntry, LogReplaced, LogTail, LogAvailability,
+                 AppendFailed, DatagramReceived, Tick, StopRequested>;
+
+struct Send {
+  std::string To_;
+  model::Datagram Message_;
+};
+
+enum class CommandOutcome : std::uint8_t { Applied, Refused, InDoubt };
+
+struct CommandReply {
+  std::uint64_t Ticket_ = 0;
+  CommandOutcome Outcome_ = CommandOutcome::Refused;
+  std::string Code_;
+  std::string Reason_;
+  std::vector<model::Finding> Findings_;
+};
+
+/// A line for the log of the daemon.
+struct StateChange {
+  std::string Event_;
+  std::vector<std::pair<std::string, std::string>> Fields_;
+};
+
+struct Effects {
+  std::vector<Send> Sends_;
+  std::vector<model::Record> Appends_;
+  std::vector<CommandReply> Replies_;
+  std::vector<StateChange> Changes_;
+  /// True when traffic threads need a new routing snapshot.
+  bool RoutingChanged_ = false;
+};
+
+/// Returns the state of a host that has read nothing yet.
+EntryState makeEntryState(const EntrySettings &Settings, core::TimePoint Now);
+
+/// Advances the state by one event.
+Effects step(EntryState &State, const Event &What, core::TimePoint Now);
+
+/// Returns what traffic threads route by.
+routing::RoutingSnapshot makeSnapshot(const EntryState &State);
+
+/// Returns true while this host may act as holder of \p Domain.
+bool holds(const EntryState &State, const model::DomainName &Domain,
+           core::TimePoint Now);
+
+/// Returns true when this host's view of the log is recent enough to let work
+/// start.
+bool fresh(const EntryState &State, core::TimePoint Now);
+
+/// Says in one sentence why a job is where it is.
+std::string explain(const EntryState &State, const core::JobId &Job);
+
+} // namespace nutmegwell::entry
--- /dev/null
+++ b/lib/entry/src/cells.cpp
@@ -0,0 +1,128 @@
+#include "parts.h"
+
+#include <functional>
+
+namespace nutmegwell::entry {
+
+namespace {
+
+/// Returns the rank of a host for a cell; the highest claims it first.
+std::size_t rank(const model::NodeName &Host, const model::DomainName &Domain) {
+  return std::hash<std::string>()(Host + "/" + Domain);
+}
+
+bool preferred(const EntryState &State, const model::DomainName &Domain) {
+  std::size_t Own = rank(State.Settings_.Node_, Domain);
+  for (const auto &[Name, Peer] : State.Peers_)
+    if (!Peer.Leaving_ && rank(Name, Domain) > Own)
+      return false;
+  return true;
+}
+
+/// Returns true when the tenure of a cell is over as far as this host can see.
+bool claimable(const EntryState &State, const model::DomainName &Domain,
+               const CellTracker &Tracker, core::TimePoint Now) {
+  auto Known = State.Fold_.Cells_.find(Domain);
+  core::Duration Wait = preferred(State, Domain) ? core::Duration::zero()
+                                                 : State.Settings_.ClaimMargin_;
+  if (Known == State.Fold_.Cells_.end() || Known->second.Holder_.empty())
+    return Now - State.StartedAt_ >= Wait + State.Settings_.HeartbeatInterval_;
+  return Now - Tracker.SeenAt_ >=
+         State.Settings_.CellLease_ + State.Settings_.ClaimMargin_ + Wait;
+}
+
+void claim(EntryState &State, const model::DomainName &Domain,
+           CellTracker &Tracker, core::TimePoint Now, Effects &Out) {
+  core::Term Next = State.Fold_.Cells_[Domain].Term_ + 1;
+  append(State, Out,
+         model::CellClaimed{Domain, Next, State.Settings_.Node_,
+                            State.Settings_.Incarnation_},
+         PendingRecord{0, Domain, {}});
+  Tracker.Pending_ = true;
+  Tracker.PendingSince_ = Now;
+}
+
+void renew(EntryState &State, const model::DomainName &Domain,
+           CellTracker &Tracker, core::Term Term, core::TimePoint Now,
+           Effects &Out) {
+  append(State, Out, model::CellRenewed{Domain, Term},
+         PendingRecord{0, Domain, {}});
+  Tracker.Pending_ = true;
+  Tracker.PendingSince_ = Now;
+}
+
+} // namespace
+
+core::Term ownTerm(const EntryState &State, const model::DomainName &Domain) {
+  auto Known = State.Fold_.Cells_.find(Domain);
+  if (Known == State.Fold_.Cells_.end() ||
+      Known->second.Holder_ != State.Settings_.Node_ ||
+      Known->second.HolderIncarnation_ != State.Settings_.Incarnation_)
+    return 0;
+  return Known->second.Term_;
+}
+
+bool holds(const EntryState &State, const model::DomainName &Domain,
+           core::TimePoint Now) {
+  auto Tracker = State.Cells_.find(Domain);
+  return ownTerm(State, Domain) != 0 && Tracker != State.Cells_.end() &&
+         Now < Tracker->second.MineUntil_;
+}
+
+void noteCells(EntryState &State, core::TimePoint Now) {
+  for (const auto &[Domain, Tenure] : State.Fold_.Cells_) {
+    auto [Place, Inserted] = State.Cells_.emplace(Domain, CellTracker());
+    if (Inserted || Place->second.Renewals_ != Tenure.Renewals_) {
+      Place->second.Renewals_ = Tenure.Renewals_;
+      Place->second.SeenAt_ = Now;
+    }
+  }
+}
+
+void onCellRecord(EntryState &State, const PendingRecord &Purpose,
+                  const model::FoldResult &Result, core::TimePoint Now,
+                  Effects &Out) {
+  CellTracker &Tracker = State.Cells_[Purpose.Domain_];
+  bool WasHeld = holds(State, Purpose.Domain_, Now);
+  Tracker.Pending_ = false;
+  if (!Result.Accepted_)
+    return;
+  Tracker.MineUntil_ = Tracker.PendingSince_ + State.Settings_.CellLease_;
+  State.Dirty_ = true;
+  if (!WasHeld)
+    Out.Changes_.push_back(
+        {"cell_held",
+         {{"domain", Purpose.Domain_},
+          {"term", std::to_string(ownTerm(State, Purpose.Domain_))}}});
+}
+
+void advanceCells(EntryState &State, core::TimePoint Now, Effects &Out) {
+  if (State.Stopping_ || !State.LogAvailable_ || !fresh(State, Now))
+    return;
+  for (const auto &[Domain, Total] : membership::capacityOf(State.Nodes_))
+    if (Total > 0)
+      State.Cells_.emplace(Domain, CellTracker());
+  for (auto &[Domain, Tracker] : State.Cells_) {
+    if (Tracker.Pending_)
+      continue;
+    core::Term Own = ownTerm(State, Domain);
+    if (Own == 0) {
+      if (claimable(State, Domain, Tracker, Now))
+        claim(State, Domain, Tracker, Now, Out);
+    } else if (Now >=
+               Tracker.PendingSince_ + State.Settings_.CellRenewInterval_) {
+      renew(State, Domain, Tracker, Own, Now, Out);
+    }
+  }
+}
+
+void releaseCells(EntryState &State, core::TimePoint Now, Effects &Out) {
+  for (auto &[Domain, Tracker] : State.Cells_) {
+    core::Term Own = ownTerm(State, Domain);
+    Tracker.MineUntil_ = Now;
+    if (Own != 0)
+      append(State, Out, model::CellReleased{Domain, Own}, PendingRecord());
+  }
+}
+
+} // namespace nutmegwell::entry
--- /dev/null
+++ b/lib/entry/src/commands.cpp
@@ -0,0 +1,81 @@
+#include "nutmegwell/sched/plan.h"
+#include "parts.h"
+
+namespace nutmegwell::entry {
+
+namespace {
+
+/// Jobs that may wait; beyond it submissions are refused.
+constexpr std::size_t MaxWaitingJobs = 100000;
+
+void refuse(const Command &What, std::string Code, std::string Reason,
+            Effects &Out, std::vector<model::Finding> Findings = {}) {
+  Out.Replies_.push_back({What.Ticket_, CommandOutcome::Refused,
+                          std::move(Code), std::move(Reason),
+                          std::move(Findings)});
+}
+
+/// Refuses commands that must not reach the log. Returns true for a refusal.
+bool refusedEarly(const EntryState &State, const Command &What, Effects &Out) {
+  if (State.Stopping_) {
+    refuse(What, "stopping", "the entry host is stopping", Out);
+    return true;
+  }
+  if (!State.LogAvailable_) {
+    refuse(What, "log_unavailable", "the log takes no appends", Out);
+    return true;
+  }
+  std::vector<model::Finding> Findings;
+  if (auto *Routes = std::get_if<model::RoutesPublished>(&What.Body_))
+    Findings = model::validateRoutes(Routes->Table_, State.Fold_.Pools_);
+  if (auto *Pools = std::get_if<model::PoolsPublished>(&What.Body_))
+    Findings = model::validatePools(Pools->Table_, State.Fold_.Routes_,
+                                    membership::capacityOf(State.Nodes_));
+  if (!Findings.empty()) {
+    refuse(What, "invalid_table", "the table has findings", Out, Findings);
+    return true;
+  }
+  if (auto *Submitted = std::get_if<model::JobSubmitted>(&What.Body_)) {
+    std::string Reason =
+        sched::impossibleReason(Submitted->Spec_, State.Fold_.Pools_,
+                                membership::capacityOf(State.Nodes_));
+    if (!Reason.empty()) {
+      refuse(What, "impossible_job", Reason, Out);
+      return true;
+    }
+    if (State.WaitingSince_.size() >= MaxWaitingJobs) {
+      refuse(What, "overloaded", "too many jobs wait", Out);
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+void onCommand(EntryState &State, const Command &What, Effects &Out) {
+  if (refusedEarly(State, What, Out))
+    return;
+  append(State, Out, What.Body_, PendingRecord{What.Ticket_, {}, {}});
+}
+
+std::string explain(const EntryState &State, const core::JobId &Id) {
+  auto Known = State.Fold_.Jobs_.find(Id);
+  if (Known == State.Fold_.Jobs_.end())
+    return "no such job is known";
+  const model::Job &Target = Known->second;
+  if (Target.State_ == model::JobState::Running)
+    return "the job runs in failure domain " + Target.Domain_;
+  if (Target.State_ != model::JobState::Waiting)
+    return std::string("the job is ") + toString(Target.State_) +
+           (Target.Reason_.empty() ? "" : ": " + Target.Reason_);
+  auto Reason = State.WaitReasons_.find(Id);
+  if (Reason != State.WaitReasons_.end())
+    return "the job waits: " + Reason->second;
+  if (!State.LogAvailable_)
+    return "the job waits: the log is unavailable and nothing starts until it "
+           "is back";
+  return "the job waits for the next scheduling decision of its cell";
+}
+
+} // namespace nutmegwell::entry
--- /dev/null
+++ b/lib/entry/src/control.cpp
@@ -0,0 +1,237 @@
+#include "nutmegwell/entry/control.h"
+
+#include "parts.h"
+
+namespace nutmegwell::entry {
+
+namespace {
+
+/// Settles the purpose of one of this host's own records.
+void settle(EntryState &State, const model::FoldResult &Result,
+            core::TimePoint Now, Effects &Out) {
+  auto Known = State.Pending_.find(Result.Id_);
+  if (Known == State.Pending_.end())
+    return;
+  PendingRecord Purpose = Known->second;
+  State.Pending_.erase(Known);
+  if (Purpose.Ticket_ != 0)
+    Out.Replies_.push_back(
+        {Purpose.Ticket_,
+         Result.Accepted_ ? CommandOutcome::Applied : CommandOutcome::Refused,
+         Result.Code_,
+         Result.Reason_,
+         {}});
+  if (!Purpose.Domain_.empty())
+    onCellRecord(State, Purpose, Result, Now, Out);
+  if (Purpose.Job_.valid())
+    onGangRecord(State, Purpose, Result, Now, Out);
+}
+
+/// Notes since when each waiting job has waited.
+void noteJobs(EntryState &State, core::TimePoint Now) {
+  for (const auto &[Id, Target] : State.Fold_.Jobs_) {
+    if (Target.State_ == model::JobState::Waiting)
+      State.WaitingSince_.emplace(Id, Now);
+    else
+      State.WaitingSince_.erase(Id);
+  }
+  auto Gone = [&State](const core::JobId &Id) {
+    auto Known = State.Fold_.Jobs_.find(Id);
+    return Known == State.Fold_.Jobs_.end() || isFinal(Known->second.State_);
+  };
+  auto EraseGone = [&Gone](auto &Map) {
+    for (auto Place = Map.begin(); Place != Map.end();)
+      Place = Gone(Place->first) ? Map.erase(Place) : std::next(Place);
+  };
+  EraseGone(State.WaitingSince_);
+  EraseGone(State.WaitReasons_);
+  EraseGone(State.LastAttempt_);
+}
+
+void onLogEntry(EntryState &State, const LogEntry &What, core::TimePoint Now,
+                Effects &Out) {
+  if (What.At_ < State.Fold_.Next_)
+    return;
+  for (const model::Record &Change : What.Records_) {
+    model::FoldResult Result = model::apply(State.Fold_, Change, What.At_);
+    if (Result.Id_.Writer_ == State.Settings_.Incarnation_)
+      settle(State, Result, Now, Out);
+  }
+  State.Fold_.Next_ = What.At_ + 1;
+  noteCells(State, Now);
+  noteJobs(State, Now);
+  State.Dirty_ = true;
+  Out.RoutingChanged_ = true;
+}
+
+void onLogReplaced(EntryState &State, const LogReplaced &What,
+                   core::TimePoint Now, Effects &Out) {
+  if (What.State_.Next_ < State.Fold_.Next_)
+    return;
+  State.Fold_ = What.State_;
+  auto Mine = State.Fold_.Writers_.find(State.Settings_.Incarnation_);
+  std::uint64_t Applied = Mine == State.Fold_.Writers_.end() ? 0 : Mine->second;
+  for (auto Place = State.Pending_.begin(); Place != State.Pending_.end();) {
+    if (Place->first.Sequence_ > Applied) {
+      ++Place;
+      continue;
+    }
+    // The snapshot holds the record's effect but not its verdict.
+    if (Place->second.Ticket_ != 0)
+      Out.Replies_.push_back({Place->second.Ticket_,
+                              CommandOutcome::InDoubt,
+                              "verdict_lost",
+                              "the log was restarted from a snapshot",
+                              {}});
+    Place = State.Pending_.erase(Place);
+  }
+  for (auto &[Domain, Tracker] : State.Cells_)
+    Tracker.Pending_ = false;
+  State.Gangs_.clear();
+  noteCells(State, Now);
+  noteJobs(State, Now);
+  State.Dirty_ = true;
+  Out.RoutingChanged_ = true;
+}
+
+void onAppendFailed(EntryState &State, const AppendFailed &What,
+                    core::TimePoint Now, Effects &Out) {
+  auto Known = State.Pending_.find(What.Id_);
+  if (Known == State.Pending_.end())
+    return;
+  if (Known->second.Ticket_ != 0) {
+    Out.Replies_.push_back(
+        {Known->second.Ticket_,
+         What.InDoubt_ ? CommandOutcome::InDoubt : CommandOutcome::Refused,
+         "log_unavailable",
+         "the log takes no appends",
+         {}});
+    Known->second.Ticket_ = 0;
+  }
+  // A record in doubt stays pending: the fold may still settle it.
+  if (What.InDoubt_)
+    return;
+  model::FoldResult Result;
+  Result.Id_ = What.Id_;
+  Result.Code_ = "log_unavailable";
+  settle(State, Result, Now, Out);
+}
+
+void sendEntryHeartbeats(EntryState &State, core::TimePoint Now, Effects &Out) {
+  if (Now - State.LastHeartbeat_ < State.Settings_.HeartbeatInterval_)
+    return;
+  State.LastHeartbeat_ = Now;
+  model::EntryHeartbeat Beat{State.Settings_.Node_,
+                             State.Settings_.Incarnation_, State.Fold_.Next_,
+                             State.Stopping_};
+  for (const std::string &To : State.Settings_.Entries_)
+    Out.Sends_.push_back({To, Beat});
+}
+
+void advancePeers(EntryState &State, core::TimePoint Now) {
+  for (auto Place = State.Peers_.begin(); Place != State.Peers_.end();) {
+    bool Lapsed = Now - Place->second.LastHeard_ >= State.Settings_.PeerLapse_;
+    Place = Lapsed ? State.Peers_.erase(Place) : std::next(Place);
+  }
+}
+
+void onTick(EntryState &State, core::TimePoint Now, Effects &Out) {
+  for (const auto &Change :
+       membership::advance(State.Nodes_, Now, State.Settings_.Membership_)) {
+    Out.RoutingChanged_ = true;
+    State.Dirty_ = true;
+    Out.Changes_.push_back({"node_state",
+                            {{"node", Change.Node_},
+                             {"from", toString(Change.From_)},
+                             {"to", toString(Change.To_)}}});
+  }
+  advancePeers(State, Now);
+  sendEntryHeartbeats(State, Now, Out);
+  advanceCells(State, Now, Out);
+  advanceGangs(State, Now, Out);
+  schedule(State, Now, Out);
+}
+
+void onStop(EntryState &State, core::TimePoint Now, Effects &Out) {
+  if (State.Stopping_)
+    return;
+  State.Stopping_ = true;
+  releaseCells(State, Now, Out);
+  State.LastHeartbeat_ = {};
+  sendEntryHeartbeats(State, Now, Out);
+  Out.RoutingChanged_ = true;
+  Out.Changes_.push_back({"stop_requested", {}});
+}
+
+} // namespace
+
+core::RecordId append(EntryState &State, Effects &Out, model::RecordBody Body,
+                      PendingRecord Purpose) {
+  core::RecordId Id{State.Settings_.Incarnation_, State.NextSequence_++};
+  State.Pending_.emplace(Id, std::move(Purpose));
+  Out.Appends_.push_back({Id, std::move(Body)});
+  return Id;
+}
+
+EntryState makeEntryState(const EntrySettings &Settings, core::TimePoint Now) {
+  EntryState State;
+  State.Settings_ = Settings;
+  State.StartedAt_ = Now;
+  return State;
+}
+
+Effects step(EntryState &State, const Event &What, core::TimePoint Now) {
+  Effects Out;
+  if (auto *Asked = std::get_if<Command>(&What))
+    onCommand(State, *Asked, Out);
+  else if (auto *Entry = std::get_if<LogEntry>(&What))
+    onLogEntry(State, *Entry, Now, Out);
+  else if (auto *Replaced = std::get_if<LogReplaced>(&What))
+    onLogReplaced(State, *Replaced, Now, Out);
+  else if (auto *Tail = std::get_if<LogTail>(&What))
+    State.LastTail_ = Tail->ReadAt_;
+  else if (auto *Failed = std::get_if<AppendFailed>(&What))
+    onAppendFailed(State, *Failed, Now, Out);
+  else if (auto *Message = std::get_if<DatagramReceived>(&What))
+    onDatagram(State, *Message, Now, Out);
+  else if (std::get_if<Tick>(&What))
+    onTick(State, Now, Out);
+  else if (std::get_if<StopRequested>(&What))
+    onStop(State, Now, Out);
+  else if (auto *Log = std::get_if<LogAvailability>(&What)) {
+    Out.RoutingChanged_ = State.LogAvailable_ != Log->Available_;
+    State.LogAvailable_ = Log->Available_;
+    if (Out.RoutingChanged_)
+      Out.Changes_.push_back(
+          {"log_availability",
+           {{"available", Log->Available_ ? "true" : "false"}}});
+  }
+  return Out;
+}
+
+bool fresh(const EntryState &State, core::TimePoint Now) {
+  return State.LastTail_ != core::TimePoint{} &&
+         Now - State.LastTail_ <= State.Settings_.LogFreshness_;
+}
+
+routing::RoutingSnapshot makeSnapshot(const EntryState &State) {
+  routing::RoutingSnapshot Snapshot;
+  Snapshot.ConfigOffset_ = State.Fold_.Next_;
+  Snapshot.Routes_ = State.Fold_.Routes_;
+  Snapshot.Pools_ = State.Fold_.Pools_;
+  Snapshot.LogAvailable_ = State.LogAvailable_;
+  Snapshot.Stopping_ = State.Stopping_;
+  for (const auto &[Name, Known] : State.Nodes_.Nodes_) {
+    const model::Heartbeat &Beat = Known.Last_;
+    if (Beat.Kind_ != model::NodeKind::Upstream || Beat.Service_.empty())
+      continue;
+    bool Usable = Known.State_ == membership::NodeState::Alive &&
+                  model::inService(State.Fold_, Beat.Domain_);
+    Snapshot.Upstreams_.push_back({Name, Beat.Incarnation_, Beat.Domain_,
+                                   Beat.Service_, Beat.RequestAddress_,
+                                   Beat.Slots_, Beat.InFlight_, Usable});
+  }
+  return Snapshot;
+}
+
+} // namespace nutmegwell::entry
--- /dev/null
+++ b/lib/entry/src/gangs.cpp
@@ -0,0 +1,443 @@
+#include "parts.h"
+
+#include <algorithm>
+
+namespace nutmegwell::entry {
+
+namespace {
+
+using model::TaskState;
+
+const membership::Node *findNode(const EntryState &State,
+                                 const model::NodeName &Name) {
+  auto Known = State.Nodes_.Nodes_.find(Name);
+  return Known == State.Nodes_.Nodes_.end() ? nullptr : &Known->second;
+}
+
+bool ended(TaskState Value) {
+  return Value == TaskState::Done || Value == TaskState::Failed ||
+         Value == TaskState::Stopped;
+}
+
+void enter(Gang &Target, GangPhase Phase, core::TimePoint Now) {
+  Target.Phase_ = Phase;
+  Target.Since_ = Now;
+  Target.LastSent_ = {};
+  Target.Answered_.clear();
+  Target.RecordPending_ = false;
+}
+
+/// Returns the accelerators of each of the gang's tasks on one worker.
+std::vector<std::uint64_t> tasksOn(const Gang &Target,
+                                   const model::NodeName &Worker) {
+  std::vector<std::uint64_t> Tasks;
+  for (const model::TaskPlacement &Task : Target.Placement_)
+    if (Task.Worker_ == Worker)
+      Tasks.push_back(Task.Accelerators_);
+  return Tasks;
+}
+
+template <typename MakeMessage>
+void sendToUnanswered(const EntryState &State, Gang &Target,
+                      core::TimePoint Now, Effects &Out, MakeMessage Make) {
+  if (Now - Target.LastSent_ < State.Settings_.ResendInterval_)
+    return;
+  Target.LastSent_ = Now;
+  for (const auto &[Worker, Process] : Target.Members_) {
+    const membership::Node *Known = findNode(State, Worker);
+    if (Known && !Target.Answered_.count(Worker))
+      Out.Sends_.push_back({Known->Address_, Make(Worker)});
+  }
+}
+
+void sendStops(const EntryState &State, Gang &Target, core::TimePoint Now,
+               Effects &Out) {
+  model::Stop Message{Target.Term_, Target.Job_, Target.Attempt_,
+                      State.Settings_.CheckpointGrace_};
+  sendToUnanswered(State, Target, Now, Out,
+                   [&Message](const model::NodeName &) { return Message; });
+}
+
+void sendReserves(const EntryState &State, Gang &Target, core::TimePoint Now,
+                  Effects &Out) {
+  const model::Job &Known = State.Fold_.Jobs_.at(Target.Job_);
+  sendToUnanswered(State, Target, Now, Out, [&](const model::NodeName &Worker) {
+    return model::Reserve{Target.Term_,
+                          Target.Job_,
+                          Target.Attempt_,
+                          tasksOn(Target, Worker),
+                          Target.Spec_.Command_,
+                          Known.Checkpoint_,
+                          State.Settings_.ReservationLease_};
+  });
+}
+
+/// Ends a reservation that was not committed. The job keeps waiting.
+void abandon(EntryState &State, Gang &Target, core::TimePoint Now,
+             Effects &Out) {
+  Target.Answered_.clear();
+  Target.LastSent_ = {};
+  sendStops(State, Target, Now, Out);
+  State.Dirty_ = true;
+}
+
+bool lost(const EntryState &State, const model::NodeName &Worker,
+          core::Incarnation Process) {
+  const membership::Node *Known = findNode(State, Worker);
+  return !Known || Known->State_ == membership::NodeState::Lapsed ||
+         Known->Last_.Incarnation_ != Process;
+}
+
+/// Returns true when no task of the attempt runs on the worker any more.
+bool stoppedOn(const EntryState &State, const Gang &Target,
+               const model::NodeName &Worker, core::Incarnation Process,
+               core::TimePoint Now) {
+  const membership::Node *Known = findNode(State, Worker);
+  if (!Known)
+    return Now - Target.Since_ >= State.Settings_.TaskLease_;
+  // A new process of an agent stops what its predecessor left behind before it
+  // sends its first heartbeat.
+  if (Known->Last_.Incarnation_ != Process)
+    return true;
+  const model::TaskReport *Report =
+      findReport(State, Worker, Target.Job_, Target.Attempt_);
+  if (Report && ended(Report->State_))
+    return true;
+  return Now - Known->LastHeard_ >=
+         State.Settings_.TaskLease_ + State.Settings_.CheckpointGrace_;
+}
+
+void advanceReserving(EntryState &State, Gang &Target, core::TimePoint Now,
+                      Effects &Out) {
+  if (Now - Target.Since_ >= State.Settings_.ReservationLease_) {
+    abandon(State, Target, Now, Out);
+    State.Gangs_.erase(Target.Job_);
+    return;
+  }
+  sendReserves(State, Target, Now, Out);
+}
+
+/// Returns the joined checkpoint of all members, or nothing when one has none.
+std::string joinedCheckpoint(const EntryState &State, const Gang &Target) {
+  std::string Joined;
+  for (const auto &[Worker, Process] : Target.Members_) {
+    const model::TaskReport *Report =
+        findReport(State, Worker, Target.Job_, Target.Attempt_);
+    if (!Report || Report->Checkpoint_.empty())
+      return std::string();
+    Joined += (Joined.empty() ? "" : ";") + Report->Checkpoint_;
+  }
+  return Joined;
+}
+
+void advanceStopping(EntryState &State, Gang &Target, core::TimePoint Now,
+                     Effects &Out) {
+  for (const auto &[Worker, Process] : Target.Members_)
+    if (stoppedOn(State, Target, Worker, Process, Now))
+      Target.Answered_.insert(Worker);
+  sendStops(State, Target, Now, Out);
+  if (Target.Answered_.size() < Target.Members_.size() || Target.RecordPending_)
+    return;
+  Target.RecordPending_ = true;
+  const model::Job &Known = State.Fold_.Jobs_.at(Target.Job_);
+  append(State, Out,
+         model::JobRequeued{Target.Job_, Target.Attempt_, Target.Domain_,
+                            Target.Term_, joinedCheckpoint(State, Target),
+                            Known.Reason_, Target.TaskFailed_},
+         PendingRecord{0, {}, Target.Job_});
+}
+
+/// What the members of a started gang report.
+struct GangReport {
+  std::size_t Started_ = 0;
+  std::size_t Done_ = 0;
+  std::string Fault_;
+  bool TaskFailed_ = false;
+};
+
+GangReport inspect(EntryState &State, const Gang &Target, core::TimePoint Now) {
+  GangReport Result;
+  for (const auto &[Worker, Process] : Target.Members_) {
+    if (lost(State, Worker, Process)) {
+      Result.Fault_ = "worker " + Worker + " was lost";
+      continue;
+    }
+    const model::TaskReport *Report =
+        findReport(State, Worker, Target.Job_, Target.Attempt_);
+    bool Alive =
+        findNode(State, Worker)->State_ != membership::NodeState::Silent;
+    if (!Report) {
+      if (Alive && Target.Phase_ == GangPhase::Running)
+        Result.Fault_ = "worker " + Worker + " no longer runs the task";
+      continue;
+    }
+    if (Report->State_ == TaskState::Running ||
+        Report->State_ == TaskState::Done)
+      ++Result.Started_;
+    if (Report->State_ == TaskState::Done)
+      ++Result.Done_;
+    if (Report->State_ == TaskState::Failed) {
+      Result.Fault_ = "a task failed on worker " + Worker;
+      Result.TaskFailed_ = true;
+      membership::noteStart(State.Nodes_, Worker, false, Now,
+                            State.Settings_.Membership_);
+    }
+    if (Report->State_ == TaskState::Stopped)
+      Result.Fault_ = "worker " + Worker + " stopped the task";
+  }
+  return Result;
+}
+
+void finish(EntryState &State, Gang &Target, core::TimePoint Now,
+            Effects &Out) {
+  for (const auto &[Worker, Process] : Target.Members_)
+    membership::noteStart(State.Nodes_, Worker, true, Now,
+                          State.Settings_.Membership_);
+  Target.RecordPending_ = true;
+  append(State, Out,
+         model::JobFinished{Target.Job_, Target.Attempt_, Target.Domain_,
+                            Target.Term_, model::JobState::Finished, ""},
+         PendingRecord{0, {}, Target.Job_});
+}
+
+void advanceStarted(EntryState &State, Gang &Target, core::TimePoint Now,
+                    Effects &Out) {
+  if (Target.RecordPending_)
+    return;
+  GangReport Report = inspect(State, Target, Now);
+  const model::Job &Known = State.Fold_.Jobs_.at(Target.Job_);
+  Target.TaskFailed_ = Report.TaskFailed_;
+  if (Report.Done_ == Target.Members_.size())
+    return finish(State, Target, Now, Out);
+  if (Known.CancelRequested_)
+    return stopGang(State, Target, "cancelled by its caller", Out);
+  if (!Report.Fault_.empty())
+    return stopGang(State, Target, Report.Fault_, Out);
+  if (!model::inService(State.Fold_, Target.Domain_))
+    return stopGang(
+        State, Target,
+        "failure domain " + Target.Domain_ + " was taken out of service", Out);
+  if (Target.Phase_ == GangPhase::Running)
+    return;
+  if (Report.Started_ == Target.Members_.size())
+    return enter(Target, GangPhase::Running, Now);
+  if (Now - Target.Since_ >= State.Settings_.StartBound_)
+    return stopGang(State, Target, "not every task started in time", Out);
+  model::Start Message{Target.Term_, Target.Job_, Target.Attempt_};
+  sendToUnanswered(State, Target, Now, Out,
+                   [&Message](const model::NodeName &) { return Message; });
+}
+
+void advanceGang(EntryState &State, const core::JobId &Id, core::TimePoint Now,
+                 Effects &Out) {
+  Gang &Target = State.Gangs_.at(Id);
+  switch (Target.Phase_) {
+  case GangPhase::Reserving:
+    return advanceReserving(State, Target, Now, Out);
+  case GangPhase::Committing:
+    return;
+  case GangPhase::Starting:
+  case GangPhase::Running:
+    return advanceStarted(State, Target, Now, Out);
+  case GangPhase::Stopping:
+    return advanceStopping(State, Target, Now, Out);
+  }
+}
+
+void noteMembers(const EntryState &State, Gang &Target) {
+  for (const model::TaskPlacement &Task : Target.Placement_) {
+    const membership::Node *Known = findNode(State, Task.Worker_);
+    Target.Members_[Task.Worker_] = Known ? Known->Last_.Incarnation_ : 0;
+  }
+}
+
+/// Takes over a committed attempt that another holder or process started.
+void adopt(EntryState &State, const model::Job &Known, core::TimePoint Now) {
+  Gang Target;
+  Target.Job_ = Known.Id_;
+  Target.Attempt_ = Known.Attempt_;
+  Target.Domain_ = Known.Domain_;
+  Target.Spec_ = Known.Spec_;
+  Target.Placement_ = Known.Placement_;
+  noteMembers(State, Target);
+  enter(Target,
+        Known.State_ == model::JobState::Stopping ? GangPhase::Stopping
+                                                  : GangPhase::Starting,
+        Now);
+  State.Gangs_.emplace(Known.Id_, std::move(Target));
+}
+
+/// Returns true when this host has had time to hear from the job's workers.
+bool mayAdopt(const EntryState &State, const model::Job &Known,
+              core::TimePoint Now) {
+  if (Now - State.StartedAt_ >= State.Settings_.Membership_.LapseAfter_)
+    return true;
+  return std::all_of(Known.Placement_.begin(), Known.Placement_.end(),
+                     [&State](const model::TaskPlacement &Task) {
+                       return findNode(State, Task.Worker_) != nullptr;
+                     });
+}
+
+/// Adopts attempts of held cells and drops gangs whose attempt is over or whose
+/// cell is no longer held.
+void reconcile(EntryState &State, core::TimePoint Now, Effects &Out) {
+  for (const auto &[Id, Known] : State.Fold_.Jobs_)
+    if ((Known.State_ == model::JobState::Running ||
+         Known.State_ == model::JobState::Stopping) &&
+        holds(State, Known.Domain_, Now) && !State.Gangs_.count(Id) &&
+        mayAdopt(State, Known, Now))
+      adopt(State, Known, Now);
+  for (auto Place = State.Gangs_.begin(); Place != State.Gangs_.end();) {
+    Gang &Target = Place->second;
+    auto Known = State.Fold_.Jobs_.find(Place->first);
+    bool Committed = Target.Phase_ != GangPhase::Reserving &&
+                     Target.Phase_ != GangPhase::Committing;
+    bool Over = Known == State.Fold_.Jobs_.end() ||
+                isFinal(Known->second.State_) ||
+                !holds(State, Target.Domain_, Now) ||
+                (Committed && Known->second.Attempt_ != Target.Attempt_);
+    Target.Term_ = ownTerm(State, Target.Domain_);
+    if (Over && !Committed)
+      abandon(State, Target, Now, Out);
+    Place = Over ? State.Gangs_.erase(Place) : std::next(Place);
+  }
+}
+
+} // namespace
+
+const model::TaskReport *findReport(const EntryState &State,
+                                    const model::NodeName &Node,
+                                    const core::JobId &Job,
+                                    std::uint32_t Attempt) {
+  const membership::Node *Known = findNode(State, Node);
+  if (!Known)
+    return nullptr;
+  for (const model::TaskReport &Report : Known->Last_.Tasks_)
+    if (Report.Job_ == Job && Report.Attempt_ == Attempt)
+      return &Report;
+  return nullptr;
+}
+
+void reserveGang(EntryState &State, const model::DomainName &Domain,
+                 const model::Job &Target, const model::Placement &Tasks,
+                 core::TimePoint Now, Effects &Out) {
+  std::uint32_t &Last = State.LastAttempt_[Target.Id_];
+  Last = std::max(Last, Target.Attempt_) + 1;
+  Gang New;
+  New.Job_ = Target.Id_;
+  New.Attempt_ = Last;
+  New.Domain_ = Domain;
+  New.Term_ = ownTerm(State, Domain);
+  New.Spec_ = Target.Spec_;
+  New.Placement_ = Tasks;
+  noteMembers(State, New);
+  enter(New, GangPhase::Reserving, Now);
+  sendReserves(State, New, Now, Out);
+  State.Gangs_[Target.Id_] = std::move(New);
+}
+
+void stopGang(EntryState &State, Gang &Target, const std::string &Reason,
+              Effects &Out) {
+  if (Target.RecordPending_)
+    return;
+  Target.RecordPending_ = true;
+  append(State, Out,
+         model::JobStopping{Target.Job_, Target.Attempt_, Target.Domain_,
+                            Target.Term_, Reason},
+         PendingRecord{0, {}, Target.Job_});
+}
+
+void onReserveAnswer(EntryState &State, const model::ReserveAnswer &Answer,
+                     core::TimePoint Now, Effects &Out) {
+  auto Known = State.Gangs_.find(Answer.Job_);
+  if (Known == State.Gangs_.end() ||
+      Known->second.Attempt_ != Answer.Attempt_ ||
+      Known->second.Phase_ != GangPhase::Reserving ||
+      !Known->second.Members_.count(Answer.Node_))
+    return;
+  Gang &Target = Known->second;
+  if (!Answer.Accepted_) {
+    abandon(State, Target, Now, Out);
+    State.WaitReasons_[Answer.Job_] =
+        "worker " + Answer.Node_ + " refused the reservation: " + Answer.Code_;
+    State.Gangs_.erase(Known);
+    return;
+  }
+  Target.Answered_.insert(Answer.Node_);
+  if (Target.Answered_.size() < Target.Members_.size())
+    return;
+  enter(Target, GangPhase::Committing, Now);
+  append(State, Out,
+         model::JobCommitted{Target.Job_, Target.Attempt_, Target.Domain_,
+                             Target.Term_, Target.Placement_},
+         PendingRecord{0, {}, Target.Job_});
+}
+
+void onGangRecord(EntryState &State, const PendingRecord &Purpose,
+                  const model::FoldResult &Result, core::TimePoint Now,
+                  Effects &Out) {
+  auto Known = State.Gangs_.find(Purpose.Job_);
+  if (Known == State.Gangs_.end())
+    return;
+  Gang &Target = Known->second;
+  Target.RecordPending_ = false;
+  if (Target.Phase_ == GangPhase::Committing && !Result.Accepted_) {
+    abandon(State, Target, Now, Out);
+    State.Gangs_.erase(Known);
+    return;
+  }
+  if (!Result.Accepted_)
+    return;
+  const model::Job &Job = State.Fold_.Jobs_.at(Purpose.Job_);
+  if (Job.State_ == model::JobState::Running)
+    enter(Target, GangPhase::Starting, Now);
+  else if (Job.State_ == model::JobState::Stopping)
+    enter(Target, GangPhase::Stopping, Now);
+  else {
+    Out.Changes_.push_back({"job_state",
+                            {{"job", core::toString(Job.Id_)},
+                             {"state", toString(Job.State_)},
+                             {"reason", Job.Reason_}}});
+    State.Gangs_.erase(Known);
+    State.Dirty_ = true;
+    return;
+  }
+  Out.Changes_.push_back({"job_state",
+                          {{"job", core::toString(Job.Id_)},
+                           {"state", toString(Job.State_)},
+                           {"attempt", std::to_string(Job.Attempt_)},
+                           {"domain", Job.Domain_},
+                           {"reason", Job.Reason_}}});
+  advanceGang(State, Purpose.Job_, Now, Out);
+}
+
+void stopUnknownTasks(EntryState &State, const membership::Node &Target,
+                      core::TimePoint Now, Effects &Out) {
+  if (!holds(State, Target.Last_.Domain_, Now) || !fresh(State, Now))
+    return;
+  for (const model::TaskReport &Report : Target.Last_.Tasks_) {
+    if (ended(Report.State_) || Report.State_ == TaskState::Reserved)
+      continue;
+    auto Known = State.Fold_.Jobs_.find(Report.Job_);
+    bool Committed = Known != State.Fold_.Jobs_.end() &&
+                     Known->second.Attempt_ == Report.Attempt_ &&
+                     (Known->second.State_ == model::JobState::Running ||
+                      Known->second.State_ == model::JobState::Stopping);
+    if (!Committed)
+      Out.Sends_.push_back(
+          {Target.Address_,
+           model::Stop{ownTerm(State, Target.Last_.Domain_), Report.Job_,
+                       Report.Attempt_, State.Settings_.CheckpointGrace_}});
+  }
+}
+
+void advanceGangs(EntryState &State, core::TimePoint Now, Effects &Out) {
+  reconcile(State, Now, Out);
+  std::vector<core::JobId> Ids;
+  for (const auto &[Id, Target] : State.Gangs_)
+    Ids.push_back(Id);
+  for (const core::JobId &Id : Ids)
+    advanceGang(State, Id, Now, Out);
+}
+
+} // namespace nutmegwell::entry
--- /dev/null
+++ b/lib/entry/src/parts.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "nutmegwell/entry/control.h"
+#include <string>
+
+/// The parts of the control step; each handles one kind of event.
+namespace nutmegwell::entry {
+
+/// Adds a record with the next sequence number and notes what it is for.
+core::RecordId append(EntryState &State, Effects &Out, model::RecordBody Body,
+                      PendingRecord Purpose);
+
+void onCommand(EntryState &State, const Command &What, Effects &Out);
+void onDatagram(EntryState &State, const DatagramReceived &What,
+                core::TimePoint Now, Effects &Out);
+
+/// Claims, renews and releases cells.
+void advanceCells(EntryState &State, core::TimePoint Now, Effects &Out);
+void noteCells(EntryState &State, core::TimePoint Now);
+void onCellRecord(EntryState &State, const PendingRecord &Purpose,
+                  const model::FoldResult &Result, core::TimePoint Now,
+                  Effects &Out);
+void releaseCells(EntryState &State, core::TimePoint Now, Effects &Out);
+/// Returns this host's term of a cell that it holds on record, or 0.
+core::Term ownTerm(const EntryState &State, const model::DomainName &Domain);
+
+/// Drives every gang of the cells that this host holds.
+void advanceGangs(EntryState &State, core::TimePoint Now, Effects &Out);
+void onReserveAnswer(EntryState &State, const model::ReserveAnswer &Answer,
+                     core::TimePoint Now, Effects &Out);
+void onGangRecord(EntryState &State, const PendingRecord &Purpose,
+                  const model::FoldResult &Result, core::TimePoint Now,
+                  Effects &Out);
+/// Stops running tasks that no committed attempt accounts for.
+void stopUnknownTasks(EntryState &State, const membership::Node &Target,
+                      core::TimePoint Now, Effects &Out);
+
+/// Starts a gang's reservation.
+void reserveGang(EntryState &State, const model::DomainName &Domain,
+                 const model::Job &Target, const model::Placement &Tasks,
+                 core::TimePoint Now, Effects &Out);
+/// Asks for the end of a running attempt.
+void stopGang(EntryState &State, Gang &Target, const std::string &Reason,
+              Effects &Out);
+
+/// Decides starts and preemptions in every cell that this host holds.
+void schedule(EntryState &State, core::TimePoint Now, Effects &Out);
+
+/// Returns the node's report of an attempt, or null.
+const model::TaskReport *findReport(const EntryState &State,
+                                    const model::NodeName &Node,
+                                    const core::JobId &Job,
+                                    std::uint32_t Attempt);
+
+} // namespace nutmegwell::entry
--- /dev/null
+++ b/lib/entry/src/schedule.cpp
@@ -0,0 +1,143 @@
+#include "nutmegwell/sched/plan.h"
+#include "parts.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace nutmegwell::entry {
+
+namespace {
+
+/// Returns true when \p Domain is the cell that should try the job first.
+bool isPreferredCell(const EntryState &State, const model::Job &Target,
+                     const model::DomainName &Domain) {
+  std::vector<model::DomainName> Candidates;
+  for (const model::PoolRow &Row : State.Fold_.Pools_.Rows_)
+    if (Row.Account_ == Target.Spec_.Account_ &&
+        Row.Service_ == Target.Spec_.Service_ &&
+        model::inService(State.Fold_, Row.Domain_))
+      Candidates.push_back(Row.Domain_);
+  if (Candidates.empty())
+    return true;
+  std::size_t Choice = std::hash<core::JobId>()(Target.Id_) % Candidates.size();
+  return Candidates[Choice] == Domain;
+}
+
+void addWorkers(const EntryState &State, core::TimePoint Now,
+                sched::CellView &View) {
+  for (const auto &[Name, Known] : State.Nodes_.Nodes_)
+    if (Known.Last_.Kind_ == model::NodeKind::Worker &&
+        Known.Last_.Domain_ == View.Domain_)
+      View.Workers_.push_back({Name, Known.Last_.Rack_,
+                               Known.Last_.Accelerators_,
+                               membership::takesWork(Known, Now)});
+}
+
+/// Adds committed and reserved attempts of the cell.
+void addRunning(const EntryState &State, sched::CellView &View) {
+  for (const auto &[Id, Known] : State.Fold_.Jobs_) {
+    bool Stopping = Known.State_ == model::JobState::Stopping;
+    if (Known.Domain_ == View.Domain_ &&
+        (Stopping || Known.State_ == model::JobState::Running))
+      View.Running_.push_back(
+          {Id, Known.Spec_, Known.Placement_, {}, {}, Stopping});
+  }
+  for (const auto &[Id, Target] : State.Gangs_)
+    if (Target.Domain_ == View.Domain_ &&
+        (Target.Phase_ == GangPhase::Reserving ||
+         Target.Phase_ == GangPhase::Committing))
+      View.Running_.push_back(
+          {Id, Target.Spec_, Target.Placement_, {}, {}, false});
+}
+
+/// Adds accelerators that agents report as held by anything else, such as the
+/// reservations of an earlier holder.
+void addForeign(const EntryState &State, sched::CellView &View) {
+  for (const sched::WorkerView &Worker : View.Workers_) {
+    for (const auto &Report :
+         State.Nodes_.Nodes_.at(Worker.Name_).Last_.Tasks_) {
+      if (Report.State_ > model::TaskState::Stopping)
+        continue;
+      bool Known = std::any_of(
+          View.Running_.begin(), View.Running_.end(),
+          [&Report](const auto &Job) { return Job.Id_ == Report.Job_; });
+      if (!Known)
+        View.Running_.push_back({Report.Job_,
+                                 model::JobSpec(),
+                                 {{Worker.Name_, Report.Accelerators_}},
+                                 {},
+                                 {},
+                                 true});
+    }
+  }
+}
+
+void addWaiting(const EntryState &State, core::TimePoint Now,
+                sched::CellView &View) {
+  for (const auto &[Id, Since] : State.WaitingSince_) {
+    const model::Job &Known = State.Fold_.Jobs_.at(Id);
+    if (State.Gangs_.count(Id) || Known.CancelRequested_)
+      continue;
+    if (Now - Since < State.Settings_.OtherCellDelay_ &&
+        !isPreferredCell(State, Known, View.Domain_))
+      continue;
+    View.Waiting_.push_back({Id, Known.Spec_, Now - Since, {}});
+  }
+  std::stable_sort(
+      View.Waiting_.begin(), View.Waiting_.end(),
+      [](const auto &A, const auto &B) { return A.Waited_ > B.Waited_; });
+}
+
+sched::CellView makeView(const EntryState &State,
+                         const model::DomainName &Domain, core::TimePoint Now) {
+  sched::CellView View;
+  View.Domain_ = Domain;
+  View.MayStart_ = fresh(State, Now) && State.LogAvailable_ &&
+                   !State.Stopping_ && model::inService(State.Fold_, Domain);
+  for (const model::PoolRow &Row : State.Fold_.Pools_.Rows_)
+    if (Row.Domain_ == Domain)
+      View.Pools_.push_back(Row);
+  addWorkers(State, Now, View);
+  addRunning(State, View);
+  addForeign(State, View);
+  addWaiting(State, Now, View);
+  return View;
+}
+
+void apply(EntryState &State, const model::DomainName &Domain,
+           const sched::Plan &Plan, core::TimePoint Now, Effects &Out) {
+  for (const sched::WaitReason &Wait : Plan.Waits_)
+    State.WaitReasons_[Wait.Job_] = Wait.Reason_;
+  for (const sched::StartDecision &Start : Plan.Starts_) {
+    State.WaitReasons_.erase(Start.Job_);
+    reserveGang(State, Domain, State.Fold_.Jobs_.at(Start.Job_),
+                Start.Placement_, Now, Out);
+  }
+  for (const sched::PreemptDecision &Preempt : Plan.Preemptions_) {
+    auto Known = State.Gangs_.find(Preempt.Job_);
+    if (Known != State.Gangs_.end() &&
+        (Known->second.Phase_ == GangPhase::Starting ||
+         Known->second.Phase_ == GangPhase::Running))
+      stopGang(State, Known->second, Preempt.Reason_, Out);
+  }
+}
+
+} // namespace
+
+void schedule(EntryState &State, core::TimePoint Now, Effects &Out) {
+  // Waiting times change decisions too, so a cell is looked at now and then
+  // even when nothing else changed.
+  bool Due = Now - State.LastSchedule_ >= State.Settings_.ScheduleInterval_;
+  if (State.WaitingSince_.empty() || (!State.Dirty_ && !Due))
+    return;
+  State.Dirty_ = false;
+  State.LastSchedule_ = Now;
+  std::vector<model::DomainName> Held;
+  for (const auto &[Domain, Tracker] : State.Cells_)
+    if (holds(State, Domain, Now))
+      Held.push_back(Domain);
+  for (const model::DomainName &Domain : Held)
+    apply(State, Domain, sched::decide(makeView(State, Domain, Now)), Now, Out);
+}
+
+} // namespace nutmegwell::entry
--- a/lib/model/include/nutmegwell/model/records.h
+++ b/lib/model/include/nutmegwell/model/records.h
@@ -53,7 +53,7 @@
   core::JobId Job_;
 };
 
-/// Starts attempt Attempt_ of a job; must be one above the job's attempt.
+/// Starts attempt Attempt_ of a job; must be above the job's last attempt.
 struct JobCommitted {
   core::JobId Job_;
   std::uint32_t Attempt_ = 0;
