Add checked settings and state-change logging

Cause: the daemon and the client need their addresses, times and bounds checked before anything starts. Ruled out: returning net::Address, since the settings library uses core alone; HostPort has the same members. Refusing unknown NUTMEGWELL_ variables, since daemon and client share the environment. A start permit above 2 s is refused, because with 1 s of log freshness it would exceed the 3 s in which a domain stops starting tasks.

--- /dev/null
+++ b/lib/settings/include/nutmegwell/settings/daemon.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "nutmegwell/settings/spec.h"
+
+namespace nutmegwell::settings {
+
+/// Returns the settings of nutmegwelld.
+SettingsSpec daemonSettings();
+
+} // namespace nutmegwell::settings
--- /dev/null
+++ b/lib/settings/src/daemon.cpp
@@ -0,0 +1,102 @@
+#include "nutmegwell/settings/daemon.h"
+
+namespace nutmegwell::settings {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+void addPlace(SettingsSpecBuilder &Builder) {
+  Builder
+      .choice("role", {"entry", "agent"}, "",
+              "entry: takes requests and places jobs; agent: runs beside an "
+              "upstream or a worker")
+      .required()
+      .text("node", "", "name of this host, unique in the region")
+      .required()
+      .text("domain", "", "failure domain of this host")
+      .required()
+      .choice("kind", {"worker", "upstream"}, "", "what the agent runs beside")
+      .requiredWhen("role", "agent")
+      .text("rack", "", "rack of the worker")
+      .requiredWhen("kind", "worker")
+      .count("accelerators", 0, 0, 64, "accelerators of the worker");
+}
+
+void addAddresses(SettingsSpecBuilder &Builder) {
+  Builder.address("log-address", "HTTP address of the platform's log service")
+      .requiredWhen("role", "entry")
+      .text("log-stream", "nutmegwell", "stream of the log to use")
+      .listenAddress("http-listen", "address for callers and operators")
+      .requiredWhen("role", "entry")
+      .listenAddress("udp-listen", "address for heartbeats and gang messages")
+      .required()
+      .listenAddress("tcp-listen",
+                     "entry: address for peers that load the state; agent: "
+                     "address for request frames")
+      .required()
+      .addressList("entries", "UDP addresses of the entry hosts")
+      .requiredWhen("role", "agent")
+      .addressList("peers", "TCP state addresses of the other entry hosts")
+      .address("runtime-address", "HTTP address of the worker runtime")
+      .requiredWhen("kind", "worker")
+      .listenAddress("announce-listen",
+                     "address at which upstreams on this host announce "
+                     "themselves")
+      .requiredWhen("kind", "upstream");
+}
+
+void addTimes(SettingsSpecBuilder &Builder) {
+  Builder
+      .duration("heartbeat-interval", seconds(1), milliseconds(50), seconds(60),
+                "time between two heartbeats")
+      .duration("silent-after", milliseconds(2500), milliseconds(100),
+                minutes(5),
+                "a node that is silent for this long gets no new work")
+      .duration("lapse-after", seconds(6), milliseconds(200), minutes(10),
+                "a node that is silent for this long has lost its tasks")
+      .duration("cell-lease", seconds(6), milliseconds(200), minutes(10),
+                "validity of a cell's claim without renewal")
+      // The start permit and the freshness of the holder's view of the log
+      // (1 s) must together stay within the 3 s in which a domain stops
+      // starting tasks.
+      .duration("start-permit", seconds(2), milliseconds(100), seconds(2),
+                "validity of the permission to start tasks")
+      .duration("task-lease", seconds(15), seconds(1), minutes(10),
+                "validity of a running task without renewal")
+      .duration("checkpoint-grace", seconds(10), milliseconds(0), minutes(10),
+                "time that a preempted task has for a checkpoint")
+      .shorter("heartbeat-interval", "silent-after")
+      .shorter("heartbeat-interval", "start-permit")
+      .shorter("silent-after", "lapse-after");
+}
+
+void addBounds(SettingsSpecBuilder &Builder) {
+  Builder.count("max-body", 1 << 20, 1, 1 << 30, "largest request body")
+      .unit("bytes")
+      .count("max-connections", 256, 1, 65536, "connections served at one time")
+      .count("max-queue", 4096, 16, 1 << 20,
+             "events that may wait for the control thread")
+      .choice("log-format", {"text", "json"}, "text",
+              "form of the lines on standard output")
+      .choice("log-level", {"error", "warning", "info"}, "info",
+              "least severe level that is logged");
+}
+
+} // namespace
+
+SettingsSpec daemonSettings() {
+  SettingsSpecBuilder Builder(
+      "nutmegwelld", "Schedules jobs and routes requests; runs on entry hosts "
+                     "and beside each upstream and worker.");
+  addPlace(Builder);
+  addAddresses(Builder);
+  addTimes(Builder);
+  addBounds(Builder);
+  return Builder.build();
+}
+
+} // namespace nutmegwell::settings
--- /dev/null
+++ b/lib/settings/src/logging.cpp
@@ -0,0 +1,114 @@
+#include "nutmegwell/settings/logging.h"
+
+#include <atomic>
+#include <cxxtools/json.h>
+#include <cxxtools/serializationinfo.h>
+#include <easylogging++.h>
+#include <sstream>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace nutmegwell::settings {
+
+namespace {
+
+constexpr const char *FormatNames[] = {"text", "json"};
+constexpr const char *LevelNames[] = {"error", "warning", "info"};
+
+std::atomic<LogFormat> CurrentFormat{LogFormat::Text};
+
+/// Returns \p Value quoted when it would not read as one word.
+std::string quoted(const std::string &Value) {
+  if (!Value.empty() && Value.find_first_of(" =\"\\\n\r\t") == Value.npos)
+    return Value;
+  std::string Text = "\"";
+  for (char C : Value) {
+    if (C == '"' || C == '\\')
+      Text += '\\';
+    if (C == '\n' || C == '\r' || C == '\t')
+      Text += C == '\n' ? "\\n" : C == '\r' ? "\\r" : "\\t";
+    else
+      Text += C;
+  }
+  return Text + '"';
+}
+
+std::string textLine(std::string_view Event,
+                     std::initializer_list<LogField> Fields) {
+  std::string Line = "event=" + quoted(std::string(Event));
+  for (const LogField &Field : Fields)
+    Line += " " + std::string(Field.first) + "=" + quoted(Field.second);
+  return Line;
+}
+
+/// Returns the members of a JSON object without its opening brace, because the
+/// format of the logger begins the object with time and level.
+std::string jsonMembers(std::string_view Event,
+                        std::initializer_list<LogField> Fields) {
+  cxxtools::SerializationInfo Object;
+  Object.addValue("event", std::string(Event));
+  for (const LogField &Field : Fields)
+    Object.addValue(std::string(Field.first), Field.second);
+  std::ostringstream Out;
+  Out << cxxtools::Json(Object);
+  return Out.str().substr(1);
+}
+
+} // namespace
+
+bool parseLogFormat(const std::string &Text, LogFormat &Value) {
+  for (int I = 0; I < 2; ++I)
+    if (Text == FormatNames[I]) {
+      Value = static_cast<LogFormat>(I);
+      return true;
+    }
+  return false;
+}
+
+bool parseLogLevel(const std::string &Text, LogLevel &Value) {
+  for (int I = 0; I < 3; ++I)
+    if (Text == LevelNames[I]) {
+      Value = static_cast<LogLevel>(I);
+      return true;
+    }
+  return false;
+}
+
+void configureLogging(LogFormat Format, LogLevel Level) {
+  CurrentFormat = Format;
+  const std::string Time = "%datetime{%Y-%M-%dT%H:%m:%s.%g}";
+  el::Configurations Configuration;
+  Configuration.setToDefault();
+  Configuration.setGlobally(el::ConfigurationType::Format,
+                            Format == LogFormat::Json
+                                ? R"({"time":")" + Time +
+                                      R"(","level":"%level",%msg)"
+                                : "time=" + Time + " level=%level %msg");
+  Configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+  Configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  Configuration.set(el::Level::Info, el::ConfigurationType::Enabled,
+                    Level >= LogLevel::Info ? "true" : "false");
+  Configuration.set(el::Level::Warning, el::ConfigurationType::Enabled,
+                    Level >= LogLevel::Warning ? "true" : "false");
+  el::Loggers::reconfigureLogger("default", Configuration);
+}
+
+void logStateChange(std::string_view Event,
+                    std::initializer_list<LogField> Fields, LogLevel Level) {
+  const std::string Line = CurrentFormat == LogFormat::Json
+                               ? jsonMembers(Event, Fields)
+                               : textLine(Event, Fields);
+  switch (Level) {
+  case LogLevel::Error:
+    LOG(ERROR) << Line;
+    break;
+  case LogLevel::Warning:
+    LOG(WARNING) << Line;
+    break;
+  case LogLevel::Info:
+    LOG(INFO) << Line;
+    break;
+  }
+}
+
+} // namespace nutmegwell::settings
--- /dev/null
+++ b/lib/settings/tests/settingstest.cpp
@@ -0,0 +1,174 @@
+#include "nutmegwell/settings/settings.h"
+#include "nutmegwell/settings/daemon.h"
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+#include <sstream>
+
+using namespace nutmegwell;
+using namespace std::chrono_literals;
+
+class SettingsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SettingsTest);
+  CPPUNIT_TEST(flagComesBeforeVariableBeforeDefault);
+  CPPUNIT_TEST(badValuesAreRefusedByName);
+  CPPUNIT_TEST(requiredSettingsDependOnRole);
+  CPPUNIT_TEST(listCollectsEveryAddress);
+  CPPUNIT_TEST(helpNamesEverySettingWithUnitAndDefault);
+  CPPUNIT_TEST(checkEndsWithZeroOrOne);
+  CPPUNIT_TEST(durationSurvivesRoundTrip);
+  CPPUNIT_TEST(arbitraryTextNeverCrashes);
+  CPPUNIT_TEST_SUITE_END();
+
+  const settings::SettingsSpec Spec_ = settings::daemonSettings();
+
+  absl::StatusOr<settings::Settings>
+  parse(std::vector<std::string> Flags,
+        const settings::Environment &Variables = {}) const {
+    std::vector<const char *> Argv{"nutmegwelld"};
+    for (const std::string &Flag : Flags)
+      Argv.push_back(Flag.c_str());
+    return settings::parse(Spec_, int(Argv.size()), Argv.data(), Variables);
+  }
+
+  static std::vector<std::string> entryFlags() {
+    return {"--role=entry",
+            "--node=e1",
+            "--domain=a",
+            "--log-address=127.0.0.1:9000",
+            "--http-listen=127.0.0.1:0",
+            "--udp-listen=127.0.0.1:0",
+            "--tcp-listen=127.0.0.1:0"};
+  }
+
+  absl::StatusOr<settings::Settings> withFlag(const std::string &Flag) const {
+    auto Flags = entryFlags();
+    Flags.push_back(Flag);
+    return parse(Flags);
+  }
+
+  /// Guards against a variable that overrides what the command line says.
+  void flagComesBeforeVariableBeforeDefault() {
+    auto Flags = entryFlags();
+    Flags.push_back("--silent-after=3s");
+    auto Parsed = parse(Flags, {{"NUTMEGWELL_SILENT_AFTER", "4s"},
+                                {"NUTMEGWELL_LAPSE_AFTER", "7.5s"}});
+    CPPUNIT_ASSERT(Parsed.ok());
+    CPPUNIT_ASSERT(Parsed->duration("silent-after") == 3s);
+    CPPUNIT_ASSERT(Parsed->duration("lapse-after") == 7500ms);
+    CPPUNIT_ASSERT(Parsed->duration("task-lease") == 15s);
+    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:9000"),
+                         settings::toString(Parsed->address("log-address")));
+  }
+
+  /// Guards against a daemon that starts with a setting it misread, and
+  /// against an error that does not say which setting is at fault.
+  void badValuesAreRefusedByName() {
+    const std::pair<const char *, const char *> Cases[] = {
+        {"--silent-after=3", "silent-after"},
+        {"--silent-after=-3s", "silent-after"},
+        {"--silent-after=10ms", "silent-after"},
+        {"--silent-after=6s", "silent-after"},
+        {"--start-permit=2500ms", "start-permit"},
+        {"--heartbeat-interval=2s", "heartbeat-interval"},
+        {"--max-body=0", "max-body"},
+        {"--max-body=10x", "max-body"},
+        {"--max-body=99999999999999999999", "max-body"},
+        {"--log-address=localhost:80", "log-address"},
+        {"--log-address=127.0.0.1:0", "log-address"},
+        {"--log-address=127.0.0.1:65536", "log-address"},
+        {"--peers=127.0.0.1:1,,127.0.0.1:2", "peers"},
+        {"--log-format=xml", "log-format"},
+        {"--no-such-flag", "no-such-flag"},
+        {"--no-such-flag=1", "no-such-flag"},
+        {"-x", "-x"},
+        {"--peers", "peers"},
+        {"stray", "stray"}};
+    for (const auto &Case : Cases) {
+      auto Parsed = withFlag(Case.first);
+      CPPUNIT_ASSERT_MESSAGE(Case.first, !Parsed.ok());
+      CPPUNIT_ASSERT_MESSAGE(std::string(Parsed.status().message()),
+                             Parsed.status().message().find(Case.second) !=
+                                 std::string::npos);
+    }
+    auto Flags = entryFlags();
+    auto Parsed = parse(Flags, {{"NUTMEGWELL_MAX_BODY", "big"}});
+    CPPUNIT_ASSERT(Parsed.status().message().find("NUTMEGWELL_MAX_BODY") !=
+                   std::string::npos);
+  }
+
+  /// Guards against an agent that starts without knowing its entry hosts.
+  void requiredSettingsDependOnRole() {
+    auto Flags = entryFlags();
+    CPPUNIT_ASSERT(parse(Flags).ok());
+    Flags[0] = "--role=agent";
+    CPPUNIT_ASSERT(parse(Flags).status().message().find("kind") !=
+                   std::string::npos);
+    Flags.push_back("--kind=upstream");
+    CPPUNIT_ASSERT(parse(Flags).status().message().find("entries") !=
+                   std::string::npos);
+    Flags.push_back("--entries=127.0.0.1:7000");
+    CPPUNIT_ASSERT(parse(Flags).status().message().find("announce-listen") !=
+                   std::string::npos);
+    Flags.push_back("--announce-listen=127.0.0.1:0");
+    CPPUNIT_ASSERT(parse(Flags).ok());
+  }
+
+  /// Guards against entry hosts that a repeated flag or a comma drops.
+  void listCollectsEveryAddress() {
+    auto Flags = entryFlags();
+    Flags.push_back("--peers=127.0.0.1:1,127.0.0.1:2");
+    Flags.push_back("--peers=127.0.0.1:3");
+    auto Parsed = parse(Flags);
+    CPPUNIT_ASSERT(Parsed.ok());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Parsed->addresses("peers").size());
+  }
+
+  /// Guards against a setting that operators cannot discover.
+  void helpNamesEverySettingWithUnitAndDefault() {
+    const std::string Help = settings::help(Spec_);
+    for (const auto &Setting : Spec_.Settings_) {
+      CPPUNIT_ASSERT(Help.find("--" + Setting.Name_) != std::string::npos);
+      CPPUNIT_ASSERT(Help.find("default " + Setting.Default_) !=
+                     std::string::npos);
+    }
+    CPPUNIT_ASSERT(Help.find("in bytes") != std::string::npos);
+  }
+
+  /// Guards against --check that lets a wrong setting pass.
+  void checkEndsWithZeroOrOne() {
+    std::ostringstream Out, Err;
+    auto Good = withFlag("--check");
+    CPPUNIT_ASSERT(settings::exitCode(Spec_, Good, Out, Err) == 0);
+    auto Bad = parse({"--check"});
+    CPPUNIT_ASSERT(settings::exitCode(Spec_, Bad, Out, Err) == 1);
+    CPPUNIT_ASSERT(Err.str().find("role") != std::string::npos);
+    auto Helped = parse({"--help"});
+    CPPUNIT_ASSERT(settings::exitCode(Spec_, Helped, Out, Err) == 0);
+    CPPUNIT_ASSERT(!settings::exitCode(Spec_, withFlag("--node=e2"), Out, Err));
+  }
+
+  /// Guards against defaults that change when they are shown and read again.
+  void durationSurvivesRoundTrip() {
+    const bool Passed = rc::check("duration round trip", [] {
+      const core::Duration Value(
+          *rc::gen::inRange<std::int64_t>(0, 1000000000000));
+      core::Duration Read{};
+      RC_ASSERT(settings::parseDuration(settings::formatDuration(Value), Read));
+      RC_ASSERT(Read == Value);
+    });
+    CPPUNIT_ASSERT(Passed);
+  }
+
+  /// Guards against a command line that ends the process.
+  void arbitraryTextNeverCrashes() {
+    const bool Passed = rc::check("arbitrary values", [this] {
+      const auto Index =
+          *rc::gen::inRange<std::size_t>(0, Spec_.Settings_.size());
+      const auto Text = *rc::gen::arbitrary<std::string>();
+      (void)withFlag("--" + Spec_.Settings_[Index].Name_ + "=" + Text);
+    });
+    CPPUNIT_ASSERT(Passed);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SettingsTest);
