--- /dev/null
+++ b/lib/entry/include/nutmegwell/entry/api.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "nutmegwell/entry/controlloop.h"
+#include "nutmegwell/net/http.h"
+
+namespace nutmegwell::entry {
+
+/// Answers the paths below /v1/ for callers and operators. Runs on traffic
+/// threads; the control thread is asked through the loop.
+class Api {
+public:
+  explicit Api(ControlLoop &Control) : Control_(Control) {}
+
+  /// Returns true when this interface, and no route, answers \p Path.
+  static bool owns(const std::string &Path);
+
+  net::HttpResponse handle(const net::HttpRequest &Request);
+
+private:
+  net::HttpResponse jobs(const net::HttpRequest &Request,
+                         const std::vector<std::string> &Parts);
+  net::HttpResponse submitJob(const net::HttpRequest &Request);
+  net::HttpResponse cancelJob(const core::JobId &Id);
+  net::HttpResponse showJob(const core::JobId &Id);
+  net::HttpResponse waitJob(const net::HttpRequest &Request,
+                            const core::JobId &Id);
+  net::HttpResponse explainJob(const core::JobId &Id);
+  net::HttpResponse tables(const net::HttpRequest &Request,
+                           const std::vector<std::string> &Parts);
+  net::HttpResponse showTable(const std::string &Name);
+  net::HttpResponse publishTable(const net::HttpRequest &Request,
+                                 const std::string &Name);
+  net::HttpResponse domains(const net::HttpRequest &Request,
+                            const std::vector<std::string> &Parts);
+  net::HttpResponse status();
+
+  ControlLoop &Control_;
+};
+
+} // namespace nutmegwell::entry
--- /dev/null
+++ b/lib/entry/src/api.cpp
@@ -0,0 +1,345 @@
+#include "nutmegwell/entry/api.h"
+
+#include "nutmegwell/wire/apijson.h"
+#include "nutmegwell/wire/tablejson.h"
+#include <sstream>
+
+namespace nutmegwell::entry {
+
+namespace {
+
+/// Time for a record to reach the log and come back through the fold.
+constexpr auto SubmitTimeout = std::chrono::seconds(6);
+constexpr auto LongestWait = std::chrono::seconds(60);
+
+std::vector<std::string> split(const std::string &Path) {
+  std::vector<std::string> Parts;
+  std::istringstream In(Path);
+  for (std::string Part; std::getline(In, Part, '/');)
+    if (!Part.empty())
+      Parts.push_back(Part);
+  return Parts;
+}
+
+net::HttpResponse json(unsigned Status, std::string Body) {
+  return {Status, "application/json", std::move(Body)};
+}
+
+net::HttpResponse fail(unsigned Status, const std::string &Code,
+                       const std::string &Step, const std::string &Message,
+                       wire::ApiOutcome Outcome = wire::ApiOutcome::NotRun) {
+  wire::ApiError Error;
+  Error.Code_ = Code;
+  Error.Outcome_ = Outcome;
+  Error.Step_ = Step;
+  Error.Message_ = Message;
+  return json(Status, wire::formatError(Error));
+}
+
+net::HttpResponse notFound(const std::string &Message) {
+  return fail(404, "not_found", "route", Message);
+}
+
+net::HttpResponse stopping() {
+  return fail(503, "stopping", "control", "the entry host is stopping");
+}
+
+unsigned statusOf(const std::string &Code) {
+  if (Code == "invalid_table" || Code == "impossible_job")
+    return 422;
+  if (Code == "log_unavailable" || Code == "stopping" || Code == "overloaded")
+    return 503;
+  return 409;
+}
+
+/// Returns the answer to a command that was not applied.
+net::HttpResponse refusal(const absl::StatusOr<CommandReply> &Reply,
+                          const std::string &Step) {
+  if (!Reply.ok()) {
+    bool NotRun =
+        Reply.status().code() == absl::StatusCode::kResourceExhausted;
+    return fail(NotRun ? 503 : 504, NotRun ? "overloaded" : "verdict_unknown",
+                Step, std::string(Reply.status().message()),
+                NotRun ? wire::ApiOutcome::NotRun : wire::ApiOutcome::Unknown);
+  }
+  if (Reply->Outcome_ == CommandOutcome::InDoubt)
+    return fail(504, Reply->Code_, Step, Reply->Reason_,
+                wire::ApiOutcome::Unknown);
+  wire::ApiError Error;
+  Error.Code_ = Reply->Code_;
+  Error.Step_ = Step;
+  Error.Message_ = Reply->Reason_;
+  Error.Findings_ = Reply->Findings_;
+  return json(statusOf(Reply->Code_), wire::formatError(Error));
+}
+
+bool applied(const absl::StatusOr<CommandReply> &Reply) {
+  return Reply.ok() && Reply->Outcome_ == CommandOutcome::Applied;
+}
+
+bool parseVersion(const net::HttpRequest &Request, core::Version &Value) {
+  const std::string Text = Request.parameter("version");
+  if (Text.empty() || Text.size() > 18 ||
+      Text.find_first_not_of("0123456789") != Text.npos)
+    return false;
+  Value = std::stoull(Text);
+  return true;
+}
+
+net::HttpResponse versionMissing() {
+  return fail(400, "bad_version", "parse",
+              "the parameter version must be the version in force");
+}
+
+wire::DomainView viewDomain(const EntryState &State,
+                            const model::DomainName &Name) {
+  wire::DomainView View;
+  View.Name_ = Name;
+  auto Known = State.Fold_.Domains_.find(Name);
+  if (Known != State.Fold_.Domains_.end()) {
+    View.InService_ = Known->second.InService_;
+    View.Version_ = Known->second.Version_;
+  }
+  auto Tenure = State.Fold_.Cells_.find(Name);
+  if (Tenure != State.Fold_.Cells_.end()) {
+    View.Holder_ = Tenure->second.Holder_;
+    View.Term_ = Tenure->second.Term_;
+  }
+  return View;
+}
+
+std::set<model::DomainName> knownDomains(const EntryState &State) {
+  std::set<model::DomainName> Names;
+  for (const auto &[Name, Total] : membership::capacityOf(State.Nodes_))
+    Names.insert(Name);
+  for (const auto &[Name, Known] : State.Fold_.Domains_)
+    Names.insert(Name);
+  return Names;
+}
+
+wire::StatusView viewStatus(const EntryState &State) {
+  wire::StatusView View;
+  View.Node_ = State.Settings_.Node_;
+  View.ConfigOffset_ = State.Fold_.Next_;
+  View.LogAvailable_ = State.LogAvailable_;
+  for (const auto &Name : knownDomains(State))
+    View.Domains_.push_back(viewDomain(State, Name));
+  for (const auto &[Name, Known] : State.Nodes_.Nodes_)
+    View.Nodes_.push_back(
+        {Name,
+         Known.Last_.Kind_ == model::NodeKind::Worker ? "worker" : "upstream",
+         toString(Known.State_), Known.Last_.Domain_, Known.Last_.Rack_,
+         Known.Last_.Accelerators_});
+  for (const auto &[Id, Known] : State.Fold_.Jobs_)
+    View.Jobs_.push_back(Known);
+  return View;
+}
+
+/// Returns the job with its wait reason filled in.
+std::optional<model::Job> viewJob(const EntryState &State,
+                                  const core::JobId &Id) {
+  auto Known = State.Fold_.Jobs_.find(Id);
+  if (Known == State.Fold_.Jobs_.end())
+    return std::nullopt;
+  model::Job View = Known->second;
+  auto Reason = State.WaitReasons_.find(Id);
+  if (View.State_ == model::JobState::Waiting &&
+      Reason != State.WaitReasons_.end())
+    View.Reason_ = Reason->second;
+  return View;
+}
+
+} // namespace
+
+bool Api::owns(const std::string &Path) {
+  return Path.rfind("/v1/", 0) == 0 || Path == "/v1";
+}
+
+net::HttpResponse Api::handle(const net::HttpRequest &Request) {
+  std::vector<std::string> Parts = split(Request.Path_);
+  if (Parts.size() < 2)
+    return notFound("no such path");
+  if (Parts[1] == "jobs")
+    return jobs(Request, Parts);
+  if (Parts[1] == "tables" && Parts.size() == 3)
+    return tables(Request, Parts);
+  if (Parts[1] == "domains" && Parts.size() == 4)
+    return domains(Request, Parts);
+  if (Parts[1] == "status" && Request.Method_ == "GET")
+    return status();
+  return notFound("no such path");
+}
+
+net::HttpResponse Api::jobs(const net::HttpRequest &Request,
+                            const std::vector<std::string> &Parts) {
+  if (Parts.size() == 2 && Request.Method_ == "POST")
+    return submitJob(Request);
+  core::JobId Id;
+  if (Parts.size() < 3 ||
+      !core::parseId(Parts[2], Id.Writer_, Id.Sequence_))
+    return notFound("no such job");
+  if (Parts.size() == 3 && Request.Method_ == "DELETE")
+    return cancelJob(Id);
+  if (Parts.size() == 3 && Request.Method_ == "GET")
+    return showJob(Id);
+  if (Parts.size() == 4 && Parts[3] == "wait")
+    return waitJob(Request, Id);
+  if (Parts.size() == 4 && Parts[3] == "explain")
+    return explainJob(Id);
+  return notFound("no such path");
+}
+
+net::HttpResponse Api::submitJob(const net::HttpRequest &Request) {
+  model::JobSpec Spec;
+  auto Findings = wire::parseJobSpec(Request.Body_, Spec);
+  if (!Findings.empty()) {
+    wire::ApiError Error;
+    Error.Code_ = "invalid_job";
+    Error.Step_ = "parse";
+    Error.Message_ = "the job has findings";
+    Error.Findings_ = Findings;
+    return json(422, wire::formatError(Error));
+  }
+  core::JobId Id = Control_.newJobId();
+  auto Reply =
+      Control_.submit(model::JobSubmitted{Id, Spec}, SubmitTimeout);
+  if (!applied(Reply))
+    return refusal(Reply, "submit job");
+  model::Job Accepted;
+  Accepted.Id_ = Id;
+  Accepted.Spec_ = Spec;
+  return json(202, wire::formatJob(Accepted));
+}
+
+net::HttpResponse Api::cancelJob(const core::JobId &Id) {
+  auto Reply = Control_.submit(model::JobCancelled{Id}, SubmitTimeout);
+  return applied(Reply) ? showJob(Id) : refusal(Reply, "cancel job");
+}
+
+net::HttpResponse Api::showJob(const core::JobId &Id) {
+  std::optional<model::Job> Found;
+  if (!Control_.query([&](const EntryState &State) {
+        Found = viewJob(State, Id);
+      }))
+    return stopping();
+  return Found ? json(200, wire::formatJob(*Found)) : notFound("no such job");
+}
+
+net::HttpResponse Api::waitJob(const net::HttpRequest &Request,
+                               const core::JobId &Id) {
+  const std::string Text = Request.parameter("timeout_ms");
+  if (Text.empty() || Text.size() > 9 ||
+      Text.find_first_not_of("0123456789") != Text.npos)
+    return fail(400, "bad_timeout", "parse",
+                "the parameter timeout_ms must be a whole number");
+  core::Duration Timeout = std::min<core::Duration>(
+      std::chrono::milliseconds(std::stoul(Text)), LongestWait);
+  Control_.waitUntil(
+      [Id](const EntryState &State) {
+        auto Known = State.Fold_.Jobs_.find(Id);
+        return Known == State.Fold_.Jobs_.end() || State.Stopping_ ||
+               model::isFinal(Known->second.State_);
+      },
+      Timeout);
+  return showJob(Id);
+}
+
+net::HttpResponse Api::explainJob(const core::JobId &Id) {
+  std::string Text;
+  if (!Control_.query(
+          [&](const EntryState &State) { Text = explain(State, Id); }))
+    return stopping();
+  return json(200, wire::formatExplanation(Id, Text));
+}
+
+net::HttpResponse Api::tables(const net::HttpRequest &Request,
+                              const std::vector<std::string> &Parts) {
+  if (Parts[2] != "routes" && Parts[2] != "pools")
+    return notFound("no such table");
+  if (Request.Method_ == "GET")
+    return showTable(Parts[2]);
+  if (Request.Method_ == "PUT")
+    return publishTable(Request, Parts[2]);
+  return fail(405, "bad_method", "route", "use GET or PUT");
+}
+
+net::HttpResponse Api::showTable(const std::string &Name) {
+  std::string Body;
+  if (!Control_.query([&](const EntryState &State) {
+        Body = Name == "routes"
+                   ? wire::formatRoutesAnswer(State.Fold_.RoutesVersion_,
+                                              State.Fold_.Routes_)
+                   : wire::formatPoolsAnswer(State.Fold_.PoolsVersion_,
+                                             State.Fold_.Pools_);
+      }))
+    return stopping();
+  return json(200, Body);
+}
+
+net::HttpResponse Api::publishTable(const net::HttpRequest &Request,
+                                    const std::string &Name) {
+  core::Version Expected = 0;
+  if (!parseVersion(Request, Expected))
+    return versionMissing();
+  model::RecordBody Body;
+  std::vector<model::Finding> Findings;
+  if (Name == "routes") {
+    model::RoutesPublished Change{Expected, {}};
+    Findings = wire::parseRoutes(Request.Body_, Change.Table_);
+    Body = Change;
+  } else {
+    model::PoolsPublished Change{Expected, {}};
+    Findings = wire::parsePools(Request.Body_, Change.Table_);
+    Body = Change;
+  }
+  if (!Findings.empty())
+    return json(422, wire::formatError(wire::invalidTable(Findings)));
+  auto Reply = Control_.submit(Body, SubmitTimeout);
+  if (applied(Reply))
+    return json(200, wire::formatVersion(Expected + 1));
+  if (!Reply.ok() || Reply->Code_ != "stale_version")
+    return refusal(Reply, "publish " + Name);
+  core::Version InForce = 0;
+  Control_.query([&](const EntryState &State) {
+    InForce = Name == "routes" ? State.Fold_.RoutesVersion_
+                               : State.Fold_.PoolsVersion_;
+  });
+  return json(409, wire::formatError(wire::staleVersion(Name, InForce)));
+}
+
+net::HttpResponse Api::domains(const net::HttpRequest &Request,
+                               const std::vector<std::string> &Parts) {
+  if (Request.Method_ != "POST" || (Parts[3] != "out" && Parts[3] != "in"))
+    return notFound("no such path");
+  core::Version Expected = 0;
+  if (!parseVersion(Request, Expected))
+    return versionMissing();
+  const model::DomainName &Name = Parts[2];
+  bool Known = false;
+  Control_.query([&](const EntryState &State) {
+    Known = knownDomains(State).count(Name) > 0;
+  });
+  if (!Known)
+    return notFound("unknown failure domain " + Name);
+  auto Reply = Control_.submit(
+      model::DomainChanged{Expected, Name, Parts[3] == "in"}, SubmitTimeout);
+  wire::DomainView View;
+  Control_.query(
+      [&](const EntryState &State) { View = viewDomain(State, Name); });
+  if (applied(Reply))
+    return json(200, wire::formatDomainChange(View));
+  if (Reply.ok() && Reply->Code_ == "stale_version")
+    return json(409,
+                wire::formatError(wire::staleVersion(Name, View.Version_)));
+  return refusal(Reply, "change domain");
+}
+
+net::HttpResponse Api::status() {
+  wire::StatusView View;
+  if (!Control_.query(
+          [&](const EntryState &State) { View = viewStatus(State); }))
+    return stopping();
+  return json(200, wire::formatStatus(View));
+}
+
+} // namespace nutmegwell::entry
