--- /dev/null
+++ b/lib/logclient/src/appender.cpp
@@ -0,0 +1,136 @@
+#include "nutmegwell/logclient/appender.h"
+
+#include "nutmegwell/wire/binary.h"
+#include <utility>
+
+namespace nutmegwell::logclient {
+
+Appender::Appender(LogService Log, core::Incarnation Writer,
+                   const AppenderSettings &Settings, AppenderEvents Events,
+                   core::Clock Time, core::Random Jitter)
+    : Log_(std::move(Log)), Events_(std::move(Events)), Time_(std::move(Time)),
+      Jitter_(std::move(Jitter)) {
+  State_.Settings_ = Settings;
+  State_.Writer_ = Writer;
+  Appending_ = std::thread([this] { append(); });
+  Deciding_ = std::thread([this] { decide(); });
+}
+
+Appender::~Appender() { stop(); }
+
+absl::StatusOr<core::RecordId> Appender::submit(model::RecordBody Body,
+                                                core::Duration Within) {
+  absl::StatusOr<core::RecordId> Id;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Id = logclient::submit(State_, std::move(Body), Time_.Now_() + Within);
+  }
+  Changed_.notify_one();
+  return Id;
+}
+
+void Appender::noteBatch(core::Offset At, const model::Batch &Entry) {
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    logclient::noteBatch(State_, At, Entry);
+  }
+  Changed_.notify_one();
+}
+
+void Appender::noteTail(core::TimePoint ReadBegan) {
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    logclient::noteTail(State_, ReadBegan, Jitter_, Time_.Now_());
+  }
+  Changed_.notify_one();
+}
+
+void Appender::noteRestart(const model::ControlState &State) {
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    auto Known = State.Writers_.find(State_.Writer_);
+    if (Known != State.Writers_.end())
+      logclient::noteRestart(State_, Known->second);
+  }
+  Changed_.notify_one();
+}
+
+bool Appender::available() const {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  return State_.Available_;
+}
+
+void Appender::stop() {
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Stopping_ = true;
+  }
+  Sendable_.notify_all();
+  Changed_.notify_all();
+  if (Appending_.joinable())
+    Appending_.join();
+  if (Deciding_.joinable())
+    Deciding_.join();
+}
+
+void Appender::append() {
+  std::unique_lock<std::mutex> Lock(Mutex_);
+  while (true) {
+    Sendable_.wait(Lock, [this] { return Stopping_ || Outgoing_; });
+    if (!Outgoing_)
+      return;
+    model::Batch Entry = std::move(*Outgoing_);
+    Outgoing_.reset();
+    Lock.unlock();
+    auto Outcome = Log_.Append_(wire::encode(Entry));
+    Lock.lock();
+    finishAppend(State_, Outcome, Jitter_, Time_.Now_());
+    Changed_.notify_one();
+  }
+}
+
+void Appender::decide() {
+  std::unique_lock<std::mutex> Lock(Mutex_);
+  while (!Stopping_ || State_.Phase_ == AppendPhase::InFlight) {
+    if (auto Entry =
+            Stopping_ ? std::nullopt : startAppend(State_, Time_.Now_())) {
+      Outgoing_ = std::move(Entry);
+      Sendable_.notify_one();
+    }
+    expire(State_, Time_.Now_());
+    deliver(Lock);
+    // A change that arrived during deliver is seen here, because the lock is
+    // held from this check to the wait.
+    if (Stopping_ && State_.Phase_ != AppendPhase::InFlight)
+      break;
+    if (!State_.Reports_.empty() || ReportedAvailable_ != State_.Available_)
+      continue;
+    auto Due = nextDue(State_);
+    if (Due && *Due <= Time_.Now_())
+      continue;
+    if (Due)
+      Changed_.wait_until(Lock, *Due);
+    else
+      Changed_.wait(Lock);
+  }
+  abandon(State_);
+  deliver(Lock);
+}
+
+void Appender::deliver(std::unique_lock<std::mutex> &Lock) {
+  while (!State_.Reports_.empty() || ReportedAvailable_ != State_.Available_) {
+    auto Reports = std::exchange(State_.Reports_, {});
+    const bool Available = State_.Available_;
+    const bool Changed =
+        std::exchange(ReportedAvailable_, Available) != Available;
+    Lock.unlock();
+    for (const AppendReport &Report : Reports)
+      if (Events_.OnReport_)
+        Events_.OnReport_(Report);
+    if (Changed && Events_.OnAvailable_)
+      Events_.OnAvailable_(Available);
+    Lock.lock();
+  }
+}
+
+} // namespace nutmegwell::logclient
