--- /dev/null
+++ b/apps/nutmegwelld/agentrole.cpp
@@ -0,0 +1,110 @@
+#include "nutmegwell/agent/controlloop.h"
+#include "nutmegwell/core/random.h"
+#include "nutmegwell/net/udp.h"
+#include "nutmegwell/settings/logging.h"
+#include "nutmegwell/wire/binary.h"
+#include "roles.h"
+#include "stopsignals.h"
+#include <atomic>
+
+namespace nutmegwelld {
+
+using namespace nutmegwell;
+
+namespace {
+
+/// Time for tasks to checkpoint when the agent stops.
+constexpr auto DrainBound = std::chrono::seconds(30);
+
+net::Address toAddress(const settings::HostPort &Value) {
+  return net::Address{Value.Ip_, Value.Port_};
+}
+
+agent::AgentSettings agentSettings(const settings::Settings &Values) {
+  agent::AgentSettings Result;
+  Result.Node_ = Values.text("node");
+  Result.Incarnation_ = core::systemRandom().Next_();
+  Result.Kind_ = Values.text("kind") == "worker" ? model::NodeKind::Worker
+                                                 : model::NodeKind::Upstream;
+  Result.Domain_ = Values.text("domain");
+  Result.Rack_ = Values.text("rack");
+  Result.Accelerators_ =
+      static_cast<std::uint32_t>(Values.count("accelerators"));
+  Result.RequestAddress_ = settings::toString(Values.address("tcp-listen"));
+  for (const settings::HostPort &Entry : Values.addresses("entries"))
+    Result.Entries_.push_back(settings::toString(Entry));
+  Result.HeartbeatInterval_ = Values.duration("heartbeat-interval");
+  return Result;
+}
+
+/// Connects the control loop with the entry hosts and the worker runtime.
+class AgentRole {
+public:
+  explicit AgentRole(const settings::Settings &Values);
+  ~AgentRole() { ControlPointer_ = nullptr; }
+  void stop();
+
+private:
+  agent::ControlPorts makePorts(const settings::Settings &Values);
+  void onDatagram(const net::Address &From, const std::string &Bytes);
+
+  std::atomic<agent::ControlLoop *> ControlPointer_{nullptr};
+  std::atomic<std::uint64_t> BadDatagrams_{0};
+  net::UdpEndpoint Udp_;
+  agent::ControlLoop Control_;
+};
+
+AgentRole::AgentRole(const settings::Settings &Values)
+    : Udp_(toAddress(Values.address("udp-listen")),
+           [this](const net::Address &From, const std::string &Bytes) {
+             onDatagram(From, Bytes);
+           }),
+      Control_(agentSettings(Values), makePorts(Values)) {
+  ControlPointer_ = &Control_;
+  settings::logStateChange("started",
+                           {{"role", "agent"}, {"node", Values.text("node")}});
+}
+
+agent::ControlPorts AgentRole::makePorts(const settings::Settings &Values) {
+  agent::ControlPorts Ports;
+  Ports.Clock_ = core::steadyClock();
+  Ports.Send_ = [this](const agent::Send &Message) {
+    net::Address To;
+    if (net::parseAddress(Message.To_, To))
+      Udp_.send(To, wire::encode(Message.Message_));
+  };
+  Ports.Report_ = [](const agent::StateChange &Change) {
+    settings::logStateChange(Change.Event_, Change.Fields_);
+  };
+  if (Values.text("kind") == "worker")
+    Ports.Runtime_ =
+        agent::httpRuntime(toAddress(Values.address("runtime-address")));
+  return Ports;
+}
+
+void AgentRole::onDatagram(const net::Address &From, const std::string &Bytes) {
+  auto Message = wire::decodeDatagram(Bytes);
+  agent::ControlLoop *Control = ControlPointer_;
+  if (!Message.ok())
+    ++BadDatagrams_;
+  else if (Control)
+    Control->post(agent::DatagramReceived{net::toString(From), *Message});
+}
+
+void AgentRole::stop() {
+  Control_.post(agent::StopRequested());
+  if (!Control_.waitDrained(DrainBound))
+    settings::logStateChange("stopped_with_tasks", {});
+}
+
+} // namespace
+
+int runAgent(const settings::Settings &Values) {
+  AgentRole Role(Values);
+  waitForStop();
+  runStop([&Role] { Role.stop(); }, [] { return std::string("tasks"); });
+  settings::logStateChange("stopped", {{"role", "agent"}});
+  return 0;
+}
+
+} // namespace nutmegwelld
--- /dev/null
+++ b/apps/nutmegwelld/entryrole.cpp
@@ -0,0 +1,244 @@
+#include "nutmegwell/core/random.h"
+#include "nutmegwell/entry/api.h"
+#include "nutmegwell/entry/controlloop.h"
+#include "nutmegwell/logclient/appender.h"
+#include "nutmegwell/logclient/httplog.h"
+#include "nutmegwell/logclient/reader.h"
+#include "nutmegwell/net/http.h"
+#include "nutmegwell/net/udp.h"
+#include "nutmegwell/settings/logging.h"
+#include "nutmegwell/wire/binary.h"
+#include "roles.h"
+#include "stopsignals.h"
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+namespace nutmegwelld {
+
+using namespace nutmegwell;
+
+namespace {
+
+/// Time after which a record that was not sent is given up.
+constexpr auto AppendWithin = std::chrono::seconds(4);
+constexpr auto StartRetry = std::chrono::milliseconds(500);
+constexpr std::size_t StartEntries = 256;
+/// Time for the records of a graceful stop to reach the log.
+constexpr auto StopAppends = std::chrono::seconds(2);
+
+net::Address toAddress(const settings::HostPort &Value) {
+  return net::Address{Value.Ip_, Value.Port_};
+}
+
+entry::EntrySettings entrySettings(const settings::Settings &Values,
+                                   core::Incarnation Process) {
+  entry::EntrySettings Result;
+  Result.Node_ = Values.text("node");
+  Result.Incarnation_ = Process;
+  for (const settings::HostPort &Peer : Values.addresses("entries"))
+    Result.Entries_.push_back(settings::toString(Peer));
+  Result.CellLease_ = Values.duration("cell-lease");
+  Result.CellRenewInterval_ = Result.CellLease_ / 3;
+  Result.StartPermit_ = Values.duration("start-permit");
+  Result.TaskLease_ = Values.duration("task-lease");
+  Result.CheckpointGrace_ = Values.duration("checkpoint-grace");
+  Result.HeartbeatInterval_ = Values.duration("heartbeat-interval");
+  Result.Membership_.SilentAfter_ = Values.duration("silent-after");
+  Result.Membership_.LapseAfter_ = Values.duration("lapse-after");
+  return Result;
+}
+
+/// Connects the control loop with the log, the peers and the callers.
+class EntryRole {
+public:
+  explicit EntryRole(const settings::Settings &Values);
+  ~EntryRole();
+  void stop();
+  std::string cutOff() const;
+
+private:
+  entry::ControlPorts makePorts();
+  void startReading();
+  void read(const logclient::StartPoint &Start);
+  void append(std::vector<model::Record> Changes);
+  void onDatagram(const net::Address &From, const std::string &Bytes);
+  net::HttpResponse handle(const net::HttpRequest &Request);
+  logclient::AppenderEvents appenderEvents();
+
+  const core::Incarnation Process_;
+  const logclient::LogService Log_;
+  std::atomic<entry::ControlLoop *> ControlPointer_{nullptr};
+  std::shared_ptr<const routing::RoutingSnapshot> Snapshot_;
+  std::atomic<std::uint64_t> BadDatagrams_{0};
+  std::atomic<unsigned> InFlight_{0};
+  logclient::Appender Appender_;
+  net::UdpEndpoint Udp_;
+  entry::ControlLoop Control_;
+  entry::Api Api_;
+  std::mutex StartMutex_;
+  std::condition_variable StartChanged_;
+  bool Stopping_ = false;
+  std::unique_ptr<logclient::Reader> Reader_;
+  net::HttpServer Http_;
+  std::thread Starter_;
+};
+
+net::HttpLimits httpLimits(const settings::Settings &Values) {
+  net::HttpLimits Limits;
+  Limits.MaxBody_ = static_cast<std::size_t>(Values.count("max-body"));
+  Limits.MaxThreads_ = static_cast<unsigned>(Values.count("max-connections"));
+  return Limits;
+}
+
+EntryRole::EntryRole(const settings::Settings &Values)
+    : Process_(core::systemRandom().Next_()),
+      Log_(logclient::httpLogService({toAddress(Values.address("log-address")),
+                                      Values.text("log-stream")})),
+      Appender_(Log_, Process_, logclient::AppenderSettings(),
+                appenderEvents()),
+      Udp_(toAddress(Values.address("udp-listen")),
+           [this](const net::Address &From, const std::string &Bytes) {
+             onDatagram(From, Bytes);
+           }),
+      Control_(entrySettings(Values, Process_), makePorts()), Api_(Control_),
+      Http_(toAddress(Values.address("http-listen")), httpLimits(Values),
+            [this](const net::HttpRequest &Request) {
+              return handle(Request);
+            }) {
+  ControlPointer_ = &Control_;
+  Starter_ = std::thread([this] { startReading(); });
+  settings::logStateChange("started",
+                           {{"role", "entry"}, {"node", Values.text("node")}});
+}
+
+EntryRole::~EntryRole() { ControlPointer_ = nullptr; }
+
+entry::ControlPorts EntryRole::makePorts() {
+  entry::ControlPorts Ports;
+  Ports.Clock_ = core::steadyClock();
+  Ports.Send_ = [this](const entry::Send &Message) {
+    net::Address To;
+    if (net::parseAddress(Message.To_, To))
+      Udp_.send(To, wire::encode(Message.Message_));
+  };
+  Ports.Append_ = [this](std::vector<model::Record> Changes) {
+    append(std::move(Changes));
+  };
+  Ports.Publish_ = [this](auto Snapshot) {
+    std::atomic_store(&Snapshot_, std::move(Snapshot));
+  };
+  Ports.Report_ = [](const entry::StateChange &Change) {
+    settings::logStateChange(Change.Event_, Change.Fields_);
+  };
+  return Ports;
+}
+
+logclient::AppenderEvents EntryRole::appenderEvents() {
+  logclient::AppenderEvents Events;
+  Events.OnAvailable_ = [this](bool Available) {
+    Control_.post(entry::LogAvailability{Available});
+  };
+  Events.OnReport_ = [this](const logclient::AppendReport &Report) {
+    if (Report.Outcome_ != logclient::AppendOutcome::Appended)
+      Control_.post(entry::AppendFailed{
+          Report.Id_, Report.Outcome_ == logclient::AppendOutcome::InDoubt});
+  };
+  return Events;
+}
+
+void EntryRole::append(std::vector<model::Record> Changes) {
+  for (model::Record &Change : Changes) {
+    core::RecordId Id = Change.Id_;
+    if (!Appender_.submit(std::move(Change), AppendWithin).ok())
+      Control_.post(entry::AppendFailed{Id, false});
+  }
+}
+
+/// Reads the log once it can be read at all.
+void EntryRole::startReading() {
+  while (true) {
+    auto Start = logclient::findStart(Log_, StartEntries);
+    if (Start.ok())
+      return read(*Start);
+    std::unique_lock<std::mutex> Lock(StartMutex_);
+    if (StartChanged_.wait_for(Lock, StartRetry, [this] { return Stopping_; }))
+      return;
+  }
+}
+
+void EntryRole::read(const logclient::StartPoint &Start) {
+  auto Replace = [this](const logclient::StartPoint &Point) {
+    model::ControlState State = Point.State_;
+    State.Next_ = Point.From_;
+    Control_.post(entry::LogReplaced{std::move(State)});
+  };
+  Replace(Start);
+  logclient::ReaderEvents Events;
+  Events.OnBatch_ = [this](core::Offset At, const model::Batch &Entry) {
+    Appender_.noteBatch(At, Entry);
+    Control_.post(entry::LogEntry{At, Entry});
+  };
+  Events.OnTail_ = [this](core::TimePoint Began) {
+    Appender_.noteTail(Began);
+    Control_.post(entry::LogTail{Began});
+  };
+  Events.OnRestart_ = [this, Replace](const logclient::StartPoint &Point) {
+    Appender_.noteRestart(Point.State_);
+    Replace(Point);
+  };
+  std::lock_guard<std::mutex> Lock(StartMutex_);
+  if (!Stopping_)
+    Reader_ = std::make_unique<logclient::Reader>(
+        Log_, Start.From_, logclient::ReaderSettings(), std::move(Events));
+}
+
+void EntryRole::onDatagram(const net::Address &From, const std::string &Bytes) {
+  auto Message = wire::decodeDatagram(Bytes);
+  entry::ControlLoop *Control = ControlPointer_;
+  if (!Message.ok())
+    ++BadDatagrams_;
+  else if (Control)
+    Control->post(entry::DatagramReceived{net::toString(From), *Message});
+}
+
+net::HttpResponse EntryRole::handle(const net::HttpRequest &Request) {
+  if (entry::Api::owns(Request.Path_))
+    return Api_.handle(Request);
+  return {404, "application/json", "{}"};
+}
+
+void EntryRole::stop() {
+  Control_.post(entry::StopRequested());
+  {
+    std::lock_guard<std::mutex> Lock(StartMutex_);
+    Stopping_ = true;
+  }
+  StartChanged_.notify_all();
+  Starter_.join();
+  Http_.stop();
+  // Waits until the fold shows that the cells were given back.
+  Control_.waitUntil(
+      [](const entry::EntryState &State) { return State.Pending_.empty(); },
+      StopAppends);
+  if (Reader_)
+    Reader_->stop();
+  Appender_.stop();
+}
+
+std::string EntryRole::cutOff() const {
+  return std::to_string(InFlight_) + " requests";
+}
+
+} // namespace
+
+int runEntry(const settings::Settings &Values) {
+  EntryRole Role(Values);
+  waitForStop();
+  runStop([&Role] { Role.stop(); }, [&Role] { return Role.cutOff(); });
+  settings::logStateChange("stopped", {{"role", "entry"}});
+  return 0;
+}
+
+} // namespace nutmegwelld
--- /dev/null
+++ b/apps/nutmegwelld/main.cpp
@@ -0,0 +1,29 @@
+#include "nutmegwell/settings/daemon.h"
+#include "nutmegwell/settings/logging.h"
+#include "nutmegwell/settings/settings.h"
+#include "roles.h"
+#include "stopsignals.h"
+#include <iostream>
+
+using namespace nutmegwell;
+
+int main(int Argc, char **Argv) {
+  const settings::SettingsSpec Spec = settings::daemonSettings();
+  auto Values =
+      settings::parse(Spec, Argc, Argv, settings::processEnvironment());
+  if (auto Code = settings::exitCode(Spec, Values, std::cout, std::cerr))
+    return *Code;
+  settings::LogFormat Format = settings::LogFormat::Text;
+  settings::LogLevel Level = settings::LogLevel::Info;
+  settings::parseLogFormat(Values->text("log-format"), Format);
+  settings::parseLogLevel(Values->text("log-level"), Level);
+  settings::configureLogging(Format, Level);
+  nutmegwelld::blockStopSignals();
+  try {
+    return Values->text("role") == "entry" ? nutmegwelld::runEntry(*Values)
+                                           : nutmegwelld::runAgent(*Values);
+  } catch (const std::exception &Error) {
+    std::cerr << "nutmegwelld: " << Error.what() << "\n";
+    return 1;
+  }
+}
--- /dev/null
+++ b/apps/nutmegwelld/stopsignals.cpp
@@ -0,0 +1,46 @@
+#include "stopsignals.h"
+
+#include "nutmegwell/settings/logging.h"
+#include <csignal>
+#include <pthread.h>
+#include <thread>
+#include <unistd.h>
+
+namespace nutmegwelld {
+
+namespace {
+
+sigset_t stopSignals() {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  return Signals;
+}
+
+} // namespace
+
+void blockStopSignals() {
+  sigset_t Signals = stopSignals();
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+void waitForStop() {
+  sigset_t Signals = stopSignals();
+  int Signal = 0;
+  sigwait(&Signals, &Signal);
+}
+
+void runStop(const std::function<void()> &Stop,
+             const std::function<std::string()> &CutOff) {
+  std::thread([CutOff] {
+    waitForStop();
+    nutmegwell::settings::logStateChange("stopped_at_once",
+                                         {{"cut", CutOff()}});
+    _exit(1);
+  }).detach();
+  Stop();
+}
+
+} // namespace nutmegwelld
--- a/lib/entry/include/nutmegwell/entry/control.h
+++ b/lib/entry/include/nutmegwell/entry/control.h
@@ -113,6 +113,7 @@
   std::map<core::RecordId, PendingRecord> Pending_;
   std::uint64_t NextSequence_ = 1;
   core::TimePoint LastTail_{};
+  core::TimePoint UnavailableSince_{};
   core::TimePoint LastHeartbeat_{};
   core::TimePoint LastSchedule_{};
   core::TimePoint StartedAt_{};
--- a/lib/entry/src/cells.cpp
+++ b/lib/entry/src/cells.cpp
@@ -97,7 +97,7 @@
 }
 
 void advanceCells(EntryState &State, core::TimePoint Now, Effects &Out) {
-  if (State.Stopping_ || !State.LogAvailable_ || !fresh(State, Now))
+  if (State.Stopping_ || !fresh(State, Now))
     return;
   for (const auto &[Domain, Total] : membership::capacityOf(State.Nodes_))
     if (Total > 0)
--- a/lib/entry/src/control.cpp
+++ b/lib/entry/src/control.cpp
@@ -94,8 +94,32 @@
   Out.RoutingChanged_ = true;
 }
 
+void setLogAvailable(EntryState &State, bool Available, core::TimePoint Now,
+                     Effects &Out) {
+  if (!Available)
+    State.UnavailableSince_ = Now;
+  if (State.LogAvailable_ == Available)
+    return;
+  State.LogAvailable_ = Available;
+  State.Dirty_ = true;
+  Out.RoutingChanged_ = true;
+  Out.Changes_.push_back(
+      {"log_availability", {{"available", Available ? "true" : "false"}}});
+}
+
+void onLogTail(EntryState &State, const LogTail &What, Effects &Out) {
+  State.LastTail_ = What.ReadAt_;
+  // A host that appends nothing would never learn that the log is back, so a
+  // read at the tail some time after the failure counts as a sign of it.
+  constexpr auto RetryAfter = std::chrono::seconds(1);
+  if (!State.LogAvailable_ &&
+      What.ReadAt_ - State.UnavailableSince_ >= RetryAfter)
+    setLogAvailable(State, true, What.ReadAt_, Out);
+}
+
 void onAppendFailed(EntryState &State, const AppendFailed &What,
                     core::TimePoint Now, Effects &Out) {
+  setLogAvailable(State, false, Now, Out);
   auto Known = State.Pending_.find(What.Id_);
   if (Known == State.Pending_.end())
     return;
@@ -189,7 +213,7 @@
   else if (auto *Replaced = std::get_if<LogReplaced>(&What))
     onLogReplaced(State, *Replaced, Now, Out);
   else if (auto *Tail = std::get_if<LogTail>(&What))
-    State.LastTail_ = Tail->ReadAt_;
+    onLogTail(State, *Tail, Out);
   else if (auto *Failed = std::get_if<AppendFailed>(&What))
     onAppendFailed(State, *Failed, Now, Out);
   else if (auto *Message = std::get_if<DatagramReceived>(&What))
@@ -198,14 +222,8 @@
     onTick(State, Now, Out);
   else if (std::get_if<StopRequested>(&What))
     onStop(State, Now, Out);
-  else if (auto *Log = std::get_if<LogAvailability>(&What)) {
-    Out.RoutingChanged_ = State.LogAvailable_ != Log->Available_;
-    State.LogAvailable_ = Log->Available_;
-    if (Out.RoutingChanged_)
-      Out.Changes_.push_back(
-          {"log_availability",
-           {{"available", Log->Available_ ? "true" : "false"}}});
-  }
+  else if (auto *Log = std::get_if<LogAvailability>(&What))
+    setLogAvailable(State, Log->Available_, Now, Out);
   return Out;
 }
 
--- a/lib/logclient/include/nutmegwell/logclient/appender.h
+++ b/lib/logclient/include/nutmegwell/logclient/appender.h
@@ -38,6 +38,9 @@
   absl::StatusOr<core::RecordId> submit(model::RecordBody Body,
                                         core::Duration Within);
 
+  /// The same for a record whose id its writer chose.
+  absl::Status submit(model::Record Change, core::Duration Within);
+
   void noteBatch(core::Offset At, const model::Batch &Entry);
   void noteTail(core::TimePoint ReadBegan);
 
--- a/lib/logclient/include/nutmegwell/logclient/appendercore.h
+++ b/lib/logclient/include/nutmegwell/logclient/appendercore.h
@@ -77,6 +77,12 @@
 absl::StatusOr<core::RecordId>
 submit(AppenderState &State, model::RecordBody Body, core::TimePoint Deadline);
 
+/// Queues a record whose id its writer chose; the sequence number must be above
+/// that of every earlier record. Returns ResourceExhausted when the queue is
+/// full, and InvalidArgument for another id.
+absl::Status submit(AppenderState &State, model::Record Change,
+                    core::TimePoint Deadline);
+
 /// Returns the batch to append now, or nothing.
 std::optional<model::Batch> startAppend(AppenderState &State,
                                         core::TimePoint Now);
--- a/lib/logclient/src/appender.cpp
+++ b/lib/logclient/src/appender.cpp
@@ -29,6 +29,17 @@
   return Id;
 }
 
+absl::Status Appender::submit(model::Record Change, core::Duration Within) {
+  absl::Status Queued;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Queued =
+        logclient::submit(State_, std::move(Change), Time_.Now_() + Within);
+  }
+  Changed_.notify_one();
+  return Queued;
+}
+
 void Appender::noteBatch(core::Offset At, const model::Batch &Entry) {
   {
     std::lock_guard<std::mutex> Lock(Mutex_);
--- a/lib/logclient/src/appendercore.cpp
+++ b/lib/logclient/src/appendercore.cpp
@@ -62,8 +62,22 @@
 
 absl::StatusOr<core::RecordId>
 submit(AppenderState &State, model::RecordBody Body, core::TimePoint Deadline) {
+  core::RecordId Id{State.Writer_, State.LastSequence_ + 1};
+  absl::Status Queued =
+      submit(State, model::Record{Id, std::move(Body)}, Deadline);
+  if (!Queued.ok())
+    return Queued;
+  return Id;
+}
+
+absl::Status submit(AppenderState &State, model::Record Change,
+                    core::TimePoint Deadline) {
+  if (Change.Id_.Writer_ != State.Writer_ ||
+      Change.Id_.Sequence_ <= State.LastSequence_)
+    return core::makeError(absl::StatusCode::kInvalidArgument, "submit", "",
+                           "the record's id is out of order");
   PendingRecord Pending;
-  Pending.Record_ = {{State.Writer_, State.LastSequence_ + 1}, std::move(Body)};
+  Pending.Record_ = std::move(Change);
   Pending.Bytes_ = wire::encode(model::Batch{Pending.Record_}).size();
   Pending.Deadline_ = Deadline;
   const std::size_t Count = State.Queue_.size() + State.Flight_.size();
@@ -71,11 +85,10 @@
       State.Bytes_ + Pending.Bytes_ > State.Settings_.MaxQueuedBytes_)
     return core::makeError(absl::StatusCode::kResourceExhausted, "submit", "",
                            "the append queue is full");
-  ++State.LastSequence_;
+  State.LastSequence_ = Pending.Record_.Id_.Sequence_;
   State.Bytes_ += Pending.Bytes_;
-  core::RecordId Id = Pending.Record_.Id_;
   State.Queue_.push_back(std::move(Pending));
-  return Id;
+  return absl::OkStatus();
 }
 
 std::optional<model::Batch> startAppend(AppenderState &State,
--- a/lib/settings/include/nutmegwell/settings/logging.h
+++ b/lib/settings/include/nutmegwell/settings/logging.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <initializer_list>
+#include <vector>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -21,12 +21,12 @@
 /// start.
 void configureLogging(LogFormat Format, LogLevel Level);
 
-using LogField = std::pair<std::string_view, std::string>;
+using LogField = std::pair<std::string, std::string>;
 
 /// Logs one line for a change of state; anything more frequent is a counter.
 /// Safe from any thread.
 void logStateChange(std::string_view Event,
-                    std::initializer_list<LogField> Fields,
+                    const std::vector<LogField> &Fields,
                     LogLevel Level = LogLevel::Info);
 
 } // namespace nutmegwell::settings
--- a/lib/settings/src/logging.cpp
+++ b/lib/settings/src/logging.cpp
@@ -34,21 +34,21 @@
 }
 
 std::string textLine(std::string_view Event,
-                     std::initializer_list<LogField> Fields) {
+                     const std::vector<LogField> &Fields) {
   std::string Line = "event=" + quoted(std::string(Event));
   for (const LogField &Field : Fields)
-    Line += " " + std::string(Field.first) + "=" + quoted(Field.second);
+    Line += " " + Field.first + "=" + quoted(Field.second);
   return Line;
 }
 
 /// Returns the members of a JSON object without its opening brace, because the
 /// format of the logger begins the object with time and level.
 std::string jsonMembers(std::string_view Event,
-                        std::initializer_list<LogField> Fields) {
+                        const std::vector<LogField> &Fields) {
   cxxtools::SerializationInfo Object;
   Object.addValue("event", std::string(Event));
   for (const LogField &Field : Fields)
-    Object.addValue(std::string(Field.first), Field.second);
+    Object.addValue(Field.first, Field.second);
   std::ostringstream Out;
   Out << cxxtools::Json(Object);
   return Out.str().substr(1);
@@ -94,7 +94,7 @@
 }
 
 void logStateChange(std::string_view Event,
-                    std::initializer_list<LogField> Fields, LogLevel Level) {
+                    const std::vector<LogField> &Fields, LogLevel Level) {
   const std::string Line = CurrentFormat == LogFormat::Json
                                ? jsonMembers(Event, Fields)
                                : textLine(Event, Fields);
