Add the JSON bodies of the HTTP API

Cause: the entry host and its clients must agree on one set of bodies for jobs, tables, failure domains, status and errors. Ruled out: a client that reads the fields by itself, since the two sides then drift apart; SerializationInfo's own text values, since it takes bytes for Latin-1. Change: apijson.h with a format and a parse function for each body, findings by field for a job. Bounds of a job: 64 tasks, 64 accelerators a task, a command of 1024 bytes.

--- a/lib/wire/include/nutmegwell/wire/json.h
+++ b/lib/wire/include/nutmegwell/wire/json.h
@@ -6,19 +6,24 @@
 
 namespace nutmegwell::wire {
 
-/// Parses JSON text. Returns InvalidArgument for malformed text and for more
-/// than 32 nested levels.
+/// Parses JSON text. Returns InvalidArgument for malformed text, for text after
+/// the end of the value and for more than 32 nested levels.
 absl::StatusOr<cxxtools::SerializationInfo> parseJson(const std::string &Text);
 
 /// Returns \p Value as JSON text, in several lines when \p Beautify is true.
 std::string formatJson(const cxxtools::SerializationInfo &Value,
                        bool Beautify = false);
 
-/// Returns the member \p Name as text, or \p Default when there is none.
+/// Returns the member \p Name as UTF-8 text, or \p Default when there is none.
 std::string textMember(const cxxtools::SerializationInfo &Object,
                        const std::string &Name,
                        const std::string &Default = std::string());
 
+/// Adds the member \p Name with UTF-8 text. SerializationInfo itself takes the
+/// bytes of a std::string for Latin-1.
+void addText(cxxtools::SerializationInfo &Object, const std::string &Name,
+             const std::string &Value);
+
 /// Reads the member \p Name as a whole number in [Min, Max] into \p Value;
 /// leaves it as it is when there is no such member. Returns false for anything
 /// else.
--- /dev/null
+++ b/lib/wire/src/apijson.cpp
@@ -0,0 +1,210 @@
+#include "nutmegwell/wire/apijson.h"
+
+#include "nutmegwell/wire/json.h"
+#include "tableinfo.h"
+
+namespace nutmegwell::wire {
+
+namespace {
+
+using cxxtools::SerializationInfo;
+
+absl::Status invalid(const std::string &Message) {
+  return core::makeError(absl::StatusCode::kInvalidArgument, "parse answer", "",
+                         Message);
+}
+
+/// Returns the parsed object. Anything but an object is an error.
+absl::StatusOr<SerializationInfo> parseObject(const std::string &Text) {
+  auto Root = parseJson(Text);
+  if (Root.ok() && Root->category() != SerializationInfo::Object)
+    return invalid("not a JSON object");
+  return Root;
+}
+
+/// Reads an unsigned number that must be present. Returns false otherwise.
+template <typename T>
+bool requiredNumber(const SerializationInfo &Object, const char *Name,
+                    T &Value) {
+  std::int64_t Number = 0;
+  if (!Object.findMember(Name) ||
+      !numberMember(Object, Name, 0, INT64_MAX, Number))
+    return false;
+  Value = static_cast<T>(Number);
+  return true;
+}
+
+/// Returns the rows of the array \p Name, or null.
+const SerializationInfo *arrayMember(const SerializationInfo &Object,
+                                     const char *Name) {
+  const SerializationInfo *Rows = Object.findMember(Name);
+  return Rows && Rows->category() == SerializationInfo::Array ? Rows : nullptr;
+}
+
+SerializationInfo &addArray(SerializationInfo &Object, const char *Name) {
+  SerializationInfo &Rows = Object.addMember(Name);
+  Rows.setCategory(SerializationInfo::Array);
+  return Rows;
+}
+
+void addFindings(SerializationInfo &Root,
+                 const std::vector<model::Finding> &Findings) {
+  SerializationInfo &Rows = addArray(Root, "findings");
+  for (const model::Finding &Finding : Findings) {
+    SerializationInfo &Out = Rows.addMember();
+    addText(Out, "table", Finding.Table_);
+    Out.addValue("row", Finding.Row_);
+    addText(Out, "field", Finding.Field_);
+    addText(Out, "message", Finding.Message_);
+  }
+}
+
+std::vector<model::Finding> readFindings(const SerializationInfo &Root) {
+  std::vector<model::Finding> Findings;
+  if (const SerializationInfo *Rows = arrayMember(Root, "findings"))
+    for (const SerializationInfo &Row : *Rows) {
+      model::Finding Finding;
+      Finding.Table_ = textMember(Row, "table");
+      requiredNumber(Row, "row", Finding.Row_);
+      Finding.Field_ = textMember(Row, "field");
+      Finding.Message_ = textMember(Row, "message");
+      Findings.push_back(std::move(Finding));
+    }
+  return Findings;
+}
+
+} // namespace
+
+const char *toString(ApiOutcome Value) {
+  return Value == ApiOutcome::NotRun ? "not_run" : "unknown";
+}
+
+std::string formatError(const ApiError &Error) {
+  SerializationInfo Root;
+  addText(Root, "code", Error.Code_);
+  addText(Root, "outcome", toString(Error.Outcome_));
+  addText(Root, "step", Error.Step_);
+  addText(Root, "peer", Error.Peer_);
+  addText(Root, "message", Error.Message_);
+  if (!Error.Findings_.empty())
+    addFindings(Root, Error.Findings_);
+  if (Error.Version_)
+    Root.addValue("version", *Error.Version_);
+  return formatJson(Root);
+}
+
+absl::StatusOr<ApiError> parseError(const std::string &Text) {
+  auto Root = parseObject(Text);
+  if (!Root.ok())
+    return Root.status();
+  ApiError Error;
+  Error.Code_ = textMember(*Root, "code");
+  const std::string Outcome = textMember(*Root, "outcome");
+  if (Error.Code_.empty())
+    return invalid("an error without a code");
+  if (Outcome != "not_run" && Outcome != "unknown")
+    return invalid("an error without an outcome");
+  Error.Outcome_ =
+      Outcome == "not_run" ? ApiOutcome::NotRun : ApiOutcome::Unknown;
+  Error.Step_ = textMember(*Root, "step");
+  Error.Peer_ = textMember(*Root, "peer");
+  Error.Message_ = textMember(*Root, "message");
+  Error.Findings_ = readFindings(*Root);
+  core::Version Version = 0;
+  if (requiredNumber(*Root, "version", Version))
+    Error.Version_ = Version;
+  return Error;
+}
+
+ApiError invalidTable(std::vector<model::Finding> Findings) {
+  ApiError Error;
+  Error.Code_ = "invalid_table";
+  Error.Step_ = "check table";
+  Error.Message_ = std::to_string(Findings.size()) +
+                   (Findings.size() == 1 ? " finding" : " findings") +
+                   ", nothing was published";
+  Error.Findings_ = std::move(Findings);
+  return Error;
+}
+
+ApiError staleVersion(const std::string &What, core::Version InForce) {
+  ApiError Error;
+  Error.Code_ = "stale_version";
+  Error.Step_ = "check version";
+  Error.Message_ = What + " has version " + std::to_string(InForce) +
+                   ", another one was expected";
+  Error.Version_ = InForce;
+  return Error;
+}
+
+std::string formatExplanation(const core::JobId &Id,
+                              const std::string &Explanation) {
+  SerializationInfo Root;
+  addText(Root, "id", core::toString(Id));
+  addText(Root, "explanation", Explanation);
+  return formatJson(Root);
+}
+
+absl::StatusOr<std::string> parseExplanation(const std::string &Text) {
+  auto Root = parseObject(Text);
+  if (!Root.ok())
+    return Root.status();
+  if (!Root->findMember("explanation"))
+    return invalid("no explanation");
+  return textMember(*Root, "explanation");
+}
+
+std::string formatRoutesAnswer(core::Version Version,
+                               const model::RoutesTable &Table) {
+  SerializationInfo Root;
+  Root.addValue("version", Version);
+  addRoutes(Root, Table);
+  return formatJson(Root, true);
+}
+
+std::string formatPoolsAnswer(core::Version Version,
+                              const model::PoolsTable &Table) {
+  SerializationInfo Root;
+  Root.addValue("version", Version);
+  addPools(Root, Table);
+  return formatJson(Root, true);
+}
+
+std::string formatVersion(core::Version Version) {
+  SerializationInfo Root;
+  Root.addValue("version", Version);
+  return formatJson(Root);
+}
+
+absl::StatusOr<core::Version> parseVersion(const std::string &Text) {
+  auto Root = parseObject(Text);
+  if (!Root.ok())
+    return Root.status();
+  core::Version Version = 0;
+  if (!requiredNumber(*Root, "version", Version))
+    return invalid("no version");
+  return Version;
+}
+
+std::string formatDomainChange(const DomainView &Domain) {
+  SerializationInfo Root;
+  addText(Root, "domain", Domain.Name_);
+  Root.addValue("in_service", Domain.InService_);
+  Root.addValue("version", Domain.Version_);
+  return formatJson(Root);
+}
+
+absl::StatusOr<DomainView> parseDomainChange(const std::string &Text) {
+  auto Root = parseObject(Text);
+  if (!Root.ok())
+    return Root.status();
+  DomainView Domain;
+  Domain.Name_ = textMember(*Root, "domain");
+  if (Domain.Name_.empty() || !Root->findMember("in_service") ||
+      !boolMember(*Root, "in_service", Domain.InService_) ||
+      !requiredNumber(*Root, "version", Domain.Version_))
+    return invalid("not the state of a failure domain");
+  return Domain;
+}
+
+} // namespace nutmegwell::wire
--- /dev/null
+++ b/lib/wire/src/jobjson.cpp
@@ -0,0 +1,171 @@
+#include "jobinfo.h"
+
+#include "nutmegwell/wire/apijson.h"
+#include "nutmegwell/wire/json.h"
+#include "rowreader.h"
+
+namespace nutmegwell::wire {
+
+using cxxtools::SerializationInfo;
+
+namespace {
+
+/// Largest gang of the design; see "Sizes" in docs/design.md.
+constexpr std::int64_t MaxTasks = 64;
+/// Accelerators of a placement are the bits of one 64-bit word.
+constexpr std::int64_t MaxAcceleratorsPerTask = 64;
+constexpr std::int64_t MaxDeclaredMs = 30LL * 24 * 60 * 60 * 1000;
+constexpr std::size_t MaxNameBytes = 64;
+/// A command travels in one datagram with the rest of its message; see
+/// MaxDatagram.
+constexpr std::size_t MaxCommandBytes = 1024;
+
+bool parseJobState(const std::string &Text, model::JobState &Value) {
+  for (int I = 0; I <= static_cast<int>(model::JobState::Refused); ++I)
+    if (Text == model::toString(static_cast<model::JobState>(I))) {
+      Value = static_cast<model::JobState>(I);
+      return true;
+    }
+  return false;
+}
+
+void addSpec(SerializationInfo &Out, const model::JobSpec &Spec) {
+  using std::chrono::milliseconds;
+  addText(Out, "account", Spec.Account_);
+  addText(Out, "service", Spec.Service_);
+  Out.addValue("tasks", Spec.Tasks_);
+  Out.addValue("accelerators_per_task", Spec.AcceleratorsPerTask_);
+  addText(Out, "level", model::toString(Spec.Level_));
+  addText(Out, "class", model::toString(Spec.Class_));
+  Out.addValue(
+      "declared_ms",
+      std::chrono::duration_cast<milliseconds>(Spec.DeclaredTime_).count());
+}
+
+/// Reads everything but the command.
+void readSpec(RowReader &Reader, model::JobSpec &Spec) {
+  Reader.text("account", Spec.Account_, MaxNameBytes);
+  Reader.text("service", Spec.Service_, MaxNameBytes);
+  Reader.number("tasks", Spec.Tasks_, 1, MaxTasks);
+  Reader.number("accelerators_per_task", Spec.AcceleratorsPerTask_, 1,
+                MaxAcceleratorsPerTask);
+  Reader.level("level", Spec.Level_);
+  Reader.choice("class", Spec.Class_, model::parseJobClass,
+                "must be 'urgent', 'normal' or 'patient'");
+  Reader.milliseconds("declared_ms", Spec.DeclaredTime_, 1, MaxDeclaredMs);
+}
+
+void addPlacement(SerializationInfo &Out, const model::Placement &Placement) {
+  SerializationInfo &Tasks = Out.addMember("placement");
+  Tasks.setCategory(SerializationInfo::Array);
+  for (const model::TaskPlacement &Task : Placement) {
+    SerializationInfo &Row = Tasks.addMember();
+    addText(Row, "worker", Task.Worker_);
+    SerializationInfo &Accelerators = Row.addMember("accelerators");
+    Accelerators.setCategory(SerializationInfo::Array);
+    for (unsigned I = 0; I < 64; ++I)
+      if (Task.Accelerators_ >> I & 1)
+        Accelerators.addMember().setValue(I);
+  }
+}
+
+bool readPlacement(const SerializationInfo &Object,
+                   model::Placement &Placement) {
+  const SerializationInfo *Tasks = Object.findMember("placement");
+  if (!Tasks || Tasks->category() != SerializationInfo::Array)
+    return false;
+  for (const SerializationInfo &Row : *Tasks) {
+    model::TaskPlacement Task;
+    Task.Worker_ = textMember(Row, "worker");
+    const SerializationInfo *Accelerators = Row.findMember("accelerators");
+    if (Task.Worker_.empty() || !Accelerators)
+      return false;
+    for (const SerializationInfo &Number : *Accelerators) {
+      std::uint64_t Index = 0;
+      Number.getValue(Index);
+      if (Index >= 64)
+        return false;
+      Task.Accelerators_ |= std::uint64_t{1} << Index;
+    }
+    Placement.push_back(std::move(Task));
+  }
+  return true;
+}
+
+absl::Status invalid(const std::string &Message) {
+  return core::makeError(absl::StatusCode::kInvalidArgument, "parse job", "",
+                         Message);
+}
+
+} // namespace
+
+void addJob(SerializationInfo &Out, const model::Job &Job) {
+  addText(Out, "id", core::toString(Job.Id_));
+  addText(Out, "state", model::toString(Job.State_));
+  Out.addValue("attempt", Job.Attempt_);
+  addText(Out, "domain", Job.Domain_);
+  addText(Out, "reason", Job.Reason_);
+  addSpec(Out, Job.Spec_);
+  addPlacement(Out, Job.Placement_);
+}
+
+absl::StatusOr<model::Job> readJob(const SerializationInfo &Object) {
+  model::Job Job;
+  if (!core::parseId(textMember(Object, "id"), Job.Id_.Writer_,
+                     Job.Id_.Sequence_))
+    return invalid("malformed id");
+  if (!parseJobState(textMember(Object, "state"), Job.State_))
+    return invalid("unknown state '" + textMember(Object, "state") + "'");
+  std::vector<model::Finding> Findings;
+  RowReader Reader(Object, "job", 0, Findings);
+  Reader.number("attempt", Job.Attempt_);
+  readSpec(Reader, Job.Spec_);
+  if (!Findings.empty())
+    return invalid(Findings.front().Field_ + " " + Findings.front().Message_);
+  Job.Domain_ = textMember(Object, "domain");
+  Job.Reason_ = textMember(Object, "reason");
+  try {
+    if (readPlacement(Object, Job.Placement_))
+      return Job;
+  } catch (const std::exception &) {
+    // An accelerator that is not a number.
+  }
+  return invalid("malformed placement");
+}
+
+std::vector<model::Finding> parseJobSpec(const std::string &Text,
+                                         model::JobSpec &Spec) {
+  auto Root = parseJson(Text);
+  if (!Root.ok())
+    return {{"job", 0, "", std::string(Root.status().message())}};
+  if (Root->category() != SerializationInfo::Object)
+    return {{"job", 0, "", "not a JSON object"}};
+  std::vector<model::Finding> Findings;
+  RowReader Reader(*Root, "job", 0, Findings);
+  readSpec(Reader, Spec);
+  Reader.text("command", Spec.Command_, MaxCommandBytes);
+  Reader.finish();
+  return Findings;
+}
+
+std::string formatJobSpec(const model::JobSpec &Spec) {
+  SerializationInfo Root;
+  addSpec(Root, Spec);
+  addText(Root, "command", Spec.Command_);
+  return formatJson(Root);
+}
+
+std::string formatJob(const model::Job &Job) {
+  SerializationInfo Root;
+  addJob(Root, Job);
+  return formatJson(Root);
+}
+
+absl::StatusOr<model::Job> parseJob(const std::string &Text) {
+  auto Root = parseJson(Text);
+  if (!Root.ok())
+    return Root.status();
+  return readJob(*Root);
+}
+
+} // namespace nutmegwell::wire
--- a/lib/wire/src/json.cpp
+++ b/lib/wire/src/json.cpp
@@ -1,6 +1,7 @@
 #include "nutmegwell/wire/json.h"
 
 #include <cxxtools/json.h>
+#include <cxxtools/utf8codec.h>
 #include <sstream>
 
 namespace nutmegwell::wire {
@@ -49,6 +50,9 @@
     std::istringstream In(Text);
     cxxtools::SerializationInfo Value;
     In >> cxxtools::Json(Value);
+    In >> std::ws;
+    if (!In.eof())
+      return invalid("text after the end of the value");
     return Value;
   } catch (const std::exception &Error) {
     return invalid(Error.what());
@@ -67,9 +71,22 @@
   const auto *Member = Object.findMember(Name);
   if (!Member || Member->category() != cxxtools::SerializationInfo::Value)
     return Default;
-  std::string Text;
+  cxxtools::String Text;
   Member->getValue(Text);
-  return Text;
+  return cxxtools::Utf8Codec::encode(Text);
+}
+
+void addText(cxxtools::SerializationInfo &Object, const std::string &Name,
+             const std::string &Value) {
+  cxxtools::String Text;
+  try {
+    Text = cxxtools::Utf8Codec::decode(Value);
+  } catch (const std::exception &) {
+    // Bytes that are not UTF-8 are kept as Latin-1, so that a message that
+    // quotes foreign input can still be sent.
+    Text = cxxtools::String::widen(Value);
+  }
+  Object.addValue(Name, Text);
 }
 
 bool numberMember(const cxxtools::SerializationInfo &Object,
@@ -99,7 +116,8 @@
   const auto *Member = Object.findMember(Name);
   if (!Member)
     return true;
-  if (!Member->isBool())
+  // The parser keeps the text of a value and notes its type beside it.
+  if (!Member->isBool() && Member->typeName() != "bool")
     return false;
   Member->getValue(Value);
   return true;
--- a/lib/wire/src/tablejson.cpp
+++ b/lib/wire/src/tablejson.cpp
@@ -1,7 +1,8 @@
 #include "nutmegwell/wire/tablejson.h"
 
 #include "nutmegwell/wire/json.h"
-#include <algorithm>
+#include "rowreader.h"
+#include "tableinfo.h"
 #include <functional>
 
 namespace nutmegwell::wire {
@@ -11,76 +12,6 @@
 using cxxtools::SerializationInfo;
 using model::Finding;
 
-constexpr std::int64_t MaxNumber = UINT32_MAX;
-
-/// Reads the fields of one row and notes what is wrong with them.
-class RowReader {
-public:
-  RowReader(const SerializationInfo &Row, const char *Table, std::size_t Number,
-            std::vector<Finding> &Findings)
-      : Row_(Row), Table_(Table), Number_(Number), Findings_(Findings) {}
-
-  void text(const char *Name, std::string &Value) {
-    Known_.push_back(Name);
-    if (!Row_.findMember(Name))
-      add(Name, "is missing");
-    else
-      Value = textMember(Row_, Name);
-  }
-
-  void number(const char *Name, std::uint32_t &Value) {
-    std::int64_t Number = Value;
-    readNumber(Name, Number);
-    Value = static_cast<std::uint32_t>(Number);
-  }
-
-  void milliseconds(const char *Name, core::Duration &Value) {
-    using std::chrono::milliseconds;
-    std::int64_t Number =
-        std::chrono::duration_cast<milliseconds>(Value).count();
-    readNumber(Name, Number);
-    Value = milliseconds(Number);
-  }
-
-  void flag(const char *Name, bool &Value) {
-    Known_.push_back(Name);
-    if (!boolMember(Row_, Name, Value))
-      add(Name, "must be true or false");
-  }
-
-  void level(const char *Name, model::Level &Value) {
-    Known_.push_back(Name);
-    if (Row_.findMember(Name) &&
-        !model::parseLevel(textMember(Row_, Name), Value))
-      add(Name, "must be 'worker', 'rack' or 'domain'");
-  }
-
-  /// Notes every member that no other call has named.
-  void finish() {
-    for (const auto &Member : Row_)
-      if (std::find(Known_.begin(), Known_.end(), Member.name()) ==
-          Known_.end())
-        add(Member.name().c_str(), "unknown field");
-  }
-
-private:
-  void readNumber(const char *Name, std::int64_t &Value) {
-    Known_.push_back(Name);
-    if (!numberMember(Row_, Name, 0, MaxNumber, Value))
-      add(Name, "must be a whole number from 0 to 4294967295");
-  }
-
-  void add(const char *Field, const char *Message) {
-    Findings_.push_back({Table_, Number_, Field, Message});
-  }
-
-  const SerializationInfo &Row_;
-  const char *Table_;
-  std::size_t Number_;
-  std::vector<Finding> &Findings_;
-  std::vector<std::string> Known_;
-};
-
 using ReadRow = std::function<void(RowReader &)>;
 
 std::vector<Finding> parseTable(const std::string &Text, const char *Name,
@@ -135,40 +66,48 @@
   });
 }
 
-std::string formatRoutes(const model::RoutesTable &Table) {
+void addRoutes(SerializationInfo &Root, const model::RoutesTable &Table) {
   using std::chrono::milliseconds;
-  SerializationInfo Root;
   SerializationInfo &Rows = Root.addMember("routes");
   Rows.setCategory(SerializationInfo::Array);
   for (const model::RouteRow &Row : Table.Rows_) {
     SerializationInfo &Out = Rows.addMember();
-    Out.addValue("path", Row.Path_);
-    Out.addValue("service", Row.Service_);
+    addText(Out, "path", Row.Path_);
+    addText(Out, "service", Row.Service_);
     Out.addValue(
         "timeout_ms",
         std::chrono::duration_cast<milliseconds>(Row.Timeout_).count());
     Out.addValue("idempotent", Row.Idempotent_);
     Out.addValue("queue", Row.Queue_);
   }
-  return formatJson(Root, true);
 }
 
-std::string formatPools(const model::PoolsTable &Table) {
-  SerializationInfo Root;
+void addPools(SerializationInfo &Root, const model::PoolsTable &Table) {
   SerializationInfo &Rows = Root.addMember("pools");
   Rows.setCategory(SerializationInfo::Array);
   for (const model::PoolRow &Row : Table.Rows_) {
     SerializationInfo &Out = Rows.addMember();
-    Out.addValue("name", Row.Name_);
-    Out.addValue("account", Row.Account_);
-    Out.addValue("service", Row.Service_);
-    Out.addValue("domain", Row.Domain_);
+    addText(Out, "name", Row.Name_);
+    addText(Out, "account", Row.Account_);
+    addText(Out, "service", Row.Service_);
+    addText(Out, "domain", Row.Domain_);
     Out.addValue("guaranteed", Row.Guaranteed_);
     Out.addValue("block", Row.Block_);
     Out.addValue("level", std::string(model::toString(Row.Level_)));
     Out.addValue("limit", Row.Limit_);
     Out.addValue("requests", Row.Requests_);
   }
+}
+
+std::string formatRoutes(const model::RoutesTable &Table) {
+  SerializationInfo Root;
+  addRoutes(Root, Table);
+  return formatJson(Root, true);
+}
+
+std::string formatPools(const model::PoolsTable &Table) {
+  SerializationInfo Root;
+  addPools(Root, Table);
   return formatJson(Root, true);
 }
 
