--- a/apps/nutmegwelld/entryrole.cpp
+++ b/apps/nutmegwelld/entryrole.cpp
@@ -103,10 +103,9 @@
              onDatagram(From, Bytes);
            }),
       Control_(entrySettings(Values, Process_), makePorts()), Api_(Control_),
-      Http_(toAddress(Values.address("http-listen")), httpLimits(Values),
-            [this](const net::HttpRequest &Request) {
-              return handle(Request);
-            }) {
+      Http_(
+          toAddress(Values.address("http-listen")), httpLimits(Values),
+          [this](const net::HttpRequest &Request) { return handle(Request); }) {
   ControlPointer_ = &Control_;
   Starter_ = std::thread([this] { startReading(); });
   settings::logStateChange("started",
--- a/lib/entry/src/api.cpp
+++ b/lib/entry/src/api.cpp
@@ -56,8 +56,7 @@
 net::HttpResponse refusal(const absl::StatusOr<CommandReply> &Reply,
                           const std::string &Step) {
   if (!Reply.ok()) {
-    bool NotRun =
-        Reply.status().code() == absl::StatusCode::kResourceExhausted;
+    bool NotRun = Reply.status().code() == absl::StatusCode::kResourceExhausted;
     return fail(NotRun ? 503 : 504, NotRun ? "overloaded" : "verdict_unknown",
                 Step, std::string(Reply.status().message()),
                 NotRun ? wire::ApiOutcome::NotRun : wire::ApiOutcome::Unknown);
@@ -175,8 +174,7 @@
   if (Parts.size() == 2 && Request.Method_ == "POST")
     return submitJob(Request);
   core::JobId Id;
-  if (Parts.size() < 3 ||
-      !core::parseId(Parts[2], Id.Writer_, Id.Sequence_))
+  if (Parts.size() < 3 || !core::parseId(Parts[2], Id.Writer_, Id.Sequence_))
     return notFound("no such job");
   if (Parts.size() == 3 && Request.Method_ == "DELETE")
     return cancelJob(Id);
@@ -201,8 +199,7 @@
     return json(422, wire::formatError(Error));
   }
   core::JobId Id = Control_.newJobId();
-  auto Reply =
-      Control_.submit(model::JobSubmitted{Id, Spec}, SubmitTimeout);
+  auto Reply = Control_.submit(model::JobSubmitted{Id, Spec}, SubmitTimeout);
   if (!applied(Reply))
     return refusal(Reply, "submit job");
   model::Job Accepted;
@@ -218,9 +215,8 @@
 
 net::HttpResponse Api::showJob(const core::JobId &Id) {
   std::optional<model::Job> Found;
-  if (!Control_.query([&](const EntryState &State) {
-        Found = viewJob(State, Id);
-      }))
+  if (!Control_.query(
+          [&](const EntryState &State) { Found = viewJob(State, Id); }))
     return stopping();
   return Found ? json(200, wire::formatJob(*Found)) : notFound("no such job");
 }
--- a/lib/settings/include/nutmegwell/settings/logging.h
+++ b/lib/settings/include/nutmegwell/settings/logging.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <cstdint>
-#include <vector>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace nutmegwell::settings {
 
@@ -25,8 +25,7 @@
 
 /// Logs one line for a change of state; anything more frequent is a counter.
 /// Safe from any thread.
-void logStateChange(std::string_view Event,
-                    const std::vector<LogField> &Fields,
+void logStateChange(std::string_view Event, const std::vector<LogField> &Fields,
                     LogLevel Level = LogLevel::Info);
 
 } // namespace nutmegwell::settings
--- a/lib/settings/src/logging.cpp
+++ b/lib/settings/src/logging.cpp
@@ -93,8 +93,8 @@
   el::Loggers::reconfigureLogger("default", Configuration);
 }
 
-void logStateChange(std::string_view Event,
-                    const std::vector<LogField> &Fields, LogLevel Level) {
+void logStateChange(std::string_view Event, const std::vector<LogField> &Fields,
+                    LogLevel Level) {
   const std::string Line = CurrentFormat == LogFormat::Json
                                ? jsonMembers(Event, Fields)
                                : textLine(Event, Fields);
--- a/tests/standins/runtime.cpp
+++ b/tests/standins/runtime.cpp
@@ -43,8 +43,7 @@
     if (Request.Path_.compare(0, Prefix.size(), Prefix) != 0 ||
         Slash < Prefix.size())
       return {404, "text/plain", "no such path"};
-    std::string Id =
-        Request.Path_.substr(Prefix.size(), Slash - Prefix.size());
+    std::string Id = Request.Path_.substr(Prefix.size(), Slash - Prefix.size());
     auto Known = Tasks_.find(Id);
     if (Known == Tasks_.end())
       return {404, "text/plain", "no such task"};
@@ -64,8 +63,8 @@
   }
 
   static milliseconds doneAt(const Task &Known, core::TimePoint Now) {
-    return Known.Done_ + std::chrono::duration_cast<milliseconds>(
-                             Now - Known.StartedAt_);
+    return Known.Done_ +
+           std::chrono::duration_cast<milliseconds>(Now - Known.StartedAt_);
   }
 
   void end(const std::string &Id, Task &Known, const std::string &State,
@@ -113,8 +112,7 @@
       SerializationInfo &Row = Rows.addMember();
       Row.addValue("id", Id);
       Row.addValue("state", Known.State_);
-      auto Done =
-          Known.State_ == "running" ? doneAt(Known, Now) : Known.Done_;
+      auto Done = Known.State_ == "running" ? doneAt(Known, Now) : Known.Done_;
       Row.addValue("checkpoint", std::to_string(Done.count()));
     }
     return {200, "application/json", wire::formatJson(Root)};
@@ -140,11 +138,10 @@
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   Runtime Tasks;
-  net::HttpServer Server(
-      Listen, net::HttpLimits(),
-      [&Tasks](const net::HttpRequest &Request) {
-        return Tasks.handle(Request);
-      });
+  net::HttpServer Server(Listen, net::HttpLimits(),
+                         [&Tasks](const net::HttpRequest &Request) {
+                           return Tasks.handle(Request);
+                         });
   std::cout << "ready" << std::endl;
   int Signal = 0;
   sigwait(&Signals, &Signal);
