Add framed TCP with bounds and timeouts

Cause: entry hosts and agents exchange request frames over TCP. Change: FrameConnection and FrameServer. The server greets a connection that it has a thread for, and the client sends nothing before the greeting; so a connection refused at the bound, a paused server and a foreign server fail with step "connect", when nothing was sent. Ruled out: closing connections above the bound without a greeting, which a client that has sent its frame must report as unknown.

--- /dev/null
+++ b/lib/net/src/frameio.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "nutmegwell/net/frame.h"
+#include <cxxtools/net/tcpsocket.h>
+
+namespace nutmegwell::net {
+
+/// Waits until \p Socket can be read, \p Wake (unless negative) can be read, or
+/// \p Deadline. Returns true when the socket has bytes or is closed.
+bool waitReadable(int Socket, int Wake, core::TimePoint Deadline);
+
+struct FrameConnection::Impl {
+  explicit Impl(const FrameLimits &Limits) : Limits_(Limits) {}
+
+  absl::Status readAll(char *Target, std::size_t Size,
+                       core::TimePoint Deadline);
+  absl::Status writeAll(std::string_view Bytes, core::TimePoint Deadline);
+  absl::Status greet();
+
+  const FrameLimits Limits_;
+  cxxtools::net::TcpSocket Socket_;
+  std::string Peer_;
+};
+
+} // namespace nutmegwell::net
