Name the agent's incarnation in request frames

Cause: an agent that is replaced at the same address has lost the attempts that its predecessor refused. A request frame that is delayed across the replacement would run there after its intent was released and the key dispatched elsewhere.

--- a/lib/model/include/nutmegwell/model/messages.h
+++ b/lib/model/include/nutmegwell/model/messages.h
@@ -125,6 +125,9 @@
   /// Empty for an idempotent request.
   std::string Key_;
   core::Duration Timeout_{};
+  /// Run of the agent that is asked; another run refuses the attempt, since it
+  /// has lost the keys that its predecessor refused.
+  core::Incarnation AgentIncarnation_ = 0;
 };
 
 /// Says that the attempt is still running.
