Add the decisions on requests

Cause: entry hosts need upstream choice, admission, retry budget and the request state machine as pure functions. After an attempt of an idempotent request with an unknown end, the request is no longer reported as not run.

--- /dev/null
+++ b/lib/routing/src/request.cpp
@@ -0,0 +1,188 @@
+#include "nutmegwell/routing/request.h"
+
+namespace nutmegwell::routing {
+
+namespace {
+
+RequestEffect effect(RequestState &State, EffectKind Kind) {
+  State.Expected_ = Kind;
+  RequestEffect Result;
+  Result.Kind_ = Kind;
+  Result.Attempt_ = State.Current_.Attempt_;
+  Result.Agent_ = State.Current_.Agent_;
+  Result.AgentIncarnation_ = State.Current_.AgentIncarnation_;
+  return Result;
+}
+
+RequestEffect finish(RequestState &State, Outcome End, Failure Reason) {
+  if (End == Outcome::NotRun && State.MayHaveRun_)
+    End = Outcome::Unknown;
+  RequestEffect Result = effect(State, EffectKind::Finish);
+  Result.Result_.End_ = End;
+  Result.Result_.Failure_ = std::move(Reason);
+  return Result;
+}
+
+RequestEffect answer(RequestState &State, const AttemptResult &Answered) {
+  RequestEffect Result = effect(State, EffectKind::Finish);
+  Result.Result_ = Answered;
+  Result.Settle_ = !State.Idempotent_ && !State.Settled_;
+  return Result;
+}
+
+/// Asks the agent that \p Known names; the key's intent is not this request's.
+RequestEffect query(RequestState &State, const model::Intent &Known) {
+  if (Known.Service_ != State.Service_)
+    return finish(State, Outcome::NotRun,
+                  {"key_reused", "intent", "",
+                   "the key belongs to a request to another service"});
+  State.Current_ = {Known.Attempt_, Known.Agent_, Known.AgentIncarnation_};
+  State.Settled_ = Known.State_ == model::IntentState::Settled;
+  if (++State.Queries_ > MaxAttempts)
+    return finish(State, Outcome::Unknown,
+                  {"key_contended", "intent", Known.Agent_,
+                   "other requests with the key start again and again"});
+  State.Querying_ = true;
+  return effect(State, EffectKind::Query);
+}
+
+/// Starts another attempt when attempts, time and the budget allow it. A slot
+/// refused as busy costs no budget: the agent did no work for it.
+RequestEffect retry(RequestState &State, Outcome End, RetryBudget &Budget,
+                    core::TimePoint Now) {
+  if (State.Attempts_ >= MaxAttempts || Now >= State.Deadline_ ||
+      (State.Last_.Code_ != "busy" && !takeRetry(Budget, Now)))
+    return finish(State, End, State.Last_);
+  return effect(State, EffectKind::Choose);
+}
+
+RequestEffect on(RequestState &State, const RequestBegun &Event,
+                 RetryBudget &Budget, core::TimePoint Now) {
+  countRequest(Budget, Now);
+  if (State.Idempotent_)
+    return effect(State, EffectKind::Choose);
+  if (Event.Known_)
+    return query(State, *Event.Known_);
+  if (!Event.LogAvailable_)
+    return finish(
+        State, Outcome::NotRun,
+        {"log_unavailable", "intent", "", "the log takes no appends"});
+  return effect(State, EffectKind::Choose);
+}
+
+RequestEffect on(RequestState &State, const UpstreamChosen &Event,
+                 RetryBudget &, core::TimePoint) {
+  ++State.Attempts_;
+  State.Current_ = Event;
+  State.Settled_ = false;
+  State.Querying_ = false;
+  return effect(State,
+                State.Idempotent_ ? EffectKind::Dispatch : EffectKind::Record);
+}
+
+RequestEffect on(RequestState &State, const UpstreamMissing &Event,
+                 RetryBudget &, core::TimePoint) {
+  return finish(State, Outcome::NotRun, Event.Failure_);
+}
+
+RequestEffect onRecorded(RequestState &State, const IntentAppended &Event,
+                         RetryBudget &Budget, core::TimePoint Now) {
+  switch (Event.End_) {
+  case AppendEnd::Accepted:
+    return effect(State, EffectKind::Dispatch);
+  case AppendEnd::Failed:
+    // The attempt is never sent, even if the record is applied later; a repeat
+    // then gets "not seen" from the agent and releases the intent.
+    return finish(State, Outcome::NotRun,
+                  {"log_unavailable", "intent", "",
+                   "the log did not confirm the request's intent"});
+  case AppendEnd::Rejected:
+    break;
+  }
+  if (Event.Known_ && Event.Known_->Attempt_ == State.Current_.Attempt_)
+    return effect(State, EffectKind::Dispatch);
+  if (Event.Known_)
+    return query(State, *Event.Known_);
+  State.Last_ = {"key_contended", "intent", "",
+                 "another request with the key was released just now"};
+  return retry(State, Outcome::NotRun, Budget, Now);
+}
+
+RequestEffect onReleased(RequestState &State, const IntentAppended &Event,
+                         RetryBudget &Budget, core::TimePoint Now) {
+  // After a query, the key may have a later intent that this host has not read.
+  if (Event.End_ == AppendEnd::Failed)
+    return State.Querying_
+               ? finish(State, Outcome::Unknown,
+                        {"log_unavailable", "intent", "",
+                         "the log did not confirm the release of the key"})
+               : finish(State, Outcome::NotRun, State.Last_);
+  if (Event.End_ == AppendEnd::Rejected && Event.Known_)
+    return query(State, *Event.Known_);
+  if (State.Querying_)
+    return effect(State, EffectKind::Choose);
+  return retry(State, Outcome::NotRun, Budget, Now);
+}
+
+RequestEffect on(RequestState &State, const IntentAppended &Event,
+                 RetryBudget &Budget, core::TimePoint Now) {
+  return State.Expected_ == EffectKind::Record
+             ? onRecorded(State, Event, Budget, Now)
+             : onReleased(State, Event, Budget, Now);
+}
+
+RequestEffect on(RequestState &State, const AttemptEnded &Event,
+                 RetryBudget &Budget, core::TimePoint Now) {
+  const AttemptResult &Result = Event.Result_;
+  if (Event.Attempt_ != State.Current_.Attempt_)
+    return finish(State, Outcome::Unknown,
+                  {"crossed_answer", "receive", State.Current_.Agent_,
+                   "the answer belongs to another attempt"});
+  if (Result.End_ == Outcome::Answered)
+    return answer(State, Result);
+  State.Last_ = Result.Failure_;
+  if (!State.Querying_)
+    State.Excluded_.insert(State.Current_.Agent_);
+  if (State.Idempotent_) {
+    State.MayHaveRun_ = State.MayHaveRun_ || Result.End_ == Outcome::Unknown;
+    return retry(State, Result.End_, Budget, Now);
+  }
+  if (Result.End_ == Outcome::Unknown || State.Settled_)
+    return finish(State, Outcome::Unknown, State.Last_);
+  return effect(State, EffectKind::Release);
+}
+
+} // namespace
+
+const char *toString(Outcome Value) {
+  switch (Value) {
+  case Outcome::Answered:
+    return "answered";
+  case Outcome::NotRun:
+    return "not_run";
+  case Outcome::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
+RequestEffect step(RequestState &State, const RequestEvent &Event,
+                   RetryBudget &Budget, core::TimePoint Now) {
+  return std::visit(
+      [&](const auto &Each) { return on(State, Each, Budget, Now); }, Event);
+}
+
+bool belongsTo(const model::Frame &Frame, const core::AttemptId &Attempt) {
+  return std::visit(
+      [&](const auto &Each) {
+        using Type = std::decay_t<decltype(Each)>;
+        if constexpr (std::is_same_v<Type, model::StateQueryFrame> ||
+                      std::is_same_v<Type, model::StateFrame>)
+          return false;
+        else
+          return Each.Attempt_ == Attempt;
+      },
+      Frame);
+}
+
+} // namespace nutmegwell::routing
