--- /dev/null
+++ b/lib/agent/include/nutmegwell/agent/attempts.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "nutmegwell/core/ids.h"
+#include "nutmegwell/core/time.h"
+#include "nutmegwell/model/controlstate.h"
+#include "nutmegwell/model/messages.h"
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace nutmegwell::agent {
+
+/// The upstream that announced itself to this agent.
+struct UpstreamStatus {
+  bool Present_ = false;
+  model::ServiceName Service_;
+  std::uint16_t Port_ = 0;
+  std::uint32_t Slots_ = 0;
+  std::uint32_t InFlight_ = 0;
+  bool Leaving_ = false;
+  /// End of the announcement's validity.
+  core::TimePoint ValidUntil_{};
+};
+
+/// Bounds on what is kept about ended attempts.
+struct AttemptBounds {
+  std::size_t MaxAttempts_ = 65536;
+  /// Bytes of stored answers.
+  std::size_t MaxBytes_ = 8 << 20;
+  core::Duration MaxAge_ = std::chrono::minutes(10);
+  /// Entry host incarnations whose attempts are told apart.
+  std::size_t MaxWriters_ = 4096;
+};
+
+/// What the agent knows of one attempt. Without End_, it is running.
+struct KnownAttempt {
+  model::IntentKey Key_;
+  std::optional<model::Frame> End_;
+  std::size_t Bytes_ = 0;
+};
+
+/// Attempts that this run of the agent has started or refused for good.
+struct AttemptTable {
+  core::Incarnation Incarnation_ = 0;
+  AttemptBounds Bounds_;
+  UpstreamStatus Upstream_;
+  /// True from the start of the agent's graceful stop.
+  bool Leaving_ = false;
+
+  std::map<core::AttemptId, KnownAttempt> Known_;
+  std::map<model::IntentKey, core::AttemptId> Keys_;
+  /// Ended attempts, oldest first, with the time of their end.
+  std::deque<std::pair<core::TimePoint, core::AttemptId>> Ended_;
+  std::size_t Bytes_ = 0;
+  /// Highest forgotten sequence number of each writer: of an attempt that is
+  /// not in Known_ and not above it, nothing is certain.
+  std::map<core::Incarnation, std::uint64_t> Forgotten_;
+  /// Set when Forgotten_ reached its bound; then every attempt that is not in
+  /// Known_ counts as forgotten for a query.
+  bool ForgotWriters_ = false;
+};
+
+/// What to do with a frame of an entry host.
+struct AttemptDecision {
+  enum class Kind : std::uint8_t {
+    /// Call the upstream at Port_, then call finish().
+    Run,
+    /// Wait for the end of Attempt_, which is running.
+    Wait,
+    /// Send Reply_.
+    Reply
+  };
+  Kind Kind_ = Kind::Reply;
+  core::AttemptId Attempt_;
+  std::uint16_t Port_ = 0;
+  model::Frame Reply_;
+};
+
+/// Takes up an upstream's announcement, or ends it.
+void announce(AttemptTable &Table, const model::ServiceName &Service,
+              std::uint16_t Port, std::uint32_t Slots, core::TimePoint Until);
+void withdraw(AttemptTable &Table);
+
+/// Returns the upstream as of \p Now; absent after its announcement expired.
+UpstreamStatus upstreamAt(const AttemptTable &Table, core::TimePoint Now);
+
+/// Decides on an attempt. An attempt or key that was started is not started
+/// again.
+AttemptDecision request(AttemptTable &Table, const model::RequestFrame &Frame,
+                        core::TimePoint Now);
+
+/// Decides on a query. An attempt that was not seen is refused from then on.
+AttemptDecision query(AttemptTable &Table, const model::KeyQueryFrame &Frame,
+                      core::TimePoint Now);
+
+/// Ends a running attempt with \p End and forgets the oldest ended attempts
+/// above the bounds.
+void finish(AttemptTable &Table, const core::AttemptId &Attempt,
+            model::Frame End, core::TimePoint Now);
+
+/// Returns \p Frame with the attempt \p Attempt.
+model::Frame addressedTo(model::Frame Frame, const core::AttemptId &Attempt);
+
+} // namespace nutmegwell::agent
