--- /dev/null
+++ b/lib/entry/src/responses.cpp
@@ -0,0 +1,48 @@
+#include "responses.h"
+
+#include "nutmegwell/wire/json.h"
+#include <map>
+
+namespace nutmegwell::entry {
+
+namespace {
+
+constexpr unsigned ServiceUnavailable = 503;
+constexpr unsigned GatewayTimeout = 504;
+
+/// Returns the HTTP status of a refusal.
+unsigned refusalStatus(const std::string &Code) {
+  static const std::map<std::string, unsigned> Statuses = {
+      {"key_required", 400},    {"bad_key", 400},    {"account_missing", 401},
+      {"account_unknown", 403}, {"no_route", 404},   {"body_too_large", 413},
+      {"key_reused", 422},      {"overloaded", 429},
+  };
+  auto Found = Statuses.find(Code);
+  return Found == Statuses.end() ? ServiceUnavailable : Found->second;
+}
+
+} // namespace
+
+net::HttpResponse toResponse(const routing::AttemptResult &Result) {
+  net::HttpResponse Response;
+  if (Result.End_ == routing::Outcome::Answered) {
+    Response.Status_ = Result.Answer_.Status_;
+    Response.ContentType_ = Result.Answer_.ContentType_;
+    Response.Body_ = Result.Answer_.Body_;
+    return Response;
+  }
+  const routing::Failure &Reason = Result.Failure_;
+  Response.Status_ = Result.End_ == routing::Outcome::NotRun
+                         ? refusalStatus(Reason.Code_)
+                         : GatewayTimeout;
+  cxxtools::SerializationInfo Body;
+  Body.addMember("code") <<= Reason.Code_;
+  Body.addMember("outcome") <<= routing::toString(Result.End_);
+  Body.addMember("step") <<= Reason.Step_;
+  Body.addMember("peer") <<= Reason.Peer_;
+  Body.addMember("message") <<= Reason.Message_;
+  Response.Body_ = wire::formatJson(Body);
+  return Response;
+}
+
+} // namespace nutmegwell::entry
--- /dev/null
+++ b/lib/entry/src/slots.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "nutmegwell/core/random.h"
+#include "nutmegwell/core/time.h"
+#include "nutmegwell/routing/admission.h"
+#include "nutmegwell/routing/choice.h"
+#include "nutmegwell/routing/request.h"
+#include "nutmegwell/routing/snapshot.h"
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+
+namespace nutmegwell::entry {
+
+class HeldSlot;
+
+enum class Admission : std::uint8_t { Admitted, Overloaded, Stopping };
+
+/// Counts of this entry host's requests, shared by the traffic threads. Holds
+/// its lock for decisions only.
+class SlotTable {
+public:
+  SlotTable(routing::SnapshotSource Snapshot, core::Clock Clock,
+            core::Random Random);
+
+  Admission admit(const model::PoolRow &Pool);
+  void release(const model::AccountName &Account,
+               const model::ServiceName &Service);
+
+  /// Advances a request under the retry budget of its service.
+  routing::RequestEffect step(routing::RequestState &State,
+                              const routing::RequestEvent &Event);
+
+  /// Waits in the queue of the route's service until an upstream has a free
+  /// slot, and holds it in \p Slot.
+  routing::RequestEvent choose(routing::RequestState &State,
+                               const model::RouteRow &Route,
+                               const core::AttemptId &Attempt, HeldSlot &Slot);
+  void releaseSlot(const model::NodeName &Agent);
+
+  /// Wakes the requests that wait for a slot.
+  void wake();
+
+  std::size_t inFlight() const;
+
+  /// Admits no more and waits until nothing is in flight.
+  void stop();
+
+private:
+  using Ticket = std::uint64_t;
+
+  /// Returns the snapshot in force.
+  std::shared_ptr<const routing::RoutingSnapshot> takeUp();
+  std::optional<routing::RequestEvent> tryChoose(routing::RequestState &State,
+                                                 const model::RouteRow &Route,
+                                                 const core::AttemptId &Attempt,
+                                                 HeldSlot &Slot);
+
+  const routing::SnapshotSource Snapshot_;
+  const core::Clock Clock_;
+  const core::Random Random_;
+  mutable std::mutex Mutex_;
+  std::condition_variable Changed_;
+  /// Counts changes that can free a slot.
+  std::uint64_t Changes_ = 0;
+  routing::AdmissionState Admission_;
+  routing::LocalLoads Loads_;
+  std::map<model::ServiceName, routing::RetryBudget> Budgets_;
+  /// Requests that wait for a slot, in the order in which they came.
+  std::map<model::ServiceName, std::set<Ticket>> Queues_;
+  Ticket NextTicket_ = 1;
+  std::shared_ptr<const routing::RoutingSnapshot> TakenUp_;
+  std::size_t InFlight_ = 0;
+  bool Stopping_ = false;
+};
+
+/// Ends an admitted request.
+class AdmittedRequest {
+public:
+  AdmittedRequest(SlotTable &Table, const model::AccountName &Account,
+                  const model::ServiceName &Service)
+      : Table_(Table), Account_(Account), Service_(Service) {}
+  AdmittedRequest(const AdmittedRequest &) = delete;
+  AdmittedRequest &operator=(const AdmittedRequest &) = delete;
+  ~AdmittedRequest() { Table_.release(Account_, Service_); }
+
+private:
+  SlotTable &Table_;
+  const model::AccountName &Account_;
+  const model::ServiceName &Service_;
+};
+
+/// A slot of one agent's upstream, or none.
+class HeldSlot {
+public:
+  explicit HeldSlot(SlotTable &Table) : Table_(Table) {}
+  HeldSlot(const HeldSlot &) = delete;
+  HeldSlot &operator=(const HeldSlot &) = delete;
+  ~HeldSlot() { release(); }
+
+  void hold(const model::NodeName &Agent, const std::string &Address) {
+    Agent_ = Agent;
+    Address_ = Address;
+  }
+  void release() {
+    if (!Agent_.empty())
+      Table_.releaseSlot(Agent_);
+    Agent_.clear();
+  }
+  const std::string &address() const { return Address_; }
+
+private:
+  SlotTable &Table_;
+  model::NodeName Agent_;
+  std::string Address_;
+};
+
+} // namespace nutmegwell::entry
