Merge the request path and connect it with the control path

Cause: requests and gangs share one daemon. Change: the agent waits until every entry host has answered a leaving heartbeat before it stops; a stopping entry host still appends the intents of requests in flight.

--- a/apps/nutmegwelld/agentrole.cpp
+++ b/apps/nutmegwelld/agentrole.cpp
@@ -1,4 +1,5 @@
 #include "nutmegwell/agent/controlloop.h"
+#include "nutmegwell/agent/requestserver.h"
 #include "nutmegwell/core/random.h"
 #include "nutmegwell/net/udp.h"
 #include "nutmegwell/settings/logging.h"
@@ -13,6 +14,7 @@
 
 namespace {
 
+constexpr auto LeaveNotice = std::chrono::milliseconds(2500);
 /// Time for tasks to checkpoint when the agent stops.
 constexpr auto DrainBound = std::chrono::seconds(30);
 
@@ -20,10 +22,11 @@
   return net::Address{Value.Ip_, Value.Port_};
 }
 
-agent::AgentSettings agentSettings(const settings::Settings &Values) {
+agent::AgentSettings agentSettings(const settings::Settings &Values,
+                                   core::Incarnation Process) {
   agent::AgentSettings Result;
   Result.Node_ = Values.text("node");
-  Result.Incarnation_ = core::systemRandom().Next_();
+  Result.Incarnation_ = Process;
   Result.Kind_ = Values.text("kind") == "worker" ? model::NodeKind::Worker
                                                  : model::NodeKind::Upstream;
   Result.Domain_ = Values.text("domain");
@@ -37,6 +40,23 @@
   return Result;
 }
 
+agent::RequestServerSettings serverSettings(const settings::Settings &Values,
+                                            core::Incarnation Process) {
+  agent::RequestServerSettings Result;
+  Result.Incarnation_ = Process;
+  Result.Listen_ = toAddress(Values.address("tcp-listen"));
+  Result.Announce_ = toAddress(Values.address("announce-listen"));
+  return Result;
+}
+
+/// Returns what heartbeats say of the upstream on this host.
+agent::UpstreamInfo infoOf(const agent::UpstreamStatus &Known) {
+  if (!Known.Present_)
+    return agent::UpstreamInfo{{}, 0, Known.InFlight_, false};
+  return agent::UpstreamInfo{Known.Service_, Known.Slots_, Known.InFlight_,
+                             Known.Leaving_};
+}
+
 /// Connects the control loop with the entry hosts and the worker runtime.
 class AgentRole {
 public:
@@ -48,6 +68,9 @@
   agent::ControlPorts makePorts(const settings::Settings &Values);
   void onDatagram(const net::Address &From, const std::string &Bytes);
 
+  const core::Incarnation Process_;
+  /// Only beside an upstream.
+  std::unique_ptr<agent::RequestServer> Requests_;
   std::atomic<agent::ControlLoop *> ControlPointer_{nullptr};
   std::atomic<std::uint64_t> BadDatagrams_{0};
   net::UdpEndpoint Udp_;
@@ -55,11 +78,16 @@
 };
 
 AgentRole::AgentRole(const settings::Settings &Values)
-    : Udp_(toAddress(Values.address("udp-listen")),
+    : Process_(core::systemRandom().Next_()),
+      Requests_(Values.text("kind") == "upstream"
+                    ? std::make_unique<agent::RequestServer>(
+                          serverSettings(Values, Process_))
+                    : nullptr),
+      Udp_(toAddress(Values.address("udp-listen")),
            [this](const net::Address &From, const std::string &Bytes) {
              onDatagram(From, Bytes);
            }),
-      Control_(agentSettings(Values), makePorts(Values)) {
+      Control_(agentSettings(Values, Process_), makePorts(Values)) {
   ControlPointer_ = &Control_;
   settings::logStateChange("started",
                            {{"role", "agent"}, {"node", Values.text("node")}});
@@ -76,7 +104,9 @@
   Ports.Report_ = [](const agent::StateChange &Change) {
     settings::logStateChange(Change.Event_, Change.Fields_);
   };
-  if (Values.text("kind") == "worker")
+  if (Requests_)
+    Ports.Upstream_ = [this] { return infoOf(Requests_->upstream()); };
+  else
     Ports.Runtime_ =
         agent::httpRuntime(toAddress(Values.address("runtime-address")));
   return Ports;
@@ -93,6 +123,12 @@
 
 void AgentRole::stop() {
   Control_.post(agent::StopRequested());
+  if (Requests_) {
+    // An entry host that does not answer has lost this node's heartbeats too
+    // and takes it for silent after this time.
+    Control_.waitLeaveKnown(LeaveNotice);
+    Requests_->stop();
+  }
   if (!Control_.waitDrained(DrainBound))
     settings::logStateChange("stopped_with_tasks", {});
 }
--- a/apps/nutmegwelld/entryrole.cpp
+++ b/apps/nutmegwelld/entryrole.cpp
@@ -1,6 +1,7 @@
 #include "nutmegwell/core/random.h"
 #include "nutmegwell/entry/api.h"
 #include "nutmegwell/entry/controlloop.h"
+#include "nutmegwell/entry/requestservice.h"
 #include "nutmegwell/logclient/appender.h"
 #include "nutmegwell/logclient/httplog.h"
 #include "nutmegwell/logclient/reader.h"
@@ -50,6 +51,12 @@
   return Result;
 }
 
+entry::RequestServiceSettings requestSettings(core::Incarnation Process) {
+  entry::RequestServiceSettings Result;
+  Result.Incarnation_ = Process;
+  return Result;
+}
+
 /// Connects the control loop with the log, the peers and the callers.
 class EntryRole {
 public:
@@ -66,17 +73,20 @@
   void onDatagram(const net::Address &From, const std::string &Bytes);
   net::HttpResponse handle(const net::HttpRequest &Request);
   logclient::AppenderEvents appenderEvents();
+  entry::RequestServiceHooks requestHooks();
+  std::optional<model::Intent> findIntent(const model::IntentKey &Key);
 
   const core::Incarnation Process_;
   const logclient::LogService Log_;
   std::atomic<entry::ControlLoop *> ControlPointer_{nullptr};
+  std::atomic<entry::RequestService *> RequestsPointer_{nullptr};
   std::shared_ptr<const routing::RoutingSnapshot> Snapshot_;
   std::atomic<std::uint64_t> BadDatagrams_{0};
-  std::atomic<unsigned> InFlight_{0};
   logclient::Appender Appender_;
   net::UdpEndpoint Udp_;
   entry::ControlLoop Control_;
   entry::Api Api_;
+  entry::RequestService Requests_;
   std::mutex StartMutex_;
   std::condition_variable StartChanged_;
   bool Stopping_ = false;
@@ -103,16 +113,21 @@
              onDatagram(From, Bytes);
            }),
       Control_(entrySettings(Values, Process_), makePorts()), Api_(Control_),
+      Requests_(requestSettings(Process_), requestHooks()),
       Http_(
           toAddress(Values.address("http-listen")), httpLimits(Values),
           [this](const net::HttpRequest &Request) { return handle(Request); }) {
+  RequestsPointer_ = &Requests_;
   ControlPointer_ = &Control_;
   Starter_ = std::thread([this] { startReading(); });
   settings::logStateChange("started",
                            {{"role", "entry"}, {"node", Values.text("node")}});
 }
 
-EntryRole::~EntryRole() { ControlPointer_ = nullptr; }
+EntryRole::~EntryRole() {
+  ControlPointer_ = nullptr;
+  RequestsPointer_ = nullptr;
+}
 
 entry::ControlPorts EntryRole::makePorts() {
   entry::ControlPorts Ports;
@@ -127,6 +142,8 @@
   };
   Ports.Publish_ = [this](auto Snapshot) {
     std::atomic_store(&Snapshot_, std::move(Snapshot));
+    if (entry::RequestService *Requests = RequestsPointer_)
+      Requests->snapshotChanged();
   };
   Ports.Report_ = [](const entry::StateChange &Change) {
     settings::logStateChange(Change.Event_, Change.Fields_);
@@ -205,7 +222,45 @@
 net::HttpResponse EntryRole::handle(const net::HttpRequest &Request) {
   if (entry::Api::owns(Request.Path_))
     return Api_.handle(Request);
-  return {404, "application/json", "{}"};
+  return Requests_.handle(Request);
+}
+
+entry::RequestServiceHooks EntryRole::requestHooks() {
+  entry::RequestServiceHooks Hooks;
+  Hooks.Snapshot_ = [this] { return std::atomic_load(&Snapshot_); };
+  Hooks.Transport_ = entry::tcpTransport(entry::TransportSettings());
+  Hooks.Intents_.Submit_ =
+      [this](model::RecordBody Body,
+             core::Duration Timeout) -> absl::StatusOr<model::FoldResult> {
+    auto Reply = Control_.submit(std::move(Body), Timeout);
+    if (!Reply.ok())
+      return Reply.status();
+    // Only the fold's own verdict says that the record was applied or rejected.
+    if (Reply->Outcome_ == entry::CommandOutcome::InDoubt ||
+        Reply->Code_ == "log_unavailable" || Reply->Code_ == "stopping")
+      return core::makeError(absl::StatusCode::kUnavailable, "append", "log",
+                             Reply->Reason_);
+    model::FoldResult Result;
+    Result.Accepted_ = Reply->Outcome_ == entry::CommandOutcome::Applied;
+    Result.Code_ = Reply->Code_;
+    Result.Reason_ = Reply->Reason_;
+    return Result;
+  };
+  Hooks.Intents_.Find_ = [this](const model::IntentKey &Key) {
+    return findIntent(Key);
+  };
+  return Hooks;
+}
+
+std::optional<model::Intent>
+EntryRole::findIntent(const model::IntentKey &Key) {
+  std::optional<model::Intent> Found;
+  Control_.query([&](const entry::EntryState &State) {
+    auto Known = State.Fold_.Intents_.find(Key);
+    if (Known != State.Fold_.Intents_.end())
+      Found = Known->second;
+  });
+  return Found;
 }
 
 void EntryRole::stop() {
@@ -216,6 +271,7 @@
   }
   StartChanged_.notify_all();
   Starter_.join();
+  Requests_.stop();
   Http_.stop();
   // Waits until the fold shows that the cells were given back.
   Control_.waitUntil(
@@ -227,7 +283,7 @@
 }
 
 std::string EntryRole::cutOff() const {
-  return std::to_string(InFlight_) + " requests";
+  return std::to_string(Requests_.inFlight()) + " requests";
 }
 
 } // namespace
--- a/lib/agent/include/nutmegwell/agent/control.h
+++ b/lib/agent/include/nutmegwell/agent/control.h
@@ -4,6 +4,7 @@
 #include "nutmegwell/model/messages.h"
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -78,6 +79,10 @@
   /// False until tasks that an earlier process left behind are stopped.
   bool Ready_ = false;
   bool Stopping_ = false;
+  /// First heartbeat that said that the node leaves; 0 before.
+  std::uint64_t LeaveSequence_ = 0;
+  /// Entry hosts that have answered such a heartbeat.
+  std::set<model::NodeName> LeaveHeard_;
 };
 
 struct DatagramReceived {
@@ -164,6 +169,9 @@
 /// Returns the runtime's id of task \p Index of a share.
 std::string taskId(const ShareKey &Key, std::size_t Index);
 
+/// Returns true when every entry host knows that this node leaves.
+bool leaveKnown(const AgentState &State);
+
 /// Returns true when nothing runs and a planned stop may end the process.
 bool drained(const AgentState &State);
 
--- a/lib/agent/include/nutmegwell/agent/controlloop.h
+++ b/lib/agent/include/nutmegwell/agent/controlloop.h
@@ -14,6 +14,8 @@
   std::function<void(const Send &)> Send_;
   std::function<void(const StateChange &)> Report_;
   WorkerRuntime Runtime_;
+  /// Returns what the next heartbeat says of the upstream; empty for a worker.
+  std::function<UpstreamInfo()> Upstream_;
   core::Clock Clock_;
 };
 
@@ -29,6 +31,10 @@
   /// full; the event is then lost like a datagram.
   bool post(Event What);
 
+  /// Waits until every entry host knows that this node leaves, at most
+  /// \p Timeout. Returns false when one has not answered.
+  bool waitLeaveKnown(core::Duration Timeout);
+
   /// Waits until nothing runs any more, at most \p Timeout. Returns false when
   /// something still runs.
   bool waitDrained(core::Duration Timeout);
@@ -37,16 +43,18 @@
   void run();
   void callRuntime();
   void execute(const Effects &Out);
-  void noteDrained();
+  void tick(core::TimePoint Now);
+  void noteProgress();
 
   ControlPorts Ports_;
   AgentState State_;
   core::EventQueue<Event> Queue_;
   core::EventQueue<RuntimeCall> Calls_;
   core::TimerService Timers_;
-  std::mutex DrainedMutex_;
-  std::condition_variable DrainedChanged_;
+  std::mutex StopMutex_;
+  std::condition_variable StopChanged_;
   bool Drained_ = false;
+  bool LeaveKnown_ = false;
   std::thread Thread_;
   std::thread RuntimeThread_;
 };
--- a/lib/agent/src/control.cpp
+++ b/lib/agent/src/control.cpp
@@ -24,6 +24,8 @@
   Beat.Slots_ = State.Upstream_.Slots_;
   Beat.InFlight_ = State.Upstream_.InFlight_;
   Beat.Leaving_ = State.Stopping_ || State.Upstream_.Leaving_;
+  if (State.Stopping_ && State.LeaveSequence_ == 0)
+    State.LeaveSequence_ = Beat.Sequence_;
   Beat.HighestTerm_ = State.HighestTerm_;
   Beat.Tasks_ = makeReports(State);
   State.SentAt_[Beat.Sequence_] = Now;
@@ -47,6 +49,8 @@
 }
 
 void onAck(AgentState &State, const model::HeartbeatAck &Ack, Effects &Out) {
+  if (State.LeaveSequence_ != 0 && Ack.Sequence_ >= State.LeaveSequence_)
+    State.LeaveHeard_.insert(Ack.Entry_);
   auto Sent = State.SentAt_.find(Ack.Sequence_);
   if (Ack.Term_ == 0 || Sent == State.SentAt_.end() ||
       !acceptTerm(State, Ack.Term_, Out))
@@ -153,6 +157,10 @@
   return State;
 }
 
+bool leaveKnown(const AgentState &State) {
+  return State.LeaveHeard_.size() >= State.Settings_.Entries_.size();
+}
+
 bool drained(const AgentState &State) {
   for (const auto &[Key, Known] : State.Shares_)
     if (!ended(Known.State_))
--- a/lib/agent/src/controlloop.cpp
+++ b/lib/agent/src/controlloop.cpp
@@ -12,9 +12,8 @@
 ControlLoop::ControlLoop(const AgentSettings &Settings, ControlPorts Ports)
     : Ports_(std::move(Ports)), State_(makeAgentState(Settings)),
       Queue_(QueueBound), Calls_(QueueBound) {
-  Timers_.subscribe(
-      Ports_.Clock_.Now_(), TickInterval,
-      [this](core::TimePoint Now) { execute(step(State_, Tick(), Now)); });
+  Timers_.subscribe(Ports_.Clock_.Now_(), TickInterval,
+                    [this](core::TimePoint Now) { tick(Now); });
   RuntimeThread_ = std::thread([this] { callRuntime(); });
   Thread_ = std::thread([this] { run(); });
 }
@@ -29,8 +28,13 @@
 bool ControlLoop::post(Event What) { return Queue_.push(std::move(What)); }
 
 bool ControlLoop::waitDrained(core::Duration Timeout) {
-  std::unique_lock<std::mutex> Lock(DrainedMutex_);
-  return DrainedChanged_.wait_for(Lock, Timeout, [this] { return Drained_; });
+  std::unique_lock<std::mutex> Lock(StopMutex_);
+  return StopChanged_.wait_for(Lock, Timeout, [this] { return Drained_; });
+}
+
+bool ControlLoop::waitLeaveKnown(core::Duration Timeout) {
+  std::unique_lock<std::mutex> Lock(StopMutex_);
+  return StopChanged_.wait_for(Lock, Timeout, [this] { return LeaveKnown_; });
 }
 
 void ControlLoop::run() {
@@ -41,18 +45,23 @@
       execute(step(State_, *What, Ports_.Clock_.Now_()));
     else if (Queue_.closed())
       return;
-    noteDrained();
+    noteProgress();
   }
 }
 
-void ControlLoop::noteDrained() {
-  bool Now = State_.Stopping_ && drained(State_);
+void ControlLoop::tick(core::TimePoint Now) {
+  if (Ports_.Upstream_)
+    execute(step(State_, UpstreamChanged{Ports_.Upstream_()}, Now));
+  execute(step(State_, Tick(), Now));
+}
+
+void ControlLoop::noteProgress() {
   {
-    std::lock_guard<std::mutex> Lock(DrainedMutex_);
-    Drained_ = Now;
+    std::lock_guard<std::mutex> Lock(StopMutex_);
+    Drained_ = State_.Stopping_ && drained(State_);
+    LeaveKnown_ = State_.Stopping_ && leaveKnown(State_);
   }
-  if (Now)
-    DrainedChanged_.notify_all();
+  StopChanged_.notify_all();
 }
 
 void ControlLoop::execute(const Effects &Out) {
--- a/lib/entry/src/commands.cpp
+++ b/lib/entry/src/commands.cpp
@@ -15,9 +15,17 @@
                           std::move(Findings)});
 }
 
+/// Returns true for the records of a request that is in flight; a stopping host
+/// still appends them.
+bool isIntent(const model::RecordBody &Body) {
+  return std::holds_alternative<model::IntentRecorded>(Body) ||
+         std::holds_alternative<model::IntentReleased>(Body) ||
+         std::holds_alternative<model::IntentSettled>(Body);
+}
+
 /// Refuses commands that must not reach the log. Returns true for a refusal.
 bool refusedEarly(const EntryState &State, const Command &What, Effects &Out) {
-  if (State.Stopping_) {
+  if (State.Stopping_ && !isIntent(What.Body_)) {
     refuse(What, "stopping", "the entry host is stopping", Out);
     return true;
   }
--- a/tests/e2e/process.cpp
+++ b/tests/e2e/process.cpp
@@ -47,8 +47,7 @@
 void Process::read() {
   std::string Partial;
   char Buffer[4096];
-  for (ssize_t Count;
-       (Count = ::read(Output_, Buffer, sizeof(Buffer))) > 0;) {
+  for (ssize_t Count; (Count = ::read(Output_, Buffer, sizeof(Buffer))) > 0;) {
     Partial.append(Buffer, Count);
     std::lock_guard<std::mutex> Lock(Mutex_);
     for (std::size_t End; (End = Partial.find('\n')) != Partial.npos;) {
--- a/tests/e2e/process.h
+++ b/tests/e2e/process.h
@@ -13,7 +13,8 @@
 /// A child process whose output lines the test can wait for.
 class Process {
 public:
-  Process(const std::string &Program, const std::vector<std::string> &Arguments);
+  Process(const std::string &Program,
+          const std::vector<std::string> &Arguments);
   Process(const Process &) = delete;
   Process &operator=(const Process &) = delete;
   /// Kills the process when it still runs.
