Add metrics and the service-level burn report

Cause: operators need counters, waiting times and the use of each account's error budget, in bounded memory. Two settings of nutmegwelld set the default objective.

--- /dev/null
+++ b/lib/metrics/src/burnjson.cpp
@@ -0,0 +1,49 @@
+#include "nutmegwell/metrics/burn.h"
+#include <cxxtools/json.h>
+#include <cxxtools/serializationinfo.h>
+#include <sstream>
+
+namespace nutmegwell::metrics {
+
+namespace {
+
+using cxxtools::SerializationInfo;
+
+std::int64_t milliseconds(core::Duration Value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+}
+
+void addWindow(SerializationInfo &Out, const WindowBurn &Window) {
+  Out.addValue("requests", Window.Counts_.Requests_);
+  Out.addValue("refused", Window.Counts_.Refused_);
+  Out.addValue("unknown", Window.Counts_.Unknown_);
+  Out.addValue("slow", Window.Counts_.Slow_);
+  Out.addValue("cancelled", Window.Counts_.Cancelled_);
+  Out.addValue("error_rate", Window.ErrorRate_);
+  Out.addValue("burn", Window.Burn_);
+}
+
+} // namespace
+
+std::string formatBurn(const BurnReport &Report) {
+  SerializationInfo Root;
+  Root.addValue("short_ms", milliseconds(Report.Windows_.Short_));
+  Root.addValue("long_ms", milliseconds(Report.Windows_.Long_));
+  SerializationInfo &Rows = Root.addMember("rows");
+  Rows.setCategory(SerializationInfo::Array);
+  for (const BurnRow &Row : Report.Rows_) {
+    SerializationInfo &Out = Rows.addMember();
+    Out.addValue("account", Row.Account_);
+    Out.addValue("service", Row.Service_);
+    Out.addValue("allowed_errors", Row.Objective_.AllowedErrors_);
+    Out.addValue("latency_ms", milliseconds(Row.Objective_.Latency_));
+    addWindow(Out.addMember("short"), Row.Short_);
+    addWindow(Out.addMember("long"), Row.Long_);
+    Out.addValue("alert", Row.Alert_);
+  }
+  std::ostringstream Out;
+  Out << cxxtools::Json(Root);
+  return Out.str();
+}
+
+} // namespace nutmegwell::metrics
--- a/lib/settings/src/daemon.cpp
+++ b/lib/settings/src/daemon.cpp
@@ -80,6 +80,11 @@
       .count("max-connections", 256, 1, 65536, "connections served at one time")
       .count("max-queue", 4096, 16, 1 << 20,
              "events that may wait for the control thread")
+      .duration("objective-latency", seconds(1), milliseconds(1), hours(24),
+                "burn report: a slower answer counts as an error")
+      .count("objective-errors", 100, 1, 100000,
+             "burn report: errors that the objective allows")
+      .unit("errors per 100000 requests")
       .choice("log-format", {"text", "json"}, "text",
               "form of the lines on standard output")
       .choice("log-level", {"error", "warning", "info"}, "info",
