--- a/apps/nutmegwelld/main.cpp
+++ b/apps/nutmegwelld/main.cpp
@@ -1,8 +1,7 @@
+#include "nutmegwell/daemon/roles.h"
 #include "nutmegwell/settings/daemon.h"
 #include "nutmegwell/settings/logging.h"
 #include "nutmegwell/settings/settings.h"
-#include "roles.h"
-#include "stopsignals.h"
 #include <iostream>
 
 using namespace nutmegwell;
@@ -18,10 +17,10 @@
   settings::parseLogFormat(Values->text("log-format"), Format);
   settings::parseLogLevel(Values->text("log-level"), Level);
   settings::configureLogging(Format, Level);
-  nutmegwelld::blockStopSignals();
+  daemon::blockStopSignals();
   try {
-    return Values->text("role") == "entry" ? nutmegwelld::runEntry(*Values)
-                                           : nutmegwelld::runAgent(*Values);
+    return Values->text("role") == "entry" ? daemon::runEntry(*Values)
+                                           : daemon::runAgent(*Values);
   } catch (const std::exception &Error) {
     std::cerr << "nutmegwelld: " << Error.what() << "\n";
     return 1;
--- a/apps/nutmegwelld/agentrole.cpp
+++ b/lib/daemon/src/agentrole.cpp
@@ -1,16 +1,16 @@
 #include "nutmegwell/agent/controlloop.h"
 #include "nutmegwell/agent/requestserver.h"
 #include "nutmegwell/core/random.h"
+#include "nutmegwell/daemon/roles.h"
+#include "nutmegwell/metrics/registry.h"
+#include "nutmegwell/net/http.h"
 #include "nutmegwell/net/udp.h"
 #include "nutmegwell/settings/logging.h"
 #include "nutmegwell/wire/binary.h"
-#include "roles.h"
 #include "stopsignals.h"
 #include <atomic>
 
-namespace nutmegwelld {
-
-using namespace nutmegwell;
+namespace nutmegwell::daemon {
 
 namespace {
 
@@ -72,9 +72,15 @@
   /// Only beside an upstream.
   std::unique_ptr<agent::RequestServer> Requests_;
   std::atomic<agent::ControlLoop *> ControlPointer_{nullptr};
-  std::atomic<std::uint64_t> BadDatagrams_{0};
+  metrics::Registry Metrics_;
+  metrics::Counter &Received_ = Metrics_.counter(
+      "nutmegwell_datagrams_received_total", "Well-formed datagrams received");
+  metrics::Counter &Malformed_ = Metrics_.counter(
+      "nutmegwell_datagrams_malformed_total", "Datagrams dropped as malformed");
   net::UdpEndpoint Udp_;
   agent::ControlLoop Control_;
+  /// Serves /metrics when the setting http-listen is given.
+  std::unique_ptr<net::HttpServer> Http_;
 };
 
 AgentRole::AgentRole(const settings::Settings &Values)
@@ -89,6 +95,15 @@
            }),
       Control_(agentSettings(Values, Process_), makePorts(Values)) {
   ControlPointer_ = &Control_;
+  if (Values.has("http-listen"))
+    Http_ = std::make_unique<net::HttpServer>(
+        toAddress(Values.address("http-listen")), net::HttpLimits(),
+        [this](const net::HttpRequest &Request) -> net::HttpResponse {
+          if (Request.Path_ != "/metrics")
+            return {404, "text/plain", "no such path"};
+          return {200, "text/plain; version=0.0.4",
+                  Metrics_.render(core::steadyClock().Now_())};
+        });
   settings::logStateChange("started",
                            {{"role", "agent"}, {"node", Values.text("node")}});
 }
@@ -101,7 +116,11 @@
     if (net::parseAddress(Message.To_, To))
       Udp_.send(To, wire::encode(Message.Message_));
   };
-  Ports.Report_ = [](const agent::StateChange &Change) {
+  Ports.Report_ = [this](const agent::StateChange &Change) {
+    Metrics_
+        .counter("nutmegwell_state_changes_total", "Changes of state by event",
+                 {{"event", Change.Event_}})
+        .add();
     settings::logStateChange(Change.Event_, Change.Fields_);
   };
   if (Requests_)
@@ -116,8 +135,9 @@
   auto Message = wire::decodeDatagram(Bytes);
   agent::ControlLoop *Control = ControlPointer_;
   if (!Message.ok())
-    ++BadDatagrams_;
-  else if (Control)
+    return Malformed_.add();
+  Received_.add();
+  if (Control)
     Control->post(agent::DatagramReceived{net::toString(From), *Message});
 }
 
@@ -143,4 +163,4 @@
   return 0;
 }
 
-} // namespace nutmegwelld
+} // namespace nutmegwell::daemon
--- a/apps/nutmegwelld/entryrole.cpp
+++ b/lib/daemon/src/entryrole.cpp
@@ -1,4 +1,6 @@
+#include "entrymetrics.h"
 #include "nutmegwell/core/random.h"
+#include "nutmegwell/daemon/roles.h"
 #include "nutmegwell/entry/api.h"
 #include "nutmegwell/entry/controlloop.h"
 #include "nutmegwell/entry/requestservice.h"
@@ -9,16 +11,13 @@
 #include "nutmegwell/net/udp.h"
 #include "nutmegwell/settings/logging.h"
 #include "nutmegwell/wire/binary.h"
-#include "roles.h"
 #include "stopsignals.h"
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
 
-namespace nutmegwelld {
-
-using namespace nutmegwell;
+namespace nutmegwell::daemon {
 
 namespace {
 
@@ -81,7 +80,7 @@
   std::atomic<entry::ControlLoop *> ControlPointer_{nullptr};
   std::atomic<entry::RequestService *> RequestsPointer_{nullptr};
   std::shared_ptr<const routing::RoutingSnapshot> Snapshot_;
-  std::atomic<std::uint64_t> BadDatagrams_{0};
+  EntryMetrics Metrics_{core::steadyClock()};
   logclient::Appender Appender_;
   net::UdpEndpoint Udp_;
   entry::ControlLoop Control_;
@@ -134,8 +133,10 @@
   Ports.Clock_ = core::steadyClock();
   Ports.Send_ = [this](const entry::Send &Message) {
     net::Address To;
-    if (net::parseAddress(Message.To_, To))
-      Udp_.send(To, wire::encode(Message.Message_));
+    if (!net::parseAddress(Message.To_, To))
+      return;
+    Udp_.send(To, wire::encode(Message.Message_));
+    Metrics_.SentDatagrams_.add();
   };
   Ports.Append_ = [this](std::vector<model::Record> Changes) {
     append(std::move(Changes));
@@ -145,7 +146,9 @@
     if (entry::RequestService *Requests = RequestsPointer_)
       Requests->snapshotChanged();
   };
-  Ports.Report_ = [](const entry::StateChange &Change) {
+  Ports.Stepped_ = [this](core::Duration Took) { Metrics_.stepped(Took); };
+  Ports.Report_ = [this](const entry::StateChange &Change) {
+    Metrics_.stateChanged(Change);
     settings::logStateChange(Change.Event_, Change.Fields_);
   };
   return Ports;
@@ -157,9 +160,11 @@
     Control_.post(entry::LogAvailability{Available});
   };
   Events.OnReport_ = [this](const logclient::AppendReport &Report) {
-    if (Report.Outcome_ != logclient::AppendOutcome::Appended)
-      Control_.post(entry::AppendFailed{
-          Report.Id_, Report.Outcome_ == logclient::AppendOutcome::InDoubt});
+    if (Report.Outcome_ == logclient::AppendOutcome::Appended)
+      return;
+    Metrics_.FailedAppends_.add();
+    Control_.post(entry::AppendFailed{
+        Report.Id_, Report.Outcome_ == logclient::AppendOutcome::InDoubt});
   };
   return Events;
 }
@@ -167,6 +172,7 @@
 void EntryRole::append(std::vector<model::Record> Changes) {
   for (model::Record &Change : Changes) {
     core::RecordId Id = Change.Id_;
+    Metrics_.Appends_.add();
     if (!Appender_.submit(std::move(Change), AppendWithin).ok())
       Control_.post(entry::AppendFailed{Id, false});
   }
@@ -214,12 +220,19 @@
   auto Message = wire::decodeDatagram(Bytes);
   entry::ControlLoop *Control = ControlPointer_;
   if (!Message.ok())
-    ++BadDatagrams_;
-  else if (Control)
-    Control->post(entry::DatagramReceived{net::toString(From), *Message});
+    Metrics_.BadDatagrams_.add();
+  else if (Control && Control->post(entry::DatagramReceived{net::toString(From),
+                                                            *Message}))
+    Metrics_.ReceivedDatagrams_.add();
+  else
+    Metrics_.LostEvents_.add();
 }
 
 net::HttpResponse EntryRole::handle(const net::HttpRequest &Request) {
+  if (Request.Path_ == "/metrics")
+    return {200, "text/plain; version=0.0.4", Metrics_.render()};
+  if (Request.Path_ == "/v1/burn")
+    return {200, "application/json", Metrics_.burn()};
   if (entry::Api::owns(Request.Path_))
     return Api_.handle(Request);
   return Requests_.handle(Request);
@@ -228,6 +241,9 @@
 entry::RequestServiceHooks EntryRole::requestHooks() {
   entry::RequestServiceHooks Hooks;
   Hooks.Snapshot_ = [this] { return std::atomic_load(&Snapshot_); };
+  Hooks.Observer_.Ended_ = [this](const entry::RequestRecord &Record) {
+    Metrics_.requestEnded(Record);
+  };
   Hooks.Transport_ = entry::tcpTransport(entry::TransportSettings());
   Hooks.Intents_.Submit_ =
       [this](model::RecordBody Body,
@@ -296,4 +312,4 @@
   return 0;
 }
 
-} // namespace nutmegwelld
+} // namespace nutmegwell::daemon
--- a/apps/nutmegwelld/stopsignals.cpp
+++ b/lib/daemon/src/stopsignals.cpp
@@ -1,12 +1,13 @@
 #include "stopsignals.h"
 
+#include "nutmegwell/daemon/roles.h"
 #include "nutmegwell/settings/logging.h"
 #include <csignal>
 #include <pthread.h>
 #include <thread>
 #include <unistd.h>
 
-namespace nutmegwelld {
+namespace nutmegwell::daemon {
 
 namespace {
 
@@ -36,11 +37,10 @@
              const std::function<std::string()> &CutOff) {
   std::thread([CutOff] {
     waitForStop();
-    nutmegwell::settings::logStateChange("stopped_at_once",
-                                         {{"cut", CutOff()}});
+    settings::logStateChange("stopped_at_once", {{"cut", CutOff()}});
     _exit(1);
   }).detach();
   Stop();
 }
 
-} // namespace nutmegwelld
+} // namespace nutmegwell::daemon
--- a/apps/nutmegwelld/stopsignals.h
+++ b/lib/daemon/src/stopsignals.h
@@ -3,10 +3,7 @@
 #include <functional>
 #include <string>
 
-namespace nutmegwelld {
-
-/// Blocks SIGTERM and SIGINT. Call before any thread starts.
-void blockStopSignals();
+namespace nutmegwell::daemon {
 
 /// Waits for the first stop signal.
 void waitForStop();
@@ -16,4 +13,4 @@
 void runStop(const std::function<void()> &Stop,
              const std::function<std::string()> &CutOff);
 
-} // namespace nutmegwelld
+} // namespace nutmegwell::daemon
--- a/lib/entry/include/nutmegwell/entry/controlloop.h
+++ b/lib/entry/include/nutmegwell/entry/controlloop.h
@@ -18,6 +18,8 @@
   std::function<void(std::vector<model::Record>)> Append_;
   std::function<void(std::shared_ptr<const routing::RoutingSnapshot>)> Publish_;
   std::function<void(const StateChange &)> Report_;
+  /// Told how long each step took; may be empty.
+  std::function<void(core::Duration)> Stepped_;
   core::Clock Clock_;
 };
 
@@ -66,6 +68,7 @@
 
   void run();
   void handle(Input &What);
+  void advance(const Event &What, core::TimePoint Now);
   void execute(Effects Out);
   void checkWaiters(core::TimePoint Now);
 
--- a/lib/entry/src/controlloop.cpp
+++ b/lib/entry/src/controlloop.cpp
@@ -18,9 +18,8 @@
       Queue_(QueueBound) {
   Ports_.Publish_(
       std::make_shared<const routing::RoutingSnapshot>(makeSnapshot(State_)));
-  Timers_.subscribe(
-      Ports_.Clock_.Now_(), TickInterval,
-      [this](core::TimePoint Now) { execute(step(State_, Tick(), Now)); });
+  Timers_.subscribe(Ports_.Clock_.Now_(), TickInterval,
+                    [this](core::TimePoint Now) { advance(Tick(), Now); });
   Thread_ = std::thread([this] { run(); });
 }
 
@@ -97,7 +96,7 @@
 void ControlLoop::handle(Input &What) {
   core::TimePoint Now = Ports_.Clock_.Now_();
   if (auto *Happened = std::get_if<Event>(&What)) {
-    execute(step(State_, *Happened, Now));
+    advance(*Happened, Now);
   } else if (auto *Asked = std::get_if<std::shared_ptr<Read>>(&What)) {
     (*Asked)->Function_(State_);
     (*Asked)->Done_.set_value();
@@ -106,6 +105,13 @@
   }
 }
 
+void ControlLoop::advance(const Event &What, core::TimePoint Now) {
+  Effects Out = step(State_, What, Now);
+  if (Ports_.Stepped_)
+    Ports_.Stepped_(Ports_.Clock_.Now_() - Now);
+  execute(std::move(Out));
+}
+
 void ControlLoop::execute(Effects Out) {
   for (const Send &Message : Out.Sends_)
     Ports_.Send_(Message);
