Close framed connections without cutting a request

Cause: a request that is sent while a stopping server closes its idle connections ends as unknown, although it never ran. Change: a stopping server sends a notice of closing and still handles frames that cross it within a grace time (1 s); a client does not use a connection with a notice again. An intent whose append failed is released in the background, since its attempt is never sent. Also: the HTTP server hands on paths without escapes, so HttpClient escapes them and refuses bytes that would end a request line or header; RequestFrame carries the query apart from the path.

--- a/lib/agent/src/requestserver.cpp
+++ b/lib/agent/src/requestserver.cpp
@@ -45,7 +45,10 @@
                               std::move(Response->ContentType_),
                               std::move(Response->Body_)};
   if (core::stepOf(Response.status()) == "connect")
-    return model::NotRunFrame{Attempt, "upstream_unreachable"};
+    return model::NotRunFrame{Attempt,
+                              absl::IsInvalidArgument(Response.status())
+                                  ? "bad_request"
+                                  : "upstream_unreachable"};
   return model::UnknownFrame{
       Attempt, absl::IsDeadlineExceeded(Response.status()) ? "upstream_timeout"
                                                            : "upstream_failed"};
@@ -149,6 +152,7 @@
     net::HttpRequest Request;
     Request.Method_ = Frame.Method_;
     Request.Path_ = Frame.Path_;
+    Request.Query_ = Frame.Query_;
     Request.Headers_ = {{"X-Client-Account", Frame.Account_}};
     if (!Frame.ContentType_.empty())
       Request.Headers_.emplace_back("Content-Type", Frame.ContentType_);
--- a/lib/entry/src/requestservice.cpp
+++ b/lib/entry/src/requestservice.cpp
@@ -116,7 +116,7 @@
         Event = Slots_.choose(State, Found.Route_, nextAttempt(), Slot);
         break;
       case routing::EffectKind::Record:
-        Event = append(Found, recorded(Found, Effect));
+        Event = record(Found, Effect);
         break;
       case routing::EffectKind::Dispatch:
         Event = routing::AttemptEnded{
@@ -144,10 +144,17 @@
     return {Settings_.Incarnation_, ++AttemptCount_};
   }
 
-  static model::IntentRecorded recorded(const Call &Found,
-                                        const routing::RequestEffect &Effect) {
-    return {Found.Account_,  Found.Key_,    Found.Route_.Service_,
-            Effect.Attempt_, Effect.Agent_, Effect.AgentIncarnation_};
+  routing::IntentAppended record(const Call &Found,
+                                 const routing::RequestEffect &Effect) {
+    routing::IntentAppended Result = append(
+        Found, model::IntentRecorded{Found.Account_, Found.Key_,
+                                     Found.Route_.Service_, Effect.Attempt_,
+                                     Effect.Agent_, Effect.AgentIncarnation_});
+    // The record may still be applied, and the attempt is never sent.
+    if (Result.End_ == routing::AppendEnd::Failed)
+      Closer_.add(
+          model::IntentReleased{Found.Account_, Found.Key_, Effect.Attempt_});
+    return Result;
   }
 
   routing::IntentAppended append(const Call &Found, model::RecordBody Body) {
@@ -184,8 +191,8 @@
     Frame.Account_ = Found.Account_;
     Frame.Service_ = Found.Route_.Service_;
     Frame.Method_ = Request.Method_;
-    Frame.Path_ = Request.Query_.empty() ? Request.Path_
-                                         : Request.Path_ + "?" + Request.Query_;
+    Frame.Path_ = Request.Path_;
+    Frame.Query_ = Request.Query_;
     Frame.ContentType_ = Request.header("Content-Type");
     Frame.Body_ = Request.Body_;
     Frame.Key_ = Found.Key_;
--- a/lib/entry/src/responses.cpp
+++ b/lib/entry/src/responses.cpp
@@ -13,9 +13,9 @@
 /// Returns the HTTP status of a refusal.
 unsigned refusalStatus(const std::string &Code) {
   static const std::map<std::string, unsigned> Statuses = {
-      {"key_required", 400},    {"bad_key", 400},    {"account_missing", 401},
-      {"account_unknown", 403}, {"no_route", 404},   {"body_too_large", 413},
-      {"key_reused", 422},      {"overloaded", 429},
+      {"bad_request", 400},     {"key_required", 400},    {"bad_key", 400},
+      {"account_missing", 401}, {"account_unknown", 403}, {"no_route", 404},
+      {"body_too_large", 413},  {"key_reused", 422},      {"overloaded", 429},
   };
   auto Found = Statuses.find(Code);
   return Found == Statuses.end() ? ServiceUnavailable : Found->second;
--- a/lib/model/include/nutmegwell/model/messages.h
+++ b/lib/model/include/nutmegwell/model/messages.h
@@ -119,7 +119,9 @@
   AccountName Account_;
   ServiceName Service_;
   std::string Method_;
+  /// Path without the query and without escapes.
   std::string Path_;
+  std::string Query_;
   std::string ContentType_;
   std::string Body_;
   /// Empty for an idempotent request.
--- a/lib/net/include/nutmegwell/net/frame.h
+++ b/lib/net/include/nutmegwell/net/frame.h
@@ -21,6 +21,9 @@
   core::Duration ReadTimeout_ = std::chrono::seconds(5);
   /// Time for the peer to take a whole frame.
   core::Duration WriteTimeout_ = std::chrono::seconds(5);
+  /// Time for which a stopping server still takes a frame that crossed its
+  /// notice of closing.
+  core::Duration CloseGrace_ = std::chrono::seconds(1);
 };
 
 /// TCP connection that carries length-prefixed frames. Not safe for use from
@@ -50,8 +53,8 @@
   /// the bound. The connection is of no use after a failure.
   absl::StatusOr<std::string> receive(core::Duration Wait);
 
-  /// Returns true when nothing has arrived and the peer has not closed; only
-  /// such a kept connection can be used again.
+  /// Returns true when nothing has arrived and the peer neither has closed nor
+  /// is about to; only such a kept connection can be used again.
   bool quiet() const;
 
   const std::string &peer() const;
@@ -86,13 +89,15 @@
 
   FrameCounts counts() const;
 
-  /// Accepts no more, closes idle connections, and waits until every frame
-  /// that has started to arrive is handled.
+  /// Accepts no more and tells clients that their connections close. Frames
+  /// that have started to arrive, and those that cross the notice within the
+  /// grace time, are still handled; waits for all of them.
   void stop();
 
 private:
   struct Impl;
   static bool greet(FrameConnection &Connection);
+  static bool noticeClosing(FrameConnection &Connection);
   static int descriptor(const FrameConnection &Connection);
 
   std::unique_ptr<Impl> Impl_;
--- a/lib/net/include/nutmegwell/net/http.h
+++ b/lib/net/include/nutmegwell/net/http.h
@@ -13,8 +13,9 @@
 
 struct HttpRequest {
   std::string Method_ = "GET";
-  /// Path without the query.
+  /// Path without the query and without escapes.
   std::string Path_;
+  /// Query as sent, with escapes.
   std::string Query_;
   std::vector<std::pair<std::string, std::string>> Headers_;
   std::string Body_;
@@ -72,7 +73,8 @@
   ~HttpClient();
 
   /// Sends a request and returns the whole answer. Fails with the step
-  /// "connect" when nothing was sent, and with the step "exchange" when the
+  /// "connect" when nothing was sent (InvalidArgument for a request that HTTP
+  /// cannot carry), and with the step "exchange" when the
   /// server may have acted on the request.
   absl::StatusOr<HttpResponse> call(const HttpRequest &Request,
                                     core::Duration Timeout);
--- a/lib/net/src/frame.cpp
+++ b/lib/net/src/frame.cpp
@@ -13,6 +13,8 @@
 /// Sent by a server when it has a thread for the connection.
 constexpr std::string_view Greeting = "nwf1";
 constexpr std::size_t PrefixSize = 4;
+/// Length that stands for the notice of closing; no frame is that long.
+constexpr std::uint32_t ClosingMark = 0xFFFFFFFE;
 
 core::TimePoint now() { return core::steadyClock().Now_(); }
 
@@ -22,6 +24,13 @@
   return static_cast<int>(std::max<std::int64_t>(0, Left.count()));
 }
 
+std::string toPrefix(std::uint32_t Size) {
+  std::string Bytes;
+  for (std::size_t I = 0; I < PrefixSize; ++I)
+    Bytes.push_back(static_cast<char>(Size >> (8 * I)));
+  return Bytes;
+}
+
 absl::Status failure(absl::StatusCode Code, const char *Step,
                      const std::string &Peer, std::string_view Message) {
   return core::makeError(Code, Step, Peer, Message);
@@ -112,31 +121,37 @@
   return std::make_unique<FrameConnection>(std::move(Made));
 }
 
+absl::Status FrameConnection::Impl::noticeClosing() {
+  return writeAll(toPrefix(ClosingMark), now() + Limits_.WriteTimeout_);
+}
+
 absl::Status FrameConnection::send(std::string_view Payload) {
   if (Payload.size() > Impl_->Limits_.MaxFrame_)
     return failure(absl::StatusCode::kInvalidArgument, "send", Impl_->Peer_,
                    "frame above the bound");
-  const auto Size = static_cast<std::uint32_t>(Payload.size());
-  std::string Bytes;
-  Bytes.reserve(PrefixSize + Payload.size());
-  for (std::size_t I = 0; I < PrefixSize; ++I)
-    Bytes.push_back(static_cast<char>(Size >> (8 * I)));
+  std::string Bytes = toPrefix(static_cast<std::uint32_t>(Payload.size()));
   Bytes.append(Payload);
   return Impl_->writeAll(Bytes, now() + Impl_->Limits_.WriteTimeout_);
 }
 
 absl::StatusOr<std::string> FrameConnection::receive(core::Duration Wait) {
-  if (!waitReadable(Impl_->Socket_.getFd(), -1, now() + Wait))
-    return failure(absl::StatusCode::kDeadlineExceeded, "receive", Impl_->Peer_,
-                   "silent connection");
-  const core::TimePoint Deadline = now() + Impl_->Limits_.ReadTimeout_;
-  char Prefix[PrefixSize];
-  absl::Status Read = Impl_->readAll(Prefix, sizeof(Prefix), Deadline);
-  if (!Read.ok())
-    return Read;
-  std::uint32_t Size = 0;
-  for (std::size_t I = 0; I < PrefixSize; ++I)
-    Size |= std::uint32_t{static_cast<unsigned char>(Prefix[I])} << (8 * I);
+  const core::TimePoint WaitEnd = now() + Wait;
+  std::uint32_t Size = ClosingMark;
+  core::TimePoint Deadline;
+  while (Size == ClosingMark) {
+    if (!waitReadable(Impl_->Socket_.getFd(), -1, WaitEnd))
+      return failure(absl::StatusCode::kDeadlineExceeded, "receive",
+                     Impl_->Peer_, "silent connection");
+    Deadline = now() + Impl_->Limits_.ReadTimeout_;
+    char Prefix[PrefixSize];
+    absl::Status Read = Impl_->readAll(Prefix, sizeof(Prefix), Deadline);
+    if (!Read.ok())
+      return Read;
+    Size = 0;
+    for (std::size_t I = 0; I < PrefixSize; ++I)
+      Size |= std::uint32_t{static_cast<unsigned char>(Prefix[I])} << (8 * I);
+    Impl_->Closing_ = Impl_->Closing_ || Size == ClosingMark;
+  }
   if (Size > Impl_->Limits_.MaxFrame_)
     return failure(absl::StatusCode::kInvalidArgument, "receive", Impl_->Peer_,
                    "frame above the bound");
@@ -146,7 +161,8 @@
   while (Payload.size() < Size) {
     const std::size_t Old = Payload.size();
     Payload.resize(std::min<std::size_t>(Size, Old + Chunk));
-    Read = Impl_->readAll(&Payload[Old], Payload.size() - Old, Deadline);
+    absl::Status Read =
+        Impl_->readAll(&Payload[Old], Payload.size() - Old, Deadline);
     if (!Read.ok())
       return Read;
   }
@@ -154,7 +170,7 @@
 }
 
 bool FrameConnection::quiet() const {
-  return !waitReadable(Impl_->Socket_.getFd(), -1, now());
+  return !Impl_->Closing_ && !waitReadable(Impl_->Socket_.getFd(), -1, now());
 }
 
 const std::string &FrameConnection::peer() const { return Impl_->Peer_; }
--- a/lib/net/src/frameio.h
+++ b/lib/net/src/frameio.h
@@ -16,10 +16,13 @@
                        core::TimePoint Deadline);
   absl::Status writeAll(std::string_view Bytes, core::TimePoint Deadline);
   absl::Status greet();
+  absl::Status noticeClosing();
 
   const FrameLimits Limits_;
   cxxtools::net::TcpSocket Socket_;
   std::string Peer_;
+  /// Set when the peer's notice of closing was read.
+  bool Closing_ = false;
 };
 
 } // namespace nutmegwell::net
--- a/lib/net/src/frameserver.cpp
+++ b/lib/net/src/frameserver.cpp
@@ -107,20 +107,29 @@
     if (!FrameServer::greet(Connection))
       return;
     const int Socket = FrameServer::descriptor(Connection);
-    while (true) {
-      if (!waitReadable(Socket, Wake_, core::steadyClock().Now_() + IdleWait))
-        return;
-      auto Frame = Connection.receive(core::Duration::zero());
-      if (!Frame.ok()) {
-        if (!absl::IsUnavailable(Frame.status())) {
-          std::lock_guard<std::mutex> Lock(Mutex_);
-          ++Counts_.Broken_;
-        }
+    while (waitReadable(Socket, Wake_, core::steadyClock().Now_() + IdleWait))
+      if (!handleFrame(Connection))
         return;
-      }
-      if (!Handler_(Connection, std::move(*Frame)))
+    if (!FrameServer::noticeClosing(Connection))
+      return;
+    const core::TimePoint End =
+        core::steadyClock().Now_() + Limits_.CloseGrace_;
+    while (waitReadable(Socket, -1, End))
+      if (!handleFrame(Connection))
         return;
+  }
+
+  /// Handles the frame that has started to arrive. Returns false when the
+  /// connection is of no more use.
+  bool handleFrame(FrameConnection &Connection) {
+    auto Frame = Connection.receive(core::Duration::zero());
+    if (Frame.ok())
+      return Handler_(Connection, std::move(*Frame));
+    if (!absl::IsUnavailable(Frame.status())) {
+      std::lock_guard<std::mutex> Lock(Mutex_);
+      ++Counts_.Broken_;
     }
+    return false;
   }
 
   const FrameLimits Limits_;
@@ -150,6 +159,10 @@
   return Connection.Impl_->greet().ok();
 }
 
+bool FrameServer::noticeClosing(FrameConnection &Connection) {
+  return Connection.Impl_->noticeClosing().ok();
+}
+
 int FrameServer::descriptor(const FrameConnection &Connection) {
   return Connection.Impl_->Socket_.getFd();
 }
--- a/lib/net/src/httpclient.cpp
+++ b/lib/net/src/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "nutmegwell/net/http.h"
 
+#include <algorithm>
+#include <cstring>
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/request.h>
 #include <cxxtools/ioerror.h>
@@ -13,6 +15,46 @@
 /// another text makes such failures "exchange", which claims less.
 constexpr char ConnectFailure[] = "while trying to connect";
 
+/// Returns \p Path with every byte escaped that has a meaning in a request line
+/// or is not allowed there; the server undoes it.
+std::string escapePath(const std::string &Path) {
+  static constexpr char Plain[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                  "abcdefghijklmnopqrstuvwxyz"
+                                  "0123456789-._~!$&'()*,;=:@/";
+  static constexpr char Digits[] = "0123456789ABCDEF";
+  std::string Result;
+  for (const char C : Path) {
+    if (C != '\0' && std::strchr(Plain, C)) {
+      Result.push_back(C);
+      continue;
+    }
+    const auto Byte = static_cast<unsigned char>(C);
+    Result += {'%', Digits[Byte >> 4], Digits[Byte & 15]};
+  }
+  return Result;
+}
+
+/// Returns true when \p Text can stand in a request line or, with \p Spaces, in
+/// a header: it has no byte that would end either.
+bool isPlainText(const std::string &Text, bool Spaces) {
+  return std::all_of(Text.begin(), Text.end(), [Spaces](char C) {
+    const auto Byte = static_cast<unsigned char>(C);
+    return Byte > 0x20 && Byte != 0x7F ? true
+                                       : Spaces && (C == ' ' || C == '\t');
+  });
+}
+
+bool isSendable(const HttpRequest &Request) {
+  return !Request.Method_.empty() && isPlainText(Request.Method_, false) &&
+         !Request.Path_.empty() && Request.Path_.front() == '/' &&
+         isPlainText(Request.Query_, false) &&
+         std::all_of(Request.Headers_.begin(), Request.Headers_.end(),
+                     [](const auto &Header) {
+                       return isPlainText(Header.first, false) &&
+                              isPlainText(Header.second, true);
+                     });
+}
+
 absl::Status toError(const std::exception &Error, const std::string &Peer) {
   const bool Connecting =
       std::string_view(Error.what()).rfind(ConnectFailure, 0) == 0;
@@ -37,13 +79,17 @@
 absl::StatusOr<HttpResponse> HttpClient::call(const HttpRequest &Request,
                                               core::Duration Timeout) {
   const std::string Peer = toString(Impl_->Server_);
+  if (!isSendable(Request))
+    return core::makeError(absl::StatusCode::kInvalidArgument, "connect", Peer,
+                           "the request has bytes that HTTP cannot carry");
   // A connected cxxtools client sends the request a second time when the
   // server closes without an answer, so each call has a connection of its own.
   cxxtools::http::Client Client(Impl_->Server_.Ip_, Impl_->Server_.Port_);
   // The client sends its own query parameters only with GET.
-  cxxtools::http::Request Out(Request.Query_.empty()
-                                  ? Request.Path_
-                                  : Request.Path_ + "?" + Request.Query_);
+  std::string Url = escapePath(Request.Path_);
+  if (!Request.Query_.empty())
+    Url += "?" + Request.Query_;
+  cxxtools::http::Request Out(Url);
   Out.method(Request.Method_);
   for (const auto &Header : Request.Headers_)
     Out.setHeader(Header.first.c_str(), Header.second.c_str());
--- a/lib/net/tests/frametest.cpp
+++ b/lib/net/tests/frametest.cpp
@@ -15,8 +15,9 @@
 // "connect", nothing sent     foreignServerIsRefused more connections than the
 // bound    step "connect", nothing sent       connectionsAreBounded connection
 // that goes silent        DeadlineExceeded after the wait    silenceIsReported
-// stop while a frame is handled      the answer still arrives
-// stopFinishesFrameInProgress
+// frame sent as the server stops     still answered
+// frameThatCrossesTheCloseIsAnswered stop while a frame is handled      the
+// answer still arrives stopFinishesFrameInProgress
 
 class FrameTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FrameTest);
@@ -26,6 +27,7 @@
   CPPUNIT_TEST(foreignServerIsRefused);
   CPPUNIT_TEST(connectionsAreBounded);
   CPPUNIT_TEST(silenceIsReported);
+  CPPUNIT_TEST(frameThatCrossesTheCloseIsAnswered);
   CPPUNIT_TEST(stopFinishesFrameInProgress);
   CPPUNIT_TEST_SUITE_END();
 
@@ -117,6 +119,25 @@
     CPPUNIT_ASSERT(absl::IsDeadlineExceeded(Received.status()));
   }
 
+  /// Guards against a request that is lost because it was sent while the server
+  /// closed its idle connections.
+  void frameThatCrossesTheCloseIsAnswered() {
+    Limits_.CloseGrace_ = 10s;
+    net::FrameServer Server(Address_, Limits_, echo);
+    auto Connection = connected();
+    CPPUNIT_ASSERT(Connection->send("a").ok() && Connection->receive(5s).ok());
+    auto Stopped = std::async(std::launch::async, [&] { Server.stop(); });
+    // The listener refuses once the stop is under way.
+    while (net::FrameConnection::connect(Address_, Limits_, 5s).ok())
+      std::this_thread::yield();
+    CPPUNIT_ASSERT(Connection->send("crossed").ok());
+    auto Received = Connection->receive(5s);
+    CPPUNIT_ASSERT(Received.ok() && *Received == "crossed");
+    CPPUNIT_ASSERT(!Connection->quiet());
+    Connection.reset();
+    Stopped.get();
+  }
+
   /// Guards against a stop that cuts an answer, and one that waits for idle
   /// connections.
   void stopFinishesFrameInProgress() {
@@ -134,6 +155,7 @@
     Entered.get_future().wait();
     auto Stopped = std::async(std::launch::async, [&] { Server.stop(); });
     CPPUNIT_ASSERT(absl::IsUnavailable(Idle->receive(5s).status()));
+    CPPUNIT_ASSERT(!Idle->quiet());
     Go.set_value();
     auto Received = Busy->receive(5s);
     CPPUNIT_ASSERT(Received.ok());
--- a/lib/net/tests/httptest.cpp
+++ b/lib/net/tests/httptest.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(requestReachesHandlerWhole);
   CPPUNIT_TEST(hugeBodyIsRefused);
   CPPUNIT_TEST(refusedConnectionSaysNothingWasSent);
+  CPPUNIT_TEST(pathCannotAddHeaders);
   CPPUNIT_TEST(unansweredRequestIsSentOnce);
   CPPUNIT_TEST(stopWaitsForRequestInFlight);
   CPPUNIT_TEST_SUITE_END();
@@ -72,6 +73,34 @@
                          core::stepOf(Response.status()));
   }
 
+  /// Guards against a caller's path, query or header that ends the request line
+  /// and adds headers of its own.
+  void pathCannotAddHeaders() {
+    net::HttpServer Server(
+        Address_, net::HttpLimits(), [](const net::HttpRequest &Request) {
+          return net::HttpResponse{200, "text/plain",
+                                   Request.Path_ + Request.header("X-Evil")};
+        });
+    net::HttpClient Client(Address_);
+    net::HttpRequest Request = post("");
+    Request.Path_ = "/a b?%2F HTTP/1.1\r\nX-Evil: 1\r\n";
+    auto Response = Client.call(Request, 5s);
+    CPPUNIT_ASSERT(Response.ok());
+    CPPUNIT_ASSERT_EQUAL(Request.Path_, Response->Body_);
+    for (std::string net::HttpRequest::*Field :
+         {&net::HttpRequest::Method_, &net::HttpRequest::Query_}) {
+      net::HttpRequest Bad = post("");
+      (Bad.*Field) += "x HTTP/1.1\r\nX-Evil: 1";
+      Response = Client.call(Bad, 5s);
+      CPPUNIT_ASSERT(absl::IsInvalidArgument(Response.status()));
+      CPPUNIT_ASSERT_EQUAL(std::string("connect"),
+                           core::stepOf(Response.status()));
+    }
+    Request = post("");
+    Request.Headers_ = {{"X-A", "1\r\nX-Evil: 1"}};
+    CPPUNIT_ASSERT(absl::IsInvalidArgument(Client.call(Request, 5s).status()));
+  }
+
   /// Guards against a request that runs twice because the server closed the
   /// connection without an answer.
   void unansweredRequestIsSentOnce() {
--- a/lib/wire/src/fields.h
+++ b/lib/wire/src/fields.h
@@ -190,8 +190,8 @@
 }
 
 template <class A> void serialize(A &Fields, RequestFrame &V) {
-  Fields(V.Attempt_, V.Account_, V.Service_, V.Method_, V.Path_, V.ContentType_,
-         V.Body_, V.Key_, V.Timeout_, V.AgentIncarnation_);
+  Fields(V.Attempt_, V.Account_, V.Service_, V.Method_, V.Path_, V.Query_,
+         V.ContentType_, V.Body_, V.Key_, V.Timeout_, V.AgentIncarnation_);
 }
 
 template <class A> void serialize(A &Fields, WorkingFrame &V) {
