--- a/lib/agent/include/nutmegwell/agent/attempts.h
+++ b/lib/agent/include/nutmegwell/agent/attempts.h
@@ -41,6 +41,15 @@
   std::size_t Bytes_ = 0;
 };
 
+/// What is left of the forgotten attempts of one writer.
+struct ForgottenAttempts {
+  /// Highest sequence number: of an attempt that is not in Known_ and not
+  /// above it, nothing is certain.
+  std::uint64_t Highest_ = 0;
+  /// When the last one was forgotten.
+  core::TimePoint Last_{};
+};
+
 /// Attempts that this run of the agent has started or refused for good.
 struct AttemptTable {
   core::Incarnation Incarnation_ = 0;
@@ -54,11 +63,11 @@
   /// Ended attempts, oldest first, with the time of their end.
   std::deque<std::pair<core::TimePoint, core::AttemptId>> Ended_;
   std::size_t Bytes_ = 0;
-  /// Highest forgotten sequence number of each writer: of an attempt that is
-  /// not in Known_ and not above it, nothing is certain.
-  std::map<core::Incarnation, std::uint64_t> Forgotten_;
-  /// Set when Forgotten_ reached its bound; then every attempt that is not in
-  /// Known_ counts as forgotten for a query.
+  /// Writers with forgotten attempts.
+  std::map<core::Incarnation, ForgottenAttempts> Forgotten_;
+  /// Set when Forgotten_ reached its bound and lost the writer unheard of for
+  /// the longest time. Every attempt that is not in Known_ then counts as
+  /// forgotten for a query; a request starts, since its writer may be new.
   bool ForgotWriters_ = false;
 };
 
--- a/lib/agent/src/attempts.cpp
+++ b/lib/agent/src/attempts.cpp
@@ -1,5 +1,7 @@
 #include "nutmegwell/agent/attempts.h"
 
+#include <algorithm>
+
 namespace nutmegwell::agent {
 
 namespace {
@@ -36,7 +38,7 @@
 bool forgotten(const AttemptTable &Table, const core::AttemptId &Attempt) {
   auto Writer = Table.Forgotten_.find(Attempt.Writer_);
   return Writer != Table.Forgotten_.end() &&
-         Attempt.Sequence_ <= Writer->second;
+         Attempt.Sequence_ <= Writer->second.Highest_;
 }
 
 std::size_t sizeOf(const model::Frame &Frame) {
@@ -44,7 +46,7 @@
   return Answer ? Answer->Body_.size() + Answer->ContentType_.size() : 0;
 }
 
-void forgetOldest(AttemptTable &Table) {
+void forgetOldest(AttemptTable &Table, core::TimePoint Now) {
   const core::AttemptId Attempt = Table.Ended_.front().second;
   Table.Ended_.pop_front();
   auto Known = Table.Known_.find(Attempt);
@@ -53,12 +55,15 @@
   if (Taken != Table.Keys_.end() && Taken->second == Attempt)
     Table.Keys_.erase(Taken);
   Table.Known_.erase(Known);
-  std::uint64_t &Highest = Table.Forgotten_[Attempt.Writer_];
-  Highest = std::max(Highest, Attempt.Sequence_);
+  ForgottenAttempts &Writer = Table.Forgotten_[Attempt.Writer_];
+  Writer.Highest_ = std::max(Writer.Highest_, Attempt.Sequence_);
+  Writer.Last_ = Now;
   if (Table.Forgotten_.size() > Table.Bounds_.MaxWriters_) {
-    auto First = Table.Forgotten_.begin();
-    Table.Forgotten_.erase(First->first == Attempt.Writer_ ? std::next(First)
-                                                           : First);
+    Table.Forgotten_.erase(
+        std::min_element(Table.Forgotten_.begin(), Table.Forgotten_.end(),
+                         [](const auto &A, const auto &B) {
+                           return A.second.Last_ < B.second.Last_;
+                         }));
     Table.ForgotWriters_ = true;
   }
 }
@@ -68,7 +73,7 @@
          (Table.Known_.size() > Table.Bounds_.MaxAttempts_ ||
           Table.Bytes_ > Table.Bounds_.MaxBytes_ ||
           Now - Table.Ended_.front().first > Table.Bounds_.MaxAge_))
-    forgetOldest(Table);
+    forgetOldest(Table, Now);
 }
 
 /// Remembers an ended attempt.
