--- /dev/null
+++ b/lib/history/tests/samples.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "nutmegwell/history/rules.h"
+
+namespace nutmegwell::history::samples {
+
+inline Event at(int Milliseconds, EventBody Body,
+                std::string Process = "test") {
+  return {core::TimePoint(std::chrono::milliseconds(Milliseconds)),
+          std::move(Process), std::move(Body)};
+}
+
+/// A whole job with two tasks from \p From to \p To.
+inline std::vector<Event> gang(const std::string &Job, std::uint32_t Attempt,
+                               int From, int To) {
+  return {at(From, AttemptCommitted{Job, Attempt, 2}),
+          at(From + 1, TaskStarted{Job, Attempt, 0, "w1", "a"}),
+          at(From + 2, TaskStarted{Job, Attempt, 1, "w2", "a"}),
+          at(To - 2, TaskStopped{Job, Attempt, 0, false}),
+          at(To - 1, TaskStopped{Job, Attempt, 1, false}),
+          at(To, AttemptEnded{Job, Attempt})};
+}
+
+/// An answered call at the entry host "e1" that runs on the upstream "u1".
+inline std::vector<Event> call(const std::string &Id, const std::string &Work,
+                               int From, int To) {
+  return {at(From, CallInvoked{Id, Work, "e1", Work.empty()}),
+          at(From + 1, ExecutionBegun{Id, Work, "u1", "digest " + Id}),
+          at(To - 1, ExecutionEnded{Id, "u1"}),
+          at(To, CallAnswered{Id, "digest " + Id})};
+}
+
+inline std::vector<Event> operator+(std::vector<Event> A,
+                                    const std::vector<Event> &B) {
+  A.insert(A.end(), B.begin(), B.end());
+  return A;
+}
+
+} // namespace nutmegwell::history::samples
--- a/lib/wire/src/json.cpp
+++ b/lib/wire/src/json.cpp
@@ -99,7 +99,8 @@
   const auto *Member = Object.findMember(Name);
   if (!Member)
     return true;
-  if (!Member->isBool())
+  // The parser keeps the text of a value and notes its type beside it.
+  if (!Member->isBool() && Member->typeName() != "bool")
     return false;
   Member->getValue(Value);
   return true;
--- a/lib/wire/tests/tablejsontest.cpp
+++ b/lib/wire/tests/tablejsontest.cpp
@@ -7,6 +7,8 @@
 class TableJsonTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TableJsonTest);
   CPPUNIT_TEST(poolsSurviveRoundTrip);
+  CPPUNIT_TEST(routesSurviveRoundTrip);
+  CPPUNIT_TEST(onlyTrueAndFalseAreFlags);
   CPPUNIT_TEST(unknownFieldIsAFinding);
   CPPUNIT_TEST(malformedTextIsAFinding);
   CPPUNIT_TEST(deepNestingIsRefused);
@@ -24,6 +26,29 @@
     CPPUNIT_ASSERT_EQUAL(4u, Second.Rows_.at(0).Block_);
   }
 
+  /// Guards against a route that cannot be marked idempotent.
+  void routesSurviveRoundTrip() {
+    const std::string Text =
+        R"({"routes":[{"path":"/a","service":"s","idempotent":true}]})";
+    model::RoutesTable First, Second;
+    CPPUNIT_ASSERT(wire::parseRoutes(Text, First).empty());
+    CPPUNIT_ASSERT(
+        wire::parseRoutes(wire::formatRoutes(First), Second).empty());
+    CPPUNIT_ASSERT(Second.Rows_.at(0).Idempotent_);
+  }
+
+  /// Guards against a text that is taken as true.
+  void onlyTrueAndFalseAreFlags() {
+    for (const char *Value : {"\"true\"", "1", "null", "{}", "\"\""}) {
+      model::RoutesTable Table;
+      const std::string Text =
+          R"({"routes":[{"path":"/a","service":"s","idempotent":)";
+      CPPUNIT_ASSERT_EQUAL(
+          std::size_t{1},
+          wire::parseRoutes(Text + Value + "}]}", Table).size());
+    }
+  }
+
   /// Guards against a misspelt field that silently keeps its default.
   void unknownFieldIsAFinding() {
     model::RoutesTable Table;
