--- /dev/null
+++ b/bench/simulation.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "workload.h"
+#include <functional>
+
+namespace nutmegwell::bench {
+
+using Decide = std::function<sched::Plan(const sched::CellView &)>;
+
+/// What became of one job.
+struct JobResult {
+  core::Duration Completion_{};
+  core::Duration RunTime_{};
+  core::Duration LongestWait_{};
+  model::JobClass Class_ = model::JobClass::Normal;
+  std::uint32_t Accelerators_ = 0;
+};
+
+struct RunResult {
+  std::vector<JobResult> Jobs_;
+  /// Time-weighted mean of the share of free accelerators that the largest
+  /// waiting gang cannot use for want of adjacency.
+  double Fragmentation_ = 0;
+  /// Useful accelerator-seconds during the absence over what the remaining
+  /// domains could do; 0 without an absence.
+  double AbsenceShare_ = 0;
+  /// Time from when a job had a free guarantee until it started.
+  std::vector<double> ReclaimSeconds_;
+  /// Cases that took longer than the checkpoint grace and one decision.
+  std::size_t ReclaimLate_ = 0;
+  std::size_t PartialGangs_ = 0;
+  std::size_t Invalid_ = 0;
+  std::size_t Unfinished_ = 0;
+  std::size_t Preemptions_ = 0;
+  double LostSeconds_ = 0;
+  std::vector<double> DecisionMicros_;
+};
+
+/// Runs the jobs and faults through the decision function under a simulated
+/// clock. Only decision times depend on the machine.
+RunResult simulate(const Workload &Load, const Decide &Policy);
+
+} // namespace nutmegwell::bench
