--- /dev/null
+++ b/tests/e2e/cluster.cpp
@@ -0,0 +1,210 @@
+#include "cluster.h"
+
+#include "nutmegwell/wire/json.h"
+
+using namespace nutmegwell;
+
+namespace e2e {
+
+const std::vector<std::string> FastTimes = {
+    "--heartbeat-interval=200ms", "--silent-after=600ms",
+    "--lapse-after=1500ms",       "--cell-lease=1500ms",
+    "--start-permit=500ms",       "--task-lease=4s",
+    "--checkpoint-grace=1s"};
+
+namespace {
+
+Address freeAddress() { return {"127.0.0.1", net::freeTcpPort()}; }
+
+std::string flag(const std::string &Name, const Address &Value) {
+  return "--" + Name + "=" + net::toString(Value);
+}
+
+} // namespace
+
+std::string member(const std::string &Json, const std::string &Name) {
+  auto Root = wire::parseJson(Json);
+  return Root.ok() ? wire::textMember(*Root, Name) : std::string();
+}
+
+Cluster::Cluster(std::vector<std::string> Times) : Times_(std::move(Times)) {
+  LogAddress_ = freeAddress();
+  for (int I = 1; I <= Entries; ++I)
+    Addresses_[I] = {freeAddress(), freeAddress(), freeAddress()};
+}
+
+void Cluster::startLog(std::size_t Retention) {
+  Log_ = std::make_unique<Process>(
+      LOG_PROGRAM,
+      std::vector<std::string>{"--port", std::to_string(LogAddress_.Port_),
+                               "--retention", std::to_string(Retention)});
+  Log_->waitForLine("port=");
+}
+
+std::string Cluster::entryList(int Except) const {
+  std::string List;
+  for (const auto &[Number, Known] : Addresses_)
+    if (Number != Except)
+      List += (List.empty() ? "" : ",") + net::toString(Known.Udp_);
+  return List;
+}
+
+Process &Cluster::startEntry(int Number) {
+  const EntryAddresses &Own = Addresses_.at(Number);
+  std::vector<std::string> Flags = {"--role=entry",
+                                    "--node=e" + std::to_string(Number),
+                                    "--domain=a",
+                                    flag("log-address", LogAddress_),
+                                    flag("http-listen", Own.Http_),
+                                    flag("udp-listen", Own.Udp_),
+                                    flag("tcp-listen", Own.Tcp_),
+                                    "--entries=" + entryList(Number)};
+  std::string Peers;
+  for (const auto &[Other, Known] : Addresses_)
+    if (Other != Number)
+      Peers += (Peers.empty() ? "" : ",") + net::toString(Known.Tcp_);
+  Flags.push_back("--peers=" + Peers);
+  Flags.insert(Flags.end(), Times_.begin(), Times_.end());
+  EntryHosts_[Number] = std::make_unique<Process>(DAEMON_PROGRAM, Flags);
+  EntryHosts_[Number]->waitForLine("event=started");
+  return *EntryHosts_[Number];
+}
+
+Process &Cluster::startAgent(const std::string &Name, const std::string &Domain,
+                             std::vector<std::string> Flags) {
+  DomainOf_[Name] = Domain;
+  for (const std::string &Flag :
+       {std::string("--role=agent"), "--node=" + Name, "--domain=" + Domain,
+        flag("udp-listen", freeAddress()), flag("tcp-listen", freeAddress()),
+        "--entries=" + entryList(0)})
+    Flags.push_back(Flag);
+  Flags.insert(Flags.end(), Times_.begin(), Times_.end());
+  Agents_[Name] = std::make_unique<Process>(DAEMON_PROGRAM, Flags);
+  Agents_[Name]->waitForLine("event=started");
+  return *Agents_[Name];
+}
+
+void Cluster::startWorker(const std::string &Name, const std::string &Domain,
+                          const std::string &Rack) {
+  Address Runtime = freeAddress();
+  Runtimes_[Name] = std::make_unique<Process>(
+      RUNTIME_PROGRAM, std::vector<std::string>{net::toString(Runtime)});
+  Runtimes_[Name]->waitForLine("ready");
+  startAgent(Name, Domain,
+             {"--kind=worker", "--rack=" + Rack, "--accelerators=8",
+              flag("runtime-address", Runtime)});
+}
+
+void Cluster::startUpstream(const std::string &Name, const std::string &Domain,
+                            const std::string &Service,
+                            std::vector<std::string> Flags) {
+  Address Announce = freeAddress();
+  startAgent(Name, Domain,
+             {"--kind=upstream", flag("announce-listen", Announce)});
+  for (const std::string &Flag :
+       {std::string("--agent"), net::toString(Announce),
+        std::string("--service"), Service})
+    Flags.push_back(Flag);
+  Upstreams_[Name] = std::make_unique<Process>(UPSTREAM_PROGRAM, Flags);
+}
+
+bool Cluster::waitStatus(int Entry, const std::string &Text,
+                         std::chrono::milliseconds Limit) {
+  const auto End = std::chrono::steady_clock::now() + Limit;
+  std::mutex Mutex;
+  std::condition_variable Never;
+  std::unique_lock<std::mutex> Lock(Mutex);
+  while (std::chrono::steady_clock::now() < End) {
+    if (call(Entry, "GET", "/v1/status").Body_.find(Text) != std::string::npos)
+      return true;
+    Never.wait_for(Lock, std::chrono::milliseconds(50));
+  }
+  return false;
+}
+
+HttpResponse Cluster::call(int Entry, const std::string &Method,
+                           const std::string &Path, const std::string &Body,
+                           const std::string &Key) {
+  net::HttpRequest Request;
+  Request.Method_ = Method;
+  auto Query = Path.find('?');
+  Request.Path_ = Path.substr(0, Query);
+  if (Query != Path.npos)
+    Request.Query_ = Path.substr(Query + 1);
+  Request.Headers_ = {{"X-Client-Account", "acc"}};
+  if (!Key.empty())
+    Request.Headers_.emplace_back("Idempotency-Key", Key);
+  Request.Body_ = Body;
+  auto Response =
+      net::HttpClient(Addresses_.at(Entry).Http_).call(Request, timeout());
+  if (!Response.ok())
+    return {0, "", std::string(Response.status().message())};
+  return *Response;
+}
+
+bool Cluster::publishTables(int Entry, const std::vector<std::string> &Domains,
+                            const std::string &RouteFields) {
+  std::string Rows;
+  for (const std::string &Domain : Domains)
+    Rows += (Rows.empty() ? "" : ",") +
+            (R"({"name":"p-)" + Domain +
+             R"(","account":"acc","service":"svc","domain":")" + Domain +
+             R"(","guaranteed":8,"block":8,"level":"worker","limit":64,)"
+             R"("requests":64})");
+  if (call(Entry, "PUT", "/v1/tables/pools?version=0",
+           R"({"pools":[)" + Rows + "]}")
+          .Status_ != 200)
+    return false;
+  return call(Entry, "PUT", "/v1/tables/routes?version=0",
+              R"({"routes":[{"path":"/svc","service":"svc")" + RouteFields +
+                  "}]}")
+             .Status_ == 200;
+}
+
+std::string Cluster::submit(int Entry, int Tasks, int Accelerators,
+                            const std::string &Level,
+                            const std::string &Command,
+                            const std::string &Class) {
+  auto Response = call(
+      Entry, "POST", "/v1/jobs",
+      R"({"account":"acc","service":"svc","tasks":)" + std::to_string(Tasks) +
+          R"(,"accelerators_per_task":)" + std::to_string(Accelerators) +
+          R"(,"level":")" + Level + R"(","class":")" + Class +
+          R"(","declared_ms":1000,"command":")" + Command + R"("})");
+  return Response.Status_ == 202 ? member(Response.Body_, "id") : std::string();
+}
+
+std::string Cluster::waitJob(int Entry, const std::string &Id,
+                             std::chrono::milliseconds Limit) {
+  const auto End = std::chrono::steady_clock::now() + Limit;
+  std::string State;
+  while (std::chrono::steady_clock::now() < End) {
+    State = member(
+        call(Entry, "GET", "/v1/jobs/" + Id + "/wait?timeout_ms=2000").Body_,
+        "state");
+    if (State == "finished" || State == "cancelled" || State == "failed")
+      break;
+  }
+  return State;
+}
+
+std::string Cluster::jobState(int Entry, const std::string &Id) {
+  return member(call(Entry, "GET", "/v1/jobs/" + Id).Body_, "state");
+}
+
+int Cluster::countStarts(const std::string &Text, const std::string &Domain) {
+  int Count = 0;
+  for (auto &[Name, Runtime] : Runtimes_)
+    if (Domain.empty() || DomainOf_[Name] == Domain)
+      Count += Runtime->countLines(Text);
+  return Count;
+}
+
+int Cluster::countRuns(const std::string &Text) {
+  int Count = 0;
+  for (auto &[Name, Upstream] : Upstreams_)
+    Count += Upstream->countLines(Text);
+  return Count;
+}
+
+} // namespace e2e
--- /dev/null
+++ b/tests/e2e/cluster.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "nutmegwell/net/http.h"
+#include "process.h"
+#include <cxxtools/serializationinfo.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace e2e {
+
+using nutmegwell::net::Address;
+using nutmegwell::net::HttpResponse;
+
+/// Shorter times than the defaults, so that a fault is noticed sooner. Every
+/// ratio between them stays as it is by default.
+extern const std::vector<std::string> FastTimes;
+
+/// The daemons and stand-ins of one test on the loopback address.
+class Cluster {
+public:
+  explicit Cluster(std::vector<std::string> Times = FastTimes);
+
+  void startLog(std::size_t Retention = 100000);
+  /// Starts entry host number \p Number of \p Entries (from 1).
+  Process &startEntry(int Number);
+  /// Starts an agent and the runtime of a worker with 8 accelerators.
+  void startWorker(const std::string &Name, const std::string &Domain,
+                   const std::string &Rack);
+  /// Starts an agent and the upstream beside it.
+  void startUpstream(const std::string &Name, const std::string &Domain,
+                     const std::string &Service,
+                     std::vector<std::string> Flags = {});
+
+  /// Waits until an entry host gives \p Text in its status. Returns false at
+  /// the limit.
+  bool waitStatus(int Entry, const std::string &Text,
+                  std::chrono::milliseconds Limit = std::chrono::seconds(30));
+
+  nutmegwell::core::Duration timeout() const {
+    return std::chrono::seconds(20);
+  }
+
+  /// Sends one request to an entry host. Status 0 means no answer.
+  HttpResponse call(int Entry, const std::string &Method,
+                    const std::string &Path, const std::string &Body = "",
+                    const std::string &Key = "");
+
+  /// Publishes a pools table with one row of account "acc" and service "svc"
+  /// for each domain, and the route /svc. Returns false for a refusal.
+  bool publishTables(int Entry, const std::vector<std::string> &Domains,
+                     const std::string &RouteFields = "");
+
+  /// Submits a gang; returns its id, or an empty string for a refusal.
+  std::string submit(int Entry, int Tasks, int Accelerators,
+                     const std::string &Level, const std::string &Command,
+                     const std::string &Class = "normal");
+  /// Waits for a job's end; returns its state.
+  std::string waitJob(int Entry, const std::string &Id,
+                      std::chrono::milliseconds Limit);
+  std::string jobState(int Entry, const std::string &Id);
+
+  /// Counts lines of all runtimes (or of those in \p Domain) or upstreams.
+  int countStarts(const std::string &Text, const std::string &Domain = "");
+  int countRuns(const std::string &Text);
+
+  static constexpr int Entries = 2;
+
+  std::unique_ptr<Process> Log_;
+  std::map<int, std::unique_ptr<Process>> EntryHosts_;
+  std::map<std::string, std::unique_ptr<Process>> Agents_;
+  std::map<std::string, std::unique_ptr<Process>> Runtimes_;
+  std::map<std::string, std::unique_ptr<Process>> Upstreams_;
+  std::map<std::string, std::string> DomainOf_;
+  Address LogAddress_;
+
+private:
+  struct EntryAddresses {
+    Address Http_, Udp_, Tcp_;
+  };
+  std::string entryList(int Except) const;
+  Process &startAgent(const std::string &Name, const std::string &Domain,
+                      std::vector<std::string> Flags);
+
+  const std::vector<std::string> Times_;
+  std::map<int, EntryAddresses> Addresses_;
+};
+
+/// Returns a member of a JSON object as text; empty when there is none.
+std::string member(const std::string &Json, const std::string &Name);
+
+} // namespace e2e
