Add the command-line client

Cause: callers and operators need commands for requests, jobs, tables, failure domains and the burn report. Ruled out: going to the next entry host after a lost answer, since the request may have run; going on after "overloaded", since that spreads the load to all; a wait that polls, since an entry host that answers at once would be asked without end. Change: lib/client with one function a command and a Transport seam, and a thin main in apps/nutmegwell. Exit codes: 0 done, 1 refused and not run, 2 usage, 3 outcome unknown, 4 a job that has not finished.

--- /dev/null
+++ b/lib/client/src/invocation.cpp
@@ -0,0 +1,99 @@
+#include "invocation.h"
+
+#include "output.h"
+#include <algorithm>
+#include <ostream>
+
+namespace nutmegwell::client {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+settings::SettingsSpecBuilder commandSettings(const std::string &Name,
+                                              const std::string &Purpose,
+                                              bool EntryRequired) {
+  settings::SettingsSpecBuilder Builder("nutmegwell " + Name, Purpose);
+  Builder.addressList("entry", "entry hosts in the order to try; may be given "
+                               "several times");
+  if (EntryRequired)
+    Builder.required();
+  Builder.flag("json", "prints JSON")
+      .duration("timeout", seconds(30), milliseconds(100), hours(24),
+                "time for the answer of one entry host");
+  return Builder;
+}
+
+std::vector<net::Address> entries(const Invocation &Call) {
+  std::vector<net::Address> Entries;
+  for (const settings::HostPort &Entry : Call.Settings_.addresses("entry"))
+    Entries.push_back({Entry.Ip_, Entry.Port_});
+  return Entries;
+}
+
+bool jsonAsked(const Invocation &Call) { return Call.Settings_.flag("json"); }
+
+Reply callApi(const Invocation &Call, const std::string &Method,
+              const std::string &Path, const std::string &Query,
+              const std::string &Body, core::Duration Timeout) {
+  net::HttpRequest Request;
+  Request.Method_ = Method;
+  Request.Path_ = Path;
+  Request.Query_ = Query;
+  Request.Body_ = Body;
+  if (!Body.empty())
+    Request.Headers_ = {{"Content-Type", "application/json"}};
+  return exchange(
+      Call.Context_.Transport_, entries(Call), Request, ErrorBody::Always,
+      Timeout == core::Duration() ? Call.Settings_.duration("timeout")
+                                  : Timeout);
+}
+
+int printError(const Invocation &Call, const wire::ApiError &Error) {
+  const bool NotRun = Error.Outcome_ == wire::ApiOutcome::NotRun;
+  if (jsonAsked(Call)) {
+    Call.Context_.Out_ << wire::formatError(Error) << '\n';
+  } else {
+    for (const model::Finding &Finding : Error.Findings_)
+      Call.Context_.Out_ << formatFinding(Finding);
+    std::ostream &Err = Call.Context_.Err_;
+    Err << (NotRun ? "refused, not run: " : "outcome unknown: ") << Error.Code_
+        << ": " << Error.Message_;
+    if (!Error.Step_.empty())
+      Err << " (step " << Error.Step_
+          << (Error.Peer_.empty() ? "" : ", peer " + Error.Peer_) << ')';
+    Err << '\n';
+  }
+  return NotRun ? RefusedNotRun : OutcomeUnknown;
+}
+
+int printWrongAnswer(const Invocation &Call, const absl::Status &Status) {
+  wire::ApiError Error;
+  Error.Code_ = "wrong_answer";
+  Error.Outcome_ = wire::ApiOutcome::Unknown;
+  Error.Step_ = core::stepOf(Status);
+  Error.Message_ = std::string(Status.message());
+  return printError(Call, Error);
+}
+
+int printUsage(const Invocation &Call, const std::string &Message) {
+  Call.Context_.Err_ << "nutmegwell: " << Message << '\n';
+  return Usage;
+}
+
+void printAnswer(const Invocation &Call, const Reply &Reply,
+                 const std::string &Text) {
+  if (jsonAsked(Call))
+    Call.Context_.Out_ << Reply.Response_.Body_ << '\n';
+  else
+    Call.Context_.Out_ << Text;
+}
+
+bool isPlainName(const std::string &Text) {
+  return !Text.empty() &&
+         std::all_of(Text.begin(), Text.end(), [](unsigned char C) {
+           return std::isalnum(C) || C == '-' || C == '_' || C == '.';
+         });
+}
+
+} // namespace nutmegwell::client
