--- a/lib/net/include/nutmegwell/net/http.h
+++ b/lib/net/include/nutmegwell/net/http.h
@@ -62,8 +62,7 @@
   std::unique_ptr<Impl> Impl_;
 };
 
-/// Calls one server over a new connection each time, so that no request is sent
-/// twice.
+/// One kept connection to a server. Not safe for use from several threads.
 class HttpClient {
 public:
   explicit HttpClient(const Address &Server);
