Take the place that leaves least free in its subtree

Cause: first fit breaks up empty workers and racks while partly used ones have room. Change: best fit on the topology tree, with accelerators of a worker taken from the smallest aligned run (buddy allocation, Knowlton 1965).

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -17,6 +17,13 @@
   Decide Decide_;
 };
 
+/// The policy that was in force before the last change to it.
+sched::Policy previousPolicy() {
+  sched::Policy Result;
+  Result.Fit_ = sched::Fit::First;
+  return Result;
+}
+
 /// The policy first, then the baselines.
 std::vector<NamedPolicy> policies() {
   Decide Current = [](const sched::CellView &View) {
@@ -25,7 +32,9 @@
   return {{"policy", Current},
           {"first_come", decideFirstCome},
           {"backfill", decideBackfill},
-          {"previous", Current}};
+          {"previous", [](const sched::CellView &View) {
+             return sched::decide(View, previousPolicy());
+           }}};
 }
 
 std::size_t runConfiguration(const Deployment &Sizes, double Load, bool Absence,
--- a/lib/sched/include/nutmegwell/sched/policy.h
+++ b/lib/sched/include/nutmegwell/sched/policy.h
@@ -15,7 +15,7 @@
 /// Choices of the scheduling policy. The defaults are the policy in force; the
 /// measuring program sets others to compare.
 struct Policy {
-  Fit Fit_ = Fit::First;
+  Fit Fit_ = Fit::Best;
 };
 
 } // namespace nutmegwell::sched
