Reclaim guarantees from borrowers through buddy blocks

Change: the cell is divided into guaranteed blocks, largest subtree first, and blocks of one kind are bound to accounts in each decision, as HiveD binds virtual to physical cells (OSDI 2020). A job within its account's guarantee is started in its blocks, and borrowers there are preempted; claims come before loans. Wait reasons name what would let the job start. The price is in preemption: every cell preempts for the same job, and victims are chosen without regard to what they lose.

--- a/lib/sched/include/nutmegwell/sched/policy.h
+++ b/lib/sched/include/nutmegwell/sched/policy.h
@@ -16,6 +16,9 @@
 /// measuring program sets others to compare.
 struct Policy {
   Fit Fit_ = Fit::Best;
+  /// Whether an account's free guarantee is reclaimed by preempting jobs that
+  /// borrow it.
+  bool Guarantees_ = true;
 };
 
 } // namespace nutmegwell::sched
--- /dev/null
+++ b/lib/sched/src/blocks.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "guarantee.h"
+
+namespace nutmegwell::sched {
+
+/// Divides the cell into the guaranteed blocks of its pools, largest subtrees
+/// first and each in the smallest subtree that holds it, as in buddy memory
+/// allocation. A block with an unusable worker moves to spare room when there
+/// is some; the other blocks stay where they are.
+std::vector<Block> divideIntoBlocks(const CellView &View, const Topology &Map);
+
+/// Returns how many blocks of each kind a pool guarantees.
+std::map<BlockKind, std::uint32_t> blocksOf(const model::PoolRow &Row);
+
+} // namespace nutmegwell::sched
--- a/lib/sched/src/freeindex.cpp
+++ b/lib/sched/src/freeindex.cpp
@@ -2,15 +2,15 @@
 
 namespace nutmegwell::sched {
 
-FreeIndex::FreeIndex(const Topology &Map)
-    : Map_(Map), Stride_(Map.Largest_ + 1), Free_(Map.Usable_),
+FreeIndex::FreeIndex(const Topology &Map, std::vector<std::uint64_t> Free)
+    : Map_(Map), Stride_(Map.Largest_ + 1), Free_(std::move(Free)),
       RackFree_(Map.Racks_.size()), Counts_((Map.Racks_.size() + 1) * Stride_) {
   for (std::size_t W = 0; W < Free_.size(); ++W) {
-    std::uint32_t Free = countBits(Free_[W]);
-    RackFree_[Map.RackOf_[W]] += Free;
-    CellFree_ += Free;
-    ++Counts_[Map.RackOf_[W] * Stride_ + Free];
-    ++Counts_[Map.Racks_.size() * Stride_ + Free];
+    std::uint32_t Count = countBits(Free_[W]);
+    RackFree_[Map.RackOf_[W]] += Count;
+    CellFree_ += Count;
+    ++Counts_[Map.RackOf_[W] * Stride_ + Count];
+    ++Counts_[Map.Racks_.size() * Stride_ + Count];
   }
 }
 
--- a/lib/sched/src/freeindex.h
+++ b/lib/sched/src/freeindex.h
@@ -11,7 +11,8 @@
 class FreeIndex {
 public:
   /// Starts with all accelerators of usable workers free.
-  explicit FreeIndex(const Topology &Map);
+  explicit FreeIndex(const Topology &Map) : FreeIndex(Map, Map.Usable_) {}
+  FreeIndex(const Topology &Map, std::vector<std::uint64_t> Free);
 
   void take(const Slices &Tasks);
   /// Frees accelerators; those of unusable workers stay taken.
--- /dev/null
+++ b/lib/sched/src/guarantee.cpp
@@ -0,0 +1,93 @@
+#include "guarantee.h"
+
+#include "blocks.h"
+#include <algorithm>
+#include <numeric>
+#include <set>
+
+namespace nutmegwell::sched {
+
+namespace {
+
+/// Adds to \p Needed the unbound blocks that the slice lies in. Returns false
+/// when part of it lies outside blocks that the pool may hold.
+bool coverSlice(const Guarantees &State, const Slice &Part, std::size_t Owner,
+                std::set<std::size_t> &Needed) {
+  std::uint64_t Rest = Part.Bits_;
+  for (std::size_t B : State.BlocksOn_[Part.Worker_]) {
+    const Block &One = State.Blocks_[B];
+    for (const Slice &Piece : One.Slices_) {
+      if (Piece.Worker_ != Part.Worker_ || (Piece.Bits_ & Rest) == 0)
+        continue;
+      if (One.Owner_ == NoOwner && State.Unbound_[Owner].count(One.Kind_) != 0)
+        Needed.insert(B);
+      else if (One.Owner_ != Owner)
+        return false;
+      Rest &= ~Piece.Bits_;
+    }
+  }
+  return Rest == 0;
+}
+
+/// Binds the blocks under a running job to its account when the account has
+/// that many of each kind left. Returns false when the job borrows.
+bool bindJob(Guarantees &State, const Slices &Tasks, std::size_t Owner) {
+  std::set<std::size_t> Needed;
+  for (const Slice &Part : Tasks)
+    if (!coverSlice(State, Part, Owner, Needed))
+      return false;
+  std::map<BlockKind, std::uint32_t> Wanted;
+  for (std::size_t B : Needed)
+    ++Wanted[State.Blocks_[B].Kind_];
+  for (const auto &[Kind, Count] : Wanted)
+    if (State.Unbound_[Owner][Kind] < Count)
+      return false;
+  for (std::size_t B : Needed) {
+    State.Blocks_[B].Owner_ = Owner;
+    --State.Unbound_[Owner][State.Blocks_[B].Kind_];
+  }
+  for (const Slice &Part : Tasks)
+    State.Secured_[Part.Worker_] |= Part.Bits_;
+  return true;
+}
+
+} // namespace
+
+std::size_t poolOf(const CellView &View, const model::JobSpec &Spec) {
+  for (std::size_t I = 0; I < View.Pools_.size(); ++I)
+    if (View.Pools_[I].Account_ == Spec.Account_ &&
+        View.Pools_[I].Service_ == Spec.Service_)
+      return I;
+  return NoOwner;
+}
+
+Guarantees bindGuarantees(const CellView &View, const Topology &Map,
+                          const std::vector<Slices> &Running) {
+  Guarantees State;
+  State.Blocks_ = divideIntoBlocks(View, Map);
+  State.BlocksOn_.resize(View.Workers_.size());
+  State.Secured_.resize(View.Workers_.size());
+  for (std::size_t B = 0; B < State.Blocks_.size(); ++B)
+    for (const Slice &Part : State.Blocks_[B].Slices_)
+      State.BlocksOn_[Part.Worker_].push_back(B);
+  for (const model::PoolRow &Row : View.Pools_)
+    State.Unbound_.push_back(blocksOf(Row));
+  State.Within_.resize(View.Running_.size());
+  std::vector<std::size_t> Order(View.Running_.size());
+  std::iota(Order.begin(), Order.end(), 0);
+  // A more urgent job is the last to count as borrowing.
+  std::sort(Order.begin(), Order.end(), [&](std::size_t A, std::size_t B) {
+    const RunningJob &First = View.Running_[A];
+    const RunningJob &Second = View.Running_[B];
+    return std::tie(First.Spec_.Class_, First.Id_) <
+           std::tie(Second.Spec_.Class_, Second.Id_);
+  });
+  for (std::size_t J : Order) {
+    std::size_t Owner = poolOf(View, View.Running_[J].Spec_);
+    if (Owner != NoOwner && !View.Running_[J].Stopping_)
+      State.Within_[J] = bindJob(State, Running[J], Owner);
+  }
+  return State;
+}
+
+} // namespace nutmegwell::sched
--- a/lib/sched/src/plan.cpp
+++ b/lib/sched/src/plan.cpp
@@ -1,7 +1,8 @@
 #include "nutmegwell/sched/plan.h"
 
+#include "claim.h"
 #include "place.h"
-#include <map>
+#include "reasons.h"
 #include <set>
 #include <tuple>
 
@@ -9,23 +10,6 @@
 
 namespace {
 
-using AccountHeld = std::map<model::AccountName, std::uint32_t>;
-
-AccountHeld heldByAccount(const CellView &View) {
-  AccountHeld Held;
-  for (const RunningJob &Job : View.Running_)
-    Held[Job.Spec_.Account_] += Job.Spec_.accelerators();
-  return Held;
-}
-
-const model::PoolRow *findPool(const std::vector<model::PoolRow> &Pools,
-                               const model::JobSpec &Spec) {
-  for (const model::PoolRow &Row : Pools)
-    if (Row.Account_ == Spec.Account_ && Row.Service_ == Spec.Service_)
-      return &Row;
-  return nullptr;
-}
-
 /// Shapes that found no place. Starts only take accelerators, so that a shape
 /// that once found none finds none for the rest of the decision.
 using ShapeSet =
@@ -35,46 +19,144 @@
   return {Spec.Tasks_, Spec.AcceleratorsPerTask_, Spec.Level_};
 }
 
+/// A decision while it is made.
+struct Decision {
+  Decision(const CellView &View, const Policy &Choices)
+      : View_(View), Choices_(Choices), Map_(makeTopology(View)), Free_(Map_),
+        Held_(View.Pools_.size()) {}
+
+  const CellView &View_;
+  const Policy &Choices_;
+  Topology Map_;
+  /// Accelerators that are free and not kept for a claim.
+  FreeIndex Free_;
+  /// Accelerators held or claimed, by pool row.
+  std::vector<std::uint32_t> Held_;
+  Occupants Running_;
+  Guarantees Guarantees_;
+  ShapeSet NoPlace_;
+  Plan Plan_;
+};
+
+void wait(Decision &State, const WaitingJob &Job, std::string Reason) {
+  State.Plan_.Waits_.push_back({Job.Id_, std::move(Reason)});
+}
+
+void start(Decision &State, const WaitingJob &Job, std::size_t Pool,
+           const Slices &Tasks) {
+  State.Free_.take(Tasks);
+  State.Held_[Pool] += Job.Spec_.accelerators();
+  State.Plan_.Starts_.push_back({Job.Id_, toPlacement(State.View_, Tasks)});
+}
+
+/// Fills in what the running jobs hold.
+void addRunning(Decision &State) {
+  State.Running_.JobsOn_.resize(State.View_.Workers_.size());
+  for (std::size_t J = 0; J < State.View_.Running_.size(); ++J) {
+    const RunningJob &Job = State.View_.Running_[J];
+    State.Running_.Slices_.push_back(toSlices(State.Map_, Job.Placement_));
+    State.Running_.Cost_.push_back(Job.Stopping_ ? 0 : 1);
+    State.Free_.take(State.Running_.Slices_.back());
+    for (const Slice &Part : State.Running_.Slices_.back()) {
+      std::vector<std::size_t> &Jobs = State.Running_.JobsOn_[Part.Worker_];
+      if (Jobs.empty() || Jobs.back() != J)
+        Jobs.push_back(J);
+    }
+    std::size_t Pool = poolOf(State.View_, Job.Spec_);
+    if (Pool != NoOwner)
+      State.Held_[Pool] += Job.Spec_.accelerators();
+  }
+}
+
+/// Starts a job within the free guarantee of its account, or preempts the
+/// borrowers that stand in its place. Returns false when the guarantee has no
+/// free part of the job's shape.
+bool useGuarantee(Decision &State, const WaitingJob &Job, std::size_t Pool) {
+  auto Found = findClaim(State.Guarantees_, State.Free_, State.Running_,
+                         Job.Spec_, Pool);
+  if (!Found)
+    return false;
+  bindClaim(State.Guarantees_, *Found, Pool);
+  if (Found->Free_) {
+    start(State, Job, Pool, Found->Tasks_);
+    return true;
+  }
+  for (std::size_t J : Found->Victims_) {
+    State.Running_.Cost_[J] = 0;
+    State.Plan_.Preemptions_.push_back(
+        {State.View_.Running_[J].Id_, "account " + Job.Spec_.Account_ +
+                                          " reclaims its guarantee in domain " +
+                                          State.View_.Domain_});
+  }
+  State.Free_.take(Found->Tasks_);
+  State.Held_[Pool] += Job.Spec_.accelerators();
+  wait(State, Job,
+       reclaimReason(State.View_, Job.Spec_, Found->Victims_.size()));
+  return true;
+}
+
+/// Starts a job on accelerators that nobody uses at present.
+void borrow(Decision &State, const WaitingJob &Job, std::size_t Pool) {
+  std::optional<Slices> Found;
+  if (State.NoPlace_.count(shapeOf(Job.Spec_)) == 0)
+    Found = findPlace(State.Free_, Job.Spec_, State.Choices_.Fit_);
+  if (Found)
+    return start(State, Job, Pool, *Found);
+  State.NoPlace_.insert(shapeOf(Job.Spec_));
+  wait(State, Job,
+       noPlaceReason(State.View_, Job.Spec_, State.Free_.freeInCell()));
+}
+
+/// Returns the pool under which the job may start, or NoOwner after it noted
+/// why the job waits.
+std::size_t poolWithRoom(Decision &State, const WaitingJob &Job) {
+  std::size_t Pool = poolOf(State.View_, Job.Spec_);
+  if (Pool == NoOwner) {
+    wait(State, Job, noPoolReason(State.View_, Job.Spec_));
+    return NoOwner;
+  }
+  std::uint32_t Limit = State.View_.Pools_[Pool].Limit_;
+  if (State.Held_[Pool] + Job.Spec_.accelerators() <= Limit)
+    return Pool;
+  wait(State, Job,
+       limitReason(State.View_, Job.Spec_, State.Held_[Pool], Limit));
+  return NoOwner;
+}
+
+/// Makes the claims on guarantees, then lends what is left. Claims come first,
+/// so that a job that waits for its guarantee does not lose it to a borrower.
+void decideStarts(Decision &State) {
+  std::vector<const WaitingJob *> Borrowers;
+  for (const WaitingJob &Job : State.View_.Waiting_) {
+    std::size_t Pool = poolOf(State.View_, Job.Spec_);
+    bool MayClaim = State.Choices_.Guarantees_ && Pool != NoOwner &&
+                    State.Held_[Pool] + Job.Spec_.accelerators() <=
+                        State.View_.Pools_[Pool].Limit_;
+    if (!MayClaim || !useGuarantee(State, Job, Pool))
+      Borrowers.push_back(&Job);
+  }
+  for (const WaitingJob *Job : Borrowers) {
+    std::size_t Pool = poolWithRoom(State, *Job);
+    if (Pool != NoOwner)
+      borrow(State, *Job, Pool);
+  }
+}
+
 } // namespace
 
 Plan decide(const CellView &View, const Policy &Choices) {
-  Plan Result;
-  Topology Map = makeTopology(View);
-  FreeIndex Free(Map);
-  for (const RunningJob &Job : View.Running_)
-    Free.take(toSlices(Map, Job.Placement_));
-  AccountHeld Held = heldByAccount(View);
-  ShapeSet NoPlace;
-  for (const WaitingJob &Job : View.Waiting_) {
-    const model::PoolRow *Pool = findPool(View.Pools_, Job.Spec_);
-    if (!View.MayStart_) {
-      Result.Waits_.push_back(
-          {Job.Id_, "domain " + View.Domain_ + " starts nothing at present"});
-      continue;
-    }
-    std::uint32_t Wanted = Job.Spec_.accelerators();
-    if (!Pool || Held[Job.Spec_.Account_] + Wanted > Pool->Limit_) {
-      Result.Waits_.push_back(
-          {Job.Id_, "account " + Job.Spec_.Account_ +
-                        " has reached its limit in domain " + View.Domain_});
-      continue;
-    }
-    std::optional<Slices> Found;
-    if (NoPlace.count(shapeOf(Job.Spec_)) == 0)
-      Found = findPlace(Free, Job.Spec_, Choices.Fit_);
-    if (!Found) {
-      NoPlace.insert(shapeOf(Job.Spec_));
-      Result.Waits_.push_back({Job.Id_, "no " + std::to_string(Wanted) +
-                                            " free accelerators within one " +
-                                            model::toString(Job.Spec_.Level_) +
-                                            " of domain " + View.Domain_});
-      continue;
-    }
-    Free.take(*Found);
-    Held[Job.Spec_.Account_] += Wanted;
-    Result.Starts_.push_back({Job.Id_, toPlacement(View, *Found)});
+  Decision State(View, Choices);
+  if (!View.MayStart_) {
+    for (const WaitingJob &Job : View.Waiting_)
+      wait(State, Job, notStartingReason(View));
+    return std::move(State.Plan_);
   }
-  return Result;
+  addRunning(State);
+  if (Choices.Guarantees_)
+    State.Guarantees_ =
+        bindGuarantees(View, State.Map_, State.Running_.Slices_);
+  decideStarts(State);
+  return std::move(State.Plan_);
 }
 
 std::string impossibleReason(const model::JobSpec &Spec,
