--- a/lib/logclient/src/findstart.cpp
+++ b/lib/logclient/src/findstart.cpp
@@ -1,4 +1,4 @@
-#include "nutmegwell/logclient/reader.h"
+#include "nutmegwell/logclient/readercore.h"
 #include "nutmegwell/wire/binary.h"
 #include <algorithm>
 
