--- a/lib/entry/include/nutmegwell/entry/control.h
+++ b/lib/entry/include/nutmegwell/entry/control.h
@@ -215,7 +215,8 @@
 /// start.
 bool fresh(const EntryState &State, core::TimePoint Now);
 
-/// Says in one sentence why a job is where it is.
-std::string explain(const EntryState &State, const core::JobId &Job);
+/// Says in one sentence why a job is where it is and what would let it start.
+std::string explain(const EntryState &State, const core::JobId &Job,
+                    core::TimePoint Now);
 
 } // namespace nutmegwell::entry
--- a/lib/entry/src/api.cpp
+++ b/lib/entry/src/api.cpp
@@ -242,8 +242,9 @@
 
 net::HttpResponse Api::explainJob(const core::JobId &Id) {
   std::string Text;
-  if (!Control_.query(
-          [&](const EntryState &State) { Text = explain(State, Id); }))
+  if (!Control_.query([&](const EntryState &State) {
+        Text = explain(State, Id, core::steadyClock().Now_());
+      }))
     return stopping();
   return json(200, wire::formatExplanation(Id, Text));
 }
--- a/lib/entry/src/commands.cpp
+++ b/lib/entry/src/commands.cpp
@@ -67,23 +67,4 @@
   append(State, Out, What.Body_, PendingRecord{What.Ticket_, {}, {}});
 }
 
-std::string explain(const EntryState &State, const core::JobId &Id) {
-  auto Known = State.Fold_.Jobs_.find(Id);
-  if (Known == State.Fold_.Jobs_.end())
-    return "no such job is known";
-  const model::Job &Target = Known->second;
-  if (Target.State_ == model::JobState::Running)
-    return "the job runs in failure domain " + Target.Domain_;
-  if (Target.State_ != model::JobState::Waiting)
-    return std::string("the job is ") + toString(Target.State_) +
-           (Target.Reason_.empty() ? "" : ": " + Target.Reason_);
-  auto Reason = State.WaitReasons_.find(Id);
-  if (Reason != State.WaitReasons_.end())
-    return "the job waits: " + Reason->second;
-  if (!State.LogAvailable_)
-    return "the job waits: the log is unavailable and nothing starts until it "
-           "is back";
-  return "the job waits for the next scheduling decision of its cell";
-}
-
 } // namespace nutmegwell::entry
--- a/lib/entry/src/schedule.cpp
+++ b/lib/entry/src/schedule.cpp
@@ -122,8 +122,58 @@
   }
 }
 
+/// Returns why one cell does not start the job, or an empty string.
+std::string waitReason(const EntryState &State, const core::JobId &Id,
+                       const model::DomainName &Domain, core::TimePoint Now) {
+  if (!model::inService(State.Fold_, Domain))
+    return "failure domain " + Domain +
+           " is out of service until an operator brings it back";
+  if (!State.LogAvailable_ || !fresh(State, Now))
+    return "nothing starts in failure domain " + Domain +
+           " until the log is available again";
+  for (const sched::WaitReason &Wait :
+       sched::decide(makeView(State, Domain, Now)).Waits_)
+    if (Wait.Job_ == Id)
+      return Wait.Reason_;
+  return std::string();
+}
+
+/// Returns the reasons of every cell in which the job has a pool. Every entry
+/// host hears every agent, so that each can tell, not the holder alone.
+std::string waitReasons(const EntryState &State, const model::Job &Target,
+                        core::TimePoint Now) {
+  std::string Joined;
+  for (const model::PoolRow &Row : State.Fold_.Pools_.Rows_) {
+    if (Row.Account_ != Target.Spec_.Account_ ||
+        Row.Service_ != Target.Spec_.Service_)
+      continue;
+    std::string Reason = waitReason(State, Target.Id_, Row.Domain_, Now);
+    if (Reason.empty())
+      return std::string();
+    Joined += (Joined.empty() ? "" : "; ") + Reason;
+  }
+  return Joined;
+}
+
 } // namespace
 
+std::string explain(const EntryState &State, const core::JobId &Id,
+                    core::TimePoint Now) {
+  auto Known = State.Fold_.Jobs_.find(Id);
+  if (Known == State.Fold_.Jobs_.end())
+    return "no such job is known";
+  const model::Job &Target = Known->second;
+  if (Target.State_ == model::JobState::Running)
+    return "the job runs in failure domain " + Target.Domain_;
+  if (Target.State_ != model::JobState::Waiting)
+    return std::string("the job is ") + toString(Target.State_) +
+           (Target.Reason_.empty() ? "" : ": " + Target.Reason_);
+  std::string Reasons = waitReasons(State, Target, Now);
+  if (Reasons.empty())
+    return "the job is about to start";
+  return "the job waits: " + Reasons;
+}
+
 void schedule(EntryState &State, core::TimePoint Now, Effects &Out) {
   // Waiting times change decisions too, so a cell is looked at now and then
   // even when nothing else changed.
