--- a/lib/logclient/src/findstart.cpp
+++ b/lib/logclient/src/findstart.cpp
@@ -64,13 +64,15 @@
     return;
   for (const model::Record &Change : *Decoded) {
     const auto *Snapshot = std::get_if<model::SnapshotTaken>(&Change.Body_);
-    if (!Snapshot || Snapshot->AsOf_ >= Entry.At_ ||
-        Snapshot->AsOf_ + 1 < First || (Best && Best->From_ > Snapshot->AsOf_))
+    if (!Snapshot)
       continue;
+    // What the state says of itself counts: AsOf_ is a claim of the writer.
     auto State = wire::decodeState(Snapshot->State_);
-    if (!State.ok() || State->Next_ > Snapshot->AsOf_ + 1)
+    if (!State.ok() || State->Next_ > Entry.At_ || State->Next_ < First ||
+        (Best && Best->From_ >= State->Next_))
       continue;
-    Best = StartPoint{std::move(*State), Snapshot->AsOf_ + 1, true};
+    const core::Offset From = State->Next_;
+    Best = StartPoint{std::move(*State), From, true};
   }
 }
 
--- a/lib/logclient/tests/logclienttest.cpp
+++ b/lib/logclient/tests/logclienttest.cpp
@@ -90,6 +90,7 @@
   CPPUNIT_TEST(readerSkipsUndecodableEntries);
   CPPUNIT_TEST(readerRestartsFromSnapshot);
   CPPUNIT_TEST(startIsTheLatestUsableSnapshot);
+  CPPUNIT_TEST(startTrustsTheStateOfASnapshot);
   CPPUNIT_TEST_SUITE_END();
 
   const net::Address Address_{"127.0.0.1", net::freeTcpPort()};
@@ -240,7 +241,7 @@
       else if (I == 55)
         Bytes = snapshot(45, 46);
       else if (I == 60)
-        Bytes = snapshot(200, 60);
+        Bytes = snapshot(200, 201);
       else if (I == 61)
         Bytes = wire::encode(
             model::Batch{{{3, 99}, model::SnapshotTaken{59, "cut"}}});
@@ -257,6 +258,18 @@
     Store_.dropBelow(49);
     CPPUNIT_ASSERT(absl::IsNotFound(findStart(Log, 8).status()));
   }
+
+  /// Guards against entries that are skipped because a snapshot claims more
+  /// than its state has.
+  void startTrustsTheStateOfASnapshot() {
+    LogService Log = serviceOf(Store_);
+    for (core::Offset I = 0; I < 30; ++I)
+      CPPUNIT_ASSERT(
+          Store_.append(I == 20 ? snapshot(19, 10) : renewal(I)).ok());
+    CPPUNIT_ASSERT_EQUAL(core::Offset{10}, findStart(Log, 8)->From_);
+    Store_.dropBelow(11);
+    CPPUNIT_ASSERT(absl::IsNotFound(findStart(Log, 8).status()));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogClientTest);
--- a/lib/model/src/controlstate.cpp
+++ b/lib/model/src/controlstate.cpp
@@ -1,11 +1,23 @@
 #include "nutmegwell/model/controlstate.h"
 
 #include "fold.h"
+#include <algorithm>
+#include <iterator>
+#include <type_traits>
 
 namespace nutmegwell::model {
 
 namespace {
 
+/// Moves \p Writer to the end of the order. Writers of recent records are few
+/// and near the end, where the search begins.
+void noteLatest(ControlState &State, core::Incarnation Writer) {
+  auto &Order = State.WriterOrder_;
+  auto Known = std::find(Order.rbegin(), Order.rend(), Writer);
+  if (Known != Order.rend())
+    std::rotate(std::prev(Known.base()), Known.base(), Order.end());
+}
+
 /// Notes the record's sequence number. Returns false for a repeat.
 bool noteWriter(ControlState &State, const core::RecordId &Id) {
   auto [Known, Inserted] = State.Writers_.emplace(Id.Writer_, 0);
@@ -19,9 +31,31 @@
   if (Id.Sequence_ <= Known->second)
     return false;
   Known->second = Id.Sequence_;
+  noteLatest(State, Id.Writer_);
   return true;
 }
 
+/// True for the records that only the holder of a cell writes.
+template <typename Body, typename = void> struct OfHolder : std::false_type {};
+template <typename Body>
+struct OfHolder<Body, std::void_t<decltype(Body::Term_)>>
+    : std::bool_constant<!std::is_same_v<Body, CellClaimed>> {};
+
+/// Rejects a record of the term in force from a writer that does not hold the
+/// cell, such as one whose claim of that term lost the race.
+template <typename Body>
+Verdict checkHolder(const ControlState &State, const Body &Change,
+                    core::Incarnation Writer) {
+  if constexpr (OfHolder<Body>::value) {
+    auto Known = State.Cells_.find(Change.Domain_);
+    if (Known != State.Cells_.end() && Known->second.Term_ == Change.Term_ &&
+        Known->second.HolderIncarnation_ != Writer)
+      return {"not_holder", "cell " + Change.Domain_ + " is held by " +
+                                Known->second.Holder_};
+  }
+  return {};
+}
+
 } // namespace
 
 FoldResult apply(ControlState &State, const Record &Change, core::Offset At) {
@@ -34,7 +68,11 @@
     return Result;
   }
   Verdict Outcome = std::visit(
-      [&State](const auto &Body) { return fold(State, Body); }, Change.Body_);
+      [&](const auto &Body) {
+        Verdict Found = checkHolder(State, Body, Change.Id_.Writer_);
+        return Found.Code_.empty() ? fold(State, Body) : Found;
+      },
+      Change.Body_);
   Result.Accepted_ = Outcome.Code_.empty();
   Result.Code_ = std::move(Outcome.Code_);
   Result.Reason_ = std::move(Outcome.Reason_);
@@ -47,6 +85,9 @@
 }
 
 Verdict fold(ControlState &State, const SnapshotTaken &Change) {
+  // Next_ is already the offset after the snapshot's own entry.
+  if (Change.AsOf_ >= State.Next_ - 1)
+    return {"future_snapshot", "the snapshot claims entries after itself"};
   if (Change.AsOf_ <= State.LastSnapshot_)
     return {"stale_snapshot", "a later snapshot is in the log"};
   State.LastSnapshot_ = Change.AsOf_;
--- a/lib/model/src/fold_cells.cpp
+++ b/lib/model/src/fold_cells.cpp
@@ -16,10 +16,12 @@
 }
 
 Verdict fold(ControlState &State, const CellClaimed &Change) {
-  Cell &Tenure = State.Cells_[Change.Domain_];
-  if (Change.Term_ != Tenure.Term_ + 1)
+  auto Known = State.Cells_.find(Change.Domain_);
+  core::Term InForce = Known == State.Cells_.end() ? 0 : Known->second.Term_;
+  if (Change.Term_ != InForce + 1)
     return {"stale_term", "cell " + Change.Domain_ + " is at term " +
-                              std::to_string(Tenure.Term_)};
+                              std::to_string(InForce)};
+  Cell &Tenure = State.Cells_[Change.Domain_];
   Tenure.Term_ = Change.Term_;
   Tenure.Holder_ = Change.Holder_;
   Tenure.HolderIncarnation_ = Change.HolderIncarnation_;
--- a/lib/model/src/fold_jobs.cpp
+++ b/lib/model/src/fold_jobs.cpp
@@ -121,6 +121,9 @@
   Verdict Outcome = checkAttempt(State, Change, Target);
   if (!Outcome.Code_.empty())
     return Outcome;
+  if (!isFinal(Change.State_))
+    return {"invalid_state",
+            std::string("a job does not end as ") + toString(Change.State_)};
   endJob(State, *Target, Change.State_, Change.Reason_);
   return {};
 }
--- a/lib/model/src/fold_tables.cpp
+++ b/lib/model/src/fold_tables.cpp
@@ -38,10 +38,12 @@
 }
 
 Verdict fold(ControlState &State, const DomainChanged &Change) {
+  auto Known = State.Domains_.find(Change.Domain_);
+  core::Version InForce =
+      Known == State.Domains_.end() ? 0 : Known->second.Version_;
+  if (Change.Expected_ != InForce)
+    return staleVersion(Change.Domain_.c_str(), Change.Expected_, InForce);
   DomainState &Domain = State.Domains_[Change.Domain_];
-  if (Change.Expected_ != Domain.Version_)
-    return staleVersion(Change.Domain_.c_str(), Change.Expected_,
-                        Domain.Version_);
   Domain.InService_ = Change.InService_;
   ++Domain.Version_;
   return {};
--- a/lib/model/tests/foldtest.cpp
+++ b/lib/model/tests/foldtest.cpp
@@ -11,6 +11,11 @@
   CPPUNIT_TEST(staleTermCannotCommit);
   CPPUNIT_TEST(outDomainCannotCommit);
   CPPUNIT_TEST(keyIsTakenOnce);
+  CPPUNIT_TEST(onlyTheHolderWritesForACell);
+  CPPUNIT_TEST(rejectedRecordLeavesNoTrace);
+  CPPUNIT_TEST(snapshotOfTheFutureIsRejected);
+  CPPUNIT_TEST(activeWriterIsRemembered);
+  CPPUNIT_TEST(finishedJobIsFinal);
   CPPUNIT_TEST_SUITE_END();
 
   ControlState State_;
@@ -48,7 +53,7 @@
     append(CellClaimed{"a", 1, "e1", 1});
     append(CellClaimed{"a", 2, "e2", 2});
     CPPUNIT_ASSERT_EQUAL(std::string("stale_term"), append(commit(1)).Code_);
-    CPPUNIT_ASSERT(append(commit(2)).Accepted_);
+    CPPUNIT_ASSERT(apply(State_, Record{{2, 1}, commit(2)}, 9).Accepted_);
   }
 
   /// Guards against a start committed after the domain was taken out.
@@ -69,6 +74,67 @@
     CPPUNIT_ASSERT(append(IntentReleased{"acc", "k", {5, 1}}).Accepted_);
     CPPUNIT_ASSERT(append(Second).Accepted_);
   }
+
+  /// Guards against two holders of one term: a host whose claim lost the race
+  /// knows the term that the winner got.
+  void onlyTheHolderWritesForACell() {
+    append(JobSubmitted{{9, 1}, JobSpec()});
+    append(CellClaimed{"a", 1, "e2", 2});
+    CPPUNIT_ASSERT_EQUAL(std::string("not_holder"), append(commit(1)).Code_);
+    CPPUNIT_ASSERT_EQUAL(std::string("not_holder"),
+                         append(CellRenewed{"a", 1}).Code_);
+    CPPUNIT_ASSERT_EQUAL(std::string("not_holder"),
+                         append(CellReleased{"a", 1}).Code_);
+    CPPUNIT_ASSERT(apply(State_, Record{{2, 1}, commit(1)}, 9).Accepted_);
+  }
+
+  /// Guards against state that grows by refused records.
+  void rejectedRecordLeavesNoTrace() {
+    append(CellClaimed{"x", 5, "e1", 1});
+    append(CellRenewed{"y", 1});
+    append(DomainChanged{3, "z", false});
+    CPPUNIT_ASSERT(State_.Cells_.empty());
+    CPPUNIT_ASSERT(State_.Domains_.empty());
+  }
+
+  /// Guards against one wrong snapshot that makes the fold reject every later
+  /// one.
+  void snapshotOfTheFutureIsRejected() {
+    append(JobSubmitted{{9, 1}, JobSpec()});
+    CPPUNIT_ASSERT_EQUAL(std::string("future_snapshot"),
+                         append(SnapshotTaken{2, ""}).Code_);
+    CPPUNIT_ASSERT(append(SnapshotTaken{2, ""}).Accepted_);
+  }
+
+  /// Guards against a repeat that is applied again because many other writers
+  /// came after its writer's first record.
+  void activeWriterIsRemembered() {
+    auto Write = [this](core::Incarnation Writer, std::uint64_t Sequence) {
+      return apply(State_, Record{{Writer, Sequence}, JobCancelled{{9, 9}}}, 0)
+          .Code_;
+    };
+    Write(1, 1);
+    for (core::Incarnation Other = 100; Other < 99 + MaxWriters; ++Other)
+      Write(Other, 1);
+    Write(1, 2);
+    Write(99, 1);
+    CPPUNIT_ASSERT_EQUAL(std::string("repeated_record"), Write(1, 2));
+    CPPUNIT_ASSERT_EQUAL(MaxWriters, State_.Writers_.size());
+    CPPUNIT_ASSERT_EQUAL(MaxWriters, State_.WriterOrder_.size());
+  }
+
+  /// Guards against a job that is kept as final but can still be committed.
+  void finishedJobIsFinal() {
+    append(JobSubmitted{{9, 1}, JobSpec()});
+    append(CellClaimed{"a", 1, "e1", 1});
+    append(commit(1));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("invalid_state"),
+        append(JobFinished{{9, 1}, 1, "a", 1, JobState::Waiting, ""}).Code_);
+    CPPUNIT_ASSERT(
+        append(JobFinished{{9, 1}, 1, "a", 1, JobState::Finished, ""})
+            .Accepted_);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FoldTest);
