--- a/lib/settings/tests/settingstest.cpp
+++ b/lib/settings/tests/settingstest.cpp
@@ -1,6 +1,8 @@
 #include "nutmegwell/settings/settings.h"
 #include "nutmegwell/settings/daemon.h"
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
+#include <fstream>
 #include <rapidcheck.h>
 #include <sstream>
 
@@ -14,6 +16,7 @@
   CPPUNIT_TEST(requiredSettingsDependOnRole);
   CPPUNIT_TEST(listCollectsEveryAddress);
   CPPUNIT_TEST(helpNamesEverySettingWithUnitAndDefault);
+  CPPUNIT_TEST(operatorsPageListsEverySetting);
   CPPUNIT_TEST(checkEndsWithZeroOrOne);
   CPPUNIT_TEST(durationSurvivesRoundTrip);
   CPPUNIT_TEST(arbitraryTextNeverCrashes);
@@ -134,6 +137,26 @@
     CPPUNIT_ASSERT(Help.find("in bytes") != std::string::npos);
   }
 
+  /// Guards against a page that names other settings or defaults than the
+  /// program has.
+  void operatorsPageListsEverySetting() {
+    std::ifstream In(NUTMEGWELL_DOCS "/operators.md");
+    std::stringstream Text;
+    Text << In.rdbuf();
+    const std::string Page = Text.str();
+    for (const auto &Setting : Spec_.Settings_) {
+      const std::string Row =
+          "| `" + Setting.Name_ + "` | " + Setting.Default_ + " |";
+      CPPUNIT_ASSERT_MESSAGE(Row, Page.find(Row) != std::string::npos);
+    }
+    const std::size_t Table = Page.find("| setting |");
+    CPPUNIT_ASSERT(Table != std::string::npos);
+    // A heading and a rule stand before one line for each setting.
+    CPPUNIT_ASSERT_EQUAL(
+        std::ptrdiff_t(Spec_.Settings_.size() + 2),
+        std::count(Page.begin() + std::ptrdiff_t(Table), Page.end(), '\n'));
+  }
+
   /// Guards against --check that lets a wrong setting pass.
   void checkEndsWithZeroOrOne() {
     std::ostringstream Out, Err;
