Let one cell preempt for a waiting job

Cause: every cell where the account had a free guarantee preempted for the same job, and all but one of the preemptions were wasted. Ruled out: leaving the choice to chance between holders; each holder must name the same cell without a message, so it follows from committed placements and the job's id. Change: preferredCell() ranks the cells by free guarantee and free accelerators; the others start the job where a place is free but preempt nothing for it. The ranking must look at shapes.

--- a/bench/cost.cpp
+++ b/bench/cost.cpp
@@ -25,7 +25,8 @@
     View.Waiting_.push_back({{1, J + 1},
                              Load.Jobs_[J].Spec_,
                              std::chrono::seconds(Load.Jobs_.size() - J),
-                             {}});
+                             {},
+                             true});
   sched::Plan Filled = decideBackfill(View);
   std::vector<sched::WaitingJob> Rest;
   std::size_t Next = 0;
--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -1,5 +1,6 @@
 #include "simulation.h"
 
+#include "nutmegwell/sched/prefer.h"
 #include "probes.h"
 #include <algorithm>
 #include <queue>
@@ -36,6 +37,7 @@
   State State_ = State::Coming;
   std::uint32_t Attempt_ = 0;
   std::size_t Cell_ = 0;
+  std::size_t Preferred_ = 0;
   model::Placement Placement_;
   core::Duration WaitFrom_{};
   core::Duration StartAt_{};
@@ -227,7 +229,8 @@
     View.Waiting_.push_back({{1, J + 1},
                              input(J).Spec_,
                              Now_ - Jobs_[J].WaitFrom_,
-                             Jobs_[J].Attained_});
+                             Jobs_[J].Attained_,
+                             Jobs_[J].Preferred_ == Cell});
   for (std::size_t J : Active_) {
     const SimJob &Job = Jobs_[J];
     if (Job.Cell_ != Cell)
@@ -269,6 +272,12 @@
   for (std::size_t C = 0; C < Cells_.size(); ++C)
     fillView(C);
   Reclaim_.observe(Cells_, Now_);
+  std::vector<sched::CellSummary> Summaries;
+  for (const sched::CellView &Cell : Cells_)
+    Summaries.push_back(sched::summarize(Cell));
+  for (std::size_t J : Waiting_)
+    Jobs_[J].Preferred_ =
+        sched::preferredCell({1, J + 1}, input(J).Spec_, Summaries);
   for (std::size_t C = 0; C < Cells_.size(); ++C)
     decideCell(C);
   for (std::size_t C = 0; C < Cells_.size(); ++C)
--- a/lib/sched/include/nutmegwell/sched/plan.h
+++ b/lib/sched/include/nutmegwell/sched/plan.h
@@ -27,6 +27,9 @@
   core::Duration Waited_{};
   /// Accelerator time that the job has used in earlier attempts.
   core::Duration Attained_{};
+  /// False while another cell is to take the job (see preferredCell); then
+  /// nothing is preempted for it here.
+  bool Preferred_ = true;
 };
 
 struct RunningJob {
--- a/lib/sched/include/nutmegwell/sched/policy.h
+++ b/lib/sched/include/nutmegwell/sched/policy.h
@@ -19,6 +19,8 @@
   /// Whether an account's free guarantee is reclaimed by preempting jobs that
   /// borrow it.
   bool Guarantees_ = true;
+  /// Whether jobs are preempted only in the cell that is to take the job.
+  bool OneCellReclaims_ = true;
 };
 
 } // namespace nutmegwell::sched
--- a/lib/sched/src/plan.cpp
+++ b/lib/sched/src/plan.cpp
@@ -74,7 +74,8 @@
 bool useGuarantee(Decision &State, const WaitingJob &Job, std::size_t Pool) {
   auto Found = findClaim(State.Guarantees_, State.Free_, State.Running_,
                          Job.Spec_, Pool);
-  if (!Found)
+  if (!Found || (State.Choices_.OneCellReclaims_ && !Job.Preferred_ &&
+                 !Found->Victims_.empty()))
     return false;
   bindClaim(State.Guarantees_, *Found, Pool);
   if (Found->Free_) {
--- a/lib/sched/tests/plantest.cpp
+++ b/lib/sched/tests/plantest.cpp
@@ -35,7 +35,7 @@
   /// Guards against a gang spread over racks that asked for one.
   void gangLiesWithinItsLevel() {
     sched::CellView View = view();
-    View.Waiting_ = {{{1, 1}, gang(2), {}, {}}};
+    View.Waiting_ = {{{1, 1}, gang(2), {}, {}, true}};
     sched::Plan Plan = sched::decide(View);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Plan.Starts_.size());
     for (const auto &Task : Plan.Starts_[0].Placement_)
@@ -46,7 +46,7 @@
   void limitHoldsJobBack() {
     sched::CellView View = view();
     View.Pools_[0].Limit_ = 4;
-    View.Waiting_ = {{{1, 1}, gang(2), {}, {}}};
+    View.Waiting_ = {{{1, 1}, gang(2), {}, {}, true}};
     sched::Plan Plan = sched::decide(View);
     CPPUNIT_ASSERT(Plan.Starts_.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Plan.Waits_.size());
