Preempt the borrowers that lose the least accelerator time

Ruled out: attained service as the measure; it says nothing of what a checkpoint keeps. Change: the cost of a victim is the time since its last checkpoint and the time to stop and restore, times its accelerators (cheapest-to-lose preemption by checkpoint, as in Gandiva, OSDI 2018).

--- a/lib/sched/include/nutmegwell/sched/policy.h
+++ b/lib/sched/include/nutmegwell/sched/policy.h
@@ -12,6 +12,15 @@
   Best
 };
 
+/// Which borrowers are preempted when several places would do.
+enum class Victims : std::uint8_t {
+  /// As few jobs as possible.
+  Fewest,
+  /// Those that lose the least accelerator time: work since the last checkpoint
+  /// and the time to stop and restore.
+  LeastLost
+};
+
 /// Choices of the scheduling policy. The defaults are the policy in force; the
 /// measuring program sets others to compare.
 struct Policy {
@@ -21,6 +30,7 @@
   bool Guarantees_ = true;
   /// Whether jobs are preempted only in the cell that is to take the job.
   bool OneCellReclaims_ = true;
+  Victims Victims_ = Victims::LeastLost;
 };
 
 } // namespace nutmegwell::sched
--- a/lib/sched/src/plan.cpp
+++ b/lib/sched/src/plan.cpp
@@ -49,13 +49,27 @@
   State.Plan_.Starts_.push_back({Job.Id_, toPlacement(State.View_, Tasks)});
 }
 
+/// Time of a preempted job that goes into stopping and restoring: the usual
+/// checkpoint grace and as much to read the checkpoint.
+constexpr std::chrono::seconds RestartTime{60};
+
+/// Returns what preempting a job costs, in accelerator-seconds for least lost.
+double costOf(const RunningJob &Job, Victims Order) {
+  if (Job.Stopping_)
+    return 0;
+  if (Order == Victims::Fewest)
+    return 1;
+  std::chrono::duration<double> Lost = Job.SinceCheckpoint_ + RestartTime;
+  return Lost.count() * Job.Spec_.accelerators();
+}
+
 /// Fills in what the running jobs hold.
 void addRunning(Decision &State) {
   State.Running_.JobsOn_.resize(State.View_.Workers_.size());
   for (std::size_t J = 0; J < State.View_.Running_.size(); ++J) {
     const RunningJob &Job = State.View_.Running_[J];
     State.Running_.Slices_.push_back(toSlices(State.Map_, Job.Placement_));
-    State.Running_.Cost_.push_back(Job.Stopping_ ? 0 : 1);
+    State.Running_.Cost_.push_back(costOf(Job, State.Choices_.Victims_));
     State.Free_.take(State.Running_.Slices_.back());
     for (const Slice &Part : State.Running_.Slices_.back()) {
       std::vector<std::size_t> &Jobs = State.Running_.JobsOn_[Part.Worker_];
