--- a/lib/core/include/nutmegwell/core/eventqueue.h
+++ b/lib/core/include/nutmegwell/core/eventqueue.h
@@ -25,6 +25,19 @@
     return true;
   }
 
+  /// Adds \p Event, waiting for room. Returns false when the queue is closed.
+  bool pushWait(T Event) {
+    {
+      std::unique_lock<std::mutex> Lock(Mutex_);
+      Room_.wait(Lock, [this] { return Closed_ || Events_.size() < Bound_; });
+      if (Closed_)
+        return false;
+      Events_.push_back(std::move(Event));
+    }
+    Changed_.notify_one();
+    return true;
+  }
+
   /// Waits until \p Deadline for an event. Returns nothing at the deadline and
   /// when the queue is closed and empty.
   std::optional<T> popUntil(TimePoint Deadline) {
@@ -35,6 +48,8 @@
       return std::nullopt;
     T Event = std::move(Events_.front());
     Events_.pop_front();
+    Lock.unlock();
+    Room_.notify_one();
     return Event;
   }
 
@@ -45,6 +60,7 @@
       Closed_ = true;
     }
     Changed_.notify_all();
+    Room_.notify_all();
   }
 
   bool closed() const {
@@ -61,6 +77,7 @@
   const std::size_t Bound_;
   mutable std::mutex Mutex_;
   std::condition_variable Changed_;
+  std::condition_variable Room_;
   std::deque<T> Events_;
   bool Closed_ = false;
 };
--- /dev/null
+++ b/lib/daemon/src/entrylog.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "entrymetrics.h"
+#include "nutmegwell/entry/controlloop.h"
+#include "nutmegwell/logclient/appender.h"
+#include "nutmegwell/logclient/reader.h"
+#include "nutmegwell/net/address.h"
+#include "snapshotwriter.h"
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace nutmegwell::daemon {
+
+/// Connects the control loop of an entry host with the log, and with the states
+/// of its peers while the log is unavailable at the start.
+class EntryLog {
+public:
+  EntryLog(logclient::LogService Log, core::Incarnation Process,
+           std::vector<net::Address> Peers, EntryMetrics &Metrics);
+  EntryLog(const EntryLog &) = delete;
+  EntryLog &operator=(const EntryLog &) = delete;
+  ~EntryLog();
+
+  /// Appends records of the control loop; their verdicts come back as events.
+  void append(std::vector<model::Record> Changes);
+
+  /// Starts to read. \p Control must outlive this object's stop.
+  void start(entry::ControlLoop &Control);
+
+  /// Ends reading and reports every record that is left.
+  void stop();
+
+private:
+  logclient::AppenderEvents appenderEvents();
+  void findState();
+  bool startFromLog();
+  bool startFromPeer();
+  void read(model::ControlState State, core::Offset From);
+  core::Offset highestKnown();
+
+  LogProgress Progress_;
+  const logclient::LogService Log_;
+  const std::vector<net::Address> Peers_;
+  EntryMetrics &Metrics_;
+  std::atomic<entry::ControlLoop *> Control_{nullptr};
+  logclient::Appender Appender_;
+  std::mutex Mutex_;
+  std::condition_variable Changed_;
+  bool Stopping_ = false;
+  std::unique_ptr<logclient::Reader> Reader_;
+  std::unique_ptr<SnapshotWriter> Snapshots_;
+  std::thread Starter_;
+};
+
+} // namespace nutmegwell::daemon
--- a/lib/daemon/src/entryrole.cpp
+++ b/lib/daemon/src/entryrole.cpp
@@ -1,30 +1,23 @@
+#include "entrylog.h"
 #include "entrymetrics.h"
 #include "nutmegwell/core/random.h"
 #include "nutmegwell/daemon/roles.h"
 #include "nutmegwell/entry/api.h"
 #include "nutmegwell/entry/controlloop.h"
 #include "nutmegwell/entry/requestservice.h"
-#include "nutmegwell/logclient/appender.h"
 #include "nutmegwell/logclient/httplog.h"
-#include "nutmegwell/logclient/reader.h"
 #include "nutmegwell/net/http.h"
 #include "nutmegwell/net/udp.h"
 #include "nutmegwell/settings/logging.h"
 #include "nutmegwell/wire/binary.h"
+#include "statetransfer.h"
 #include "stopsignals.h"
 #include <atomic>
-#include <condition_variable>
-#include <mutex>
-#include <thread>
 
 namespace nutmegwell::daemon {
 
 namespace {
 
-/// Time after which a record that was not sent is given up.
-constexpr auto AppendWithin = std::chrono::seconds(4);
-constexpr auto StartRetry = std::chrono::milliseconds(500);
-constexpr std::size_t StartEntries = 256;
 /// Time for the records of a graceful stop to reach the log.
 constexpr auto StopAppends = std::chrono::seconds(2);
 
@@ -50,6 +43,13 @@
   return Result;
 }
 
+std::vector<net::Address> peerAddresses(const settings::Settings &Values) {
+  std::vector<net::Address> Peers;
+  for (const settings::HostPort &Peer : Values.addresses("peers"))
+    Peers.push_back(toAddress(Peer));
+  return Peers;
+}
+
 entry::RequestServiceSettings requestSettings(core::Incarnation Process) {
   entry::RequestServiceSettings Result;
   Result.Incarnation_ = Process;
@@ -66,32 +66,23 @@
 
 private:
   entry::ControlPorts makePorts();
-  void startReading();
-  void read(const logclient::StartPoint &Start);
-  void append(std::vector<model::Record> Changes);
   void onDatagram(const net::Address &From, const std::string &Bytes);
   net::HttpResponse handle(const net::HttpRequest &Request);
-  logclient::AppenderEvents appenderEvents();
   entry::RequestServiceHooks requestHooks();
   std::optional<model::Intent> findIntent(const model::IntentKey &Key);
 
   const core::Incarnation Process_;
-  const logclient::LogService Log_;
   std::atomic<entry::ControlLoop *> ControlPointer_{nullptr};
   std::atomic<entry::RequestService *> RequestsPointer_{nullptr};
   std::shared_ptr<const routing::RoutingSnapshot> Snapshot_;
   EntryMetrics Metrics_{core::steadyClock()};
-  logclient::Appender Appender_;
+  EntryLog Log_;
   net::UdpEndpoint Udp_;
   entry::ControlLoop Control_;
   entry::Api Api_;
   entry::RequestService Requests_;
-  std::mutex StartMutex_;
-  std::condition_variable StartChanged_;
-  bool Stopping_ = false;
-  std::unique_ptr<logclient::Reader> Reader_;
+  net::FrameServer States_;
   net::HttpServer Http_;
-  std::thread Starter_;
 };
 
 net::HttpLimits httpLimits(const settings::Settings &Values) {
@@ -104,21 +95,22 @@
 EntryRole::EntryRole(const settings::Settings &Values)
     : Process_(core::systemRandom().Next_()),
       Log_(logclient::httpLogService({toAddress(Values.address("log-address")),
-                                      Values.text("log-stream")})),
-      Appender_(Log_, Process_, logclient::AppenderSettings(),
-                appenderEvents()),
+                                      Values.text("log-stream")}),
+           Process_, peerAddresses(Values), Metrics_),
       Udp_(toAddress(Values.address("udp-listen")),
            [this](const net::Address &From, const std::string &Bytes) {
              onDatagram(From, Bytes);
            }),
       Control_(entrySettings(Values, Process_), makePorts()), Api_(Control_),
       Requests_(requestSettings(Process_), requestHooks()),
+      States_(toAddress(Values.address("tcp-listen")), stateFrameLimits(),
+              serveState(Control_)),
       Http_(
           toAddress(Values.address("http-listen")), httpLimits(Values),
           [this](const net::HttpRequest &Request) { return handle(Request); }) {
   RequestsPointer_ = &Requests_;
   ControlPointer_ = &Control_;
-  Starter_ = std::thread([this] { startReading(); });
+  Log_.start(Control_);
   settings::logStateChange("started",
                            {{"role", "entry"}, {"node", Values.text("node")}});
 }
@@ -139,7 +131,7 @@
     Metrics_.SentDatagrams_.add();
   };
   Ports.Append_ = [this](std::vector<model::Record> Changes) {
-    append(std::move(Changes));
+    Log_.append(std::move(Changes));
   };
   Ports.Publish_ = [this](auto Snapshot) {
     std::atomic_store(&Snapshot_, std::move(Snapshot));
@@ -154,68 +146,6 @@
   return Ports;
 }
 
-logclient::AppenderEvents EntryRole::appenderEvents() {
-  logclient::AppenderEvents Events;
-  Events.OnAvailable_ = [this](bool Available) {
-    Control_.post(entry::LogAvailability{Available});
-  };
-  Events.OnReport_ = [this](const logclient::AppendReport &Report) {
-    if (Report.Outcome_ == logclient::AppendOutcome::Appended)
-      return;
-    Metrics_.FailedAppends_.add();
-    Control_.post(entry::AppendFailed{
-        Report.Id_, Report.Outcome_ == logclient::AppendOutcome::InDoubt});
-  };
-  return Events;
-}
-
-void EntryRole::append(std::vector<model::Record> Changes) {
-  for (model::Record &Change : Changes) {
-    core::RecordId Id = Change.Id_;
-    Metrics_.Appends_.add();
-    if (!Appender_.submit(std::move(Change), AppendWithin).ok())
-      Control_.post(entry::AppendFailed{Id, false});
-  }
-}
-
-/// Reads the log once it can be read at all.
-void EntryRole::startReading() {
-  while (true) {
-    auto Start = logclient::findStart(Log_, StartEntries);
-    if (Start.ok())
-      return read(*Start);
-    std::unique_lock<std::mutex> Lock(StartMutex_);
-    if (StartChanged_.wait_for(Lock, StartRetry, [this] { return Stopping_; }))
-      return;
-  }
-}
-
-void EntryRole::read(const logclient::StartPoint &Start) {
-  auto Replace = [this](const logclient::StartPoint &Point) {
-    model::ControlState State = Point.State_;
-    State.Next_ = Point.From_;
-    Control_.post(entry::LogReplaced{std::move(State)});
-  };
-  Replace(Start);
-  logclient::ReaderEvents Events;
-  Events.OnBatch_ = [this](core::Offset At, const model::Batch &Entry) {
-    Appender_.noteBatch(At, Entry);
-    Control_.post(entry::LogEntry{At, Entry});
-  };
-  Events.OnTail_ = [this](core::TimePoint Began) {
-    Appender_.noteTail(Began);
-    Control_.post(entry::LogTail{Began});
-  };
-  Events.OnRestart_ = [this, Replace](const logclient::StartPoint &Point) {
-    Appender_.noteRestart(Point.State_);
-    Replace(Point);
-  };
-  std::lock_guard<std::mutex> Lock(StartMutex_);
-  if (!Stopping_)
-    Reader_ = std::make_unique<logclient::Reader>(
-        Log_, Start.From_, logclient::ReaderSettings(), std::move(Events));
-}
-
 void EntryRole::onDatagram(const net::Address &From, const std::string &Bytes) {
   auto Message = wire::decodeDatagram(Bytes);
   entry::ControlLoop *Control = ControlPointer_;
@@ -281,21 +211,14 @@
 
 void EntryRole::stop() {
   Control_.post(entry::StopRequested());
-  {
-    std::lock_guard<std::mutex> Lock(StartMutex_);
-    Stopping_ = true;
-  }
-  StartChanged_.notify_all();
-  Starter_.join();
   Requests_.stop();
   Http_.stop();
   // Waits until the fold shows that the cells were given back.
   Control_.waitUntil(
       [](const entry::EntryState &State) { return State.Pending_.empty(); },
       StopAppends);
-  if (Reader_)
-    Reader_->stop();
-  Appender_.stop();
+  Log_.stop();
+  States_.stop();
 }
 
 std::string EntryRole::cutOff() const {
--- a/lib/entry/include/nutmegwell/entry/controlloop.h
+++ b/lib/entry/include/nutmegwell/entry/controlloop.h
@@ -35,6 +35,10 @@
   /// full; the event is then lost like a datagram.
   bool post(Event What);
 
+  /// The same for an event that must not be lost: waits for room. Not for the
+  /// control thread itself.
+  bool postWait(Event What);
+
   /// Appends a record and waits for the fold's verdict. Fails with
   /// ResourceExhausted when nothing was appended and with DeadlineExceeded when
   /// the verdict is not known in time.
--- a/lib/entry/src/controlloop.cpp
+++ b/lib/entry/src/controlloop.cpp
@@ -30,6 +30,10 @@
 
 bool ControlLoop::post(Event What) { return Queue_.push(std::move(What)); }
 
+bool ControlLoop::postWait(Event What) {
+  return Queue_.pushWait(std::move(What));
+}
+
 absl::StatusOr<CommandReply> ControlLoop::submit(model::RecordBody Body,
                                                  core::Duration Timeout) {
   std::future<CommandReply> Reply;
