Settle records in doubt and match verdicts to attempts in entry control

Verdicts now name the attempt; a reservation is dropped when its job no longer waits. - An append in doubt that never reached the log stayed pending for ever, so a cell was never renewed and a gang never left its phase. It now counts as lost when a later record of the same writer is read, or when a read to the tail that began 2 s after the failure has not found it. - A host that had just started refused possible jobs and valid tables for good, since it knew no pools or workers yet.

EntrySettings gets Decide_, through which tests replace the plan.

--- a/lib/entry/include/nutmegwell/entry/control.h
+++ b/lib/entry/include/nutmegwell/entry/control.h
@@ -5,7 +5,9 @@
 #include "nutmegwell/model/controlstate.h"
 #include "nutmegwell/model/messages.h"
 #include "nutmegwell/routing/snapshot.h"
+#include "nutmegwell/sched/plan.h"
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -29,6 +31,9 @@
   core::Duration StartPermit_ = std::chrono::seconds(2);
   /// Age of the last read at the log's tail up to which permits are given.
   core::Duration LogFreshness_ = std::chrono::seconds(1);
+  /// Time after which an append in doubt that a read to the log's tail did not
+  /// find counts as lost.
+  core::Duration DoubtTime_ = std::chrono::seconds(2);
   core::Duration TaskLease_ = std::chrono::seconds(15);
   core::Duration ReservationLease_ = std::chrono::seconds(5);
   /// Time from the commit in which every task of a gang must have started.
@@ -42,6 +47,7 @@
   core::Duration HeartbeatInterval_ = std::chrono::seconds(1);
   core::Duration PeerLapse_ = std::chrono::seconds(3);
   membership::MembershipSettings Membership_;
+  std::function<sched::Plan(const sched::CellView &)> Decide_ = sched::decide;
 };
 
 /// What this host knows of one cell's tenure.
@@ -97,6 +103,11 @@
   std::uint64_t Ticket_ = 0;
   model::DomainName Domain_;
   core::JobId Job_;
+  std::uint32_t Attempt_ = 0;
+  /// When the step asked for the append; set for cell records.
+  core::TimePoint AppendedAt_{};
+  /// When the append failed in doubt, or zero.
+  core::TimePoint DoubtSince_{};
 };
 
 struct EntryState {
--- a/lib/entry/src/cells.cpp
+++ b/lib/entry/src/cells.cpp
@@ -1,5 +1,6 @@
 #include "parts.h"
 
+#include <algorithm>
 #include <functional>
 
 namespace nutmegwell::entry {
@@ -37,7 +38,7 @@
   append(State, Out,
          model::CellClaimed{Domain, Next, State.Settings_.Node_,
                             State.Settings_.Incarnation_},
-         PendingRecord{0, Domain, {}});
+         PendingRecord{0, Domain, {}, 0, Now, {}});
   Tracker.Pending_ = true;
   Tracker.PendingSince_ = Now;
 }
@@ -46,7 +47,7 @@
            CellTracker &Tracker, core::Term Term, core::TimePoint Now,
            Effects &Out) {
   append(State, Out, model::CellRenewed{Domain, Term},
-         PendingRecord{0, Domain, {}});
+         PendingRecord{0, Domain, {}, 0, Now, {}});
   Tracker.Pending_ = true;
   Tracker.PendingSince_ = Now;
 }
@@ -87,7 +88,10 @@
   Tracker.Pending_ = false;
   if (!Result.Accepted_)
     return;
-  Tracker.MineUntil_ = Tracker.PendingSince_ + State.Settings_.CellLease_;
+  // A record that was settled late must not extend the lease by the time of a
+  // later one.
+  Tracker.MineUntil_ = std::max(
+      Tracker.MineUntil_, Purpose.AppendedAt_ + State.Settings_.CellLease_);
   State.Dirty_ = true;
   if (!WasHeld)
     Out.Changes_.push_back(
--- a/lib/entry/src/commands.cpp
+++ b/lib/entry/src/commands.cpp
@@ -15,8 +15,33 @@
                           std::move(Findings)});
 }
 
+void refuseNotReady(const Command &What, Effects &Out) {
+  refuse(What, "not_ready",
+         "the entry host has just started and may not know every worker yet",
+         Out);
+}
+
+/// Returns true when no worker is known of a domain whose pool would take the
+/// job.
+bool lacksDomain(const EntryState &State, const model::JobSpec &Spec) {
+  const model::DomainCapacity Capacity = membership::capacityOf(State.Nodes_);
+  for (const model::PoolRow &Row : State.Fold_.Pools_.Rows_)
+    if (Row.Account_ == Spec.Account_ && Row.Service_ == Spec.Service_ &&
+        Spec.accelerators() <= Row.Limit_ && !Capacity.count(Row.Domain_))
+      return true;
+  return false;
+}
+
+/// Returns true when this host has read the log and has had time to hear from
+/// every worker, so that what it finds impossible is so.
+bool knowsWorkers(const EntryState &State, core::TimePoint Now) {
+  return State.LastTail_ != core::TimePoint{} &&
+         Now - State.StartedAt_ >= State.Settings_.Membership_.LapseAfter_;
+}
+
 /// Refuses commands that must not reach the log. Returns true for a refusal.
-bool refusedEarly(const EntryState &State, const Command &What, Effects &Out) {
+bool refusedEarly(const EntryState &State, const Command &What,
+                  core::TimePoint Now, Effects &Out) {
   if (State.Stopping_) {
     refuse(What, "stopping", "the entry host is stopping", Out);
     return true;
@@ -31,6 +56,10 @@
   if (auto *Pools = std::get_if<model::PoolsPublished>(&What.Body_))
     Findings = model::validatePools(Pools->Table_, State.Fold_.Routes_,
                                     membership::capacityOf(State.Nodes_));
+  if (!Findings.empty() && !knowsWorkers(State, Now)) {
+    refuseNotReady(What, Out);
+    return true;
+  }
   if (!Findings.empty()) {
     refuse(What, "invalid_table", "the table has findings", Out, Findings);
     return true;
@@ -39,6 +68,11 @@
     std::string Reason =
         sched::impossibleReason(Submitted->Spec_, State.Fold_.Pools_,
                                 membership::capacityOf(State.Nodes_));
+    if (!Reason.empty() &&
+        (!knowsWorkers(State, Now) || lacksDomain(State, Submitted->Spec_))) {
+      refuseNotReady(What, Out);
+      return true;
+    }
     if (!Reason.empty()) {
       refuse(What, "impossible_job", Reason, Out);
       return true;
@@ -53,10 +87,12 @@
 
 } // namespace
 
-void onCommand(EntryState &State, const Command &What, Effects &Out) {
-  if (refusedEarly(State, What, Out))
+void onCommand(EntryState &State, const Command &What, core::TimePoint Now,
+               Effects &Out) {
+  if (refusedEarly(State, What, Now, Out))
     return;
-  append(State, Out, What.Body_, PendingRecord{What.Ticket_, {}, {}});
+  append(State, Out, What.Body_,
+         PendingRecord{What.Ticket_, {}, {}, 0, {}, {}});
 }
 
 std::string explain(const EntryState &State, const core::JobId &Id) {
--- a/lib/entry/src/control.cpp
+++ b/lib/entry/src/control.cpp
@@ -2,6 +2,8 @@
 
 #include "parts.h"
 
+#include <algorithm>
+
 namespace nutmegwell::entry {
 
 namespace {
@@ -27,6 +29,20 @@
     onGangRecord(State, Purpose, Result, Now, Out);
 }
 
+/// Settles as rejected the records that \p Lost selects among those pending.
+template <typename Predicate>
+void settleLost(EntryState &State, core::TimePoint Now, Effects &Out,
+                Predicate Lost) {
+  std::vector<core::RecordId> Ids;
+  for (const auto &[Id, Purpose] : State.Pending_)
+    if (Lost(Id, Purpose))
+      Ids.push_back(Id);
+  for (const core::RecordId &Id : Ids)
+    settle(State,
+           {Id, false, "log_unavailable", "the record did not reach the log"},
+           Now, Out);
+}
+
 /// Notes since when each waiting job has waited.
 void noteJobs(EntryState &State, core::TimePoint Now) {
   for (const auto &[Id, Target] : State.Fold_.Jobs_) {
@@ -54,8 +70,13 @@
     return;
   for (const model::Record &Change : What.Records_) {
     model::FoldResult Result = model::apply(State.Fold_, Change, What.At_);
-    if (Result.Id_.Writer_ == State.Settings_.Incarnation_)
-      settle(State, Result, Now, Out);
+    if (Result.Id_.Writer_ != State.Settings_.Incarnation_)
+      continue;
+    // The fold rejects what this host appended before and has not read yet.
+    settleLost(State, Now, Out, [&Result](const core::RecordId &Id, auto &) {
+      return Id < Result.Id_;
+    });
+    settle(State, Result, Now, Out);
   }
   State.Fold_.Next_ = What.At_ + 1;
   noteCells(State, Now);
@@ -109,14 +130,26 @@
     Known->second.Ticket_ = 0;
   }
   // A record in doubt stays pending: the fold may still settle it.
-  if (What.InDoubt_)
+  if (What.InDoubt_) {
+    Known->second.DoubtSince_ = Now;
     return;
+  }
   model::FoldResult Result;
   Result.Id_ = What.Id_;
   Result.Code_ = "log_unavailable";
   settle(State, Result, Now, Out);
 }
 
+void onLogTail(EntryState &State, const LogTail &What, core::TimePoint Now,
+               Effects &Out) {
+  State.LastTail_ = std::max(State.LastTail_, What.ReadAt_);
+  const core::TimePoint Settled = What.ReadAt_ - State.Settings_.DoubtTime_;
+  settleLost(State, Now, Out, [Settled](const auto &, const auto &Purpose) {
+    return Purpose.DoubtSince_ != core::TimePoint{} &&
+           Purpose.DoubtSince_ <= Settled;
+  });
+}
+
 void sendEntryHeartbeats(EntryState &State, core::TimePoint Now, Effects &Out) {
   if (Now - State.LastHeartbeat_ < State.Settings_.HeartbeatInterval_)
     return;
@@ -183,13 +216,13 @@
 Effects step(EntryState &State, const Event &What, core::TimePoint Now) {
   Effects Out;
   if (auto *Asked = std::get_if<Command>(&What))
-    onCommand(State, *Asked, Out);
+    onCommand(State, *Asked, Now, Out);
   else if (auto *Entry = std::get_if<LogEntry>(&What))
     onLogEntry(State, *Entry, Now, Out);
   else if (auto *Replaced = std::get_if<LogReplaced>(&What))
     onLogReplaced(State, *Replaced, Now, Out);
   else if (auto *Tail = std::get_if<LogTail>(&What))
-    State.LastTail_ = Tail->ReadAt_;
+    onLogTail(State, *Tail, Now, Out);
   else if (auto *Failed = std::get_if<AppendFailed>(&What))
     onAppendFailed(State, *Failed, Now, Out);
   else if (auto *Message = std::get_if<DatagramReceived>(&What))
--- a/lib/entry/src/gangs.cpp
+++ b/lib/entry/src/gangs.cpp
@@ -144,7 +144,7 @@
          model::JobRequeued{Target.Job_, Target.Attempt_, Target.Domain_,
                             Target.Term_, joinedCheckpoint(State, Target),
                             Known.Reason_, Target.TaskFailed_},
-         PendingRecord{0, {}, Target.Job_});
+         PendingRecord{0, {}, Target.Job_, Target.Attempt_, {}, {}});
 }
 
 /// What the members of a started gang report.
@@ -197,7 +197,7 @@
   append(State, Out,
          model::JobFinished{Target.Job_, Target.Attempt_, Target.Domain_,
                             Target.Term_, model::JobState::Finished, ""},
-         PendingRecord{0, {}, Target.Job_});
+         PendingRecord{0, {}, Target.Job_, Target.Attempt_, {}, {}});
 }
 
 void advanceStarted(EntryState &State, Gang &Target, core::TimePoint Now,
@@ -278,14 +278,17 @@
                      });
 }
 
+bool runs(const model::Job &Known) {
+  return Known.State_ == model::JobState::Running ||
+         Known.State_ == model::JobState::Stopping;
+}
+
 /// Adopts attempts of held cells and drops gangs whose attempt is over or whose
 /// cell is no longer held.
 void reconcile(EntryState &State, core::TimePoint Now, Effects &Out) {
   for (const auto &[Id, Known] : State.Fold_.Jobs_)
-    if ((Known.State_ == model::JobState::Running ||
-         Known.State_ == model::JobState::Stopping) &&
-        holds(State, Known.Domain_, Now) && !State.Gangs_.count(Id) &&
-        mayAdopt(State, Known, Now))
+    if (runs(Known) && holds(State, Known.Domain_, Now) &&
+        !State.Gangs_.count(Id) && mayAdopt(State, Known, Now))
       adopt(State, Known, Now);
   for (auto Place = State.Gangs_.begin(); Place != State.Gangs_.end();) {
     Gang &Target = Place->second;
@@ -293,9 +296,10 @@
     bool Committed = Target.Phase_ != GangPhase::Reserving &&
                      Target.Phase_ != GangPhase::Committing;
     bool Over = Known == State.Fold_.Jobs_.end() ||
-                isFinal(Known->second.State_) ||
                 !holds(State, Target.Domain_, Now) ||
-                (Committed && Known->second.Attempt_ != Target.Attempt_);
+                (Committed ? !runs(Known->second) ||
+                                 Known->second.Attempt_ != Target.Attempt_
+                           : Known->second.State_ != model::JobState::Waiting);
     Target.Term_ = ownTerm(State, Target.Domain_);
     if (Over && !Committed)
       abandon(State, Target, Now, Out);
@@ -344,7 +348,7 @@
   append(State, Out,
          model::JobStopping{Target.Job_, Target.Attempt_, Target.Domain_,
                             Target.Term_, Reason},
-         PendingRecord{0, {}, Target.Job_});
+         PendingRecord{0, {}, Target.Job_, Target.Attempt_, {}, {}});
 }
 
 void onReserveAnswer(EntryState &State, const model::ReserveAnswer &Answer,
@@ -370,14 +374,16 @@
   append(State, Out,
          model::JobCommitted{Target.Job_, Target.Attempt_, Target.Domain_,
                              Target.Term_, Target.Placement_},
-         PendingRecord{0, {}, Target.Job_});
+         PendingRecord{0, {}, Target.Job_, Target.Attempt_, {}, {}});
 }
 
 void onGangRecord(EntryState &State, const PendingRecord &Purpose,
                   const model::FoldResult &Result, core::TimePoint Now,
                   Effects &Out) {
   auto Known = State.Gangs_.find(Purpose.Job_);
-  if (Known == State.Gangs_.end())
+  // A record of an attempt that was given up may settle after the next attempt
+  // has begun.
+  if (Known == State.Gangs_.end() || Known->second.Attempt_ != Purpose.Attempt_)
     return;
   Gang &Target = Known->second;
   Target.RecordPending_ = false;
--- a/lib/entry/src/parts.h
+++ b/lib/entry/src/parts.h
@@ -10,7 +10,8 @@
 core::RecordId append(EntryState &State, Effects &Out, model::RecordBody Body,
                       PendingRecord Purpose);
 
-void onCommand(EntryState &State, const Command &What, Effects &Out);
+void onCommand(EntryState &State, const Command &What, core::TimePoint Now,
+               Effects &Out);
 void onDatagram(EntryState &State, const DatagramReceived &What,
                 core::TimePoint Now, Effects &Out);
 
--- a/lib/entry/src/schedule.cpp
+++ b/lib/entry/src/schedule.cpp
@@ -137,7 +137,8 @@
     if (holds(State, Domain, Now))
       Held.push_back(Domain);
   for (const model::DomainName &Domain : Held)
-    apply(State, Domain, sched::decide(makeView(State, Domain, Now)), Now, Out);
+    apply(State, Domain, State.Settings_.Decide_(makeView(State, Domain, Now)),
+          Now, Out);
 }
 
 } // namespace nutmegwell::entry
