Wait out every lease before an attempt counts as stopped

The new holder counted the lease from its own last contact.

Ruled out: late messages of the old holder; agents refuse its term.

Conclusion: an unreachable worker delays its job until no process can have renewed its lease; that is up to 10 min when the former holder is gone as well.

--- a/lib/agent/src/control.cpp
+++ b/lib/agent/src/control.cpp
@@ -2,11 +2,15 @@
 
 #include "shares.h"
 
+#include <algorithm>
+
 namespace nutmegwell::agent {
 
 namespace {
 
 constexpr std::size_t MaxSentAt = 16;
+/// Checkpoint grace when no holder asked for the stop.
+constexpr auto LapseGrace = std::chrono::seconds(5);
 
 void sendHeartbeats(AgentState &State, core::TimePoint Now, Effects &Out) {
   State.LastHeartbeat_ = Now;
@@ -81,13 +85,12 @@
 }
 
 void stopAll(AgentState &State, core::TimePoint Now, Effects &Out) {
-  constexpr auto Grace = std::chrono::seconds(5);
   std::vector<ShareKey> Keys;
   for (const auto &[Key, Known] : State.Shares_)
     if (!ended(Known.State_))
       Keys.push_back(Key);
   for (const ShareKey &Key : Keys)
-    stop(State, Key, Grace, Now, Out);
+    stop(State, Key, LapseGrace, Now, Out);
 }
 
 /// Asks again for what the runtime has not done yet.
@@ -97,7 +100,11 @@
     return;
   State.LastListing_ = Now;
   ListTasks Listing;
-  Listing.Lease_ = State.Settings_.RuntimeLease_;
+  // The runtime's lease must not outlast the task lease: an agent that is
+  // paused or dies while cut off cannot stop its tasks.
+  Listing.Lease_ = std::clamp<core::Duration>(
+      State.LeaseUntil_ + LapseGrace - Now, core::Duration::zero(),
+      State.Settings_.RuntimeLease_);
   for (const auto &[Key, Known] : State.Shares_) {
     bool Stopping = Known.State_ == model::TaskState::Stopping;
     for (std::size_t I = 0; I < Known.Tasks_.size(); ++I) {
--- a/lib/entry/include/nutmegwell/entry/control.h
+++ b/lib/entry/include/nutmegwell/entry/control.h
@@ -35,6 +35,13 @@
   /// find counts as lost.
   core::Duration DoubtTime_ = std::chrono::seconds(2);
   core::Duration TaskLease_ = std::chrono::seconds(15);
+  /// Time beyond a task lease and the checkpoint grace after which an agent
+  /// that is not heard certainly runs nothing: 2 s for a call to its runtime, 1
+  /// s for timers.
+  core::Duration StopMargin_ = std::chrono::seconds(3);
+  /// Time since its last read at the log's tail for which a holder renews task
+  /// leases. Longer than the log's outages, since gangs end with it.
+  core::Duration OutageLease_ = std::chrono::minutes(10);
   core::Duration ReservationLease_ = std::chrono::seconds(5);
   /// Time from the commit in which every task of a gang must have started.
   core::Duration StartBound_ = std::chrono::seconds(5);
@@ -50,6 +57,17 @@
   std::function<sched::Plan(const sched::CellView &)> Decide_ = sched::decide;
 };
 
+/// A process that held a cell and may still renew task leases in it, because it
+/// may not have read the claim that ended its tenure.
+struct FormerHolder {
+  model::NodeName Node_;
+  core::Incarnation Incarnation_ = 0;
+  /// First offset behind the claim.
+  core::Offset Claimed_ = 0;
+  /// When this host read the claim.
+  core::TimePoint Since_{};
+};
+
 /// What this host knows of one cell's tenure.
 struct CellTracker {
   std::uint64_t Renewals_ = 0;
@@ -59,6 +77,13 @@
   core::TimePoint MineUntil_{};
   bool Pending_ = false;
   core::TimePoint PendingSince_{};
+  /// Tenure as this host read it last.
+  core::Term Term_ = 0;
+  model::NodeName Holder_;
+  core::Incarnation HolderIncarnation_ = 0;
+  std::vector<FormerHolder> Former_;
+  /// Latest time at which a former holder may have renewed a task lease.
+  core::TimePoint RenewedUntil_{};
 };
 
 enum class GangPhase : std::uint8_t {
--- a/lib/entry/src/cells.cpp
+++ b/lib/entry/src/cells.cpp
@@ -52,6 +52,31 @@
   Tracker.PendingSince_ = Now;
 }
 
+/// Notes who held the cell before a new tenure. A holder that released the cell
+/// renews nothing from then on.
+void noteTenure(const EntryState &State, CellTracker &Tracker,
+                const model::Cell &Tenure, core::TimePoint Now) {
+  const core::Offset Read = State.Fold_.Next_;
+  if (Tracker.Term_ != 0 && Tenure.Term_ != Tracker.Term_ &&
+      !Tracker.Holder_.empty())
+    Tracker.Former_.push_back(
+        {Tracker.Holder_, Tracker.HolderIncarnation_, Read, Now});
+  // A snapshot can hide tenures in between; their holders are not known.
+  if (Tenure.Term_ > Tracker.Term_ + 1)
+    Tracker.Former_.push_back({"", 0, Read, Now});
+  if (Tenure.Holder_.empty() && !Tracker.Holder_.empty())
+    Tracker.RenewedUntil_ = Now;
+  Tracker.Term_ = Tenure.Term_;
+  Tracker.Holder_ = Tenure.Holder_;
+  Tracker.HolderIncarnation_ = Tenure.HolderIncarnation_;
+  auto IsOwn = [&State](const FormerHolder &Former) {
+    return Former.Incarnation_ == State.Settings_.Incarnation_;
+  };
+  Tracker.Former_.erase(
+      std::remove_if(Tracker.Former_.begin(), Tracker.Former_.end(), IsOwn),
+      Tracker.Former_.end());
+}
+
 } // namespace
 
 core::Term ownTerm(const EntryState &State, const model::DomainName &Domain) {
@@ -77,9 +102,35 @@
       Place->second.Renewals_ = Tenure.Renewals_;
       Place->second.SeenAt_ = Now;
     }
+    noteTenure(State, Place->second, Tenure, Now);
   }
 }
 
+void confirmFormer(EntryState &State, const PeerEntry &Peer,
+                   const model::NodeName &Name, core::TimePoint Now) {
+  for (auto &[Domain, Tracker] : State.Cells_)
+    for (auto Place = Tracker.Former_.begin();
+         Place != Tracker.Former_.end();) {
+      bool Ended =
+          Place->Node_ == Name && (Place->Incarnation_ != Peer.Incarnation_ ||
+                                   Peer.Next_ >= Place->Claimed_);
+      if (Ended)
+        Tracker.RenewedUntil_ = Now;
+      Place = Ended ? Tracker.Former_.erase(Place) : std::next(Place);
+    }
+}
+
+core::TimePoint renewedByOthers(const EntryState &State,
+                                const model::DomainName &Domain) {
+  auto Known = State.Cells_.find(Domain);
+  if (Known == State.Cells_.end())
+    return {};
+  core::TimePoint Until = Known->second.RenewedUntil_;
+  for (const FormerHolder &Former : Known->second.Former_)
+    Until = std::max(Until, Former.Since_ + State.Settings_.OutageLease_);
+  return Until;
+}
+
 void onCellRecord(EntryState &State, const PendingRecord &Purpose,
                   const model::FoldResult &Result, core::TimePoint Now,
                   Effects &Out) {
--- a/lib/entry/src/datagrams.cpp
+++ b/lib/entry/src/datagrams.cpp
@@ -14,7 +14,8 @@
   Ack.Term_ = ownTerm(State, Beat.Domain_);
   if (Ack.Term_ == 0 || State.Stopping_)
     return Ack;
-  Ack.TaskLease_ = State.Settings_.TaskLease_;
+  if (Now - State.LastTail_ < State.Settings_.OutageLease_)
+    Ack.TaskLease_ = State.Settings_.TaskLease_;
   if (holds(State, Beat.Domain_, Now) && fresh(State, Now) &&
       model::inService(State.Fold_, Beat.Domain_))
     Ack.StartPermit_ = State.Settings_.StartPermit_;
@@ -58,8 +59,9 @@
                       core::TimePoint Now) {
   if (Beat.Node_ == State.Settings_.Node_)
     return;
-  State.Peers_[Beat.Node_] =
-      PeerEntry{Beat.Incarnation_, Beat.Next_, Now, Beat.Leaving_};
+  PeerEntry &Peer = State.Peers_[Beat.Node_];
+  Peer = PeerEntry{Beat.Incarnation_, Beat.Next_, Now, Beat.Leaving_};
+  confirmFormer(State, Peer, Beat.Node_, Now);
 }
 
 } // namespace
--- a/lib/entry/src/gangs.cpp
+++ b/lib/entry/src/gangs.cpp
@@ -93,18 +93,27 @@
                const model::NodeName &Worker, core::Incarnation Process,
                core::TimePoint Now) {
   const membership::Node *Known = findNode(State, Worker);
+  const EntrySettings &Settings = State.Settings_;
+  // An agent that is cut off from this host may still have heard from an
+  // earlier holder.
+  const core::TimePoint Renewed =
+      std::max(Known ? Known->LastHeard_ : Target.Since_,
+               renewedByOthers(State, Target.Domain_));
+  const bool LeaseOver = Now - Renewed >= Settings.TaskLease_ +
+                                              Settings.CheckpointGrace_ +
+                                              Settings.StopMargin_;
   if (!Known)
-    return Now - Target.Since_ >= State.Settings_.TaskLease_;
+    return LeaseOver;
   // A new process of an agent stops what its predecessor left behind before it
-  // sends its first heartbeat.
-  if (Known->Last_.Incarnation_ != Process)
+  // sends its first heartbeat. A worker that was not known when the gang was
+  // adopted may still be the process that runs it.
+  if (Process != 0 && Known->Last_.Incarnation_ != Process)
     return true;
   const model::TaskReport *Report =
       findReport(State, Worker, Target.Job_, Target.Attempt_);
   if (Report && ended(Report->State_))
     return true;
-  return Now - Known->LastHeard_ >=
-         State.Settings_.TaskLease_ + State.Settings_.CheckpointGrace_;
+  return LeaseOver;
 }
 
 void advanceReserving(EntryState &State, Gang &Target, core::TimePoint Now,
--- a/lib/entry/src/parts.h
+++ b/lib/entry/src/parts.h
@@ -18,6 +18,13 @@
 /// Claims, renews and releases cells.
 void advanceCells(EntryState &State, core::TimePoint Now, Effects &Out);
 void noteCells(EntryState &State, core::TimePoint Now);
+/// Forgets former holders that have read of the end of their tenure.
+void confirmFormer(EntryState &State, const PeerEntry &Peer,
+                   const model::NodeName &Name, core::TimePoint Now);
+/// Returns the latest time at which another process may have renewed task
+/// leases of a cell; it may lie in the future.
+core::TimePoint renewedByOthers(const EntryState &State,
+                                const model::DomainName &Domain);
 void onCellRecord(EntryState &State, const PendingRecord &Purpose,
                   const model::FoldResult &Result, core::TimePoint Now,
                   Effects &Out);
