--- a/lib/entry/include/nutmegwell/entry/control.h
+++ b/lib/entry/include/nutmegwell/entry/control.h
@@ -5,7 +5,9 @@
 #include "nutmegwell/model/controlstate.h"
 #include "nutmegwell/model/messages.h"
 #include "nutmegwell/routing/snapshot.h"
+#include "nutmegwell/sched/plan.h"
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -29,7 +31,17 @@
   core::Duration StartPermit_ = std::chrono::seconds(2);
   /// Age of the last read at the log's tail up to which permits are given.
   core::Duration LogFreshness_ = std::chrono::seconds(1);
+  /// Time after which an append in doubt that a read to the log's tail did not
+  /// find counts as lost.
+  core::Duration DoubtTime_ = std::chrono::seconds(2);
   core::Duration TaskLease_ = std::chrono::seconds(15);
+  /// Time beyond a task lease and the checkpoint grace after which an agent
+  /// that is not heard certainly runs nothing: 2 s for a call to its runtime, 1
+  /// s for timers.
+  core::Duration StopMargin_ = std::chrono::seconds(3);
+  /// Time since its last read at the log's tail for which a holder renews task
+  /// leases. Longer than the log's outages, since gangs end with it.
+  core::Duration OutageLease_ = std::chrono::minutes(10);
   core::Duration ReservationLease_ = std::chrono::seconds(5);
   /// Time from the commit in which every task of a gang must have started.
   core::Duration StartBound_ = std::chrono::seconds(5);
@@ -42,6 +54,19 @@
   core::Duration HeartbeatInterval_ = std::chrono::seconds(1);
   core::Duration PeerLapse_ = std::chrono::seconds(3);
   membership::MembershipSettings Membership_;
+  std::function<sched::Plan(const sched::CellView &)> Decide_ =
+      [](const sched::CellView &View) { return sched::decide(View); };
+};
+
+/// A process that held a cell and may still renew task leases in it, because it
+/// may not have read the claim that ended its tenure.
+struct FormerHolder {
+  model::NodeName Node_;
+  core::Incarnation Incarnation_ = 0;
+  /// First offset behind the claim.
+  core::Offset Claimed_ = 0;
+  /// When this host read the claim.
+  core::TimePoint Since_{};
 };
 
 /// What this host knows of one cell's tenure.
@@ -53,6 +78,13 @@
   core::TimePoint MineUntil_{};
   bool Pending_ = false;
   core::TimePoint PendingSince_{};
+  /// Tenure as this host read it last.
+  core::Term Term_ = 0;
+  model::NodeName Holder_;
+  core::Incarnation HolderIncarnation_ = 0;
+  std::vector<FormerHolder> Former_;
+  /// Latest time at which a former holder may have renewed a task lease.
+  core::TimePoint RenewedUntil_{};
 };
 
 enum class GangPhase : std::uint8_t {
@@ -97,6 +129,11 @@
   std::uint64_t Ticket_ = 0;
   model::DomainName Domain_;
   core::JobId Job_;
+  std::uint32_t Attempt_ = 0;
+  /// When the step asked for the append; set for cell records.
+  core::TimePoint AppendedAt_{};
+  /// When the append failed in doubt, or zero.
+  core::TimePoint DoubtSince_{};
 };
 
 struct EntryState {
--- a/lib/entry/src/cells.cpp
+++ b/lib/entry/src/cells.cpp
@@ -1,5 +1,6 @@
 #include "parts.h"
 
+#include <algorithm>
 #include <functional>
 
 namespace nutmegwell::entry {
@@ -37,7 +38,7 @@
   append(State, Out,
          model::CellClaimed{Domain, Next, State.Settings_.Node_,
                             State.Settings_.Incarnation_},
-         PendingRecord{0, Domain, {}});
+         PendingRecord{0, Domain, {}, 0, Now, {}});
   Tracker.Pending_ = true;
   Tracker.PendingSince_ = Now;
 }
@@ -46,11 +47,36 @@
            CellTracker &Tracker, core::Term Term, core::TimePoint Now,
            Effects &Out) {
   append(State, Out, model::CellRenewed{Domain, Term},
-         PendingRecord{0, Domain, {}});
+         PendingRecord{0, Domain, {}, 0, Now, {}});
   Tracker.Pending_ = true;
   Tracker.PendingSince_ = Now;
 }
 
+/// Notes who held the cell before a new tenure. A holder that released the cell
+/// renews nothing from then on.
+void noteTenure(const EntryState &State, CellTracker &Tracker,
+                const model::Cell &Tenure, core::TimePoint Now) {
+  const core::Offset Read = State.Fold_.Next_;
+  if (Tracker.Term_ != 0 && Tenure.Term_ != Tracker.Term_ &&
+      !Tracker.Holder_.empty())
+    Tracker.Former_.push_back(
+        {Tracker.Holder_, Tracker.HolderIncarnation_, Read, Now});
+  // A snapshot can hide tenures in between; their holders are not known.
+  if (Tenure.Term_ > Tracker.Term_ + 1)
+    Tracker.Former_.push_back({"", 0, Read, Now});
+  if (Tenure.Holder_.empty() && !Tracker.Holder_.empty())
+    Tracker.RenewedUntil_ = Now;
+  Tracker.Term_ = Tenure.Term_;
+  Tracker.Holder_ = Tenure.Holder_;
+  Tracker.HolderIncarnation_ = Tenure.HolderIncarnation_;
+  auto IsOwn = [&State](const FormerHolder &Former) {
+    return Former.Incarnation_ == State.Settings_.Incarnation_;
+  };
+  Tracker.Former_.erase(
+      std::remove_if(Tracker.Former_.begin(), Tracker.Former_.end(), IsOwn),
+      Tracker.Former_.end());
+}
+
 } // namespace
 
 core::Term ownTerm(const EntryState &State, const model::DomainName &Domain) {
@@ -76,9 +102,35 @@
       Place->second.Renewals_ = Tenure.Renewals_;
       Place->second.SeenAt_ = Now;
     }
+    noteTenure(State, Place->second, Tenure, Now);
   }
 }
 
+void confirmFormer(EntryState &State, const PeerEntry &Peer,
+                   const model::NodeName &Name, core::TimePoint Now) {
+  for (auto &[Domain, Tracker] : State.Cells_)
+    for (auto Place = Tracker.Former_.begin();
+         Place != Tracker.Former_.end();) {
+      bool Ended =
+          Place->Node_ == Name && (Place->Incarnation_ != Peer.Incarnation_ ||
+                                   Peer.Next_ >= Place->Claimed_);
+      if (Ended)
+        Tracker.RenewedUntil_ = Now;
+      Place = Ended ? Tracker.Former_.erase(Place) : std::next(Place);
+    }
+}
+
+core::TimePoint renewedByOthers(const EntryState &State,
+                                const model::DomainName &Domain) {
+  auto Known = State.Cells_.find(Domain);
+  if (Known == State.Cells_.end())
+    return {};
+  core::TimePoint Until = Known->second.RenewedUntil_;
+  for (const FormerHolder &Former : Known->second.Former_)
+    Until = std::max(Until, Former.Since_ + State.Settings_.OutageLease_);
+  return Until;
+}
+
 void onCellRecord(EntryState &State, const PendingRecord &Purpose,
                   const model::FoldResult &Result, core::TimePoint Now,
                   Effects &Out) {
@@ -87,7 +139,10 @@
   Tracker.Pending_ = false;
   if (!Result.Accepted_)
     return;
-  Tracker.MineUntil_ = Tracker.PendingSince_ + State.Settings_.CellLease_;
+  // A record that was settled late must not extend the lease by the time of a
+  // later one.
+  Tracker.MineUntil_ = std::max(
+      Tracker.MineUntil_, Purpose.AppendedAt_ + State.Settings_.CellLease_);
   State.Dirty_ = true;
   if (!WasHeld)
     Out.Changes_.push_back(
--- a/lib/entry/src/parts.h
+++ b/lib/entry/src/parts.h
@@ -10,13 +10,21 @@
 core::RecordId append(EntryState &State, Effects &Out, model::RecordBody Body,
                       PendingRecord Purpose);
 
-void onCommand(EntryState &State, const Command &What, Effects &Out);
+void onCommand(EntryState &State, const Command &What, core::TimePoint Now,
+               Effects &Out);
 void onDatagram(EntryState &State, const DatagramReceived &What,
                 core::TimePoint Now, Effects &Out);
 
 /// Claims, renews and releases cells.
 void advanceCells(EntryState &State, core::TimePoint Now, Effects &Out);
 void noteCells(EntryState &State, core::TimePoint Now);
+/// Forgets former holders that have read of the end of their tenure.
+void confirmFormer(EntryState &State, const PeerEntry &Peer,
+                   const model::NodeName &Name, core::TimePoint Now);
+/// Returns the latest time at which another process may have renewed task
+/// leases of a cell; it may lie in the future.
+core::TimePoint renewedByOthers(const EntryState &State,
+                                const model::DomainName &Domain);
 void onCellRecord(EntryState &State, const PendingRecord &Purpose,
                   const model::FoldResult &Result, core::TimePoint Now,
                   Effects &Out);
--- a/lib/entry/src/schedule.cpp
+++ b/lib/entry/src/schedule.cpp
@@ -132,7 +132,7 @@
     return "nothing starts in failure domain " + Domain +
            " until the log is available again";
   for (const sched::WaitReason &Wait :
-       sched::decide(makeView(State, Domain, Now)).Waits_)
+       State.Settings_.Decide_(makeView(State, Domain, Now)).Waits_)
     if (Wait.Job_ == Id)
       return Wait.Reason_;
   return std::string();
@@ -187,7 +187,8 @@
     if (holds(State, Domain, Now))
       Held.push_back(Domain);
   for (const model::DomainName &Domain : Held)
-    apply(State, Domain, sched::decide(makeView(State, Domain, Now)), Now, Out);
+    apply(State, Domain, State.Settings_.Decide_(makeView(State, Domain, Now)),
+          Now, Out);
 }
 
 } // namespace nutmegwell::entry
--- /dev/null
+++ b/tests/e2e/load.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "cluster.h"
+#include "nutmegwell/history/event.h"
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace e2e {
+
+/// Records the events of a run from several threads.
+class Recorder {
+public:
+  void add(const std::string &Process, nutmegwell::history::EventBody Body);
+
+  /// Returns the recorded events with those that the stand-ins of \p All
+  /// printed, in order of time.
+  nutmegwell::history::History finish(Cluster &All);
+
+private:
+  std::mutex Mutex_;
+  std::vector<nutmegwell::history::Event> Events_;
+};
+
+/// Callers that send requests until they are told to stop.
+class Load {
+public:
+  /// Half of the \p Callers send keyed requests, which they repeat through the
+  /// other entry host until they have an answer; the others send GETs.
+  Load(Cluster &All, Recorder &Run, int Callers);
+  Load(const Load &) = delete;
+  Load &operator=(const Load &) = delete;
+  ~Load() { stop(); }
+
+  /// Waits until this many more requests were answered. Returns false after
+  /// \p Limit.
+  bool waitAnswers(int Count,
+                   std::chrono::milliseconds Limit = std::chrono::seconds(30));
+
+  /// Ends the load after the calls in progress.
+  void stop();
+
+  int answered() const { return Answered_; }
+  int unknown() const { return Unknown_; }
+
+private:
+  void callLoop(int Caller);
+  bool callOnce(int Entry, const std::string &Call, const std::string &Key);
+
+  Cluster &All_;
+  Recorder &Run_;
+  std::atomic<bool> Stopping_{false};
+  std::atomic<int> Answered_{0};
+  std::atomic<int> Unknown_{0};
+  std::mutex Mutex_;
+  std::condition_variable Changed_;
+  std::vector<std::thread> Threads_;
+};
+
+/// Fails the test with a description when a rule is broken.
+void assertRules(const nutmegwell::history::History &Run);
+
+} // namespace e2e
--- a/tests/e2e/process.h
+++ b/tests/e2e/process.h
@@ -10,6 +10,11 @@
 
 namespace e2e {
 
+struct Line {
+  std::chrono::steady_clock::time_point At_;
+  std::string Text_;
+};
+
 /// A child process whose output lines the test can wait for.
 class Process {
 public:
@@ -27,7 +32,7 @@
 
   /// Returns how many lines so far contain \p Text.
   int countLines(const std::string &Text);
-  std::vector<std::string> lines();
+  std::vector<Line> lines();
 
   void signal(int Signal);
 
@@ -44,7 +49,7 @@
   int Status_ = 0;
   std::mutex Mutex_;
   std::condition_variable Changed_;
-  std::vector<std::string> Lines_;
+  std::vector<Line> Lines_;
   bool Ended_ = false;
   std::thread Reader_;
 };
