Test the request path under faults

Change: entry-request-test (mocked transport, log and clock; 9 tests) and entry-fault-test (entry hosts and agents over sockets; 11 tests).

--- /dev/null
+++ b/lib/entry/tests/faulttest.cpp
@@ -0,0 +1,383 @@
+#include "nutmegwell/wire/binary.h"
+#include "testworld.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace nutmegwell;
+using namespace std::chrono_literals;
+using test::summary;
+
+// The whole path over sockets: entry hosts, framed TCP, agents, and a function
+// in place of the upstream.
+//
+// fault                                   expected effect                test
+// answer to another attempt comes first   dropped crossedAnswerIsDropped
+// connection goes silent, new ones work   "unknown", retried when
+// silentConnectionIsLeft
+//                                           idempotent
+// slow upstream                           Working frames keep it alive
+// workingFramesKeepSlowRequest agent killed after dispatch, replaced "unknown",
+// never run again     replacedAgentEndsInUnknown
+//   with empty state
+// repeat through another entry host       the answer of the one run
+// repeatGetsTheSameAnswer
+//   during and after
+// append lost after effect                refused; a repeat runs once
+// lostAppendResultRunsOnce upstream connection refused             not run,
+// released              unreachableUpstreamIsNotRun agent stops under load
+// nothing cut, no new work       agentStopCutsNothing foreign frame at an agent
+// connection closed              foreignFrameClosesConnection bad announcement
+// refused                        badAnnouncementIsRefused
+
+namespace {
+
+/// An agent with a function in place of its upstream.
+struct TestAgent {
+  using Call = std::function<absl::StatusOr<net::HttpResponse>(
+      const net::HttpRequest &)>;
+
+  TestAgent(std::string Name, core::Incarnation Incarnation,
+            const net::Address &Listen, Call Upstream, std::uint32_t Slots = 4)
+      : Name_(std::move(Name)), Slots_(Slots) {
+    Settings_.Incarnation_ = Incarnation;
+    Settings_.Listen_ = Listen;
+    Settings_.Announce_ = {"127.0.0.1", net::freeTcpPort()};
+    Settings_.WorkingInterval_ = 20ms;
+    // Announced once in a test.
+    Settings_.AnnounceValid_ = 1h;
+    agent::RequestServerHooks Hooks;
+    Hooks.Call_ = [Upstream](const net::Address &,
+                             const net::HttpRequest &Request,
+                             core::Duration) { return Upstream(Request); };
+    Server_.emplace(Settings_, Hooks);
+    CPPUNIT_ASSERT_EQUAL(200u,
+                         announce("POST", R"({"service":"s","port":1,)"
+                                          R"("slots":)" +
+                                              std::to_string(Slots) + "}"));
+  }
+
+  unsigned announce(const std::string &Method, const std::string &Body) {
+    net::HttpRequest Request;
+    Request.Method_ = Method;
+    Request.Path_ = "/announce";
+    Request.Body_ = Body;
+    auto Response = net::HttpClient(Settings_.Announce_).call(Request, 10s);
+    return Response.ok() ? Response->Status_ : 0;
+  }
+
+  void addTo(test::Snapshots &Snapshots) const {
+    Snapshots.addAgent(Name_, Settings_.Incarnation_,
+                       net::toString(Settings_.Listen_), Slots_);
+  }
+
+  const std::string Name_;
+  const std::uint32_t Slots_;
+  agent::RequestServerSettings Settings_;
+  std::optional<agent::RequestServer> Server_;
+};
+
+absl::StatusOr<net::HttpResponse> echo(const net::HttpRequest &Request) {
+  return net::HttpResponse{200, "text/plain", Request.Body_};
+}
+
+} // namespace
+
+class FaultTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FaultTest);
+  CPPUNIT_TEST(crossedAnswerIsDropped);
+  CPPUNIT_TEST(silentConnectionIsLeft);
+  CPPUNIT_TEST(workingFramesKeepSlowRequest);
+  CPPUNIT_TEST(replacedAgentEndsInUnknown);
+  CPPUNIT_TEST(repeatGetsTheSameAnswer);
+  CPPUNIT_TEST(lostAppendResultRunsOnce);
+  CPPUNIT_TEST(lostUpstreamAnswerIsUnknown);
+  CPPUNIT_TEST(unreachableUpstreamIsNotRun);
+  CPPUNIT_TEST(agentStopCutsNothing);
+  CPPUNIT_TEST(foreignFrameClosesConnection);
+  CPPUNIT_TEST(badAnnouncementIsRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+  test::Snapshots Snapshots_;
+  test::Log Log_;
+  net::Address Address_{"127.0.0.1", net::freeTcpPort()};
+
+  std::unique_ptr<entry::RequestService> entryHost(core::Incarnation Own,
+                                                   core::Duration Silence) {
+    entry::TransportSettings Transport;
+    Transport.SilenceLimit_ = Silence;
+    entry::RequestServiceHooks Hooks;
+    Hooks.Snapshot_ = Snapshots_.source();
+    Hooks.Intents_ = Log_.store();
+    Hooks.Transport_ = entry::tcpTransport(Transport);
+    Hooks.Random_ = core::seededRandom(Own);
+    return std::make_unique<entry::RequestService>(
+        entry::RequestServiceSettings{Own}, Hooks);
+  }
+
+  /// Guards against a caller that gets another caller's answer.
+  void crossedAnswerIsDropped() {
+    net::FrameServer Agent(
+        Address_, {},
+        [](net::FrameConnection &Connection, const std::string &Bytes) {
+          const core::AttemptId Own =
+              std::get<model::RequestFrame>(*wire::decodeFrame(Bytes)).Attempt_;
+          const model::AnswerFrame Late{
+              {Own.Writer_, Own.Sequence_ + 1}, 200, "text/plain", "another's"};
+          const model::AnswerFrame Right{Own, 200, "text/plain", "own"};
+          return Connection.send(wire::encode(model::Frame(Late))).ok() &&
+                 Connection.send(wire::encode(model::Frame(Right))).ok();
+        });
+    Snapshots_.addAgent("u", 7, net::toString(Address_), 4);
+    auto Entry = entryHost(9, 10s);
+    for (int I = 0; I < 3; ++I)
+      CPPUNIT_ASSERT_EQUAL(std::string("200 own"),
+                           summary(Entry->handle(test::get("/i"))));
+  }
+
+  /// Guards against a request that hangs on a dead connection, and against a
+  /// retry of one that must not run twice.
+  void silentConnectionIsLeft() {
+    std::atomic<int> Frames{0};
+    net::FrameServer Agent(Address_, {},
+                           [&](net::FrameConnection &, const std::string &) {
+                             ++Frames;
+                             return true;
+                           });
+    Snapshots_.addAgent("silent", 7, net::toString(Address_), 4);
+    auto Entry = entryHost(9, 50ms);
+    CPPUNIT_ASSERT_EQUAL(std::string("504 unknown connection_silent"),
+                         summary(Entry->handle(test::post("k"))));
+    CPPUNIT_ASSERT_EQUAL(1, Frames.load());
+    TestAgent Other("other", 8, {"127.0.0.1", net::freeTcpPort()}, echo);
+    Other.addTo(Snapshots_);
+    int Answered = 0;
+    for (int I = 0; I < 10; ++I)
+      Answered += Entry->handle(test::get("/i")).Status_ == 200;
+    CPPUNIT_ASSERT_EQUAL(10, Answered);
+  }
+
+  /// Guards against a slow request that is taken for a silent connection.
+  void workingFramesKeepSlowRequest() {
+    constexpr core::Duration Silence = 500ms;
+    std::promise<void> Never;
+    TestAgent Agent("u", 7, Address_, [&](const net::HttpRequest &Request) {
+      Never.get_future().wait_for(3 * Silence);
+      return echo(Request);
+    });
+    Agent.addTo(Snapshots_);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("200 k"),
+        summary(entryHost(9, Silence)->handle(test::post("k"))));
+  }
+
+  /// Guards against a second run after the agent that may have run it has gone.
+  void replacedAgentEndsInUnknown() {
+    std::atomic<int> Runs{0};
+    auto Killed = std::make_unique<net::FrameServer>(
+        Address_, net::FrameLimits(),
+        [&](net::FrameConnection &, const std::string &) {
+          ++Runs;
+          return false;
+        });
+    Snapshots_.addAgent("u", 7, net::toString(Address_), 4);
+    auto Entry = entryHost(9, 10s);
+    auto Other = entryHost(10, 10s);
+    CPPUNIT_ASSERT_EQUAL(std::string("504 unknown connection_lost"),
+                         summary(Entry->handle(test::post("k"))));
+    Killed.reset();
+    TestAgent Replaced("u", 8, Address_, [&](const net::HttpRequest &Request) {
+      ++Runs;
+      return echo(Request);
+    });
+    // Before the entry hosts hear of it, and after.
+    CPPUNIT_ASSERT_EQUAL(std::string("504 unknown other_incarnation"),
+                         summary(Other->handle(test::post("k"))));
+    CPPUNIT_ASSERT_EQUAL(std::string("503 not_run other_incarnation"),
+                         summary(Other->handle(test::post("new"))));
+    Snapshots_.change(
+        [](routing::RoutingSnapshot &Value) { Value.Upstreams_.clear(); });
+    Replaced.addTo(Snapshots_);
+    CPPUNIT_ASSERT_EQUAL(std::string("504 unknown agent_replaced"),
+                         summary(Entry->handle(test::post("k"))));
+    CPPUNIT_ASSERT_EQUAL(1, Runs.load());
+    CPPUNIT_ASSERT_EQUAL(std::string("200 new"),
+                         summary(Entry->handle(test::post("new"))));
+  }
+
+  /// Guards against a repeat that runs again or gets no answer.
+  void repeatGetsTheSameAnswer() {
+    test::Gate Gate;
+    TestAgent Agent("u", 7, Address_, [&](const net::HttpRequest &Request) {
+      Gate.pass();
+      return net::HttpResponse{201, "text/plain",
+                               Request.Body_ + std::to_string(Gate.arrived())};
+    });
+    Agent.addTo(Snapshots_);
+    auto First = entryHost(9, 10s);
+    auto Second = entryHost(10, 10s);
+    auto Original = std::async(std::launch::async,
+                               [&] { return First->handle(test::post("k")); });
+    const test::OpenAtExit Open{Gate};
+    Gate.awaitArrivals(1);
+    auto Repeat = std::async(std::launch::async,
+                             [&] { return Second->handle(test::post("k")); });
+    Gate.open();
+    CPPUNIT_ASSERT_EQUAL(std::string("201 k1"), summary(Original.get()));
+    CPPUNIT_ASSERT_EQUAL(std::string("201 k1"), summary(Repeat.get()));
+    First.reset();
+    CPPUNIT_ASSERT_EQUAL(std::string("201 k1"),
+                         summary(Second->handle(test::post("k"))));
+    CPPUNIT_ASSERT_EQUAL(1, Gate.arrived());
+  }
+
+  /// Guards against an intent that blocks its key, or a key that runs twice,
+  /// after the result of an append was lost.
+  void lostAppendResultRunsOnce() {
+    std::atomic<int> Runs{0};
+    TestAgent Agent("u", 7, Address_, [&](const net::HttpRequest &Request) {
+      ++Runs;
+      return echo(Request);
+    });
+    Agent.addTo(Snapshots_);
+    auto First = entryHost(9, 10s);
+    auto Second = entryHost(10, 10s);
+    Log_.setMode(test::Log::Mode::LosesResults);
+    CPPUNIT_ASSERT_EQUAL(std::string("503 not_run log_unavailable"),
+                         summary(First->handle(test::post("k"))));
+    CPPUNIT_ASSERT_EQUAL(0, Runs.load());
+    Log_.setMode(test::Log::Mode::Works);
+    for (entry::RequestService *Each : {Second.get(), First.get()})
+      CPPUNIT_ASSERT_EQUAL(std::string("200 k"),
+                           summary(Each->handle(test::post("k"))));
+    CPPUNIT_ASSERT_EQUAL(1, Runs.load());
+  }
+
+  /// Guards against "not run" for a request whose effect took place.
+  void lostUpstreamAnswerIsUnknown() {
+    std::atomic<int> Runs{0};
+    TestAgent Agent(
+        "u", 7, Address_,
+        [&](const net::HttpRequest &) -> absl::StatusOr<net::HttpResponse> {
+          ++Runs;
+          return core::makeError(absl::StatusCode::kUnavailable, "exchange", "",
+                                 "closed");
+        });
+    Agent.addTo(Snapshots_);
+    auto First = entryHost(9, 10s);
+    auto Second = entryHost(10, 10s);
+    for (entry::RequestService *Each : {First.get(), Second.get()})
+      CPPUNIT_ASSERT_EQUAL(std::string("504 unknown upstream_failed"),
+                           summary(Each->handle(test::post("k"))));
+    CPPUNIT_ASSERT_EQUAL(1, Runs.load());
+  }
+
+  /// Guards against "unknown" for what certainly did not run, and against a
+  /// key that stays taken after it.
+  void unreachableUpstreamIsNotRun() {
+    bool Reachable = false;
+    TestAgent Agent("u", 7, Address_,
+                    [&](const net::HttpRequest &Request)
+                        -> absl::StatusOr<net::HttpResponse> {
+                      if (Reachable)
+                        return echo(Request);
+                      return core::makeError(absl::StatusCode::kUnavailable,
+                                             "connect", "", "refused");
+                    });
+    Agent.addTo(Snapshots_);
+    auto Entry = entryHost(9, 10s);
+    CPPUNIT_ASSERT_EQUAL(std::string("503 not_run upstream_unreachable"),
+                         summary(Entry->handle(test::post("k"))));
+    CPPUNIT_ASSERT(!Log_.find({"a", "k"}));
+    Reachable = true;
+    CPPUNIT_ASSERT_EQUAL(std::string("200 k"),
+                         summary(Entry->handle(test::post("k"))));
+  }
+
+  /// Guards against a graceful stop that cuts requests or lets new ones in.
+  void agentStopCutsNothing() {
+    test::Gate Gate;
+    std::atomic<int> Leaving{0};
+    TestAgent Left("left", 7, Address_, [&](const net::HttpRequest &Request) {
+      ++Leaving;
+      Gate.pass();
+      return echo(Request);
+    });
+    test::Gate Elsewhere;
+    Elsewhere.open();
+    TestAgent Stays("stays", 8, {"127.0.0.1", net::freeTcpPort()},
+                    [&](const net::HttpRequest &Request) {
+                      Elsewhere.pass();
+                      return echo(Request);
+                    });
+    Left.addTo(Snapshots_);
+    Stays.addTo(Snapshots_);
+    auto Entry = entryHost(9, 10s);
+    std::atomic<int> Answered{0};
+    std::vector<std::future<void>> Callers;
+    const test::OpenAtExit Open{Gate};
+    for (int Caller = 0; Caller < 6; ++Caller)
+      Callers.push_back(std::async(std::launch::async, [&, Caller] {
+        for (int I = 0; I < 100; ++I) {
+          const std::string Key = std::to_string(Caller * 100 + I);
+          Answered += summary(Entry->handle(test::post(Key))) == "200 " + Key;
+        }
+      }));
+    Gate.awaitArrivals(1);
+    // The snapshot still names the agent: its refusals send requests away.
+    Left.Server_->leave();
+    const std::uint32_t InFlight = Left.Server_->upstream().InFlight_;
+    Elsewhere.awaitArrivals(Elsewhere.arrived() + 50);
+    // Heartbeats have told the entry host; then the agent stops.
+    Snapshots_.change([](routing::RoutingSnapshot &Value) {
+      Value.Upstreams_[0].Usable_ = false;
+    });
+    Entry->snapshotChanged();
+    auto Stopped =
+        std::async(std::launch::async, [&] { Left.Server_->stop(); });
+    while (net::FrameConnection::connect(Address_, {}, 5s).ok())
+      std::this_thread::yield();
+    Gate.open();
+    Stopped.get();
+    for (auto &Each : Callers)
+      Each.get();
+    CPPUNIT_ASSERT_EQUAL(600, Answered.load());
+    CPPUNIT_ASSERT(InFlight >= 1);
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(InFlight), Leaving.load());
+  }
+
+  /// Guards against input that ends the agent.
+  void foreignFrameClosesConnection() {
+    TestAgent Agent("u", 7, Address_, echo);
+    const std::string Truncated =
+        wire::encode(model::Frame(model::RequestFrame())).substr(0, 20);
+    for (const std::string &Bytes :
+         {std::string(), std::string("GET / HTTP/1.1\r\n\r\n"), Truncated,
+          wire::encode(model::Frame(model::StateFrame()))}) {
+      auto Connection = net::FrameConnection::connect(Address_, {}, 5s);
+      CPPUNIT_ASSERT((*Connection)->send(Bytes).ok());
+      CPPUNIT_ASSERT(absl::IsUnavailable((*Connection)->receive(5s).status()));
+    }
+    Agent.addTo(Snapshots_);
+    CPPUNIT_ASSERT_EQUAL(std::string("200 k"),
+                         summary(entryHost(9, 10s)->handle(test::post("k"))));
+  }
+
+  /// Guards against an upstream that replaces another by accident, and against
+  /// one that leaves and still gets work.
+  void badAnnouncementIsRefused() {
+    TestAgent Agent("u", 7, Address_, echo);
+    for (const char *Bad :
+         {"", "[]", "{}", R"({"service":"t","port":70000,"slots":1})",
+          R"({"service":"t","port":1,"slots":0})",
+          R"({"service":"","port":1,"slots":1})",
+          R"({"service":"t","port":"x","slots":1})"})
+      CPPUNIT_ASSERT_EQUAL(400u, Agent.announce("POST", Bad));
+    CPPUNIT_ASSERT_EQUAL(std::string("s"), Agent.Server_->upstream().Service_);
+    CPPUNIT_ASSERT_EQUAL(200u, Agent.announce("DELETE", ""));
+    CPPUNIT_ASSERT(Agent.Server_->upstream().Leaving_);
+    Agent.addTo(Snapshots_);
+    CPPUNIT_ASSERT_EQUAL(std::string("503 not_run leaving"),
+                         summary(entryHost(9, 10s)->handle(test::post("k"))));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FaultTest);
--- /dev/null
+++ b/lib/entry/tests/requestservicetest.cpp
@@ -0,0 +1,296 @@
+#include "testworld.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace nutmegwell;
+using namespace std::chrono_literals;
+using routing::Outcome;
+using test::summary;
+
+// fault                              expected effect                     test
+// requests that cannot be routed     refused, JSON error, not sent
+// refusalsNameTheirReason burst beyond the bounds            refused as not
+// run, queue bounded   burstIsRefusedBeyondBounds every attempt fails retries
+// within the budget           retryBudgetHoldsUnderTotalFailure attempt lost
+// retried only when idempotent        onlyIdempotentIsRetried upstream appears
+// while waiting     the waiting request is served       newUpstreamServesWaiter
+// upstream leaves                    no request after the snapshot
+// leavingUpstreamGetsNothing stop with requests in flight       answered; new
+// ones refused          stopFinishesRequests log out around the intent refused,
+// nothing sent               logOutageRefusesKeyedRequests settling append
+// fails              appended again                      settlingIsTriedAgain
+
+class RequestServiceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RequestServiceTest);
+  CPPUNIT_TEST(refusalsNameTheirReason);
+  CPPUNIT_TEST(burstIsRefusedBeyondBounds);
+  CPPUNIT_TEST(retryBudgetHoldsUnderTotalFailure);
+  CPPUNIT_TEST(onlyIdempotentIsRetried);
+  CPPUNIT_TEST(newUpstreamServesWaiter);
+  CPPUNIT_TEST(leavingUpstreamGetsNothing);
+  CPPUNIT_TEST(stopFinishesRequests);
+  CPPUNIT_TEST(logOutageRefusesKeyedRequests);
+  CPPUNIT_TEST(settlingIsTriedAgain);
+  CPPUNIT_TEST_SUITE_END();
+
+  test::Snapshots Snapshots_;
+  test::Log Log_;
+  test::Gate Gate_;
+  std::atomic<int> Sent_{0};
+  entry::RequestServiceHooks Hooks_;
+
+public:
+  void setUp() override {
+    Snapshots_.addAgent("u0", 7, "u0", 2);
+    Hooks_.Snapshot_ = Snapshots_.source();
+    Hooks_.Intents_ = Log_.store();
+    Hooks_.Random_ = core::seededRandom(1);
+    Hooks_.Transport_.Run_ = [this](const std::string &,
+                                    const model::RequestFrame &Frame,
+                                    core::TimePoint) {
+      ++Sent_;
+      return answered(Frame);
+    };
+  }
+
+private:
+  static routing::AttemptResult answered(const model::RequestFrame &Frame) {
+    routing::AttemptResult Result;
+    Result.End_ = Outcome::Answered;
+    Result.Answer_ = {Frame.Attempt_, 200, "text/plain", Frame.Body_};
+    return Result;
+  }
+
+  /// Makes every attempt end with \p End.
+  void failAttempts(Outcome End) {
+    Hooks_.Transport_.Run_ = [this, End](const std::string &,
+                                         const model::RequestFrame &,
+                                         core::TimePoint) {
+      ++Sent_;
+      routing::AttemptResult Result;
+      Result.End_ = End;
+      Result.Failure_.Code_ = "failed";
+      return Result;
+    };
+  }
+
+  /// Makes every attempt wait at the gate.
+  void holdAttempts() {
+    Hooks_.Transport_.Run_ = [this](const std::string &,
+                                    const model::RequestFrame &Frame,
+                                    core::TimePoint) {
+      ++Sent_;
+      Gate_.pass();
+      return answered(Frame);
+    };
+  }
+
+  /// Guards against errors that a caller cannot act on.
+  void refusalsNameTheirReason() {
+    entry::RequestService Service({9}, Hooks_);
+    CPPUNIT_ASSERT_EQUAL(std::string("404 not_run no_route"),
+                         summary(Service.handle(test::get("/other"))));
+    net::HttpRequest Request = test::post("k");
+    Request.Headers_.pop_back();
+    CPPUNIT_ASSERT_EQUAL(std::string("400 not_run key_required"),
+                         summary(Service.handle(Request)));
+    Request.Headers_[0].second = "b";
+    CPPUNIT_ASSERT_EQUAL(std::string("403 not_run account_unknown"),
+                         summary(Service.handle(Request)));
+    Request.Headers_.clear();
+    CPPUNIT_ASSERT_EQUAL(std::string("401 not_run account_missing"),
+                         summary(Service.handle(Request)));
+    CPPUNIT_ASSERT_EQUAL(0, Sent_.load());
+    CPPUNIT_ASSERT_EQUAL(std::string("200 k"),
+                         summary(Service.handle(test::post("k"))));
+  }
+
+  /// Guards against a queue without bound and refusals of requests that ran.
+  void burstIsRefusedBeyondBounds() {
+    Snapshots_.change([](routing::RoutingSnapshot &Value) {
+      Value.Pools_.Rows_[0].Requests_ = 12;
+      Value.Routes_.Rows_[0].Queue_ = 3;
+    });
+    holdAttempts();
+    test::Gate Refusals;
+    Refusals.open();
+    Hooks_.Observer_.Ended_ = [&](const entry::RequestRecord &Record) {
+      if (Record.Outcome_ == Outcome::NotRun)
+        Refusals.pass();
+    };
+    entry::RequestService Service({9}, Hooks_);
+    std::vector<std::future<std::string>> Callers;
+    const test::OpenAtExit Open{Gate_};
+    for (int I = 0; I < 20; ++I)
+      Callers.push_back(std::async(std::launch::async, [&Service, I] {
+        return summary(Service.handle(test::post(std::to_string(I))));
+      }));
+    // Two slots and three places in the queue.
+    Refusals.awaitArrivals(15);
+    Gate_.open();
+    int Answered = 0;
+    int Refused = 0;
+    for (auto &Each : Callers) {
+      const std::string Result = Each.get();
+      Answered += Result.rfind("200 ", 0) == 0;
+      Refused += Result == "429 not_run overloaded";
+    }
+    CPPUNIT_ASSERT_EQUAL(5, Answered);
+    CPPUNIT_ASSERT_EQUAL(15, Refused);
+    CPPUNIT_ASSERT_EQUAL(5, Sent_.load());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Service.inFlight());
+  }
+
+  /// Guards against retries that multiply the load of an outage.
+  void retryBudgetHoldsUnderTotalFailure() {
+    for (int I = 1; I < 6; ++I)
+      Snapshots_.addAgent("u" + std::to_string(I), 7, "u", 8);
+    failAttempts(Outcome::Unknown);
+    const core::TimePoint Frozen{1h};
+    Hooks_.Clock_.Now_ = [Frozen] { return Frozen; };
+    entry::RequestService Service({9}, Hooks_);
+    constexpr int Requests = 200;
+    for (int I = 0; I < Requests; ++I)
+      CPPUNIT_ASSERT_EQUAL(std::string("504 unknown failed"),
+                           summary(Service.handle(test::get("/i"))));
+    const int Retries = Sent_ - Requests;
+    CPPUNIT_ASSERT(Retries > Requests / 10);
+    CPPUNIT_ASSERT(Retries <= Requests / 10 + 10);
+  }
+
+  /// Guards against a second run of a non-idempotent request.
+  void onlyIdempotentIsRetried() {
+    Snapshots_.addAgent("u1", 7, "u1", 2);
+    failAttempts(Outcome::Unknown);
+    entry::RequestService Service({9}, Hooks_);
+    Service.handle(test::get("/i"));
+    CPPUNIT_ASSERT_EQUAL(2, Sent_.exchange(0));
+    CPPUNIT_ASSERT_EQUAL(std::string("504 unknown failed"),
+                         summary(Service.handle(test::post("k"))));
+    CPPUNIT_ASSERT_EQUAL(1, Sent_.load());
+  }
+
+  /// Guards against a request that waits although an upstream is free.
+  void newUpstreamServesWaiter() {
+    holdAttempts();
+    entry::RequestService Service({9}, Hooks_);
+    std::vector<std::future<net::HttpResponse>> Callers;
+    const test::OpenAtExit Open{Gate_};
+    for (int I = 0; I < 3; ++I)
+      Callers.push_back(std::async(
+          std::launch::async, [&] { return Service.handle(test::get("/i")); }));
+    Gate_.awaitArrivals(2);
+    Snapshots_.addAgent("u1", 7, "u1", 2);
+    Service.snapshotChanged();
+    Gate_.awaitArrivals(3);
+    Gate_.open();
+    for (auto &Each : Callers)
+      CPPUNIT_ASSERT_EQUAL(200u, Each.get().Status_);
+  }
+
+  /// Guards against work for an upstream that leaves.
+  void leavingUpstreamGetsNothing() {
+    Snapshots_.addAgent("u1", 7, "u1", 2);
+    std::map<std::string, int> Counts;
+    Hooks_.Transport_.Run_ = [&](const std::string &Address,
+                                 const model::RequestFrame &Frame,
+                                 core::TimePoint) {
+      ++Counts[Address];
+      return answered(Frame);
+    };
+    entry::RequestService Service({9}, Hooks_);
+    for (int I = 0; I < 100; ++I)
+      Service.handle(test::get("/i"));
+    CPPUNIT_ASSERT(Counts["u0"] > 0 && Counts["u1"] > 0);
+    Snapshots_.change([](routing::RoutingSnapshot &Value) {
+      Value.Upstreams_[0].Usable_ = false;
+    });
+    const int Before = Counts["u0"];
+    for (int I = 0; I < 100; ++I)
+      Service.handle(test::get("/i"));
+    CPPUNIT_ASSERT_EQUAL(Before, Counts["u0"]);
+    CPPUNIT_ASSERT_EQUAL(200 - Before, Counts["u1"]);
+  }
+
+  /// Guards against a stop that cuts requests or never ends.
+  void stopFinishesRequests() {
+    holdAttempts();
+    Snapshots_.change([](routing::RoutingSnapshot &Value) {
+      Value.Pools_.Rows_[0].Requests_ = 3;
+    });
+    test::Gate Admitted;
+    Admitted.open();
+    Hooks_.Intents_.Find_ = [&](const model::IntentKey &Key) {
+      Admitted.pass();
+      return Log_.find(Key);
+    };
+    entry::RequestService Service({9}, Hooks_);
+    // The third request waits for a slot.
+    std::vector<std::future<std::string>> Callers;
+    const test::OpenAtExit Open{Gate_};
+    for (int I = 0; I < 3; ++I)
+      Callers.push_back(std::async(std::launch::async, [&Service, I] {
+        return summary(Service.handle(test::post(std::to_string(I))));
+      }));
+    Admitted.awaitArrivals(3);
+    Gate_.awaitArrivals(2);
+    auto Stopped = std::async(std::launch::async, [&] { Service.stop(5s); });
+    // Refused for the account's bound until the stop is under way.
+    while (summary(Service.handle(test::get("/i"))) != "503 not_run stopping")
+      std::this_thread::yield();
+    Gate_.open();
+    for (int I = 0; I < 3; ++I)
+      CPPUNIT_ASSERT_EQUAL("200 " + std::to_string(I), Callers[I].get());
+    Stopped.get();
+    for (int I = 0; I < 3; ++I)
+      CPPUNIT_ASSERT(Log_.find({"a", std::to_string(I)})->State_ ==
+                     model::IntentState::Settled);
+  }
+
+  /// Guards against a non-idempotent dispatch that the log does not know.
+  void logOutageRefusesKeyedRequests() {
+    const std::string Refused = "503 not_run log_unavailable";
+    entry::RequestService Service({9}, Hooks_);
+    Snapshots_.change(
+        [](routing::RoutingSnapshot &Value) { Value.LogAvailable_ = false; });
+    CPPUNIT_ASSERT_EQUAL(Refused, summary(Service.handle(test::post("k"))));
+    CPPUNIT_ASSERT_EQUAL(0, Log_.Appends_);
+    CPPUNIT_ASSERT_EQUAL(200u, Service.handle(test::get("/i")).Status_);
+    Snapshots_.change(
+        [](routing::RoutingSnapshot &Value) { Value.LogAvailable_ = true; });
+    Sent_ = 0;
+    Log_.setMode(test::Log::Mode::LosesAppends);
+    CPPUNIT_ASSERT_EQUAL(Refused, summary(Service.handle(test::post("k"))));
+    Log_.setMode(test::Log::Mode::LosesResults);
+    CPPUNIT_ASSERT_EQUAL(Refused, summary(Service.handle(test::post("l"))));
+    CPPUNIT_ASSERT_EQUAL(0, Sent_.load());
+  }
+
+  /// Guards against answered keys that stay open for good.
+  void settlingIsTriedAgain() {
+    Hooks_.Transport_.Run_ = [this](const std::string &,
+                                    const model::RequestFrame &Frame,
+                                    core::TimePoint) {
+      Log_.setMode(test::Log::Mode::LosesAppends);
+      return answered(Frame);
+    };
+    test::Gate Appended;
+    Appended.open();
+    Hooks_.Intents_.Submit_ = [&](model::RecordBody Body, core::Duration) {
+      auto Result = Log_.submit(std::move(Body));
+      Appended.pass();
+      return Result;
+    };
+    entry::RequestService Service({9}, Hooks_);
+    CPPUNIT_ASSERT_EQUAL(std::string("200 k"),
+                         summary(Service.handle(test::post("k"))));
+    Appended.awaitArrivals(2);
+    CPPUNIT_ASSERT(Log_.find({"a", "k"})->State_ ==
+                   model::IntentState::Dispatched);
+    Log_.setMode(test::Log::Mode::Works);
+    Service.stop(30s);
+    CPPUNIT_ASSERT(Log_.find({"a", "k"})->State_ ==
+                   model::IntentState::Settled);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestServiceTest);
--- a/lib/routing/src/request.cpp
+++ b/lib/routing/src/request.cpp
@@ -46,12 +46,17 @@
   return effect(State, EffectKind::Query);
 }
 
-/// Starts another attempt when attempts, time and the budget allow it. A slot
-/// refused as busy costs no budget: the agent did no work for it.
+/// Returns true for refusals that cost the agent no work and are expected in
+/// normal operation; a retry after one takes nothing from the budget.
+bool isFreeRefusal(const std::string &Code) {
+  return Code == "busy" || Code == "leaving";
+}
+
+/// Starts another attempt when attempts, time and the budget allow it.
 RequestEffect retry(RequestState &State, Outcome End, RetryBudget &Budget,
                     core::TimePoint Now) {
   if (State.Attempts_ >= MaxAttempts || Now >= State.Deadline_ ||
-      (State.Last_.Code_ != "busy" && !takeRetry(Budget, Now)))
+      (!isFreeRefusal(State.Last_.Code_) && !takeRetry(Budget, Now)))
     return finish(State, End, State.Last_);
   return effect(State, EffectKind::Choose);
 }
@@ -82,7 +87,9 @@
 
 RequestEffect on(RequestState &State, const UpstreamMissing &Event,
                  RetryBudget &, core::TimePoint) {
-  return finish(State, Outcome::NotRun, Event.Failure_);
+  // Why the last attempt failed tells more than that no other is possible.
+  return finish(State, Outcome::NotRun,
+                State.Last_.Code_.empty() ? Event.Failure_ : State.Last_);
 }
 
 RequestEffect onRecorded(RequestState &State, const IntentAppended &Event,
