Stop a failed gang without waiting for the log

Cause: a gang that lost a member was stopped only after its JobStopping record was read, and a holder dropped its gangs when its cell lease ran out. During a log outage the rest of the gang went on, renewed by the holder's acknowledgements, for as long as the outage lasted.

Change: Stop goes out together with the record; the requeue still needs the log. Committed gangs are driven until a higher term is known. Nothing is appended for gangs while the log is unavailable. A holder that was paused adds the pause to the time at which it last heard its peers, since a node that seems lapsed after a pause would now be stopped at once.

Ruled out: permits and late starts; no task started during the outages.

Conclusion: an attempt that fails during an outage is stopped within the bound.

--- a/lib/entry/include/nutmegwell/entry/control.h
+++ b/lib/entry/include/nutmegwell/entry/control.h
@@ -53,6 +53,8 @@
   core::Duration ScheduleInterval_ = std::chrono::milliseconds(500);
   core::Duration HeartbeatInterval_ = std::chrono::seconds(1);
   core::Duration PeerLapse_ = std::chrono::seconds(3);
+  /// Time without a tick after which this process counts as paused.
+  core::Duration PauseAfter_ = std::chrono::seconds(1);
   membership::MembershipSettings Membership_;
   std::function<sched::Plan(const sched::CellView &)> Decide_ = sched::decide;
 };
@@ -111,6 +113,7 @@
   /// Workers that have answered the step of the phase.
   std::set<model::NodeName> Answered_;
   bool TaskFailed_ = false;
+  std::string StopReason_;
   /// True while a record that ends the phase is on its way to the log.
   bool RecordPending_ = false;
 };
@@ -152,6 +155,7 @@
   core::TimePoint LastHeartbeat_{};
   core::TimePoint LastSchedule_{};
   core::TimePoint StartedAt_{};
+  core::TimePoint LastTick_{};
   bool LogAvailable_ = false;
   bool Stopping_ = false;
   /// True when something changed that may let a job start.
--- a/lib/entry/src/control.cpp
+++ b/lib/entry/src/control.cpp
@@ -168,7 +168,22 @@
   }
 }
 
+/// Discounts a pause of this process: what it did not hear meanwhile says
+/// nothing about its peers.
+void notePause(EntryState &State, core::TimePoint Now) {
+  const core::Duration Gap = Now - State.LastTick_;
+  if (State.LastTick_ != core::TimePoint{} &&
+      Gap >= State.Settings_.PauseAfter_) {
+    for (auto &[Name, Known] : State.Nodes_.Nodes_)
+      Known.LastHeard_ = std::min(Now, Known.LastHeard_ + Gap);
+    for (auto &[Name, Peer] : State.Peers_)
+      Peer.LastHeard_ = std::min(Now, Peer.LastHeard_ + Gap);
+  }
+  State.LastTick_ = Now;
+}
+
 void onTick(EntryState &State, core::TimePoint Now, Effects &Out) {
+  notePause(State, Now);
   for (const auto &Change :
        membership::advance(State.Nodes_, Now, State.Settings_.Membership_)) {
     Out.RoutingChanged_ = true;
--- a/lib/entry/src/gangs.cpp
+++ b/lib/entry/src/gangs.cpp
@@ -145,14 +145,17 @@
     if (stoppedOn(State, Target, Worker, Process, Now))
       Target.Answered_.insert(Worker);
   sendStops(State, Target, Now, Out);
-  if (Target.Answered_.size() < Target.Members_.size() || Target.RecordPending_)
+  if (Target.Answered_.size() < Target.Members_.size() ||
+      Target.RecordPending_ || !State.LogAvailable_)
     return;
   Target.RecordPending_ = true;
   const model::Job &Known = State.Fold_.Jobs_.at(Target.Job_);
   append(State, Out,
          model::JobRequeued{Target.Job_, Target.Attempt_, Target.Domain_,
                             Target.Term_, joinedCheckpoint(State, Target),
-                            Known.Reason_, Target.TaskFailed_},
+                            Known.Reason_.empty() ? Target.StopReason_
+                                                  : Known.Reason_,
+                            Target.TaskFailed_},
          PendingRecord{0, {}, Target.Job_, Target.Attempt_, {}, {}});
 }
 
@@ -216,22 +219,26 @@
   GangReport Report = inspect(State, Target, Now);
   const model::Job &Known = State.Fold_.Jobs_.at(Target.Job_);
   Target.TaskFailed_ = Report.TaskFailed_;
-  if (Report.Done_ == Target.Members_.size())
-    return finish(State, Target, Now, Out);
+  if (Report.Done_ == Target.Members_.size()) {
+    if (State.LogAvailable_)
+      finish(State, Target, Now, Out);
+    return;
+  }
   if (Known.CancelRequested_)
-    return stopGang(State, Target, "cancelled by its caller", Out);
+    return stopGang(State, Target, "cancelled by its caller", Now, Out);
   if (!Report.Fault_.empty())
-    return stopGang(State, Target, Report.Fault_, Out);
+    return stopGang(State, Target, Report.Fault_, Now, Out);
   if (!model::inService(State.Fold_, Target.Domain_))
-    return stopGang(
-        State, Target,
-        "failure domain " + Target.Domain_ + " was taken out of service", Out);
+    return stopGang(State, Target,
+                    "failure domain " + Target.Domain_ +
+                        " was taken out of service",
+                    Now, Out);
   if (Target.Phase_ == GangPhase::Running)
     return;
   if (Report.Started_ == Target.Members_.size())
     return enter(Target, GangPhase::Running, Now);
   if (Now - Target.Since_ >= State.Settings_.StartBound_)
-    return stopGang(State, Target, "not every task started in time", Out);
+    return stopGang(State, Target, "not every task started in time", Now, Out);
   model::Start Message{Target.Term_, Target.Job_, Target.Attempt_};
   sendToUnanswered(State, Target, Now, Out,
                    [&Message](const model::NodeName &) { return Message; });
@@ -287,16 +294,11 @@
                      });
 }
 
-bool runs(const model::Job &Known) {
-  return Known.State_ == model::JobState::Running ||
-         Known.State_ == model::JobState::Stopping;
-}
-
 /// Adopts attempts of held cells and drops gangs whose attempt is over or whose
 /// cell is no longer held.
 void reconcile(EntryState &State, core::TimePoint Now, Effects &Out) {
   for (const auto &[Id, Known] : State.Fold_.Jobs_)
-    if (runs(Known) && holds(State, Known.Domain_, Now) &&
+    if (model::isRunning(Known.State_) && holds(State, Known.Domain_, Now) &&
         !State.Gangs_.count(Id) && mayAdopt(State, Known, Now))
       adopt(State, Known, Now);
   for (auto Place = State.Gangs_.begin(); Place != State.Gangs_.end();) {
@@ -304,9 +306,13 @@
     auto Known = State.Fold_.Jobs_.find(Place->first);
     bool Committed = Target.Phase_ != GangPhase::Reserving &&
                      Target.Phase_ != GangPhase::Committing;
-    bool Over = Known == State.Fold_.Jobs_.end() ||
-                !holds(State, Target.Domain_, Now) ||
-                (Committed ? !runs(Known->second) ||
+    // A committed gang is driven for as long as no other holder is known, so
+    // that it is stopped when it fails while the log is unavailable. Agents
+    // refuse the term once they have heard of a higher one.
+    bool Held = Committed ? ownTerm(State, Target.Domain_) != 0
+                          : holds(State, Target.Domain_, Now);
+    bool Over = Known == State.Fold_.Jobs_.end() || !Held ||
+                (Committed ? !model::isRunning(Known->second.State_) ||
                                  Known->second.Attempt_ != Target.Attempt_
                            : Known->second.State_ != model::JobState::Waiting);
     Target.Term_ = ownTerm(State, Target.Domain_);
@@ -350,9 +356,14 @@
 }
 
 void stopGang(EntryState &State, Gang &Target, const std::string &Reason,
-              Effects &Out) {
+              core::TimePoint Now, Effects &Out) {
   if (Target.RecordPending_)
     return;
+  enter(Target, GangPhase::Stopping, Now);
+  Target.StopReason_ = Reason;
+  sendStops(State, Target, Now, Out);
+  if (!State.LogAvailable_)
+    return;
   Target.RecordPending_ = true;
   append(State, Out,
          model::JobStopping{Target.Job_, Target.Attempt_, Target.Domain_,
@@ -404,11 +415,12 @@
   if (!Result.Accepted_)
     return;
   const model::Job &Job = State.Fold_.Jobs_.at(Purpose.Job_);
-  if (Job.State_ == model::JobState::Running)
+  if (Job.State_ == model::JobState::Running) {
     enter(Target, GangPhase::Starting, Now);
-  else if (Job.State_ == model::JobState::Stopping)
-    enter(Target, GangPhase::Stopping, Now);
-  else {
+  } else if (Job.State_ == model::JobState::Stopping) {
+    if (Target.Phase_ != GangPhase::Stopping)
+      enter(Target, GangPhase::Stopping, Now);
+  } else {
     Out.Changes_.push_back({"job_state",
                             {{"job", core::toString(Job.Id_)},
                              {"state", toString(Job.State_)},
@@ -436,8 +448,7 @@
     auto Known = State.Fold_.Jobs_.find(Report.Job_);
     bool Committed = Known != State.Fold_.Jobs_.end() &&
                      Known->second.Attempt_ == Report.Attempt_ &&
-                     (Known->second.State_ == model::JobState::Running ||
-                      Known->second.State_ == model::JobState::Stopping);
+                     model::isRunning(Known->second.State_);
     if (!Committed)
       Out.Sends_.push_back(
           {Target.Address_,
--- a/lib/entry/src/parts.h
+++ b/lib/entry/src/parts.h
@@ -47,9 +47,10 @@
 void reserveGang(EntryState &State, const model::DomainName &Domain,
                  const model::Job &Target, const model::Placement &Tasks,
                  core::TimePoint Now, Effects &Out);
-/// Asks for the end of a running attempt.
+/// Stops a running attempt. The stop does not wait for its record, so that a
+/// gang does not run in part while the log is unavailable.
 void stopGang(EntryState &State, Gang &Target, const std::string &Reason,
-              Effects &Out);
+              core::TimePoint Now, Effects &Out);
 
 /// Decides starts and preemptions in every cell that this host holds.
 void schedule(EntryState &State, core::TimePoint Now, Effects &Out);
--- a/lib/entry/src/schedule.cpp
+++ b/lib/entry/src/schedule.cpp
@@ -36,9 +36,11 @@
 /// Adds committed and reserved attempts of the cell.
 void addRunning(const EntryState &State, sched::CellView &View) {
   for (const auto &[Id, Known] : State.Fold_.Jobs_) {
-    bool Stopping = Known.State_ == model::JobState::Stopping;
-    if (Known.Domain_ == View.Domain_ &&
-        (Stopping || Known.State_ == model::JobState::Running))
+    auto Driven = State.Gangs_.find(Id);
+    bool Stopping = Known.State_ == model::JobState::Stopping ||
+                    (Driven != State.Gangs_.end() &&
+                     Driven->second.Phase_ == GangPhase::Stopping);
+    if (Known.Domain_ == View.Domain_ && model::isRunning(Known.State_))
       View.Running_.push_back(
           {Id, Known.Spec_, Known.Placement_, {}, {}, Stopping});
   }
@@ -118,7 +120,7 @@
     if (Known != State.Gangs_.end() &&
         (Known->second.Phase_ == GangPhase::Starting ||
          Known->second.Phase_ == GangPhase::Running))
-      stopGang(State, Known->second, Preempt.Reason_, Out);
+      stopGang(State, Known->second, Preempt.Reason_, Now, Out);
   }
 }
 
--- a/lib/model/include/nutmegwell/model/job.h
+++ b/lib/model/include/nutmegwell/model/job.h
@@ -73,6 +73,9 @@
 /// Returns true for states that a job never leaves.
 bool isFinal(JobState Value);
 
+/// Returns true while an attempt may hold accelerators.
+bool isRunning(JobState Value);
+
 /// Failed attempts after which a job is given up.
 constexpr std::uint32_t MaxFailedAttempts = 5;
 
--- a/lib/model/src/job.cpp
+++ b/lib/model/src/job.cpp
@@ -41,6 +41,10 @@
          Value == JobState::Refused || Value == JobState::Failed;
 }
 
+bool isRunning(JobState Value) {
+  return Value == JobState::Running || Value == JobState::Stopping;
+}
+
 JobSpecBuilder &JobSpecBuilder::account(AccountName Value) {
   Spec_.Account_ = std::move(Value);
   return *this;
--- a/tests/control/faulttest.cpp
+++ b/tests/control/faulttest.cpp
@@ -10,10 +10,12 @@
 class ControlFaultTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ControlFaultTest);
   CPPUNIT_TEST(randomSchedules);
+  CPPUNIT_TEST(outageSchedules);
   CPPUNIT_TEST_SUITE_END();
 
   /// Runs seeds First to Last. NUTMEGWELL_SEED=N runs that seed alone.
-  static void runSeeds(std::uint64_t First, std::uint64_t Last) {
+  static void runSeeds(std::uint64_t First, std::uint64_t Last,
+                       bool Outage = false) {
     if (const char *Only = std::getenv("NUTMEGWELL_SEED"))
       First = Last = std::strtoull(Only, nullptr, 10);
     std::map<std::string, unsigned> Failing;
@@ -21,6 +23,7 @@
     unsigned Failures = 0;
     for (std::uint64_t Seed = First; Seed <= Last; ++Seed) {
       Schedule Run(Seed);
+      Run.Outage_ = Outage;
       runSchedule(Run);
       for (const auto &[What, Count] : Run.World_.Counts_)
         Counts[What] += Count;
@@ -46,6 +49,12 @@
     const char *Last = std::getenv("NUTMEGWELL_SEEDS");
     runSeeds(1, Last ? std::strtoull(Last, nullptr, 10) : 1000);
   }
+
+  /// Guards running gangs against faults while the log is out for minutes.
+  void outageSchedules() {
+    const char *Last = std::getenv("NUTMEGWELL_SEEDS");
+    runSeeds(1, Last ? std::strtoull(Last, nullptr, 10) / 10 : 100, true);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ControlFaultTest);
--- a/tests/control/schedule.cpp
+++ b/tests/control/schedule.cpp
@@ -379,7 +379,7 @@
 void runSchedule(Schedule &Target) {
   World &All = Target.World_;
   // A few schedules are long enough for a log outage of minutes.
-  if (All.percent(4))
+  if (Target.Outage_ || All.percent(4))
     Target.FaultTime_ = seconds(200);
   Target.Domains_ = 1 + static_cast<unsigned>(All.pick(3));
   unsigned Entries = 1 + static_cast<unsigned>(All.pick(3));
@@ -392,6 +392,11 @@
   publishPools(Target);
   makeJobs(Target);
   injectFaults(Target);
+  if (Target.Outage_)
+    All.after(seconds(10) + All.upTo(seconds(60)), [&All] {
+      All.LogUp_ = false;
+      All.after(seconds(100), [&All] { All.LogUp_ = true; });
+    });
   drive(Target);
   runUntil(All, All.Now_ + Target.FaultTime_);
   endFaults(Target);
--- a/tests/control/schedule.h
+++ b/tests/control/schedule.h
@@ -21,6 +21,8 @@
   unsigned Domains_ = 1;
   /// How long faults happen.
   Duration FaultTime_ = seconds(40);
+  /// True for a long schedule with a log outage of minutes.
+  bool Outage_ = false;
   bool WorkersFailed_ = false;
   std::string Story_;
 
