Choose the preferred cell by the shape of the free guarantee

Ruled out: letting every cell preempt after a delay; a second cell cannot tell that the first is already stopping jobs. Change: preferredCells() makes the same claims as decide() over all cells in queue order and sends each job where a claim is free or cheapest. The state of a cell while deciding moves to cellstate.h and is shared by both.

--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -272,12 +272,10 @@
   for (std::size_t C = 0; C < Cells_.size(); ++C)
     fillView(C);
   Reclaim_.observe(Cells_, Now_);
-  std::vector<sched::CellSummary> Summaries;
-  for (const sched::CellView &Cell : Cells_)
-    Summaries.push_back(sched::summarize(Cell));
+  std::vector<std::size_t> Preferred = sched::preferredCells(Cells_);
+  std::size_t Next = 0;
   for (std::size_t J : Waiting_)
-    Jobs_[J].Preferred_ =
-        sched::preferredCell({1, J + 1}, input(J).Spec_, Summaries);
+    Jobs_[J].Preferred_ = Preferred[Next++];
   for (std::size_t C = 0; C < Cells_.size(); ++C)
     decideCell(C);
   for (std::size_t C = 0; C < Cells_.size(); ++C)
--- a/lib/sched/include/nutmegwell/sched/plan.h
+++ b/lib/sched/include/nutmegwell/sched/plan.h
@@ -27,7 +27,7 @@
   core::Duration Waited_{};
   /// Accelerator time that the job has used in earlier attempts.
   core::Duration Attained_{};
-  /// False while another cell is to take the job (see preferredCell); then
+  /// False while another cell is to take the job (see preferredCells); then
   /// nothing is preempted for it here.
   bool Preferred_ = true;
 };
--- a/lib/sched/include/nutmegwell/sched/policy.h
+++ b/lib/sched/include/nutmegwell/sched/policy.h
@@ -28,8 +28,6 @@
   /// Whether an account's free guarantee is reclaimed by preempting jobs that
   /// borrow it.
   bool Guarantees_ = true;
-  /// Whether jobs are preempted only in the cell that is to take the job.
-  bool OneCellReclaims_ = true;
   Victims Victims_ = Victims::LeastLost;
 };
 
--- /dev/null
+++ b/lib/sched/src/cellstate.cpp
@@ -0,0 +1,70 @@
+#include "cellstate.h"
+
+namespace nutmegwell::sched {
+
+namespace {
+
+/// Time of a preempted job that goes into stopping and restoring: the usual
+/// checkpoint grace and as much to read the checkpoint.
+constexpr std::chrono::seconds RestartTime{60};
+
+/// Returns what preempting a job costs, in accelerator-seconds for least lost.
+double costOf(const RunningJob &Job, Victims Order) {
+  if (Job.Stopping_)
+    return 0;
+  if (Order == Victims::Fewest)
+    return 1;
+  std::chrono::duration<double> Lost = Job.SinceCheckpoint_ + RestartTime;
+  return Lost.count() * Job.Spec_.accelerators();
+}
+
+/// Fills in what one running job holds.
+void addRunning(CellState &State, std::size_t J, Victims Order) {
+  const RunningJob &Job = State.View_.Running_[J];
+  State.Running_.Slices_.push_back(toSlices(State.Map_, Job.Placement_));
+  State.Running_.Cost_.push_back(costOf(Job, Order));
+  State.Free_.take(State.Running_.Slices_.back());
+  for (const Slice &Part : State.Running_.Slices_.back()) {
+    std::vector<std::size_t> &Jobs = State.Running_.JobsOn_[Part.Worker_];
+    if (Jobs.empty() || Jobs.back() != J)
+      Jobs.push_back(J);
+  }
+  std::size_t Pool = poolOf(State.View_, Job.Spec_);
+  if (Pool != NoOwner)
+    State.Held_[Pool] += Job.Spec_.accelerators();
+}
+
+} // namespace
+
+CellState::CellState(const CellView &View, const Policy &Choices)
+    : View_(View), Map_(makeTopology(View)), Free_(Map_),
+      Held_(View.Pools_.size()) {
+  Running_.JobsOn_.resize(View.Workers_.size());
+  for (std::size_t J = 0; J < View.Running_.size(); ++J)
+    addRunning(*this, J, Choices.Victims_);
+  Guarantees_ = bindGuarantees(View, Map_, Running_.Slices_);
+}
+
+bool withinLimit(const CellState &State, const model::JobSpec &Spec,
+                 std::size_t Pool) {
+  return State.Held_[Pool] + Spec.accelerators() <=
+         State.View_.Pools_[Pool].Limit_;
+}
+
+std::optional<Claim> claimFor(const CellState &State,
+                              const model::JobSpec &Spec, std::size_t Pool) {
+  if (Pool == NoOwner || !withinLimit(State, Spec, Pool))
+    return std::nullopt;
+  return findClaim(State.Guarantees_, State.Free_, State.Running_, Spec, Pool);
+}
+
+void keepClaim(CellState &State, const Claim &Found, const model::JobSpec &Spec,
+               std::size_t Pool) {
+  bindClaim(State.Guarantees_, Found, Pool);
+  for (std::size_t J : Found.Victims_)
+    State.Running_.Cost_[J] = 0;
+  State.Free_.take(Found.Tasks_);
+  State.Held_[Pool] += Spec.accelerators();
+}
+
+} // namespace nutmegwell::sched
--- /dev/null
+++ b/lib/sched/src/cellstate.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "claim.h"
+
+namespace nutmegwell::sched {
+
+/// A cell while a decision is made. Refers to the view, which must outlive it,
+/// and to its own map, so that it is neither copied nor moved.
+struct CellState {
+  CellState(const CellView &View, const Policy &Choices);
+  CellState(const CellState &) = delete;
+  CellState &operator=(const CellState &) = delete;
+
+  const CellView &View_;
+  Topology Map_;
+  /// Accelerators that are free and not kept for a claim.
+  FreeIndex Free_;
+  /// Accelerators held or claimed, by pool row.
+  std::vector<std::uint32_t> Held_;
+  Occupants Running_;
+  Guarantees Guarantees_;
+};
+
+/// Returns true when the job keeps the limit of its pool row.
+bool withinLimit(const CellState &State, const model::JobSpec &Spec,
+                 std::size_t Pool);
+
+/// Returns the claim of a job on its account's guarantee, or nothing.
+std::optional<Claim> claimFor(const CellState &State,
+                              const model::JobSpec &Spec, std::size_t Pool);
+
+/// Keeps the accelerators of a claim for its job.
+void keepClaim(CellState &State, const Claim &Found, const model::JobSpec &Spec,
+               std::size_t Pool);
+
+} // namespace nutmegwell::sched
--- a/lib/sched/src/prefer.cpp
+++ b/lib/sched/src/prefer.cpp
@@ -1,54 +1,81 @@
 #include "nutmegwell/sched/prefer.h"
 
-#include "topology.h"
-#include <algorithm>
+#include "cellstate.h"
+#include <memory>
 
 namespace nutmegwell::sched {
 
-CellSummary summarize(const CellView &View) {
-  CellSummary Result;
-  Result.MayStart_ = View.MayStart_;
-  std::uint32_t Held = 0;
-  std::map<std::pair<model::AccountName, model::ServiceName>, std::uint32_t>
-      HeldBy;
-  for (const RunningJob &Job : View.Running_) {
-    HeldBy[{Job.Spec_.Account_, Job.Spec_.Service_}] +=
-        Job.Spec_.accelerators();
-    Held += Job.Spec_.accelerators();
-  }
-  std::uint32_t Total = 0;
-  for (const WorkerView &Worker : View.Workers_)
-    if (Worker.Usable_)
-      Total += Worker.Accelerators_;
-  Result.Free_ = Total - std::min(Total, Held);
-  for (const model::PoolRow &Row : View.Pools_) {
-    std::uint32_t Used = HeldBy[{Row.Account_, Row.Service_}];
-    Result.GuaranteeLeft_[{Row.Account_, Row.Service_}] =
-        Row.Guaranteed_ - std::min(Row.Guaranteed_, Used);
-  }
-  return Result;
+namespace {
+
+/// A cell that could take a job, and how well it would.
+struct Offer {
+  std::size_t Cell_ = 0;
+  std::optional<Claim> Claim_;
+  double Cost_ = 0;
+};
+
+/// Returns what the preemptions of a claim cost.
+double costOf(const CellState &State, const Claim &Found) {
+  double Sum = 0;
+  for (std::size_t J : Found.Victims_)
+    Sum += State.Running_.Cost_[J];
+  return Sum;
 }
 
-std::size_t preferredCell(const core::JobId &Id, const model::JobSpec &Spec,
-                          const std::vector<CellSummary> &Cells) {
-  std::uint32_t Wanted = Spec.accelerators();
-  std::vector<std::size_t> Best;
-  int BestRank = 0;
-  for (std::size_t C = 0; C < Cells.size(); ++C) {
-    auto Left = Cells[C].GuaranteeLeft_.find({Spec.Account_, Spec.Service_});
-    if (!Cells[C].MayStart_ || Left == Cells[C].GuaranteeLeft_.end())
+/// Returns true when A is better than B: a claim before none, then what is free
+/// at once, then what costs least, then the cell with more free accelerators.
+bool betterOffer(const std::vector<std::unique_ptr<CellState>> &States,
+                 const Offer &A, const Offer &B) {
+  auto Key = [&](const Offer &One) {
+    return std::make_tuple(
+        !One.Claim_, One.Claim_ && !One.Claim_->Free_, One.Cost_,
+        -static_cast<std::int64_t>(States[One.Cell_]->Free_.freeInCell()));
+  };
+  return Key(A) < Key(B);
+}
+
+std::size_t chooseCell(std::vector<std::unique_ptr<CellState>> &States,
+                       const WaitingJob &Job) {
+  std::optional<Offer> Best;
+  // Starting at a place given by the id spreads equal offers over the cells.
+  std::size_t First = std::hash<core::JobId>()(Job.Id_) % States.size();
+  for (std::size_t I = 0; I < States.size(); ++I) {
+    Offer Next;
+    Next.Cell_ = (First + I) % States.size();
+    const CellState &State = *States[Next.Cell_];
+    std::size_t Pool = poolOf(State.View_, Job.Spec_);
+    if (!State.View_.MayStart_ || Pool == NoOwner ||
+        !withinLimit(State, Job.Spec_, Pool))
       continue;
-    int Rank =
-        (Left->second >= Wanted ? 2 : 0) + (Cells[C].Free_ >= Wanted ? 1 : 0);
-    if (Rank > BestRank)
-      Best.clear();
-    BestRank = std::max(BestRank, Rank);
-    if (Rank == BestRank)
-      Best.push_back(C);
+    Next.Claim_ = claimFor(State, Job.Spec_, Pool);
+    if (Next.Claim_)
+      Next.Cost_ = costOf(State, *Next.Claim_);
+    if (!Best || betterOffer(States, Next, *Best))
+      Best = std::move(Next);
   }
-  if (Best.empty())
-    return 0;
-  return Best[std::hash<core::JobId>()(Id) % Best.size()];
+  if (!Best)
+    return First;
+  CellState &State = *States[Best->Cell_];
+  if (Best->Claim_)
+    keepClaim(State, *Best->Claim_, Job.Spec_, poolOf(State.View_, Job.Spec_));
+  return Best->Cell_;
+}
+
+} // namespace
+
+std::vector<std::size_t> preferredCells(const std::vector<CellView> &Cells,
+                                        const Policy &Choices) {
+  std::vector<std::size_t> Result;
+  if (Cells.empty())
+    return Result;
+  if (Cells.size() == 1)
+    return std::vector<std::size_t>(Cells[0].Waiting_.size(), 0);
+  std::vector<std::unique_ptr<CellState>> States;
+  for (const CellView &View : Cells)
+    States.push_back(std::make_unique<CellState>(View, Choices));
+  for (const WaitingJob &Job : Cells[0].Waiting_)
+    Result.push_back(chooseCell(States, Job));
+  return Result;
 }
 
 } // namespace nutmegwell::sched
