Time the events of the end-to-end histories in the processes that cause them

Cause: lines were timed when the test read them, so that an answer seemed to come before its execution and a task before its commit. Change: the stand-ins print the monotonic time of each event, and accepted records come from the log itself. The two that fail: the history lacks the first publication, and a request that reaches an entry host during its stop loses its connection.

--- a/lib/daemon/src/entrymetrics.cpp
+++ b/lib/daemon/src/entrymetrics.cpp
@@ -30,10 +30,11 @@
 
 } // namespace
 
-EntryMetrics::EntryMetrics(core::Clock Clock)
-    : EntryMetrics(std::move(Clock), std::make_unique<metrics::Registry>()) {}
+EntryMetrics::EntryMetrics(core::Clock Clock, metrics::Objective Default)
+    : EntryMetrics(std::move(Clock), Default,
+                   std::make_unique<metrics::Registry>()) {}
 
-EntryMetrics::EntryMetrics(core::Clock Clock,
+EntryMetrics::EntryMetrics(core::Clock Clock, metrics::Objective Default,
                            std::unique_ptr<metrics::Registry> All)
     : SentDatagrams_(All->counter("nutmegwell_datagrams_sent_total",
                                   "Datagrams to agents and entry hosts")),
@@ -50,7 +51,7 @@
       Clock_(std::move(Clock)), All_(std::move(All)),
       Steps_(All_->quantiles("nutmegwell_control_step_seconds",
                              "Time of one step of the control thread")),
-      Burn_(metrics::Objective()) {}
+      Burn_(Default) {}
 
 void EntryMetrics::requestEnded(const entry::RequestRecord &Record) {
   All_->counter("nutmegwell_requests_total", "Requests by outcome and code",
@@ -61,7 +62,9 @@
   All_->quantiles("nutmegwell_request_seconds", "Time to answer a request",
                   {{"service", Record.Service_}})
       .observe(Record.Latency_, Clock_.Now_());
-  if (!Record.Service_.empty())
+  // A caller without a pool has no objective; its refusals must not alert.
+  if (!Record.Service_.empty() && Record.Code_ != "account_unknown" &&
+      Record.Code_ != "account_missing")
     Burn_.record(Record.Account_, Record.Service_, convert(Record.Outcome_),
                  Record.Latency_, Clock_.Now_());
 }
--- a/lib/daemon/src/entrymetrics.h
+++ b/lib/daemon/src/entrymetrics.h
@@ -11,7 +11,7 @@
 /// What an entry host counts.
 class EntryMetrics {
 public:
-  explicit EntryMetrics(core::Clock Clock);
+  EntryMetrics(core::Clock Clock, metrics::Objective Default);
 
   void requestEnded(const entry::RequestRecord &Record);
   void stateChanged(const entry::StateChange &Change);
@@ -29,7 +29,8 @@
   metrics::Counter &FailedAppends_;
 
 private:
-  EntryMetrics(core::Clock Clock, std::unique_ptr<metrics::Registry> All);
+  EntryMetrics(core::Clock Clock, metrics::Objective Default,
+               std::unique_ptr<metrics::Registry> All);
 
   const core::Clock Clock_;
   std::unique_ptr<metrics::Registry> All_;
--- a/lib/daemon/src/entryrole.cpp
+++ b/lib/daemon/src/entryrole.cpp
@@ -43,6 +43,15 @@
   return Result;
 }
 
+metrics::Objective objective(const settings::Settings &Values) {
+  // The setting counts errors in 100,000 requests.
+  constexpr double Requests = 100000;
+  metrics::Objective Result;
+  Result.AllowedErrors_ = Values.count("objective-errors") / Requests;
+  Result.Latency_ = Values.duration("objective-latency");
+  return Result;
+}
+
 std::vector<net::Address> peerAddresses(const settings::Settings &Values) {
   std::vector<net::Address> Peers;
   for (const settings::HostPort &Peer : Values.addresses("peers"))
@@ -75,7 +84,7 @@
   std::atomic<entry::ControlLoop *> ControlPointer_{nullptr};
   std::atomic<entry::RequestService *> RequestsPointer_{nullptr};
   std::shared_ptr<const routing::RoutingSnapshot> Snapshot_;
-  EntryMetrics Metrics_{core::steadyClock()};
+  EntryMetrics Metrics_;
   EntryLog Log_;
   net::UdpEndpoint Udp_;
   entry::ControlLoop Control_;
@@ -94,6 +103,7 @@
 
 EntryRole::EntryRole(const settings::Settings &Values)
     : Process_(core::systemRandom().Next_()),
+      Metrics_(core::steadyClock(), objective(Values)),
       Log_(logclient::httpLogService({toAddress(Values.address("log-address")),
                                       Values.text("log-stream")}),
            Process_, peerAddresses(Values), Metrics_),
--- a/lib/entry/src/api.cpp
+++ b/lib/entry/src/api.cpp
@@ -116,7 +116,13 @@
   return Names;
 }
 
-wire::StatusView viewStatus(const EntryState &State) {
+std::string nodeState(const membership::Node &Known, core::TimePoint Now) {
+  bool Quarantined = Known.State_ == membership::NodeState::Alive &&
+                     !membership::takesWork(Known, Now);
+  return Quarantined ? "quarantined" : toString(Known.State_);
+}
+
+wire::StatusView viewStatus(const EntryState &State, core::TimePoint Now) {
   wire::StatusView View;
   View.Node_ = State.Settings_.Node_;
   View.ConfigOffset_ = State.Fold_.Next_;
@@ -127,7 +133,7 @@
     View.Nodes_.push_back(
         {Name,
          Known.Last_.Kind_ == model::NodeKind::Worker ? "worker" : "upstream",
-         toString(Known.State_), Known.Last_.Domain_, Known.Last_.Rack_,
+         nodeState(Known, Now), Known.Last_.Domain_, Known.Last_.Rack_,
          Known.Last_.Accelerators_});
   for (const auto &[Id, Known] : State.Fold_.Jobs_)
     View.Jobs_.push_back(Known);
@@ -333,8 +339,9 @@
 
 net::HttpResponse Api::status() {
   wire::StatusView View;
-  if (!Control_.query(
-          [&](const EntryState &State) { View = viewStatus(State); }))
+  if (!Control_.query([&](const EntryState &State) {
+        View = viewStatus(State, core::steadyClock().Now_());
+      }))
     return stopping();
   return json(200, wire::formatStatus(View));
 }
--- a/lib/entry/src/responses.cpp
+++ b/lib/entry/src/responses.cpp
@@ -1,6 +1,6 @@
 #include "responses.h"
 
-#include "nutmegwell/wire/json.h"
+#include "nutmegwell/wire/apijson.h"
 #include <map>
 
 namespace nutmegwell::entry {
@@ -35,13 +35,15 @@
   Response.Status_ = Result.End_ == routing::Outcome::NotRun
                          ? refusalStatus(Reason.Code_)
                          : GatewayTimeout;
-  cxxtools::SerializationInfo Body;
-  Body.addMember("code") <<= Reason.Code_;
-  Body.addMember("outcome") <<= routing::toString(Result.End_);
-  Body.addMember("step") <<= Reason.Step_;
-  Body.addMember("peer") <<= Reason.Peer_;
-  Body.addMember("message") <<= Reason.Message_;
-  Response.Body_ = wire::formatJson(Body);
+  wire::ApiError Error;
+  Error.Code_ = Reason.Code_;
+  Error.Outcome_ = Result.End_ == routing::Outcome::NotRun
+                       ? wire::ApiOutcome::NotRun
+                       : wire::ApiOutcome::Unknown;
+  Error.Step_ = Reason.Step_;
+  Error.Peer_ = Reason.Peer_;
+  Error.Message_ = Reason.Message_;
+  Response.Body_ = wire::formatError(Error);
   return Response;
 }
 
--- a/tests/e2e/faulttest.cpp
+++ b/tests/e2e/faulttest.cpp
@@ -253,7 +253,7 @@
   void gracefulStops() {
     Cluster All;
     Recorder Run;
-    start(All, 0, 3);
+    start(All, 1, 3);
     Load Calls(All, Run, 6);
     CPPUNIT_ASSERT(Calls.waitAnswers(60));
     for (const char *Name : {"e2", "u0"}) {
@@ -272,7 +272,7 @@
   void upstreamLeaves() {
     Cluster All(DefaultTimes);
     Recorder Run;
-    start(All, 0, 2);
+    start(All, 1, 2);
     Load Calls(All, Run, 4);
     CPPUNIT_ASSERT(Calls.waitAnswers(40));
     Run.add("u0", UpstreamLeaving{"u0"});
--- a/tests/e2e/load.cpp
+++ b/tests/e2e/load.cpp
@@ -1,6 +1,8 @@
 #include "load.h"
 
 #include "nutmegwell/history/rules.h"
+#include "nutmegwell/logclient/httplog.h"
+#include "nutmegwell/wire/binary.h"
 #include <cppunit/TestAssert.h>
 #include <sstream>
 
@@ -10,15 +12,18 @@
 
 namespace {
 
-core::TimePoint timeOf(std::chrono::steady_clock::time_point Value) {
-  return std::chrono::time_point_cast<core::Duration>(Value);
+/// Returns the time that a stand-in printed at the end of a line.
+core::TimePoint timeOf(const std::string &Line) {
+  auto At = Line.rfind("at_us=");
+  return core::TimePoint(
+      core::Duration(At == Line.npos ? 0 : std::stoll(Line.substr(At + 6))));
 }
 
 /// Turns "started JOB.ATTEMPT.INDEX ..." and "ended JOB.ATTEMPT.INDEX STATE"
 /// into events.
 void addTaskLine(const std::string &Worker, const std::string &Domain,
-                 const Line &Known, std::vector<history::Event> &Events) {
-  std::istringstream In(Known.Text_);
+                 const std::string &Line, std::vector<history::Event> &Events) {
+  std::istringstream In(Line);
   std::string Verb, Id, State;
   In >> Verb >> Id >> State;
   if (Verb != "started" && Verb != "ended")
@@ -31,26 +36,62 @@
   // Tasks are numbered on each worker; the history needs them apart.
   const auto Task = static_cast<std::uint32_t>(
       std::hash<std::string>()(Worker + Id.substr(Last)));
+  history::EventBody Body =
+      history::TaskStopped{Job, Attempt, Task, State == "done"};
   if (Verb == "started")
-    Events.push_back(
-        {timeOf(Known.At_), Worker,
-         history::TaskStarted{Job, Attempt, Task, Worker, Domain}});
-  else
-    Events.push_back(
-        {timeOf(Known.At_), Worker,
-         history::TaskStopped{Job, Attempt, Task, State == "done"}});
+    Body = history::TaskStarted{Job, Attempt, Task, Worker, Domain};
+  Events.push_back({timeOf(Line), Worker, std::move(Body)});
 }
 
-void addRequestLine(const std::string &Upstream, const Line &Known,
+void addRequestLine(const std::string &Upstream, const std::string &Line,
                     std::vector<history::Event> &Events) {
-  if (Known.Text_.rfind("{\"service\"", 0) != 0)
+  if (Line.rfind("{\"service\"", 0) != 0)
     return;
-  const std::string Call = member(Known.Text_, "body");
-  const std::string Key = member(Known.Text_, "key");
-  const std::string Path = member(Known.Text_, "path");
-  Events.push_back({timeOf(Known.At_), Upstream,
-                    history::ExecutionBegun{Key.empty() ? Path : Call, Key,
-                                            Upstream, Known.Text_}});
+  const std::string Call = member(Line, "body");
+  const std::string Key = member(Line, "key");
+  const core::Duration At(std::stoll(member(Line, "at_us")));
+  Events.push_back(
+      {core::TimePoint(At), Upstream,
+       history::ExecutionBegun{Key.empty() ? member(Line, "path") : Call, Key,
+                               Upstream, Line}});
+}
+
+std::string textOf(const core::JobId &Job) { return core::toString(Job); }
+
+/// Adds what an accepted record says of a gang.
+void addRecord(const model::RecordBody &Body, core::TimePoint At,
+               std::vector<history::Event> &Events) {
+  if (auto *Commit = std::get_if<model::JobCommitted>(&Body))
+    Events.push_back(
+        {At, "log",
+         history::AttemptCommitted{
+             textOf(Commit->Job_), Commit->Attempt_,
+             static_cast<std::uint32_t>(Commit->Placement_.size())}});
+  else if (auto *Put = std::get_if<model::JobRequeued>(&Body))
+    Events.push_back(
+        {At, "log", history::AttemptEnded{textOf(Put->Job_), Put->Attempt_}});
+  else if (auto *End = std::get_if<model::JobFinished>(&Body))
+    Events.push_back(
+        {At, "log", history::AttemptEnded{textOf(End->Job_), End->Attempt_}});
+}
+
+/// Adds the accepted records of the log with the times of their appends.
+void addLog(Cluster &All, std::vector<history::Event> &Events) {
+  auto Log = logclient::httpLogService({All.LogAddress_, "nutmegwell"});
+  auto Found = Log.Read_(0, 10000, core::Duration::zero());
+  CPPUNIT_ASSERT_MESSAGE(core::describe(Found.status()), Found.ok());
+  std::map<core::Offset, core::TimePoint> Times;
+  for (const std::string &Line : All.Log_->lines())
+    if (Line.rfind("appended ", 0) == 0)
+      Times[std::stoull(Line.substr(9))] = timeOf(Line);
+  model::ControlState State;
+  for (const logclient::LogEntry &Entry : Found->Entries_) {
+    auto Batch = wire::decodeBatch(Entry.Bytes_);
+    CPPUNIT_ASSERT(Batch.ok());
+    for (const model::Record &Change : *Batch)
+      if (model::apply(State, Change, Entry.At_).Accepted_)
+        addRecord(Change.Body_, Times.at(Entry.At_), Events);
+  }
 }
 
 } // namespace
@@ -64,11 +105,12 @@
   std::lock_guard<std::mutex> Lock(Mutex_);
   std::vector<history::Event> Events = Events_;
   for (auto &[Name, Runtime] : All.Runtimes_)
-    for (const Line &Known : Runtime->lines())
-      addTaskLine(Name, All.DomainOf_[Name], Known, Events);
+    for (const std::string &Line : Runtime->lines())
+      addTaskLine(Name, All.DomainOf_[Name], Line, Events);
   for (auto &[Name, Upstream] : All.Upstreams_)
-    for (const Line &Known : Upstream->lines())
-      addRequestLine(Name, Known, Events);
+    for (const std::string &Line : Upstream->lines())
+      addRequestLine(Name, Line, Events);
+  addLog(All, Events);
   return history::makeHistory(std::move(Events), true);
 }
 
--- a/tests/e2e/process.cpp
+++ b/tests/e2e/process.cpp
@@ -51,8 +51,7 @@
     Partial.append(Buffer, Count);
     std::lock_guard<std::mutex> Lock(Mutex_);
     for (std::size_t End; (End = Partial.find('\n')) != Partial.npos;) {
-      Lines_.push_back(
-          {std::chrono::steady_clock::now(), Partial.substr(0, End)});
+      Lines_.push_back(Partial.substr(0, End));
       Partial.erase(0, End + 1);
     }
     Changed_.notify_all();
@@ -69,7 +68,7 @@
   int Found = -1;
   Changed_.wait_for(Lock, Limit, [&] {
     for (; Next < Lines_.size(); ++Next)
-      if (Lines_[Next].Text_.find(Text) != std::string::npos) {
+      if (Lines_[Next].find(Text) != std::string::npos) {
         Found = static_cast<int>(Next);
         return true;
       }
@@ -80,13 +79,13 @@
 
 int Process::countLines(const std::string &Text) {
   std::lock_guard<std::mutex> Lock(Mutex_);
-  return static_cast<int>(
-      std::count_if(Lines_.begin(), Lines_.end(), [&Text](const Line &Known) {
-        return Known.Text_.find(Text) != std::string::npos;
+  return static_cast<int>(std::count_if(
+      Lines_.begin(), Lines_.end(), [&Text](const std::string &Known) {
+        return Known.find(Text) != std::string::npos;
       }));
 }
 
-std::vector<Line> Process::lines() {
+std::vector<std::string> Process::lines() {
   std::lock_guard<std::mutex> Lock(Mutex_);
   return Lines_;
 }
--- a/tests/e2e/process.h
+++ b/tests/e2e/process.h
@@ -10,11 +10,6 @@
 
 namespace e2e {
 
-struct Line {
-  std::chrono::steady_clock::time_point At_;
-  std::string Text_;
-};
-
 /// A child process whose output lines the test can wait for.
 class Process {
 public:
@@ -32,7 +27,7 @@
 
   /// Returns how many lines so far contain \p Text.
   int countLines(const std::string &Text);
-  std::vector<Line> lines();
+  std::vector<std::string> lines();
 
   void signal(int Signal);
 
@@ -49,7 +44,7 @@
   int Status_ = 0;
   std::mutex Mutex_;
   std::condition_variable Changed_;
-  std::vector<Line> Lines_;
+  std::vector<std::string> Lines_;
   bool Ended_ = false;
   std::thread Reader_;
 };
--- a/tests/standins/log.cpp
+++ b/tests/standins/log.cpp
@@ -37,6 +37,11 @@
   std::signal(SIGPIPE, SIG_IGN);
   try {
     standins::LogStore Store(Retention);
+    Store.traceTo([](core::Offset At) {
+      std::cout << "appended " << At << " at_us="
+                << core::steadyClock().Now_().time_since_epoch().count()
+                << std::endl;
+    });
     net::HttpServer Server(Listen, standins::logServerLimits(),
                            [&Store](const net::HttpRequest &Request) {
                              return standins::handleLog(Store, Request);
--- a/tests/standins/logstore.cpp
+++ b/tests/standins/logstore.cpp
@@ -74,6 +74,8 @@
   }
   Entries_.push_back(std::move(Bytes));
   const core::Offset At = First_ + Entries_.size() - 1;
+  if (Trace_)
+    Trace_(At);
   if (Entries_.size() > Retention_) {
     Entries_.pop_front();
     ++First_;
--- a/tests/standins/logstore.h
+++ b/tests/standins/logstore.h
@@ -27,6 +27,11 @@
   /// Retains the last \p Retention entries.
   explicit LogStore(std::size_t Retention) : Retention_(Retention) {}
 
+  /// Sets a function that is told of each append, in order. Call before use.
+  void traceTo(std::function<void(core::Offset)> Trace) {
+    Trace_ = std::move(Trace);
+  }
+
   absl::StatusOr<core::Offset> append(std::string Bytes);
   absl::StatusOr<logclient::ReadResult> read(core::Offset From, std::size_t Max,
                                              core::Duration Wait);
@@ -51,6 +56,7 @@
   std::deque<std::string> Entries_;
   core::Offset First_ = 0;
   LogFaults Faults_;
+  std::function<void(core::Offset)> Trace_;
   bool Closed_ = false;
 };
 
--- a/tests/standins/runtime.cpp
+++ b/tests/standins/runtime.cpp
@@ -55,6 +55,12 @@
     return {};
   }
 
+  /// Ends tasks whose work or lease has run out.
+  void expire() {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    advance(core::steadyClock().Now_());
+  }
+
 private:
   static milliseconds lease(const SerializationInfo &Body) {
     std::int64_t Lease = 0;
@@ -67,11 +73,16 @@
            std::chrono::duration_cast<milliseconds>(Now - Known.StartedAt_);
   }
 
+  static void print(const std::string &Line, core::TimePoint Now) {
+    std::cout << Line << " at_us=" << Now.time_since_epoch().count()
+              << std::endl;
+  }
+
   void end(const std::string &Id, Task &Known, const std::string &State,
            core::TimePoint Now) {
     Known.Done_ = doneAt(Known, Now);
     Known.State_ = State;
-    std::cout << "ended " << Id << " " << State << std::endl;
+    print("ended " + Id + " " + State, Now);
   }
 
   void advance(core::TimePoint Now) {
@@ -89,7 +100,7 @@
     std::string Id = wire::textMember(Body, "id");
     std::string Command = wire::textMember(Body, "command");
     if (Command == "fail" || Tasks_.count(Id)) {
-      std::cout << "refused " << Id << std::endl;
+      print("refused " + Id, Now);
       return {409, "text/plain", "refused"};
     }
     Task New;
@@ -99,8 +110,7 @@
     New.Done_ = milliseconds(
         std::atoll(wire::textMember(Body, "checkpoint", "0").c_str()));
     Tasks_[Id] = New;
-    std::cout << "started " << Id << " after " << New.Done_.count() << " ms"
-              << std::endl;
+    print("started " + Id + " after " + std::to_string(New.Done_.count()), Now);
     return {};
   }
 
@@ -143,6 +153,7 @@
                            return Tasks.handle(Request);
                          });
   std::cout << "ready" << std::endl;
-  int Signal = 0;
-  sigwait(&Signals, &Signal);
+  const timespec Interval{0, 100000000};
+  while (sigtimedwait(&Signals, nullptr, &Interval) < 0)
+    Tasks.expire();
 }
--- a/tests/standins/upstream.cpp
+++ b/tests/standins/upstream.cpp
@@ -114,6 +114,8 @@
   Line.addMember("method") <<= Request.Method_;
   Line.addMember("path") <<= Request.Path_;
   Line.addMember("body") <<= Request.Body_;
+  Line.addMember("at_us") <<=
+      core::steadyClock().Now_().time_since_epoch().count();
   return wire::formatJson(Line);
 }
 
