Try busy upstreams again after a bounded wait

Change: the first request of the queue tries again after 100 ms, or at the next event; the bound of 4 attempts ends this.

--- a/lib/entry/src/slots.cpp
+++ b/lib/entry/src/slots.cpp
@@ -1,9 +1,14 @@
 #include "slots.h"
 
+#include <algorithm>
+
 namespace nutmegwell::entry {
 
 namespace {
 
+/// Time after which a request that every upstream refused as busy tries again.
+constexpr core::Duration BusyWait = std::chrono::milliseconds(100);
+
 routing::UpstreamMissing missing(std::string Code, std::string Message) {
   return {{std::move(Code), "choose", "", std::move(Message)}};
 }
@@ -88,11 +93,16 @@
   std::optional<routing::RequestEvent> Event;
   std::uint64_t Seen = Changes_;
   while (!Event) {
-    const core::Duration Left = State.Deadline_ - Clock_.Now_();
+    const bool Busy = State.Last_.Code_ == "busy";
+    core::Duration Left = State.Deadline_ - Clock_.Now_();
+    // Slots that other entry hosts' requests fill become free without an event
+    // here; the bound on attempts ends this.
+    if (Busy && *Queue.begin() == Own)
+      Left = std::min(Left, BusyWait);
     Changed_.wait_for(Lock, Left, [&] { return Changes_ != Seen; });
     const bool First = *Queue.begin() == Own;
     const bool Late = Clock_.Now_() >= State.Deadline_;
-    if (First && Changes_ != Seen && State.Last_.Code_ == "busy")
+    if (First && Busy)
       State.Excluded_.clear();
     Seen = Changes_;
     if (First || Late)
--- a/lib/entry/tests/faulttest.cpp
+++ b/lib/entry/tests/faulttest.cpp
@@ -92,6 +92,7 @@
   CPPUNIT_TEST(lostUpstreamAnswerIsUnknown);
   CPPUNIT_TEST(unreachableUpstreamIsNotRun);
   CPPUNIT_TEST(agentStopCutsNothing);
+  CPPUNIT_TEST(busyAgentRefusesInTime);
   CPPUNIT_TEST(foreignFrameClosesConnection);
   CPPUNIT_TEST(badAnnouncementIsRefused);
   CPPUNIT_TEST_SUITE_END();
@@ -344,6 +345,37 @@
     CPPUNIT_ASSERT_EQUAL(static_cast<int>(InFlight), Leaving.load());
   }
 
+  /// Guards against a request that waits for an event of another entry host,
+  /// and against more requests at an upstream than it has slots.
+  void busyAgentRefusesInTime() {
+    test::Gate Gate;
+    TestAgent Agent(
+        "u", 7, Address_,
+        [&](const net::HttpRequest &Request) {
+          Gate.pass();
+          return echo(Request);
+        },
+        1);
+    Agent.addTo(Snapshots_);
+    auto First = entryHost(9, 10s);
+    auto Second = entryHost(10, 10s);
+    auto Held = std::async(std::launch::async,
+                           [&] { return First->handle(test::post("k")); });
+    const test::OpenAtExit Open{Gate};
+    Gate.awaitArrivals(1);
+    CPPUNIT_ASSERT_EQUAL(std::string("503 not_run busy"),
+                         summary(Second->handle(test::post("l"))));
+    CPPUNIT_ASSERT_EQUAL(1, Gate.arrived());
+    // One intent of the first request; each attempt of the second records and
+    // releases one.
+    CPPUNIT_ASSERT_EQUAL(1 + 2 * static_cast<int>(routing::MaxAttempts),
+                         Log_.Appends_);
+    Gate.open();
+    CPPUNIT_ASSERT_EQUAL(std::string("200 k"), summary(Held.get()));
+    CPPUNIT_ASSERT_EQUAL(std::string("200 l"),
+                         summary(Second->handle(test::post("l"))));
+  }
+
   /// Guards against input that ends the agent.
   void foreignFrameClosesConnection() {
     TestAgent Agent("u", 7, Address_, echo);
