Add schedules of domains that go out while holders are cut off

The general schedules did not find a tail time that is 2 s too late: they rarely start work close to a domain change that the holder cannot read. In the new schedules holders start jobs, domains go out and come back, and hosts are often cut off from the log.

--- a/lib/logclient/tests/logclienttest.cpp
+++ b/lib/logclient/tests/logclienttest.cpp
@@ -87,6 +87,7 @@
   CPPUNIT_TEST(lostAnswersAppendOnce);
   CPPUNIT_TEST(outageIsReportedAndEnds);
   CPPUNIT_TEST(hungAppendDoesNotDelayRefusals);
+  CPPUNIT_TEST(tailIsAsOldAsItsRead);
   CPPUNIT_TEST(readerSkipsUndecodableEntries);
   CPPUNIT_TEST(readerRestartsFromSnapshot);
   CPPUNIT_TEST(startIsTheLatestUsableSnapshot);
@@ -206,6 +207,28 @@
     CPPUNIT_ASSERT(Seen_.Reports_.at(1).Outcome_ == AppendOutcome::InDoubt);
   }
 
+  /// Guards against start permits on a view of the log that is older than it
+  /// seems, because the answer to a read took long.
+  void tailIsAsOldAsItsRead() {
+    core::TimePoint Now{1h};
+    LogService Log;
+    Log.Read_ = [&](core::Offset From, std::size_t, core::Duration) {
+      Now += 5s;
+      ReadResult Result;
+      Result.Next_ = From;
+      Result.AtTail_ = true;
+      return Result;
+    };
+    core::TimePoint Told;
+    ReaderEvents Events;
+    Events.OnTail_ = [&](core::TimePoint Began) { Told = Began; };
+    ReaderState State(3);
+    CPPUNIT_ASSERT(readOnce(State, Log, Reading_, Events,
+                            core::Clock{[&] { return Now; }}));
+    CPPUNIT_ASSERT(Told == core::TimePoint(1h));
+    CPPUNIT_ASSERT(State.LastTail_.load() == core::Duration(1h));
+  }
+
   /// Guards against one foreign entry that stops every entry host.
   void readerSkipsUndecodableEntries() {
     for (const auto &Bytes : {renewal(1), std::string("junk"), renewal(2)})
--- a/tests/schedules/operations.cpp
+++ b/tests/schedules/operations.cpp
@@ -11,7 +11,7 @@
 constexpr core::Duration Permit = 2s;
 constexpr core::Duration BeatInterval = 500ms;
 constexpr core::JobId FirstJob{1, 1};
-constexpr std::uint64_t Jobs = 4;
+constexpr std::uint64_t Jobs = 12;
 constexpr std::uint64_t Keys = 6;
 
 model::DomainName domainName(std::uint64_t Number) {
@@ -62,6 +62,35 @@
   }
 }
 
+void World::cutOff(Host &Target) {
+  ++Counts_["cut off"];
+  Target.CutOffUntil_ = Now_ + upTo(8s);
+}
+
+void World::operateDomains() {
+  Host &By = someHost();
+  if (!By.Started_ || Now_ < By.PausedUntil_)
+    return;
+  if (chance(20))
+    changeCell(By);
+  if (chance(50))
+    changeJob(By);
+  if (chance(2))
+    cutOff(By);
+  // Domains are in service most of the time, so that work starts there.
+  for (const auto &[Domain, Known] : By.State_.Domains_)
+    if (!Known.InService_ && chance(5))
+      submit(By, model::DomainChanged{Known.Version_, Domain, true});
+  if (chance(2)) {
+    const auto Domain = domainName(core::below(Random_, 2));
+    auto Known = By.State_.Domains_.find(Domain);
+    submit(By, model::DomainChanged{Known == By.State_.Domains_.end()
+                                        ? 0
+                                        : Known->second.Version_,
+                                    Domain, false});
+  }
+}
+
 void World::publish(Host &By, core::Version RoutesExpected,
                     core::Version PoolsExpected) {
   model::PoolRow Pool{"p", "acc", "svc", "a"};
@@ -128,7 +157,7 @@
   // A paused holder believes in its old term.
   if (Term > 1 && chance(10))
     --Term;
-  if (chance(3))
+  if (Focus_ == Focus::Everything && chance(3))
     submit(By, model::JobCancelled{Id});
   else if (Job.State_ == model::JobState::Waiting)
     submit(By, model::JobCommitted{
@@ -288,8 +317,7 @@
     break;
   case 5:
     // The log serves other hosts, but not this one.
-    ++Counts_["cut off"];
-    Target.CutOffUntil_ = Now_ + upTo(8s);
+    cutOff(Target);
     break;
   default:
     corruptLog();
--- a/tests/schedules/world.cpp
+++ b/tests/schedules/world.cpp
@@ -16,7 +16,8 @@
 
 } // namespace
 
-World::World(std::uint64_t Seed) : Random_(core::seededRandom(Seed)) {
+World::World(std::uint64_t Seed, Focus Chosen)
+    : Focus_(Chosen), Random_(core::seededRandom(Seed)) {
   Hosts_.resize(HostCount);
   for (std::size_t I = 0; I < HostCount; ++I) {
     Hosts_[I].Name_ = "e" + std::to_string(I + 1);
@@ -69,9 +70,11 @@
     Host &Chosen = someHost();
     if (Now_ >= Chosen.PausedUntil_)
       pump(Chosen);
-    if (chance(50))
+    if (Focus_ == Focus::Domains)
+      operateDomains();
+    else if (chance(50))
       operate();
-    if (chance(4))
+    if (chance(Focus_ == Focus::Domains ? 1 : 4))
       disturb();
     expect(Oracle_.failure().empty(), Oracle_.failure());
   }
--- a/tests/schedules/world.h
+++ b/tests/schedules/world.h
@@ -18,11 +18,18 @@
 };
 constexpr unsigned AppendFaults = 6;
 
+/// What the hosts do in a schedule.
+enum class Focus : std::uint8_t {
+  Everything,
+  /// Work starts while domains go out and holders are cut off from the log.
+  Domains
+};
+
 /// One schedule: entry hosts, the log, two cells with an agent each, and the
 /// agents of non-idempotent requests. Everything follows from the seed.
 class World {
 public:
-  explicit World(std::uint64_t Seed);
+  World(std::uint64_t Seed, Focus Chosen);
 
   /// Runs \p Steps steps with faults, then heals and checks that all hosts
   /// agree. Returns the first broken property, or an empty text.
@@ -70,6 +77,8 @@
 
   // What hosts do.
   void operate();
+  void operateDomains();
+  void cutOff(Host &Target);
   void publish(Host &By, core::Version RoutesExpected,
                core::Version PoolsExpected);
   void changeDomain(Host &By);
@@ -88,6 +97,7 @@
   void heal();
   void checkEnd();
 
+  const Focus Focus_;
   core::Random Random_;
   core::TimePoint Now_{std::chrono::hours(1)};
   std::multimap<core::TimePoint, std::function<void()>> Actions_;
