Report an agent's tasks as ended only when they are

No heartbeat leaves before the runtime is clear. One task that ends without success now ends the share. - By review: a start refused because the permit had run out counted as a failed task; tasks that no share accounts for were left running; a repeated Stop did not bring the end of an old share back into the heartbeat, which holds 24 reports; a late acknowledgement could bring back a permit that a newer one had ended.

Ruled out: leases; in each case the attempt was requeued on the agent's word.

Conclusion: a report of an end, or a new incarnation, means that nothing runs.

--- a/lib/agent/include/nutmegwell/agent/control.h
+++ b/lib/agent/include/nutmegwell/agent/control.h
@@ -71,6 +71,9 @@
   core::TimePoint LeaseUntil_{};
   core::TimePoint LastHeartbeat_{};
   core::TimePoint LastListing_{};
+  /// Highest heartbeat that the holder of the highest term acknowledged.
+  std::uint64_t AckedSequence_ = 0;
+  core::TimePoint FirstTick_{};
   /// When recent heartbeats were sent, by sequence number.
   std::map<std::uint64_t, core::TimePoint> SentAt_;
   std::map<ShareKey, Share> Shares_;
--- a/lib/agent/src/control.cpp
+++ b/lib/agent/src/control.cpp
@@ -3,16 +3,18 @@
 #include "shares.h"
 
 #include <algorithm>
+#include <set>
 
 namespace nutmegwell::agent {
 
 namespace {
 
 constexpr std::size_t MaxSentAt = 16;
-/// Checkpoint grace when no holder asked for the stop.
-constexpr auto LapseGrace = std::chrono::seconds(5);
 
 void sendHeartbeats(AgentState &State, core::TimePoint Now, Effects &Out) {
+  // The first heartbeat of a process says that its predecessor's tasks ended.
+  if (!State.Ready_)
+    return;
   State.LastHeartbeat_ = Now;
   const AgentSettings &Settings = State.Settings_;
   model::Heartbeat Beat;
@@ -45,6 +47,7 @@
     State.HighestTerm_ = Value;
     // The new holder decides afresh whether work may start.
     State.PermitUntil_ = {};
+    State.AckedSequence_ = 0;
     Out.Changes_.push_back({"term", {{"term", std::to_string(Value)}}});
   }
   return true;
@@ -55,14 +58,19 @@
   if (Ack.Term_ == 0 || Sent == State.SentAt_.end() ||
       !acceptTerm(State, Ack.Term_, Out))
     return;
+  if (Ack.TaskLease_ > core::Duration::zero())
+    State.LeaseUntil_ =
+        std::max(State.LeaseUntil_, Sent->second + Ack.TaskLease_);
+  // A late acknowledgement must not bring back a permit that a newer one ended.
+  if (Ack.Sequence_ < State.AckedSequence_)
+    return;
+  State.AckedSequence_ = Ack.Sequence_;
   // A zero permit ends the one in force at once: the domain was taken out or
   // the holder's view of the log is old.
   State.PermitUntil_ =
       Ack.StartPermit_ == core::Duration::zero()
           ? core::TimePoint{}
           : std::max(State.PermitUntil_, Sent->second + Ack.StartPermit_);
-  State.LeaseUntil_ =
-      std::max(State.LeaseUntil_, Sent->second + Ack.TaskLease_);
 }
 
 void onDatagram(AgentState &State, const DatagramReceived &What,
@@ -128,10 +136,29 @@
     Clear = false;
     Out.Calls_.push_back(StopTask{Task.Id_, core::Duration::zero()});
   }
-  State.Ready_ = Clear;
+  // A call of the earlier process may still take effect within the bound.
+  State.Ready_ =
+      Clear && State.FirstTick_ != core::TimePoint{} &&
+      What.AskedAt_ >= State.FirstTick_ + State.Settings_.RuntimeCallBound_;
+}
+
+/// Stops tasks that no share accounts for, such as a start that took effect
+/// after its share was given up.
+void stopUnknown(const AgentState &State, const RuntimeListing &What,
+                 Effects &Out) {
+  std::set<std::string> Expected;
+  for (const auto &[Key, Known] : State.Shares_)
+    for (std::size_t I = 0; I < Known.Tasks_.size(); ++I)
+      if (!ended(Known.State_))
+        Expected.insert(taskId(Key, I));
+  for (const RuntimeTask &Task : What.Tasks_)
+    if (!ended(Task.State_) && !Expected.count(Task.Id_))
+      Out.Calls_.push_back(StopTask{Task.Id_, core::Duration::zero()});
 }
 
 void onTick(AgentState &State, core::TimePoint Now, Effects &Out) {
+  if (State.FirstTick_ == core::TimePoint{})
+    State.FirstTick_ = Now;
   if (State.Settings_.Kind_ == model::NodeKind::Upstream)
     State.Ready_ = true;
   callRuntime(State, Now, Out);
@@ -143,7 +170,7 @@
     Changed = true;
   }
   bool Due = Now - State.LastHeartbeat_ >= State.Settings_.HeartbeatInterval_;
-  if (State.Ready_ && (Due || Changed))
+  if (Due || Changed)
     sendHeartbeats(State, Now, Out);
 }
 
@@ -172,10 +199,13 @@
   if (auto *Message = std::get_if<DatagramReceived>(&What)) {
     onDatagram(State, *Message, Now, Out);
   } else if (auto *Listing = std::get_if<RuntimeListing>(&What)) {
-    if (!State.Ready_)
+    if (!State.Ready_) {
       clearRuntime(State, *Listing, Out);
-    else if (noteListing(State, *Listing, Now))
-      sendHeartbeats(State, Now, Out);
+    } else {
+      if (noteListing(State, *Listing, Now))
+        sendHeartbeats(State, Now, Out);
+      stopUnknown(State, *Listing, Out);
+    }
   } else if (auto *Failed = std::get_if<StartFailed>(&What)) {
     if (noteStartFailure(State, Failed->Id_, Now))
       sendHeartbeats(State, Now, Out);
@@ -184,7 +214,7 @@
                 Changed->Info_.Service_ != State.Upstream_.Service_ ||
                 Changed->Info_.Slots_ != State.Upstream_.Slots_;
     State.Upstream_ = Changed->Info_;
-    if (Told && State.Ready_)
+    if (Told)
       sendHeartbeats(State, Now, Out);
   } else if (std::get_if<Tick>(&What)) {
     onTick(State, Now, Out);
--- a/lib/agent/src/shares.cpp
+++ b/lib/agent/src/shares.cpp
@@ -49,13 +49,16 @@
     return std::find(Target.Tasks_.begin(), Target.Tasks_.end(), Value) !=
            Target.Tasks_.end();
   };
+  // One task that ended without success ends the share.
   if (Has(TaskState::Failed))
     return TaskState::Failed;
+  if (Has(TaskState::Stopped))
+    return TaskState::Stopped;
   if (Has(TaskState::Starting))
     return TaskState::Starting;
   if (Has(TaskState::Running))
     return TaskState::Running;
-  return Has(TaskState::Stopped) ? TaskState::Stopped : TaskState::Done;
+  return TaskState::Done;
 }
 
 /// Returns the state of a task that the runtime does not list.
@@ -161,7 +164,13 @@
     end(Target, TaskState::Stopped, Now);
     return true;
   }
-  if (ended(Target.State_) || Target.State_ == TaskState::Stopping)
+  if (ended(Target.State_)) {
+    // The holder has not seen the end: put its report first again, since only
+    // the latest ones fit a heartbeat.
+    Target.Until_ = Now;
+    return true;
+  }
+  if (Target.State_ == TaskState::Stopping)
     return false;
   Target.State_ = TaskState::Stopping;
   Target.Grace_ = Grace;
@@ -181,8 +190,10 @@
     TaskState Sum = sumOf(Target);
     // A failed task ends its share only when the others have ended too, so
     // that a final report means that nothing runs.
-    if (ended(Sum) && anyRuns(Target))
+    if (ended(Sum) && anyRuns(Target)) {
       Sum = TaskState::Stopping;
+      Target.Grace_ = std::max<core::Duration>(Target.Grace_, LapseGrace);
+    }
     if (Target.State_ == TaskState::Stopping && !ended(Sum))
       continue;
     if (Sum == Target.State_)
@@ -201,9 +212,13 @@
   for (auto &[Key, Target] : State.Shares_)
     for (std::size_t I = 0; I < Target.Tasks_.size(); ++I)
       if (taskId(Key, I) == Id && Target.Tasks_[I] == TaskState::Starting) {
-        Target.Tasks_[I] = TaskState::Failed;
+        // A permit that ran out, or a stop, is no fault of the worker.
+        Target.Tasks_[I] =
+            Now >= Target.StartNotAfter_ || Target.State_ == TaskState::Stopping
+                ? TaskState::Stopped
+                : TaskState::Failed;
         if (!anyRuns(Target))
-          end(Target, TaskState::Failed, Now);
+          end(Target, sumOf(Target), Now);
         return true;
       }
   return false;
