Let aged jobs take a turn from borrowers that have had theirs

Cause: large gangs starved while small borrowers filled every gap; in an absence half of the remaining accelerators stood free at the end with 32 jobs waiting, all large. Change: a job that has waited 0, 10 or 30 min by class takes the cheapest place held by borrowers of no more urgent class that have run 10 min (time slicing of gangs as in Gandiva, OSDI 2018; bounded waits by aging as in Tiresias, NSDI 2019). Jobs within a guarantee keep their place. At most 4 searches a decision.

--- a/bench/cost.cpp
+++ b/bench/cost.cpp
@@ -38,7 +38,9 @@
                                  Filled.Starts_[Next].Placement_,
                                  {},
                                  {},
-                                 false});
+                                 false,
+                                 {},
+                                 {}});
       ++Next;
     } else if (Rest.size() < Waiting) {
       Rest.push_back(std::move(Job));
--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -38,6 +38,7 @@
   std::uint32_t Attempt_ = 0;
   std::size_t Cell_ = 0;
   std::size_t Preferred_ = 0;
+  core::JobId StoppingFor_;
   model::Placement Placement_;
   core::Duration WaitFrom_{};
   core::Duration StartAt_{};
@@ -76,7 +77,7 @@
   void handle(const Event &Next);
   void handleFault(const Fault &Next);
   void start(std::size_t J, std::size_t Cell, model::Placement Tasks);
-  void preempt(std::size_t J);
+  void preempt(std::size_t J, core::JobId For);
   void putBack(std::size_t J);
   void kill(std::size_t J);
   void saveAs(std::size_t J, core::Duration Saved);
@@ -156,7 +157,8 @@
   Reclaim_.started(J, Now_);
 }
 
-void Simulation::preempt(std::size_t J) {
+void Simulation::preempt(std::size_t J, core::JobId For) {
+  Jobs_[J].StoppingFor_ = For;
   saveAs(J, input(J).SavesOnDemand_ ? workAt(J) : periodicSave(J));
   Jobs_[J].State_ = State::Stopping;
   ++Result_.Preemptions_;
@@ -243,7 +245,9 @@
          Job.Placement_,
          Run % PeriodicCheckpoint,
          Job.Attained_ + Run * input(J).Spec_.accelerators(),
-         Stopping});
+         Stopping,
+         Job.StoppingFor_,
+         std::max(Now_ - Job.StartAt_, core::Duration(0))});
   }
 }
 
@@ -261,7 +265,7 @@
   }
   for (const sched::PreemptDecision &Next : Plan.Preemptions_)
     if (Jobs_[Next.Job_.Sequence_ - 1].State_ == State::Running)
-      preempt(Next.Job_.Sequence_ - 1);
+      preempt(Next.Job_.Sequence_ - 1, Next.For_);
   if (!Plan.Starts_.empty()) {
     fillView(Cell);
     Result_.Invalid_ += !placementsValid(Cells_[Cell]);
--- a/lib/sched/include/nutmegwell/sched/plan.h
+++ b/lib/sched/include/nutmegwell/sched/plan.h
@@ -41,6 +41,10 @@
   core::Duration Attained_{};
   /// True while the job is being stopped; its accelerators come free soon.
   bool Stopping_ = false;
+  /// The waiting job for which this one is being stopped, if any.
+  core::JobId StoppingFor_;
+  /// Time since this attempt started; one with 0 keeps its place.
+  core::Duration RunTime_{};
 };
 
 /// All that a decision for one cell depends on.
@@ -61,6 +65,8 @@
 
 struct PreemptDecision {
   core::JobId Job_;
+  /// The waiting job that takes the accelerators.
+  core::JobId For_;
   std::string Reason_;
 };
 
--- a/lib/sched/include/nutmegwell/sched/policy.h
+++ b/lib/sched/include/nutmegwell/sched/policy.h
@@ -29,6 +29,11 @@
   /// borrow it.
   bool Guarantees_ = true;
   Victims Victims_ = Victims::LeastLost;
+  /// Whether accelerators go first to the job for which they are being freed.
+  bool KeepClaims_ = true;
+  /// Whether a job that has waited long takes accelerators from borrowers that
+  /// have run for a while.
+  bool Turns_ = true;
 };
 
 } // namespace nutmegwell::sched
--- a/lib/sched/src/cellstate.cpp
+++ b/lib/sched/src/cellstate.cpp
@@ -38,7 +38,7 @@
 
 CellState::CellState(const CellView &View, const Policy &Choices)
     : View_(View), Map_(makeTopology(View)), Free_(Map_),
-      Held_(View.Pools_.size()) {
+      Held_(View.Pools_.size()), Claimed_(View.Workers_.size()) {
   Running_.JobsOn_.resize(View.Workers_.size());
   for (std::size_t J = 0; J < View.Running_.size(); ++J)
     addRunning(*this, J, Choices.Victims_);
@@ -58,13 +58,20 @@
   return findClaim(State.Guarantees_, State.Free_, State.Running_, Spec, Pool);
 }
 
+void keepPlace(CellState &State, const Slices &Tasks,
+               const model::JobSpec &Spec, std::size_t Pool) {
+  State.Free_.take(Tasks);
+  State.Held_[Pool] += Spec.accelerators();
+  for (const Slice &Part : Tasks)
+    State.Claimed_[Part.Worker_] |= Part.Bits_;
+}
+
 void keepClaim(CellState &State, const Claim &Found, const model::JobSpec &Spec,
                std::size_t Pool) {
   bindClaim(State.Guarantees_, Found, Pool);
   for (std::size_t J : Found.Victims_)
     State.Running_.Cost_[J] = 0;
-  State.Free_.take(Found.Tasks_);
-  State.Held_[Pool] += Spec.accelerators();
+  keepPlace(State, Found.Tasks_, Spec, Pool);
 }
 
 } // namespace nutmegwell::sched
--- a/lib/sched/src/cellstate.h
+++ b/lib/sched/src/cellstate.h
@@ -19,6 +19,8 @@
   std::vector<std::uint32_t> Held_;
   Occupants Running_;
   Guarantees Guarantees_;
+  /// For each worker, the accelerators kept for claims and starts.
+  std::vector<std::uint64_t> Claimed_;
 };
 
 /// Returns true when the job keeps the limit of its pool row.
@@ -29,6 +31,10 @@
 std::optional<Claim> claimFor(const CellState &State,
                               const model::JobSpec &Spec, std::size_t Pool);
 
+/// Keeps the accelerators of a place for its job.
+void keepPlace(CellState &State, const Slices &Tasks,
+               const model::JobSpec &Spec, std::size_t Pool);
+
 /// Keeps the accelerators of a claim for its job.
 void keepClaim(CellState &State, const Claim &Found, const model::JobSpec &Spec,
                std::size_t Pool);
--- a/lib/sched/src/claim.cpp
+++ b/lib/sched/src/claim.cpp
@@ -1,16 +1,12 @@
 #include "claim.h"
 
-#include "place.h"
+#include "region.h"
 #include <algorithm>
-#include <set>
 
 namespace nutmegwell::sched {
 
 namespace {
 
-/// Accelerators by worker within which a claim may lie.
-using Region = std::map<std::uint32_t, std::uint64_t>;
-
 /// Adds what no job within a guarantee holds of a block.
 void addBlock(const Guarantees &State, const Topology &Map, std::size_t B,
               Region &Result) {
@@ -22,95 +18,6 @@
   }
 }
 
-/// Adds tasks on one worker, on free accelerators first.
-void fillWorker(std::uint32_t Worker, std::uint64_t Bits, std::uint64_t Free,
-                const model::JobSpec &Spec, Slices &Tasks) {
-  std::uint32_t Size = Spec.AcceleratorsPerTask_;
-  while (countBits(Bits) >= Size && Tasks.size() < Spec.Tasks_) {
-    std::uint64_t Chosen = Bits & Free;
-    if (countBits(Chosen) < Size)
-      Chosen |= pickBits(Bits & ~Free, Size - countBits(Chosen), Fit::Best);
-    else
-      Chosen = pickBits(Chosen, Size, Fit::Best);
-    Tasks.push_back({Worker, Chosen});
-    Bits &= ~Chosen;
-  }
-}
-
-/// Returns the group of a worker at a level.
-std::uint32_t groupOf(const Topology &Map, std::uint32_t Worker,
-                      model::Level Level) {
-  if (Level == model::Level::Domain)
-    return 0;
-  return Level == model::Level::Rack ? Map.RackOf_[Worker] : Worker;
-}
-
-/// Returns a place for the gang in the region, or nothing.
-std::optional<Slices> fitInto(const Region &Where, const FreeIndex &Free,
-                              const model::JobSpec &Spec) {
-  std::map<std::uint32_t, Slices> Groups;
-  for (const auto &[Worker, Bits] : Where)
-    fillWorker(Worker, Bits, Free.freeBits(Worker), Spec,
-               Groups[groupOf(Free.map(), Worker, Spec.Level_)]);
-  for (auto &[Group, Tasks] : Groups)
-    if (Tasks.size() == Spec.Tasks_)
-      return std::move(Tasks);
-  return std::nullopt;
-}
-
-/// Fills in what stands in the place of a claim and returns the cost.
-double findVictims(const Occupants &Running, const FreeIndex &Free,
-                   Claim &Result) {
-  double Cost = 0;
-  Result.Free_ = true;
-  std::set<std::size_t> Victims;
-  for (const Slice &Task : Result.Tasks_) {
-    std::uint64_t Taken = Task.Bits_ & ~Free.freeBits(Task.Worker_);
-    if (Taken == 0)
-      continue;
-    Result.Free_ = false;
-    for (std::size_t J : Running.JobsOn_[Task.Worker_])
-      for (const Slice &Part : Running.Slices_[J])
-        if (Part.Worker_ == Task.Worker_ && (Part.Bits_ & Taken) != 0)
-          Victims.insert(J);
-  }
-  for (std::size_t J : Victims) {
-    Cost += Running.Cost_[J];
-    if (Running.Cost_[J] > 0)
-      Result.Victims_.push_back(J);
-  }
-  return Cost;
-}
-
-/// The cheapest claim found so far.
-struct Cheapest {
-  std::optional<Claim> Claim_;
-  double Cost_ = 0;
-
-  /// Takes the claim when it is cheaper, or as cheap and free at once.
-  void offer(Claim Next, double Cost) {
-    if (Claim_ &&
-        (Cost > Cost_ || (Cost == Cost_ && (Claim_->Free_ || !Next.Free_))))
-      return;
-    Claim_ = std::move(Next);
-    Cost_ = Cost;
-  }
-  bool freeAtOnce() const { return Claim_ && Claim_->Free_; }
-};
-
-void offerRegion(const Region &Where, std::vector<std::size_t> Blocks,
-                 const FreeIndex &Free, const Occupants &Running,
-                 const model::JobSpec &Spec, Cheapest &Best) {
-  auto Tasks = fitInto(Where, Free, Spec);
-  if (!Tasks)
-    return;
-  Claim Next;
-  Next.Tasks_ = std::move(*Tasks);
-  Next.Blocks_ = std::move(Blocks);
-  double Cost = findVictims(Running, Free, Next);
-  Best.offer(std::move(Next), Cost);
-}
-
 /// Returns what it costs to empty a block.
 double emptyingCost(const Guarantees &State, std::size_t B,
                     const FreeIndex &Free, const Occupants &Running) {
--- a/lib/sched/src/plan.cpp
+++ b/lib/sched/src/plan.cpp
@@ -1,7 +1,8 @@
 #include "nutmegwell/sched/plan.h"
 
-#include "cellstate.h"
+#include "aging.h"
 #include "place.h"
+#include "queue.h"
 #include "reasons.h"
 #include <set>
 #include <tuple>
@@ -19,6 +20,10 @@
   return {Spec.Tasks_, Spec.AcceleratorsPerTask_, Spec.Level_};
 }
 
+/// Bounds the time of a decision: the search for a turn looks at every running
+/// job.
+constexpr std::uint32_t MostTurnsSought = 4;
+
 /// A decision while it is made.
 struct Decision {
   Decision(const CellView &View, const Policy &Choices)
@@ -27,6 +32,7 @@
   const Policy &Choices_;
   CellState Cell_;
   ShapeSet NoPlace_;
+  std::uint32_t TurnsSought_ = 0;
   Plan Plan_;
 };
 
@@ -34,6 +40,13 @@
   State.Plan_.Waits_.push_back({Job.Id_, std::move(Reason)});
 }
 
+void preemptFor(Decision &State, const WaitingJob &Job, const Claim &Found,
+                const std::string &Reason) {
+  for (std::size_t J : Found.Victims_)
+    State.Plan_.Preemptions_.push_back(
+        {State.Cell_.View_.Running_[J].Id_, Job.Id_, Reason});
+}
+
 /// Starts a job within the free guarantee of its account, or preempts the
 /// borrowers that stand in its place. Returns false when the guarantee has no
 /// free part of the job's shape, or when another cell preempts for the job.
@@ -47,15 +60,36 @@
     State.Plan_.Starts_.push_back({Job.Id_, toPlacement(View, Found->Tasks_)});
     return true;
   }
-  for (std::size_t J : Found->Victims_)
-    State.Plan_.Preemptions_.push_back(
-        {View.Running_[J].Id_, "account " + Job.Spec_.Account_ +
-                                   " reclaims its guarantee in domain " +
-                                   View.Domain_});
+  preemptFor(State, Job, *Found,
+             "account " + Job.Spec_.Account_ +
+                 " reclaims its guarantee in domain " + View.Domain_);
   wait(State, Job, reclaimReason(View, Job.Spec_, Found->Victims_.size()));
   return true;
 }
 
+/// Preempts borrowers that have had their turn for a job that has waited long
+/// enough, and keeps their place for it. Returns false when there are none or
+/// it is not this job's turn.
+bool takeTurn(Decision &State, const WaitingJob &Job, std::size_t Pool) {
+  if (!State.Choices_.Turns_ || !Job.Preferred_ || !isAged(Job) ||
+      State.TurnsSought_ >= MostTurnsSought)
+    return false;
+  ++State.TurnsSought_;
+  auto Found = agedPlace(State.Cell_, Job);
+  if (!Found || Found->Free_)
+    return false;
+  for (std::size_t J : Found->Victims_)
+    State.Cell_.Running_.Cost_[J] = 0;
+  keepPlace(State.Cell_, Found->Tasks_, Job.Spec_, Pool);
+  preemptFor(State, Job, *Found,
+             "a job of account " + Job.Spec_.Account_ +
+                 " that has waited its time takes a turn in domain " +
+                 State.Cell_.View_.Domain_);
+  wait(State, Job,
+       turnReason(State.Cell_.View_, Job.Spec_, Found->Victims_.size()));
+  return true;
+}
+
 /// Starts a job on accelerators that nobody uses at present.
 void borrow(Decision &State, const WaitingJob &Job, std::size_t Pool) {
   std::optional<Slices> Found;
@@ -63,12 +97,13 @@
     Found = findPlace(State.Cell_.Free_, Job.Spec_, State.Choices_.Fit_);
   if (!Found) {
     State.NoPlace_.insert(shapeOf(Job.Spec_));
+    if (takeTurn(State, Job, Pool))
+      return;
     return wait(State, Job,
                 noPlaceReason(State.Cell_.View_, Job.Spec_,
                               State.Cell_.Free_.freeInCell()));
   }
-  State.Cell_.Free_.take(*Found);
-  State.Cell_.Held_[Pool] += Job.Spec_.accelerators();
+  keepPlace(State.Cell_, *Found, Job.Spec_, Pool);
   State.Plan_.Starts_.push_back(
       {Job.Id_, toPlacement(State.Cell_.View_, *Found)});
 }
@@ -94,10 +129,10 @@
 void decideStarts(Decision &State) {
   const CellView &View = State.Cell_.View_;
   std::vector<const WaitingJob *> Borrowers;
-  for (const WaitingJob &Job : View.Waiting_)
+  for (const WaitingJob *Job : claimOrder(View, State.Choices_))
     if (!State.Choices_.Guarantees_ ||
-        !useGuarantee(State, Job, poolOf(View, Job.Spec_)))
-      Borrowers.push_back(&Job);
+        !useGuarantee(State, *Job, poolOf(View, Job->Spec_)))
+      Borrowers.push_back(Job);
   for (const WaitingJob *Job : Borrowers) {
     std::size_t Pool = poolWithRoom(State, *Job);
     if (Pool != NoOwner)
--- a/lib/sched/src/reasons.cpp
+++ b/lib/sched/src/reasons.cpp
@@ -56,4 +56,14 @@
          " stopped there";
 }
 
+std::string turnReason(const CellView &View, const model::JobSpec &Spec,
+                       std::size_t Victims) {
+  return "the job takes its turn on " + shapeText(View, Spec) +
+         " and can start when " +
+         (Victims == 0
+              ? std::string("the jobs being stopped there have stopped")
+              : std::to_string(Victims) +
+                    " jobs that ran before it have stopped there");
+}
+
 } // namespace nutmegwell::sched
--- a/lib/sched/src/reasons.h
+++ b/lib/sched/src/reasons.h
@@ -15,4 +15,7 @@
 std::string reclaimReason(const CellView &View, const model::JobSpec &Spec,
                           std::size_t Victims);
 
+std::string turnReason(const CellView &View, const model::JobSpec &Spec,
+                       std::size_t Victims);
+
 } // namespace nutmegwell::sched
--- /dev/null
+++ b/lib/sched/src/region.cpp
@@ -0,0 +1,84 @@
+#include "region.h"
+
+#include "place.h"
+#include <algorithm>
+#include <set>
+
+namespace nutmegwell::sched {
+
+namespace {
+
+/// Adds tasks on one worker, on free accelerators first.
+void fillWorker(std::uint32_t Worker, std::uint64_t Bits, std::uint64_t Free,
+                const model::JobSpec &Spec, Slices &Tasks) {
+  std::uint32_t Size = Spec.AcceleratorsPerTask_;
+  while (countBits(Bits) >= Size && Tasks.size() < Spec.Tasks_) {
+    std::uint64_t Chosen = Bits & Free;
+    if (countBits(Chosen) < Size)
+      Chosen |= pickBits(Bits & ~Free, Size - countBits(Chosen), Fit::Best);
+    else
+      Chosen = pickBits(Chosen, Size, Fit::Best);
+    Tasks.push_back({Worker, Chosen});
+    Bits &= ~Chosen;
+  }
+}
+
+/// Returns the group of a worker at a level.
+std::uint32_t groupOf(const Topology &Map, std::uint32_t Worker,
+                      model::Level Level) {
+  if (Level == model::Level::Domain)
+    return 0;
+  return Level == model::Level::Rack ? Map.RackOf_[Worker] : Worker;
+}
+
+} // namespace
+
+std::optional<Slices> fitInto(const Region &Where, const FreeIndex &Free,
+                              const model::JobSpec &Spec) {
+  std::map<std::uint32_t, Slices> Groups;
+  for (const auto &[Worker, Bits] : Where)
+    fillWorker(Worker, Bits, Free.freeBits(Worker), Spec,
+               Groups[groupOf(Free.map(), Worker, Spec.Level_)]);
+  for (auto &[Group, Tasks] : Groups)
+    if (Tasks.size() == Spec.Tasks_)
+      return std::move(Tasks);
+  return std::nullopt;
+}
+
+double findVictims(const Occupants &Running, const FreeIndex &Free,
+                   Claim &Result) {
+  double Cost = 0;
+  Result.Free_ = true;
+  std::set<std::size_t> Victims;
+  for (const Slice &Task : Result.Tasks_) {
+    std::uint64_t Taken = Task.Bits_ & ~Free.freeBits(Task.Worker_);
+    if (Taken == 0)
+      continue;
+    Result.Free_ = false;
+    for (std::size_t J : Running.JobsOn_[Task.Worker_])
+      for (const Slice &Part : Running.Slices_[J])
+        if (Part.Worker_ == Task.Worker_ && (Part.Bits_ & Taken) != 0)
+          Victims.insert(J);
+  }
+  for (std::size_t J : Victims) {
+    Cost += Running.Cost_[J];
+    if (Running.Cost_[J] > 0)
+      Result.Victims_.push_back(J);
+  }
+  return Cost;
+}
+
+void offerRegion(const Region &Where, std::vector<std::size_t> Blocks,
+                 const FreeIndex &Free, const Occupants &Running,
+                 const model::JobSpec &Spec, Cheapest &Best) {
+  auto Tasks = fitInto(Where, Free, Spec);
+  if (!Tasks)
+    return;
+  Claim Next;
+  Next.Tasks_ = std::move(*Tasks);
+  Next.Blocks_ = std::move(Blocks);
+  double Cost = findVictims(Running, Free, Next);
+  Best.offer(std::move(Next), Cost);
+}
+
+} // namespace nutmegwell::sched
