Order borrowers by class, attained service and age

Ruled out: shortest declared time first; declared times are up to ten times off either way. Change: more urgent classes first, then least attained service in levels (Tiresias, NSDI 2019); a job that has waited 2 h goes before all that have not.

--- a/lib/sched/include/nutmegwell/sched/policy.h
+++ b/lib/sched/include/nutmegwell/sched/policy.h
@@ -21,6 +21,15 @@
   LeastLost
 };
 
+/// In which order waiting jobs borrow.
+enum class Order : std::uint8_t {
+  /// As the view lists them.
+  Listed,
+  /// More urgent classes first, then least attained service; a job that has
+  /// waited long goes before those that have not.
+  LeastAttained
+};
+
 /// Choices of the scheduling policy. The defaults are the policy in force; the
 /// measuring program sets others to compare.
 struct Policy {
@@ -34,6 +43,7 @@
   /// Whether a job that has waited long takes accelerators from borrowers that
   /// have run for a while.
   bool Turns_ = true;
+  Order Order_ = Order::LeastAttained;
 };
 
 } // namespace nutmegwell::sched
--- a/lib/sched/src/plan.cpp
+++ b/lib/sched/src/plan.cpp
@@ -133,6 +133,7 @@
     if (!State.Choices_.Guarantees_ ||
         !useGuarantee(State, *Job, poolOf(View, Job->Spec_)))
       Borrowers.push_back(Job);
+  sortBorrowers(Borrowers, State.Choices_);
   for (const WaitingJob *Job : Borrowers) {
     std::size_t Pool = poolWithRoom(State, *Job);
     if (Pool != NoOwner)
--- a/lib/sched/src/queue.cpp
+++ b/lib/sched/src/queue.cpp
@@ -5,6 +5,27 @@
 
 namespace nutmegwell::sched {
 
+namespace {
+
+/// After this wait a job of any class goes before all that have not waited as
+/// long, in the order of arrival.
+constexpr std::chrono::hours LongestWait{2};
+
+/// Width of the first level of attained service; each level is ten times as
+/// wide as the one before, so that jobs do not change places all the time.
+constexpr std::chrono::seconds FirstLevel{3600};
+
+bool waitedTooLong(const WaitingJob &Job) { return Job.Waited_ >= LongestWait; }
+
+int serviceLevel(const WaitingJob &Job) {
+  int Level = 0;
+  for (core::Duration Bound = FirstLevel; Job.Attained_ >= Bound; Bound *= 10)
+    ++Level;
+  return Level;
+}
+
+} // namespace
+
 std::vector<const WaitingJob *> claimOrder(const CellView &View,
                                            const Policy &Choices) {
   std::vector<const WaitingJob *> Order;
@@ -23,4 +44,19 @@
   return Order;
 }
 
+void sortBorrowers(std::vector<const WaitingJob *> &Jobs,
+                   const Policy &Choices) {
+  if (Choices.Order_ == Order::Listed)
+    return;
+  std::stable_sort(Jobs.begin(), Jobs.end(),
+                   [](const WaitingJob *A, const WaitingJob *B) {
+                     bool LateA = waitedTooLong(*A);
+                     bool LateB = waitedTooLong(*B);
+                     if (LateA || LateB)
+                       return LateA && (!LateB || A->Waited_ > B->Waited_);
+                     return std::make_pair(A->Spec_.Class_, serviceLevel(*A)) <
+                            std::make_pair(B->Spec_.Class_, serviceLevel(*B));
+                   });
+}
+
 } // namespace nutmegwell::sched
--- a/lib/sched/src/queue.h
+++ b/lib/sched/src/queue.h
@@ -10,4 +10,10 @@
 std::vector<const WaitingJob *> claimOrder(const CellView &View,
                                            const Policy &Choices);
 
+/// Puts the jobs in the order in which they borrow. Declared run times are far
+/// off, so that attained service stands in for what is left, and aging bounds
+/// the wait (Tiresias, Gu et al., NSDI 2019).
+void sortBorrowers(std::vector<const WaitingJob *> &Jobs,
+                   const Policy &Choices);
+
 } // namespace nutmegwell::sched
