--- a/lib/daemon/src/entryrole.cpp
+++ b/lib/daemon/src/entryrole.cpp
@@ -18,6 +18,10 @@
 
 namespace {
 
+/// A stopping host still answers, with refusals, until no request has come for
+/// the first time, at most for the second, so that the load balancer notices.
+constexpr auto DrainQuiet = std::chrono::milliseconds(500);
+constexpr auto DrainLimit = std::chrono::seconds(10);
 /// Time for the records of a graceful stop to reach the log.
 constexpr auto StopAppends = std::chrono::seconds(2);
 
@@ -222,6 +226,7 @@
 void EntryRole::stop() {
   Control_.post(entry::StopRequested());
   Requests_.stop();
+  Http_.waitQuiet(DrainQuiet, DrainLimit);
   Http_.stop();
   // Waits until the fold shows that the cells were given back.
   Control_.waitUntil(
--- a/lib/entry/include/nutmegwell/entry/api.h
+++ b/lib/entry/include/nutmegwell/entry/api.h
@@ -32,6 +32,7 @@
                                  const std::string &Name);
   net::HttpResponse domains(const net::HttpRequest &Request,
                             const std::vector<std::string> &Parts);
+  net::HttpResponse health();
   net::HttpResponse status();
 
   ControlLoop &Control_;
--- a/lib/entry/include/nutmegwell/entry/control.h
+++ b/lib/entry/include/nutmegwell/entry/control.h
@@ -113,6 +113,10 @@
   std::map<model::NodeName, core::Incarnation> Members_;
   /// Workers that have answered the step of the phase.
   std::set<model::NodeName> Answered_;
+  /// When every task was first seen to run; the epoch before.
+  core::TimePoint RunningSince_{};
+  /// The waiting job for which this one is stopped, if any.
+  core::JobId StoppingFor_;
   bool TaskFailed_ = false;
   std::string StopReason_;
   /// True while a record that ends the phase is on its way to the log.
@@ -148,6 +152,9 @@
   std::map<core::JobId, Gang> Gangs_;
   std::map<core::JobId, core::TimePoint> WaitingSince_;
   std::map<core::JobId, std::string> WaitReasons_;
+  /// Accelerator time that this host saw a job use in earlier attempts. A new
+  /// holder starts from zero, which only changes the order of equal jobs.
+  std::map<core::JobId, core::Duration> Attained_;
   /// Highest attempt number that this host used for a job.
   std::map<core::JobId, std::uint32_t> LastAttempt_;
   std::map<core::RecordId, PendingRecord> Pending_;
--- a/lib/entry/src/api.cpp
+++ b/lib/entry/src/api.cpp
@@ -170,6 +170,8 @@
     return tables(Request, Parts);
   if (Parts[1] == "domains" && Parts.size() == 4)
     return domains(Request, Parts);
+  if (Parts[1] == "health" && Request.Method_ == "GET")
+    return health();
   if (Parts[1] == "status" && Request.Method_ == "GET")
     return status();
   return notFound("no such path");
@@ -337,6 +339,17 @@
   return refusal(Reply, "change domain");
 }
 
+net::HttpResponse Api::health() {
+  bool Takes = false;
+  if (!Control_.query([&](const EntryState &State) {
+        Takes = !State.Stopping_ && State.Fold_.Next_ > 0;
+      }) ||
+      !Takes)
+    return fail(503, "not_ready", "health",
+                "the entry host is stopping or has no state yet");
+  return json(200, "{}");
+}
+
 net::HttpResponse Api::status() {
   wire::StatusView View;
   if (!Control_.query([&](const EntryState &State) {
--- a/lib/entry/src/control.cpp
+++ b/lib/entry/src/control.cpp
@@ -62,6 +62,7 @@
   EraseGone(State.WaitingSince_);
   EraseGone(State.WaitReasons_);
   EraseGone(State.LastAttempt_);
+  EraseGone(State.Attained_);
 }
 
 void onLogEntry(EntryState &State, const LogEntry &What, core::TimePoint Now,
--- a/lib/entry/src/gangs.cpp
+++ b/lib/entry/src/gangs.cpp
@@ -212,6 +212,11 @@
          PendingRecord{0, {}, Target.Job_, Target.Attempt_, {}, {}});
 }
 
+void noteRunning(Gang &Target, core::TimePoint Now) {
+  enter(Target, GangPhase::Running, Now);
+  Target.RunningSince_ = Now;
+}
+
 void advanceStarted(EntryState &State, Gang &Target, core::TimePoint Now,
                     Effects &Out) {
   if (Target.RecordPending_)
@@ -236,7 +241,7 @@
   if (Target.Phase_ == GangPhase::Running)
     return;
   if (Report.Started_ == Target.Members_.size())
-    return enter(Target, GangPhase::Running, Now);
+    return noteRunning(Target, Now);
   if (Now - Target.Since_ >= State.Settings_.StartBound_)
     return stopGang(State, Target, "not every task started in time", Now, Out);
   model::Start Message{Target.Term_, Target.Job_, Target.Attempt_};
@@ -359,6 +364,9 @@
               core::TimePoint Now, Effects &Out) {
   if (Target.RecordPending_)
     return;
+  if (Target.RunningSince_ != core::TimePoint{})
+    State.Attained_[Target.Job_] +=
+        (Now - Target.RunningSince_) * Target.Spec_.accelerators();
   enter(Target, GangPhase::Stopping, Now);
   Target.StopReason_ = Reason;
   sendStops(State, Target, Now, Out);
--- a/lib/entry/src/schedule.cpp
+++ b/lib/entry/src/schedule.cpp
@@ -33,23 +33,53 @@
                                membership::takesWork(Known, Now)});
 }
 
+core::Duration attained(const EntryState &State, const core::JobId &Id) {
+  auto Known = State.Attained_.find(Id);
+  return Known == State.Attained_.end() ? core::Duration::zero()
+                                        : Known->second;
+}
+
+/// Adds what this host knows of the attempt beyond the fold.
+void describeGang(const Gang &Target, core::TimePoint Now,
+                  sched::RunningJob &Out) {
+  Out.Stopping_ = Out.Stopping_ || Target.Phase_ == GangPhase::Stopping;
+  Out.StoppingFor_ = Target.StoppingFor_;
+  if (Target.RunningSince_ == core::TimePoint{})
+    return;
+  Out.RunTime_ = Now - Target.RunningSince_;
+  // A stop takes a checkpoint, so what is at stake is bounded by the run time.
+  Out.SinceCheckpoint_ = Out.RunTime_;
+  Out.Attained_ += Out.RunTime_ * Target.Spec_.accelerators();
+}
+
 /// Adds committed and reserved attempts of the cell.
-void addRunning(const EntryState &State, sched::CellView &View) {
+void addRunning(const EntryState &State, core::TimePoint Now,
+                sched::CellView &View) {
   for (const auto &[Id, Known] : State.Fold_.Jobs_) {
+    if (Known.Domain_ != View.Domain_ || !model::isRunning(Known.State_))
+      continue;
+    sched::RunningJob Out;
+    Out.Id_ = Id;
+    Out.Spec_ = Known.Spec_;
+    Out.Placement_ = Known.Placement_;
+    Out.Attained_ = attained(State, Id);
+    Out.Stopping_ = Known.State_ == model::JobState::Stopping;
     auto Driven = State.Gangs_.find(Id);
-    bool Stopping = Known.State_ == model::JobState::Stopping ||
-                    (Driven != State.Gangs_.end() &&
-                     Driven->second.Phase_ == GangPhase::Stopping);
-    if (Known.Domain_ == View.Domain_ && model::isRunning(Known.State_))
-      View.Running_.push_back(
-          {Id, Known.Spec_, Known.Placement_, {}, {}, Stopping});
+    if (Driven != State.Gangs_.end())
+      describeGang(Driven->second, Now, Out);
+    View.Running_.push_back(std::move(Out));
+  }
+  for (const auto &[Id, Target] : State.Gangs_) {
+    if (Target.Domain_ != View.Domain_ ||
+        (Target.Phase_ != GangPhase::Reserving &&
+         Target.Phase_ != GangPhase::Committing))
+      continue;
+    sched::RunningJob Out;
+    Out.Id_ = Id;
+    Out.Spec_ = Target.Spec_;
+    Out.Placement_ = Target.Placement_;
+    View.Running_.push_back(std::move(Out));
   }
-  for (const auto &[Id, Target] : State.Gangs_)
-    if (Target.Domain_ == View.Domain_ &&
-        (Target.Phase_ == GangPhase::Reserving ||
-         Target.Phase_ == GangPhase::Committing))
-      View.Running_.push_back(
-          {Id, Target.Spec_, Target.Placement_, {}, {}, false});
 }
 
 /// Adds accelerators that agents report as held by anything else, such as the
@@ -63,13 +93,13 @@
       bool Known = std::any_of(
           View.Running_.begin(), View.Running_.end(),
           [&Report](const auto &Job) { return Job.Id_ == Report.Job_; });
-      if (!Known)
-        View.Running_.push_back({Report.Job_,
-                                 model::JobSpec(),
-                                 {{Worker.Name_, Report.Accelerators_}},
-                                 {},
-                                 {},
-                                 true});
+      if (Known)
+        continue;
+      sched::RunningJob Out;
+      Out.Id_ = Report.Job_;
+      Out.Placement_ = {{Worker.Name_, Report.Accelerators_}};
+      Out.Stopping_ = true;
+      View.Running_.push_back(std::move(Out));
     }
   }
 }
@@ -80,10 +110,11 @@
     const model::Job &Known = State.Fold_.Jobs_.at(Id);
     if (State.Gangs_.count(Id) || Known.CancelRequested_)
       continue;
-    if (Now - Since < State.Settings_.OtherCellDelay_ &&
-        !isPreferredCell(State, Known, View.Domain_))
+    const bool Preferred = isPreferredCell(State, Known, View.Domain_);
+    if (Now - Since < State.Settings_.OtherCellDelay_ && !Preferred)
       continue;
-    View.Waiting_.push_back({Id, Known.Spec_, Now - Since, {}});
+    View.Waiting_.push_back(
+        {Id, Known.Spec_, Now - Since, attained(State, Id), Preferred});
   }
   std::stable_sort(
       View.Waiting_.begin(), View.Waiting_.end(),
@@ -100,7 +131,7 @@
     if (Row.Domain_ == Domain)
       View.Pools_.push_back(Row);
   addWorkers(State, Now, View);
-  addRunning(State, View);
+  addRunning(State, Now, View);
   addForeign(State, View);
   addWaiting(State, Now, View);
   return View;
@@ -119,8 +150,10 @@
     auto Known = State.Gangs_.find(Preempt.Job_);
     if (Known != State.Gangs_.end() &&
         (Known->second.Phase_ == GangPhase::Starting ||
-         Known->second.Phase_ == GangPhase::Running))
+         Known->second.Phase_ == GangPhase::Running)) {
+      Known->second.StoppingFor_ = Preempt.For_;
       stopGang(State, Known->second, Preempt.Reason_, Now, Out);
+    }
   }
 }
 
--- a/lib/net/include/nutmegwell/net/http.h
+++ b/lib/net/include/nutmegwell/net/http.h
@@ -55,6 +55,11 @@
   HttpServer &operator=(const HttpServer &) = delete;
   ~HttpServer();
 
+  /// Waits until no request has begun for \p Quiet, at most \p Limit, so that
+  /// callers notice from refusals that they should go elsewhere. A connection
+  /// that is made while the server closes would be lost.
+  void waitQuiet(core::Duration Quiet, core::Duration Limit);
+
   /// Waits until every request being handled is answered, then closes.
   void stop();
 
--- a/lib/net/src/httpserver.cpp
+++ b/lib/net/src/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "nutmegwell/net/http.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <cxxtools/eventloop.h>
 #include <cxxtools/http/reply.h>
@@ -53,23 +54,45 @@
   std::size_t BodySize_ = 0;
 };
 
-/// Creates responders and counts those in use.
+/// Creates responders and notes when the last one was needed.
 class HandlerService : public cxxtools::http::Service {
 public:
   HandlerService(const HttpLimits &Limits, HttpHandler Handler)
       : Limits_(Limits), Handler_(std::move(Handler)) {}
 
+  /// Waits until no request has begun for \p Quiet, at most \p Limit.
+  void waitQuiet(core::Duration Quiet, core::Duration Limit) {
+    const auto End = std::chrono::steady_clock::now() + Limit;
+    std::unique_lock<std::mutex> Lock(Mutex_);
+    LastRequest_ = std::chrono::steady_clock::now();
+    while (true) {
+      const auto Until = std::min(LastRequest_ + Quiet, End);
+      if (Until <= std::chrono::steady_clock::now())
+        return;
+      Begun_.wait_until(Lock, Until);
+    }
+  }
+
   const HttpLimits Limits_;
   const HttpHandler Handler_;
 
 protected:
   cxxtools::http::Responder *
   createResponder(const cxxtools::http::Request &) override {
+    {
+      std::lock_guard<std::mutex> Lock(Mutex_);
+      LastRequest_ = std::chrono::steady_clock::now();
+    }
     return new HandlerResponder(*this);
   }
   void releaseResponder(cxxtools::http::Responder *Used) override {
     delete Used;
   }
+
+private:
+  std::mutex Mutex_;
+  std::condition_variable Begun_;
+  std::chrono::steady_clock::time_point LastRequest_;
 };
 
 HandlerResponder::HandlerResponder(HandlerService &Owner)
@@ -159,6 +182,10 @@
 
 HttpServer::~HttpServer() { stop(); }
 
+void HttpServer::waitQuiet(core::Duration Quiet, core::Duration Limit) {
+  Impl_->Service_.waitQuiet(Quiet, Limit);
+}
+
 void HttpServer::stop() { Impl_->stop(); }
 
 } // namespace nutmegwell::net
--- a/tests/e2e/faulttest.cpp
+++ b/tests/e2e/faulttest.cpp
@@ -258,13 +258,16 @@
     CPPUNIT_ASSERT(Calls.waitAnswers(60));
     for (const char *Name : {"e2", "u0"}) {
       auto &Target = Name[0] == 'e' ? All.EntryHosts_[2] : All.Agents_[Name];
-      Run.add(Name, StopBegun());
+      // The upstream beside the agent goes on, so the agent has its own name.
+      const std::string Process = Name[0] == 'e' ? Name : "agent-u0";
+      Run.add(Process, StopBegun());
       Target->signal(SIGTERM);
       CPPUNIT_ASSERT_EQUAL(0, Target->wait());
-      Run.add(Name, StopEnded{0});
+      Run.add(Process, StopEnded{0});
       CPPUNIT_ASSERT(Calls.waitAnswers(60));
     }
     Calls.stop();
+    CPPUNIT_ASSERT_EQUAL(0, Calls.unknown());
     e2e::assertRules(Run.finish(All));
   }
 
@@ -311,6 +314,7 @@
     Cluster All;
     Recorder Run;
     start(All, 2, 0);
+    Run.add("operator", ConfigAccepted{"routes", 1, ""});
     std::atomic<bool> Stopping{false};
     std::vector<std::thread> Watchers;
     for (int Entry : {1, 2})
--- a/tests/e2e/load.cpp
+++ b/tests/e2e/load.cpp
@@ -125,9 +125,11 @@
     const std::string Work =
         std::to_string(Caller) + "-" + std::to_string(Number);
     for (int Try = 0; Try < 50; ++Try) {
+      int Entry = 1 + (Caller + Try) % Cluster::Entries;
+      if (Avoid_[Entry])
+        Entry = Cluster::Entries + 1 - Entry;
       const std::string Call = "/svc/" + Work + "-" + std::to_string(Try);
-      if (callOnce(1 + (Caller + Try) % Cluster::Entries, Call,
-                   Keyed ? "k" + Work : ""))
+      if (callOnce(Entry, Call, Keyed ? "k" + Work : ""))
         break;
     }
   }
@@ -153,6 +155,8 @@
     return true;
   }
   const std::string Code = member(Response.Body_, "code");
+  if (Code == "stopping")
+    Avoid_[Entry] = true;
   if (Response.Status_ != 0 && member(Response.Body_, "outcome") == "not_run") {
     Run_.add(Process, history::CallRefused{Call, Code});
   } else {
--- a/tests/e2e/load.h
+++ b/tests/e2e/load.h
@@ -2,6 +2,7 @@
 
 #include "cluster.h"
 #include "nutmegwell/history/event.h"
+#include <array>
 #include <atomic>
 #include <mutex>
 #include <string>
@@ -54,6 +55,9 @@
   std::atomic<bool> Stopping_{false};
   std::atomic<int> Answered_{0};
   std::atomic<int> Unknown_{0};
+  /// Set for an entry host that said it is stopping; callers avoid it, as a
+  /// load balancer does.
+  std::array<std::atomic<bool>, Cluster::Entries + 1> Avoid_{};
   std::mutex Mutex_;
   std::condition_variable Changed_;
   std::vector<std::thread> Threads_;
