--- a/lib/entry/src/cells.cpp
+++ b/lib/entry/src/cells.cpp
@@ -27,7 +27,8 @@
   core::Duration Wait = preferred(State, Domain) ? core::Duration::zero()
                                                  : State.Settings_.ClaimMargin_;
   if (Known == State.Fold_.Cells_.end() || Known->second.Holder_.empty())
-    return Now - State.StartedAt_ >= Wait + State.Settings_.HeartbeatInterval_;
+    return Now - State.StartedAt_ >= State.Settings_.HeartbeatInterval_ &&
+           Now - Tracker.SeenAt_ >= Wait;
   return Now - Tracker.SeenAt_ >=
          State.Settings_.CellLease_ + State.Settings_.ClaimMargin_ + Wait;
 }
@@ -155,8 +156,8 @@
   if (State.Stopping_ || !State.LogAvailable_ || !fresh(State, Now))
     return;
   for (const auto &[Domain, Total] : membership::capacityOf(State.Nodes_))
-    if (Total > 0)
-      State.Cells_.emplace(Domain, CellTracker());
+    if (Total > 0 && !State.Cells_.count(Domain))
+      State.Cells_[Domain].SeenAt_ = Now;
   for (auto &[Domain, Tracker] : State.Cells_) {
     if (Tracker.Pending_)
       continue;
--- a/tests/control/schedule.cpp
+++ b/tests/control/schedule.cpp
@@ -233,7 +233,10 @@
   if (All.percent(30))
     All.Faults_ = {static_cast<unsigned>(All.pick(15)),
                    static_cast<unsigned>(All.pick(20)),
-                   milliseconds(1 + All.pick(1500)), 0, milliseconds(20)};
+                   milliseconds(1 + All.pick(1500)),
+                   0,
+                   milliseconds(20),
+                   2};
   std::uint64_t Count = All.pick(All.percent(20) ? 14 : 6);
   for (std::uint64_t I = 0; I < Count; ++I) {
     const Fault &Next = faults()[All.pick(faults().size())];
--- a/tests/control/world.cpp
+++ b/tests/control/world.cpp
@@ -112,6 +112,8 @@
     New.Placement_ = Commit->Placement_;
     New.Checkpoint_ = All.Truth_.Jobs_.at(Commit->Job_).Checkpoint_;
     ++All.Counts_["commits"];
+    if (All.OnCommit_)
+      All.OnCommit_();
   } else if (auto *Claim = std::get_if<model::CellClaimed>(&Change.Body_)) {
     ++All.Counts_["claims"];
     for (auto &[Key, Target] : All.Attempts_)
@@ -357,7 +359,8 @@
   TimePoint AskedAt = All.Now_;
   auto *Begin = std::get_if<agent::StartTask>(&Call);
   bool Late = Begin && AskedAt >= Begin->NotAfter_;
-  bool Slow = All.percent(2) || (All.Now_ < Host.SlowUntil_ && All.percent(50));
+  bool Slow = All.percent(All.Faults_.SlowCallPercent_) ||
+              (All.Now_ < Host.SlowUntil_ && All.percent(50));
   Duration Effect = All.upTo(milliseconds(Slow ? 1900 : 5));
   All.after(Effect, [=, &All, &Host] {
     std::vector<agent::RuntimeTask> Tasks;
--- a/tests/control/world.h
+++ b/tests/control/world.h
@@ -86,6 +86,8 @@
   Duration LongestDelay_ = milliseconds(5);
   unsigned LostAnswerPercent_ = 0;
   Duration LongestAppend_ = milliseconds(20);
+  /// Share of runtime calls that take up to 1.9 s.
+  unsigned SlowCallPercent_ = 2;
 };
 
 struct World {
@@ -106,6 +108,8 @@
   /// Rule and what was seen, first one first.
   std::vector<std::pair<std::string, std::string>> Violations_;
   std::map<std::string, unsigned> Counts_;
+  /// Called when the log has taken a commit, before any host reads it.
+  std::function<void()> OnCommit_;
   std::uint64_t NextIncarnation_ = 1000;
   std::uint64_t NextTicket_ = 1;
 
