--- a/tests/control/faulttest.cpp
+++ b/tests/control/faulttest.cpp
@@ -10,8 +10,10 @@
 class ControlFaultTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ControlFaultTest);
   CPPUNIT_TEST(randomSchedules);
+  CPPUNIT_TEST(seedsThatFailed);
   CPPUNIT_TEST(outageSchedules);
   CPPUNIT_TEST(urgentJobWaitsForStop);
+  CPPUNIT_TEST(lateStartAfterDomainOut);
   CPPUNIT_TEST(failingWorkerIsQuarantined);
   CPPUNIT_TEST_SUITE_END();
 
@@ -63,6 +65,8 @@
     for (std::uint64_t Seed = 1; Seed <= 200; ++Seed) {
       Schedule Run(Seed);
       World &All = Run.World_;
+      // A start that outlasts its permit costs an attempt.
+      All.Faults_.SlowCallPercent_ = 0;
       build(All, 2, 2, 1);
       for (EntryHost &Host : All.Entries_)
         Host.State_.Settings_.Decide_ = preemptForUrgent;
@@ -84,6 +88,36 @@
     CPPUNIT_ASSERT_EQUAL(200U, Resumed);
   }
 
+  /// Guards against a holder that lets a gang start in a domain that was taken
+  /// out, since its reader lags: the Start reaches the workers 3 s later.
+  void lateStartAfterDomainOut() {
+    unsigned Violations = 0;
+    for (std::uint64_t Seed = 1; Seed <= 100; ++Seed) {
+      Schedule Run(Seed);
+      World &All = Run.World_;
+      build(All, 1, 2, 1);
+      publishPools(Run);
+      Run.Jobs_ = {{{77, 1}, makeSpec(4, 4, 5000), All.Now_ + seconds(4)}};
+      EntryHost &Holder = All.Entries_[0];
+      All.OnCommit_ = [&All, &Holder] {
+        All.OnCommit_ = nullptr;
+        for (const AgentHost &Host : All.Agents_)
+          All.Cut_.insert({Host.Name_, Holder.Name_});
+        All.after(milliseconds(200), [&All, &Holder] {
+          Holder.ReaderStuckUntil_ = All.Now_ + seconds(10);
+          appendDirectly(All, model::DomainChanged{0, "a", false});
+        });
+        All.after(milliseconds(3250) + All.upTo(milliseconds(500)),
+                  [&All] { All.Cut_.clear(); });
+      };
+      drive(Run);
+      runUntil(All, All.Now_ + seconds(30));
+      CPPUNIT_ASSERT(!All.Attempts_.empty());
+      Violations += All.Violations_.empty() ? 0 : 1;
+    }
+    CPPUNIT_ASSERT_EQUAL(0U, Violations);
+  }
+
   /// Guards against a worker that fails everything and takes every job, and
   /// against one that is never tried again.
   void failingWorkerIsQuarantined() {
@@ -109,6 +143,15 @@
     CPPUNIT_ASSERT(All.Violations_.empty());
   }
 
+  /// Guards against faults found before with seeds beyond the ranges here.
+  void seedsThatFailed() {
+    for (std::uint64_t Seed :
+         {1099, 1358, 1635, 4249, 7010, 8452, 10156, 14852})
+      runSeeds(Seed, Seed);
+    for (std::uint64_t Seed : {224, 264, 286, 298, 302, 383})
+      runSeeds(Seed, Seed, true);
+  }
+
   /// Guards running gangs against faults while the log is out for minutes.
   void outageSchedules() {
     const char *Last = std::getenv("NUTMEGWELL_SEEDS");
