Revert "Keep free accelerators for the job that has waited longest"

Conclusion: reverted; the kept accelerators stand idle while jobs within guarantees hold the rest of the group.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -20,7 +20,7 @@
 /// The policy that was in force before the last change to it.
 sched::Policy previousPolicy() {
   sched::Policy Result;
-  Result.Reservation_ = false;
+  Result.Order_ = sched::Order::Listed;
   return Result;
 }
 
--- a/lib/sched/include/nutmegwell/sched/policy.h
+++ b/lib/sched/include/nutmegwell/sched/policy.h
@@ -44,8 +44,6 @@
   /// have run for a while.
   bool Turns_ = true;
   Order Order_ = Order::LeastAttained;
-  /// Whether free accelerators are kept for a job that has waited very long.
-  bool Reservation_ = true;
 };
 
 } // namespace nutmegwell::sched
--- a/lib/sched/src/aging.cpp
+++ b/lib/sched/src/aging.cpp
@@ -86,26 +86,4 @@
   return std::move(Best.Claim_);
 }
 
-Slices reservedFor(const CellState &State, const WaitingJob &Job) {
-  std::vector<std::uint64_t> Bits = available(State, Job);
-  Slices Best;
-  std::uint32_t BestRoom = 0;
-  for (const auto &Group : groupsAt(State.Map_, Job.Spec_.Level_)) {
-    std::uint32_t Room = 0;
-    std::uint32_t Size = 0;
-    Slices Free;
-    for (std::uint32_t W : Group) {
-      Room += countBits(Bits[W]);
-      Size += countBits(State.Map_.Usable_[W]);
-      if (State.Free_.freeBits(W) != 0)
-        Free.push_back({W, State.Free_.freeBits(W)});
-    }
-    if (Size < Job.Spec_.accelerators() || Room <= BestRoom)
-      continue;
-    BestRoom = Room;
-    Best = std::move(Free);
-  }
-  return Best;
-}
-
 } // namespace nutmegwell::sched
--- a/lib/sched/src/aging.h
+++ b/lib/sched/src/aging.h
@@ -16,10 +16,4 @@
 /// started a short time ago are not touched.
 std::optional<Claim> agedPlace(const CellState &State, const WaitingJob &Job);
 
-/// Returns the free accelerators of the group of workers in which the job's
-/// place will be free first: the one that lacks the fewest. Keeping them is a
-/// reservation for the oldest large job, as in EASY backfill (Lifka 1995), by
-/// place and not by time, since declared times are far off.
-Slices reservedFor(const CellState &State, const WaitingJob &Job);
-
 } // namespace nutmegwell::sched
--- a/lib/sched/src/plan.cpp
+++ b/lib/sched/src/plan.cpp
@@ -33,7 +33,6 @@
   CellState Cell_;
   ShapeSet NoPlace_;
   std::uint32_t TurnsSought_ = 0;
-  bool Reserved_ = false;
   Plan Plan_;
 };
 
@@ -91,16 +90,6 @@
   return true;
 }
 
-/// Keeps free accelerators for the first job that has waited very long, so that
-/// newer and smaller jobs do not pass it for ever.
-void reserve(Decision &State, const WaitingJob &Job) {
-  if (!State.Choices_.Reservation_ || State.Reserved_ || !Job.Preferred_ ||
-      !waitedTooLong(Job))
-    return;
-  State.Reserved_ = true;
-  State.Cell_.Free_.take(reservedFor(State.Cell_, Job));
-}
-
 /// Starts a job on accelerators that nobody uses at present.
 void borrow(Decision &State, const WaitingJob &Job, std::size_t Pool) {
   std::optional<Slices> Found;
@@ -110,7 +99,6 @@
     State.NoPlace_.insert(shapeOf(Job.Spec_));
     if (takeTurn(State, Job, Pool))
       return;
-    reserve(State, Job);
     return wait(State, Job,
                 noPlaceReason(State.Cell_.View_, Job.Spec_,
                               State.Cell_.Free_.freeInCell()));
--- a/lib/sched/src/queue.cpp
+++ b/lib/sched/src/queue.cpp
@@ -15,6 +15,8 @@
 /// wide as the one before, so that jobs do not change places all the time.
 constexpr std::chrono::seconds FirstLevel{3600};
 
+bool waitedTooLong(const WaitingJob &Job) { return Job.Waited_ >= LongestWait; }
+
 int serviceLevel(const WaitingJob &Job) {
   int Level = 0;
   for (core::Duration Bound = FirstLevel; Job.Attained_ >= Bound; Bound *= 10)
@@ -24,8 +26,6 @@
 
 } // namespace
 
-bool waitedTooLong(const WaitingJob &Job) { return Job.Waited_ >= LongestWait; }
-
 std::vector<const WaitingJob *> claimOrder(const CellView &View,
                                            const Policy &Choices) {
   std::vector<const WaitingJob *> Order;
--- a/lib/sched/src/queue.h
+++ b/lib/sched/src/queue.h
@@ -10,10 +10,6 @@
 std::vector<const WaitingJob *> claimOrder(const CellView &View,
                                            const Policy &Choices);
 
-/// Returns true when the job has waited so long that it goes before all that
-/// have not.
-bool waitedTooLong(const WaitingJob &Job);
-
 /// Puts the jobs in the order in which they borrow. Declared run times are far
 /// off, so that attained service stands in for what is left, and aging bounds
 /// the wait (Tiresias, Gu et al., NSDI 2019).
