Start a claim outside guaranteed blocks when room is free there

Cause: a job within its guarantee preempted borrowers even when accelerators that no guarantee covers stood free. Ruled out: using other accounts' idle blocks as well; the job could then be preempted while its account holds no more than its guarantee. Change: before preempting, a claim takes a free place outside all guaranteed blocks.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -20,7 +20,7 @@
 /// The policy that was in force before the last change to it.
 sched::Policy previousPolicy() {
   sched::Policy Result;
-  Result.Order_ = sched::Order::Listed;
+  Result.SpareUnowned_ = false;
   return Result;
 }
 
--- a/lib/sched/include/nutmegwell/sched/policy.h
+++ b/lib/sched/include/nutmegwell/sched/policy.h
@@ -44,6 +44,9 @@
   /// have run for a while.
   bool Turns_ = true;
   Order Order_ = Order::LeastAttained;
+  /// Whether a job with a claim on borrowed accelerators starts in a free place
+  /// outside all guaranteed blocks instead, when there is one.
+  bool SpareUnowned_ = true;
 };
 
 } // namespace nutmegwell::sched
--- a/lib/sched/src/cellstate.cpp
+++ b/lib/sched/src/cellstate.cpp
@@ -1,5 +1,7 @@
 #include "cellstate.h"
 
+#include "place.h"
+
 namespace nutmegwell::sched {
 
 namespace {
@@ -74,4 +76,16 @@
   keepPlace(State, Found.Tasks_, Spec, Pool);
 }
 
+std::optional<Slices> unownedPlace(const CellState &State,
+                                   const model::JobSpec &Spec) {
+  std::vector<std::uint64_t> Bits;
+  for (std::uint32_t W = 0; W < State.Map_.Usable_.size(); ++W)
+    Bits.push_back(State.Free_.freeBits(W));
+  for (const Block &One : State.Guarantees_.Blocks_)
+    for (const Slice &Part : One.Slices_)
+      Bits[Part.Worker_] &= ~Part.Bits_;
+  FreeIndex Unowned(State.Map_, std::move(Bits));
+  return findPlace(Unowned, Spec, Fit::Best);
+}
+
 } // namespace nutmegwell::sched
--- a/lib/sched/src/cellstate.h
+++ b/lib/sched/src/cellstate.h
@@ -39,4 +39,9 @@
 void keepClaim(CellState &State, const Claim &Found, const model::JobSpec &Spec,
                std::size_t Pool);
 
+/// Returns a free place outside all guaranteed blocks, where nobody can reclaim
+/// it, or nothing.
+std::optional<Slices> unownedPlace(const CellState &State,
+                                   const model::JobSpec &Spec);
+
 } // namespace nutmegwell::sched
--- a/lib/sched/src/plan.cpp
+++ b/lib/sched/src/plan.cpp
@@ -53,7 +53,15 @@
 bool useGuarantee(Decision &State, const WaitingJob &Job, std::size_t Pool) {
   const CellView &View = State.Cell_.View_;
   auto Found = claimFor(State.Cell_, Job.Spec_, Pool);
-  if (!Found || (!Job.Preferred_ && !Found->Free_))
+  if (!Found)
+    return false;
+  if (!Found->Free_ && State.Choices_.SpareUnowned_)
+    if (auto Spare = unownedPlace(State.Cell_, Job.Spec_)) {
+      keepPlace(State.Cell_, *Spare, Job.Spec_, Pool);
+      State.Plan_.Starts_.push_back({Job.Id_, toPlacement(View, *Spare)});
+      return true;
+    }
+  if (!Job.Preferred_ && !Found->Free_)
     return false;
   keepClaim(State.Cell_, *Found, Job.Spec_, Pool);
   if (Found->Free_) {
