Remember shapes without a claim for the rest of a decision

Cause: with 1,000 waiting jobs most of the time went into claims that an equal job had just failed to get. Ruled out: the search for free places, which already remembers failed shapes.

--- a/lib/sched/src/plan.cpp
+++ b/lib/sched/src/plan.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-/// Shapes that found no place. Starts only take accelerators, so that a shape
-/// that once found none finds none for the rest of the decision.
+/// Shapes that found no place or no claim. Starts and claims only take
+/// accelerators, so that a shape that once found none finds none for the rest
+/// of the decision.
 using ShapeSet =
     std::set<std::tuple<std::uint32_t, std::uint32_t, model::Level>>;
 
@@ -32,6 +33,8 @@
   const Policy &Choices_;
   CellState Cell_;
   ShapeSet NoPlace_;
+  /// Shapes that found no claim, by pool row.
+  std::set<std::pair<std::size_t, ShapeSet::value_type>> NoClaim_;
   std::uint32_t TurnsSought_ = 0;
   Plan Plan_;
 };
@@ -52,9 +55,13 @@
 /// free part of the job's shape, or when another cell preempts for the job.
 bool useGuarantee(Decision &State, const WaitingJob &Job, std::size_t Pool) {
   const CellView &View = State.Cell_.View_;
+  if (State.NoClaim_.count({Pool, shapeOf(Job.Spec_)}) != 0)
+    return false;
   auto Found = claimFor(State.Cell_, Job.Spec_, Pool);
-  if (!Found)
+  if (!Found) {
+    State.NoClaim_.insert({Pool, shapeOf(Job.Spec_)});
     return false;
+  }
   if (!Found->Free_ && State.Choices_.SpareUnowned_)
     if (auto Spare = unownedPlace(State.Cell_, Job.Spec_)) {
       keepPlace(State.Cell_, *Spare, Job.Spec_, Pool);
