Measure the capacity of a cell that really runs its gangs

The first run of the capacity program left the gangs in Reserving: the fold takes the records of a cell from its holder alone and rejected the commits, and rejections were timed as if applied. The records now come from the holder, and the program ends when the fold rejects a record or a gang does not run.

--- a/bench/capacityfold.cpp
+++ b/bench/capacityfold.cpp
@@ -1,6 +1,7 @@
 #include "capacityslopes.h"
 #include "capacitystates.h"
 #include "nutmegwell/wire/binary.h"
+#include <cstdio>
 #include <cstdlib>
 
 namespace nutmegwell::bench {
@@ -13,17 +14,27 @@
   return {1000, 4000, 8000};
 }
 
+/// Ends the program when the fold rejects a record, since the time of a
+/// rejection says nothing.
+void requireAccepted(const model::FoldResult &Result) {
+  if (Result.Accepted_)
+    return;
+  std::fprintf(stderr, "the fold rejected a record: %s\n",
+               Result.Reason_.c_str());
+  std::exit(1);
+}
+
 /// Prints the time of applying one record to a copy of a state of some jobs.
 template <typename Make>
 void printApply(const Extent &Sizes, const std::string &Name, Make Body) {
   std::vector<Point> Points;
   for (std::size_t Jobs : jobCounts(Sizes)) {
     const model::ControlState State = stateOfJobs(Jobs);
-    const model::Record Change{{CapacitySeed, 1}, Body(Jobs)};
+    const model::Record Change{{EntryRun, 1}, Body(Jobs)};
     model::ControlState Copy;
     double Micros = medianMicros(
         Sizes.Repetitions_, [&] { Copy = State; },
-        [&] { model::apply(Copy, Change, 1); });
+        [&] { requireAccepted(model::apply(Copy, Change, 1)); });
     Points.push_back({static_cast<double>(Jobs), Micros});
   }
   printSlope("time.apply." + Name + ".by_jobs", "us", Points);
@@ -43,10 +54,12 @@
           entry::step(
               State,
               entry::LogEntry{State.Fold_.Next_,
-                              {{{CapacitySeed, Sequence},
+                              {{{EntryRun, Sequence},
                                 model::CellRenewed{"domain-000001", 1}}}},
               core::TimePoint{});
         });
+    if (State.Fold_.Cells_["domain-000001"].Renewals_ <= Sequence)
+      std::exit(1);
     Points.push_back({static_cast<double>(Jobs), Micros});
   }
   printSlope("time.entry_log_entry.by_jobs", "us", Points);
@@ -89,6 +102,7 @@
 void printStateCoding(const Extent &Sizes) {
   std::vector<Point> Encodings;
   std::vector<Point> Decodings;
+  std::vector<Point> Copies;
   for (std::size_t Jobs : jobCounts(Sizes)) {
     const model::ControlState State = stateOfJobs(Jobs);
     const std::string Bytes = wire::encode(State);
@@ -102,7 +116,14 @@
                                      if (!wire::decodeState(Bytes).ok())
                                        std::exit(1);
                                    })});
+    // The snapshot writer has the control thread copy the state.
+    model::ControlState Copy;
+    Copies.push_back(
+        {Size, medianMicros(
+                   Sizes.Repetitions_, [&] { Copy = model::ControlState(); },
+                   [&] { Copy = State; })});
   }
+  printSlope("time.copy_state.by_jobs", "us", Copies);
   printSlope("time.encode_state.by_jobs", "us", Encodings);
   printSlope("time.decode_state.by_jobs", "us", Decodings);
 }
--- a/bench/capacitystates.cpp
+++ b/bench/capacitystates.cpp
@@ -4,7 +4,6 @@
 
 namespace {
 
-constexpr core::Incarnation EntryRun = 0xE17A57ULL;
 constexpr core::Incarnation SubmitterRun = 0x5AB317ULL;
 const char *const CellName = "domain-000001";
 
@@ -47,9 +46,9 @@
 void addJobs(HeldCell &Target, std::size_t Workers, std::size_t Committed,
              std::size_t Waiting) {
   model::Batch Records;
-  std::uint64_t Sequence = 0;
   auto Add = [&](model::RecordBody Body) {
-    Records.push_back({{SubmitterRun, ++Sequence}, std::move(Body)});
+    Records.push_back(
+        {{EntryRun, Target.State_.NextSequence_++}, std::move(Body)});
   };
   for (std::size_t J = 0; J < Committed; ++J) {
     Add(model::JobSubmitted{jobIdOf(J), jobSpecOf(J, TasksOfJob)});
--- a/bench/capacitystates.h
+++ b/bench/capacitystates.h
@@ -11,6 +11,9 @@
 namespace nutmegwell::bench {
 
 constexpr std::uint64_t CapacitySeed = 7;
+/// Run of the entry host that holds the cell. The fold takes the records of a
+/// cell from its holder alone.
+constexpr core::Incarnation EntryRun = 0xE17A57ULL;
 /// Tasks of a job: 300,000 running tasks in 8,100 jobs.
 constexpr std::uint32_t TasksOfJob = 37;
 /// Task reports of a worker: 10,000 tasks of a cell on 533 workers.
--- a/bench/capacitytimes.cpp
+++ b/bench/capacitytimes.cpp
@@ -39,15 +39,23 @@
       [&] { entry::step(Copy, What, Cell.Now_); });
 }
 
+/// Ends the program unless the host holds its cell and all its gangs run.
+void requireRunning(const HeldCell &Cell) {
+  bool Running = entry::holds(Cell.State_, "domain-000001", Cell.Now_);
+  for (const auto &[Id, Target] : Cell.State_.Gangs_)
+    Running = Running && Target.Phase_ == entry::GangPhase::Running;
+  if (Running)
+    return;
+  std::fprintf(stderr, "the synthetic cell is not held or does not run\n");
+  std::exit(1);
+}
+
 void printTick(const Extent &Sizes, const std::string &Name, bool Loaded,
                std::size_t Waiting) {
   std::vector<Point> Points;
   for (std::size_t Agents : agentCounts(Sizes)) {
     HeldCell Cell = heldCell(Agents, Loaded, Sizes.Quick_ ? 0 : Waiting);
-    if (!entry::holds(Cell.State_, "domain-000001", Cell.Now_)) {
-      std::fprintf(stderr, "the synthetic host does not hold its cell\n");
-      std::exit(1);
-    }
+    requireRunning(Cell);
     Cell.State_.Dirty_ = true;
     Points.push_back(
         {static_cast<double>(Agents), stepMicros(Sizes, Cell, entry::Tick())});
@@ -60,6 +68,7 @@
   std::vector<Point> Points;
   for (std::size_t Agents : agentCounts(Sizes)) {
     HeldCell Cell = heldCell(Agents, Loaded, 0);
+    requireRunning(Cell);
     model::Heartbeat Beat = Cell.State_.Nodes_.Nodes_.begin()->second.Last_;
     // Each call is a heartbeat of the next sequence number.
     double Micros = callMicros(Sizes, [&] {
