Claim a new cell without touching the fold; end a data race of a test

Cause: operator[] added a cell to the folded state outside the log, so that two hosts' states differed in bytes; the UDP test wrote a pointer that the receiving thread reads (seen by the thread sanitizer).

--- a/lib/entry/src/api.cpp
+++ b/lib/entry/src/api.cpp
@@ -47,8 +47,8 @@
 unsigned statusOf(const std::string &Code) {
   if (Code == "invalid_table" || Code == "impossible_job")
     return 422;
-  if (Code == "log_unavailable" || Code == "stopping" ||
-      Code == "overloaded" || Code == "not_ready")
+  if (Code == "log_unavailable" || Code == "stopping" || Code == "overloaded" ||
+      Code == "not_ready")
     return 503;
   return 409;
 }
--- a/lib/entry/src/cells.cpp
+++ b/lib/entry/src/cells.cpp
@@ -35,7 +35,9 @@
 
 void claim(EntryState &State, const model::DomainName &Domain,
            CellTracker &Tracker, core::TimePoint Now, Effects &Out) {
-  core::Term Next = State.Fold_.Cells_[Domain].Term_ + 1;
+  auto Known = State.Fold_.Cells_.find(Domain);
+  core::Term Next =
+      Known == State.Fold_.Cells_.end() ? 1 : Known->second.Term_ + 1;
   append(State, Out,
          model::CellClaimed{Domain, Next, State.Settings_.Node_,
                             State.Settings_.Incarnation_},
--- a/lib/net/tests/udptest.cpp
+++ b/lib/net/tests/udptest.cpp
@@ -1,4 +1,5 @@
 #include "nutmegwell/net/udp.h"
+#include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
 #include <future>
 
@@ -14,10 +15,10 @@
   void answerReachesTheSender() {
     std::promise<std::string> Answer;
     net::Address Any{"127.0.0.1", 0};
-    net::UdpEndpoint *Second = nullptr;
+    std::atomic<net::UdpEndpoint *> Second{nullptr};
     net::UdpEndpoint Server(Any,
                             [&](const net::Address &From, std::string Bytes) {
-                              Second->send(From, "re:" + Bytes);
+                              Second.load()->send(From, "re:" + Bytes);
                             });
     net::UdpEndpoint Client(Any, [&](const net::Address &, std::string Bytes) {
       Answer.set_value(Bytes);
