--- a/bench/capacitytimes.cpp
+++ b/bench/capacitytimes.cpp
@@ -89,13 +89,13 @@
   for (std::size_t W = 0; W < Workers; ++W) {
     View.Workers_.push_back(
         {nameOf("host-", W), nameOf("rack-", W / 3), 8, true});
-    if (W % 10 != 0)
-      View.Running_.push_back({jobIdOf(100000 + W),
-                               jobSpecOf(W, 8),
-                               {{nameOf("host-", W), 0xFF}},
-                               {},
-                               {},
-                               false});
+    if (W % 10 == 0)
+      continue;
+    sched::RunningJob Job;
+    Job.Id_ = jobIdOf(100000 + W);
+    Job.Spec_ = jobSpecOf(W, 8);
+    Job.Placement_ = {{nameOf("host-", W), 0xFF}};
+    View.Running_.push_back(std::move(Job));
   }
   for (std::size_t J = 0; J < Waiting; ++J) {
     const auto Tasks = static_cast<std::uint32_t>(1U << (J % 7));
