--- a/tests/e2e/cluster.cpp
+++ b/tests/e2e/cluster.cpp
@@ -50,6 +50,8 @@
 }
 
 Process &Cluster::startEntry(int Number) {
+  // A killed predecessor holds its addresses until it has ended.
+  EntryHosts_.erase(Number);
   const EntryAddresses &Own = Addresses_.at(Number);
   std::vector<std::string> Flags = {"--role=entry",
                                     "--node=e" + std::to_string(Number),
