--- a/tests/e2e/cluster.cpp
+++ b/tests/e2e/cluster.cpp
@@ -1,6 +1,10 @@
 #include "cluster.h"
 
 #include "nutmegwell/wire/json.h"
+#include <arpa/inet.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace nutmegwell;
 
@@ -14,7 +18,18 @@
 
 namespace {
 
-Address freeAddress() { return {"127.0.0.1", net::freeTcpPort()}; }
+/// Returns a socket bound to \p Port of the loopback address, or -1.
+int boundSocket(int Type, std::uint16_t Port) {
+  int Socket = socket(AF_INET, Type | SOCK_CLOEXEC, 0);
+  sockaddr_in Name{};
+  Name.sin_family = AF_INET;
+  Name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  Name.sin_port = htons(Port);
+  if (bind(Socket, reinterpret_cast<sockaddr *>(&Name), sizeof(Name)) == 0)
+    return Socket;
+  close(Socket);
+  return -1;
+}
 
 std::string flag(const std::string &Name, const Address &Value) {
   return "--" + Name + "=" + net::toString(Value);
@@ -22,23 +37,64 @@
 
 } // namespace
 
+HeldPorts::~HeldPorts() {
+  while (!Sockets_.empty())
+    release({"127.0.0.1", Sockets_.begin()->first});
+}
+
+Address HeldPorts::hold() {
+  while (true) {
+    int Tcp = boundSocket(SOCK_STREAM, 0);
+    std::uint16_t Port = net::localPort(Tcp);
+    int Udp = boundSocket(SOCK_DGRAM, Port);
+    if (Udp >= 0) {
+      Sockets_[Port] = {Tcp, Udp};
+      return {"127.0.0.1", Port};
+    }
+    close(Tcp);
+  }
+}
+
+void HeldPorts::release(const Address &Held) {
+  auto Known = Sockets_.find(Held.Port_);
+  if (Known == Sockets_.end())
+    return;
+  close(Known->second.first);
+  close(Known->second.second);
+  Sockets_.erase(Known);
+}
+
 std::string member(const std::string &Json, const std::string &Name) {
   auto Root = wire::parseJson(Json);
   return Root.ok() ? wire::textMember(*Root, Name) : std::string();
 }
 
 Cluster::Cluster(std::vector<std::string> Times) : Times_(std::move(Times)) {
-  LogAddress_ = freeAddress();
+  LogAddress_ = Ports_.hold();
   for (int I = 1; I <= Entries; ++I)
-    Addresses_[I] = {freeAddress(), freeAddress(), freeAddress()};
+    Addresses_[I] = {Ports_.hold(), Ports_.hold(), Ports_.hold()};
+}
+
+std::unique_ptr<Process> Cluster::launch(const std::string &Program,
+                                         const std::vector<std::string> &Flags,
+                                         const std::vector<Address> &Listens,
+                                         const std::string &ReadyLine) {
+  for (const Address &Listen : Listens)
+    Ports_.release(Listen);
+  auto Started = std::make_unique<Process>(Program, Flags);
+  if (Started->waitForLine(ReadyLine) >= 0)
+    return Started;
+  std::string Output;
+  for (const std::string &Line : Started->lines())
+    Output += Line + "\n";
+  throw std::runtime_error(Program + " did not start:\n" + Output);
 }
 
 void Cluster::startLog(std::size_t Retention) {
-  Log_ = std::make_unique<Process>(
-      LOG_PROGRAM,
-      std::vector<std::string>{"--port", std::to_string(LogAddress_.Port_),
-                               "--retention", std::to_string(Retention)});
-  Log_->waitForLine("port=");
+  Log_ = launch(LOG_PROGRAM,
+                {"--port", std::to_string(LogAddress_.Port_), "--retention",
+                 std::to_string(Retention)},
+                {LogAddress_}, "port=");
 }
 
 std::string Cluster::entryList(int Except) const {
@@ -67,31 +123,30 @@
       Peers += (Peers.empty() ? "" : ",") + net::toString(Known.Tcp_);
   Flags.push_back("--peers=" + Peers);
   Flags.insert(Flags.end(), Times_.begin(), Times_.end());
-  EntryHosts_[Number] = std::make_unique<Process>(DAEMON_PROGRAM, Flags);
-  EntryHosts_[Number]->waitForLine("event=started");
+  EntryHosts_[Number] = launch(
+      DAEMON_PROGRAM, Flags, {Own.Http_, Own.Udp_, Own.Tcp_}, "event=started");
   return *EntryHosts_[Number];
 }
 
 Process &Cluster::startAgent(const std::string &Name, const std::string &Domain,
                              std::vector<std::string> Flags) {
   DomainOf_[Name] = Domain;
+  const Address Udp = Ports_.hold(), Tcp = Ports_.hold();
   for (const std::string &Flag :
        {std::string("--role=agent"), "--node=" + Name, "--domain=" + Domain,
-        flag("udp-listen", freeAddress()), flag("tcp-listen", freeAddress()),
+        flag("udp-listen", Udp), flag("tcp-listen", Tcp),
         "--entries=" + entryList(0)})
     Flags.push_back(Flag);
   Flags.insert(Flags.end(), Times_.begin(), Times_.end());
-  Agents_[Name] = std::make_unique<Process>(DAEMON_PROGRAM, Flags);
-  Agents_[Name]->waitForLine("event=started");
+  Agents_[Name] = launch(DAEMON_PROGRAM, Flags, {Udp, Tcp}, "event=started");
   return *Agents_[Name];
 }
 
 void Cluster::startWorker(const std::string &Name, const std::string &Domain,
                           const std::string &Rack) {
-  Address Runtime = freeAddress();
-  Runtimes_[Name] = std::make_unique<Process>(
-      RUNTIME_PROGRAM, std::vector<std::string>{net::toString(Runtime)});
-  Runtimes_[Name]->waitForLine("ready");
+  Address Runtime = Ports_.hold();
+  Runtimes_[Name] =
+      launch(RUNTIME_PROGRAM, {net::toString(Runtime)}, {Runtime}, "ready");
   startAgent(Name, Domain,
              {"--kind=worker", "--rack=" + Rack, "--accelerators=8",
               flag("runtime-address", Runtime)});
@@ -100,7 +155,8 @@
 void Cluster::startUpstream(const std::string &Name, const std::string &Domain,
                             const std::string &Service,
                             std::vector<std::string> Flags) {
-  Address Announce = freeAddress();
+  Address Announce = Ports_.hold();
+  Ports_.release(Announce);
   startAgent(Name, Domain,
              {"--kind=upstream", flag("announce-listen", Announce)});
   for (const std::string &Flag :
--- a/tests/e2e/cluster.h
+++ b/tests/e2e/cluster.h
@@ -17,6 +17,19 @@
 /// ratio between them stays as it is by default.
 extern const std::vector<std::string> FastTimes;
 
+/// Ports of the loopback address that the kernel chose. Each is held for TCP
+/// and UDP until the process that uses it starts, so that tests side by side do
+/// not get the same one.
+class HeldPorts {
+public:
+  ~HeldPorts();
+  Address hold();
+  void release(const Address &Held);
+
+private:
+  std::map<std::uint16_t, std::pair<int, int>> Sockets_;
+};
+
 /// The daemons and stand-ins of one test on the loopback address.
 class Cluster {
 public:
@@ -82,8 +95,13 @@
   std::string entryList(int Except) const;
   Process &startAgent(const std::string &Name, const std::string &Domain,
                       std::vector<std::string> Flags);
+  std::unique_ptr<Process> launch(const std::string &Program,
+                                  const std::vector<std::string> &Flags,
+                                  const std::vector<Address> &Listens,
+                                  const std::string &ReadyLine);
 
   const std::vector<std::string> Times_;
+  HeldPorts Ports_;
   std::map<int, EntryAddresses> Addresses_;
 };
 
