Let every entry host agree on the cell that takes a job

Ruled out: asking the holders, since every entry host hears every agent. Change: the views of all cells go through sched::preferredCells; the tests wait until each entry host shows the published version.

--- a/lib/entry/src/schedule.cpp
+++ b/lib/entry/src/schedule.cpp
@@ -1,4 +1,5 @@
 #include "nutmegwell/sched/plan.h"
+#include "nutmegwell/sched/prefer.h"
 #include "parts.h"
 
 #include <algorithm>
@@ -8,21 +9,6 @@
 
 namespace {
 
-/// Returns true when \p Domain is the cell that should try the job first.
-bool isPreferredCell(const EntryState &State, const model::Job &Target,
-                     const model::DomainName &Domain) {
-  std::vector<model::DomainName> Candidates;
-  for (const model::PoolRow &Row : State.Fold_.Pools_.Rows_)
-    if (Row.Account_ == Target.Spec_.Account_ &&
-        Row.Service_ == Target.Spec_.Service_ &&
-        model::inService(State.Fold_, Row.Domain_))
-      Candidates.push_back(Row.Domain_);
-  if (Candidates.empty())
-    return true;
-  std::size_t Choice = std::hash<core::JobId>()(Target.Id_) % Candidates.size();
-  return Candidates[Choice] == Domain;
-}
-
 void addWorkers(const EntryState &State, core::TimePoint Now,
                 sched::CellView &View) {
   for (const auto &[Name, Known] : State.Nodes_.Nodes_)
@@ -110,11 +96,8 @@
     const model::Job &Known = State.Fold_.Jobs_.at(Id);
     if (State.Gangs_.count(Id) || Known.CancelRequested_)
       continue;
-    const bool Preferred = isPreferredCell(State, Known, View.Domain_);
-    if (Now - Since < State.Settings_.OtherCellDelay_ && !Preferred)
-      continue;
     View.Waiting_.push_back(
-        {Id, Known.Spec_, Now - Since, attained(State, Id), Preferred});
+        {Id, Known.Spec_, Now - Since, attained(State, Id), true});
   }
   std::stable_sort(
       View.Waiting_.begin(), View.Waiting_.end(),
@@ -137,11 +120,40 @@
   return View;
 }
 
+/// Leaves each job that has not waited long to the cell that should take it.
+void assignCells(const EntryState &State, std::vector<sched::CellView> &Views) {
+  const std::vector<std::size_t> Choice = sched::preferredCells(Views);
+  for (std::size_t I = 0; I < Views.size(); ++I) {
+    std::vector<sched::WaitingJob> Kept;
+    for (std::size_t J = 0; J < Views[I].Waiting_.size(); ++J) {
+      sched::WaitingJob &Job = Views[I].Waiting_[J];
+      Job.Preferred_ = Choice[J] == I;
+      if (Job.Preferred_ || Job.Waited_ >= State.Settings_.OtherCellDelay_)
+        Kept.push_back(std::move(Job));
+    }
+    Views[I].Waiting_ = std::move(Kept);
+  }
+}
+
+/// Returns the views of all known cells. Every entry host hears every agent, so
+/// that hosts with the same log agree on the cell that should take a job.
+std::vector<sched::CellView> makeViews(const EntryState &State,
+                                       core::TimePoint Now) {
+  std::vector<sched::CellView> Views;
+  for (const auto &[Domain, Tracker] : State.Cells_)
+    Views.push_back(makeView(State, Domain, Now));
+  assignCells(State, Views);
+  return Views;
+}
+
 void apply(EntryState &State, const model::DomainName &Domain,
            const sched::Plan &Plan, core::TimePoint Now, Effects &Out) {
   for (const sched::WaitReason &Wait : Plan.Waits_)
     State.WaitReasons_[Wait.Job_] = Wait.Reason_;
   for (const sched::StartDecision &Start : Plan.Starts_) {
+    // Another cell of this host may have taken the job in the same round.
+    if (State.Gangs_.count(Start.Job_))
+      continue;
     State.WaitReasons_.erase(Start.Job_);
     reserveGang(State, Domain, State.Fold_.Jobs_.at(Start.Job_),
                 Start.Placement_, Now, Out);
@@ -159,15 +171,22 @@
 
 /// Returns why one cell does not start the job, or an empty string.
 std::string waitReason(const EntryState &State, const core::JobId &Id,
-                       const model::DomainName &Domain, core::TimePoint Now) {
+                       const model::DomainName &Domain,
+                       const std::vector<sched::CellView> &Views,
+                       core::TimePoint Now) {
   if (!model::inService(State.Fold_, Domain))
     return "failure domain " + Domain +
            " is out of service until an operator brings it back";
   if (!State.LogAvailable_ || !fresh(State, Now))
     return "nothing starts in failure domain " + Domain +
            " until the log is available again";
-  for (const sched::WaitReason &Wait :
-       State.Settings_.Decide_(makeView(State, Domain, Now)).Waits_)
+  auto View =
+      std::find_if(Views.begin(), Views.end(), [&Domain](const auto &Each) {
+        return Each.Domain_ == Domain;
+      });
+  if (View == Views.end())
+    return "no worker of failure domain " + Domain + " is known";
+  for (const sched::WaitReason &Wait : State.Settings_.Decide_(*View).Waits_)
     if (Wait.Job_ == Id)
       return Wait.Reason_;
   return std::string();
@@ -178,11 +197,12 @@
 std::string waitReasons(const EntryState &State, const model::Job &Target,
                         core::TimePoint Now) {
   std::string Joined;
+  const std::vector<sched::CellView> Views = makeViews(State, Now);
   for (const model::PoolRow &Row : State.Fold_.Pools_.Rows_) {
     if (Row.Account_ != Target.Spec_.Account_ ||
         Row.Service_ != Target.Spec_.Service_)
       continue;
-    std::string Reason = waitReason(State, Target.Id_, Row.Domain_, Now);
+    std::string Reason = waitReason(State, Target.Id_, Row.Domain_, Views, Now);
     if (Reason.empty())
       return std::string();
     Joined += (Joined.empty() ? "" : "; ") + Reason;
@@ -217,13 +237,9 @@
     return;
   State.Dirty_ = false;
   State.LastSchedule_ = Now;
-  std::vector<model::DomainName> Held;
-  for (const auto &[Domain, Tracker] : State.Cells_)
-    if (holds(State, Domain, Now))
-      Held.push_back(Domain);
-  for (const model::DomainName &Domain : Held)
-    apply(State, Domain, State.Settings_.Decide_(makeView(State, Domain, Now)),
-          Now, Out);
+  for (const sched::CellView &View : makeViews(State, Now))
+    if (holds(State, View.Domain_, Now))
+      apply(State, View.Domain_, State.Settings_.Decide_(View), Now, Out);
 }
 
 } // namespace nutmegwell::entry
--- a/tests/e2e/cluster.cpp
+++ b/tests/e2e/cluster.cpp
@@ -168,12 +168,18 @@
 
 bool Cluster::waitStatus(int Entry, const std::string &Text,
                          std::chrono::milliseconds Limit) {
+  return waitAnswer(Entry, "/v1/status", Text, Limit);
+}
+
+bool Cluster::waitAnswer(int Entry, const std::string &Path,
+                         const std::string &Text,
+                         std::chrono::milliseconds Limit) {
   const auto End = std::chrono::steady_clock::now() + Limit;
   std::mutex Mutex;
   std::condition_variable Never;
   std::unique_lock<std::mutex> Lock(Mutex);
   while (std::chrono::steady_clock::now() < End) {
-    if (call(Entry, "GET", "/v1/status").Body_.find(Text) != std::string::npos)
+    if (call(Entry, "GET", Path).Body_.find(Text) != std::string::npos)
       return true;
     Never.wait_for(Lock, std::chrono::milliseconds(50));
   }
@@ -213,10 +219,16 @@
            R"({"pools":[)" + Rows + "]}")
           .Status_ != 200)
     return false;
-  return call(Entry, "PUT", "/v1/tables/routes?version=0",
-              R"({"routes":[{"path":"/svc","service":"svc")" + RouteFields +
-                  "}]}")
-             .Status_ == 200;
+  if (call(Entry, "PUT", "/v1/tables/routes?version=0",
+           R"({"routes":[{"path":"/svc","service":"svc")" + RouteFields + "}]}")
+          .Status_ != 200)
+    return false;
+  // The other entry hosts follow within the 3 s of the rule, not at once.
+  for (const auto &[Number, Host] : EntryHosts_)
+    if (!waitAnswer(Number, "/v1/tables/routes", R"("version":1)",
+                    std::chrono::seconds(30)))
+      return false;
+  return true;
 }
 
 std::string Cluster::submit(int Entry, int Tasks, int Accelerators,
--- a/tests/e2e/cluster.h
+++ b/tests/e2e/cluster.h
@@ -89,6 +89,8 @@
   Address LogAddress_;
 
 private:
+  bool waitAnswer(int Entry, const std::string &Path, const std::string &Text,
+                  std::chrono::milliseconds Limit);
   struct EntryAddresses {
     Address Http_, Udp_, Tcp_;
   };
