--- a/tests/e2e/cluster.cpp
+++ b/tests/e2e/cluster.cpp
@@ -225,7 +225,7 @@
     return false;
   // The other entry hosts follow within the 3 s of the rule, not at once.
   for (const auto &[Number, Host] : EntryHosts_)
-    if (!waitAnswer(Number, "/v1/tables/routes", R"("version":1)",
+    if (!waitAnswer(Number, "/v1/tables/routes", R"("version": 1)",
                     std::chrono::seconds(30)))
       return false;
   return true;
