--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs the Debian packages that the build needs, when one is missing.
 set -euo pipefail
-Packages=(cmake ninja-build pkg-config g++ ccache clang-format clang-tidy
+Packages=(python3 cmake ninja-build pkg-config g++ ccache clang-format clang-tidy
   libcxxtools-dev libcereal-dev libboost-dev libeasyloggingpp-dev libabsl-dev
   libcppunit-dev librapidcheck-dev libbenchmark-dev)
 Missing=()
