--- a/lib/daemon/src/entryrole.cpp
+++ b/lib/daemon/src/entryrole.cpp
@@ -115,8 +115,9 @@
            [this](const net::Address &From, const std::string &Bytes) {
              onDatagram(From, Bytes);
            }),
-      Control_(entrySettings(Values, Process_), makePorts()), Api_(Control_),
-      Requests_(requestSettings(Process_), requestHooks()),
+      Control_(entrySettings(Values, Process_), makePorts(),
+               static_cast<std::size_t>(Values.count("max-queue"))),
+      Api_(Control_), Requests_(requestSettings(Process_), requestHooks()),
       States_(toAddress(Values.address("tcp-listen")), stateFrameLimits(),
               serveState(Control_)),
       Http_(
--- a/lib/entry/include/nutmegwell/entry/controlloop.h
+++ b/lib/entry/include/nutmegwell/entry/controlloop.h
@@ -26,7 +26,9 @@
 /// Runs the control step on its own thread and answers other threads.
 class ControlLoop {
 public:
-  ControlLoop(const EntrySettings &Settings, ControlPorts Ports);
+  /// \p QueueBound bounds the events that wait for the control thread.
+  ControlLoop(const EntrySettings &Settings, ControlPorts Ports,
+              std::size_t QueueBound);
   ControlLoop(const ControlLoop &) = delete;
   ControlLoop &operator=(const ControlLoop &) = delete;
   ~ControlLoop();
--- a/lib/entry/src/controlloop.cpp
+++ b/lib/entry/src/controlloop.cpp
@@ -6,13 +6,12 @@
 
 namespace {
 
-/// Events that may wait for the control thread.
-constexpr std::size_t QueueBound = 65536;
 constexpr auto TickInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
-ControlLoop::ControlLoop(const EntrySettings &Settings, ControlPorts Ports)
+ControlLoop::ControlLoop(const EntrySettings &Settings, ControlPorts Ports,
+                         std::size_t QueueBound)
     : Ports_(std::move(Ports)),
       State_(makeEntryState(Settings, Ports_.Clock_.Now_())),
       Queue_(QueueBound) {
