--- a/lib/daemon/src/agentrole.cpp
+++ b/lib/daemon/src/agentrole.cpp
@@ -1,3 +1,4 @@
+#include "hostport.h"
 #include "nutmegwell/agent/controlloop.h"
 #include "nutmegwell/agent/requestserver.h"
 #include "nutmegwell/core/random.h"
@@ -14,14 +15,12 @@
 
 namespace {
 
+/// Time for entry hosts to answer a heartbeat that says the node leaves; after
+/// it they take the node for silent.
 constexpr auto LeaveNotice = std::chrono::milliseconds(2500);
 /// Time for tasks to checkpoint when the agent stops.
 constexpr auto DrainBound = std::chrono::seconds(30);
 
-net::Address toAddress(const settings::HostPort &Value) {
-  return net::Address{Value.Ip_, Value.Port_};
-}
-
 agent::AgentSettings agentSettings(const settings::Settings &Values,
                                    core::Incarnation Process) {
   agent::AgentSettings Result;
--- a/lib/daemon/src/entryrole.cpp
+++ b/lib/daemon/src/entryrole.cpp
@@ -1,5 +1,6 @@
 #include "entrylog.h"
 #include "entrymetrics.h"
+#include "hostport.h"
 #include "nutmegwell/core/random.h"
 #include "nutmegwell/daemon/roles.h"
 #include "nutmegwell/entry/api.h"
@@ -25,10 +26,6 @@
 /// Time for the records of a graceful stop to reach the log.
 constexpr auto StopAppends = std::chrono::seconds(2);
 
-net::Address toAddress(const settings::HostPort &Value) {
-  return net::Address{Value.Ip_, Value.Port_};
-}
-
 entry::EntrySettings entrySettings(const settings::Settings &Values,
                                    core::Incarnation Process) {
   entry::EntrySettings Result;
