--- a/bench/measures.cpp
+++ b/bench/measures.cpp
@@ -75,7 +75,7 @@
   Result["invalid_states"] = {static_cast<double>(Run.Invalid_), "states"};
   Result["unfinished"] = {static_cast<double>(Run.Unfinished_), "jobs"};
   Result["preemptions"] = {static_cast<double>(Run.Preemptions_), "jobs"};
-  Result["work_lost"] = {Run.LostSeconds_, "accelerator_s"};
+  Result["work_lost"] = {Run.LostWork_, "accelerator_s"};
   Result["decision_p50"] = {quantile(Run.DecisionMicros_, 0.5), "us"};
   Result["decision_p99"] = {quantile(Run.DecisionMicros_, 0.99), "us"};
   return Result;
--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -134,7 +134,7 @@
   SimJob &Job = Jobs_[J];
   std::uint32_t Size = input(J).Spec_.accelerators();
   core::Duration Done = workAt(J);
-  Result_.LostSeconds_ +=
+  Result_.LostWork_ +=
       std::chrono::duration<double>(Done - Saved).count() * Size;
   Job.Attained_ += (Done - Job.Saved_) * Size;
   creditAbsence(J, Job.StartAt_, Job.StartAt_ + (Saved - Job.Saved_));
--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -32,7 +32,8 @@
   std::size_t Invalid_ = 0;
   std::size_t Unfinished_ = 0;
   std::size_t Preemptions_ = 0;
-  double LostSeconds_ = 0;
+  /// Accelerator-seconds that preempted jobs had to do again.
+  double LostWork_ = 0;
   std::vector<double> DecisionMicros_;
 };
 
