Reserve the ports of tests until their process ends

HeldPorts of the daemons' tests had the same gap while a daemon was down.

Ruled out: a server of the same test that had not closed its port. The case that failed starts the first server on its port.

Change: the socket stays bound with SO_REUSEADDR and never listens, so a server can listen on the port and the kernel gives it to nobody else.

UDP ports are still free between a stop and a restart.

--- a/lib/client/tests/clienttest.cpp
+++ b/lib/client/tests/clienttest.cpp
@@ -52,7 +52,7 @@
     std::string Err_;
   };
 
-  const net::Address Entry_{"127.0.0.1", net::freeTcpPort()};
+  const net::Address Entry_{"127.0.0.1", net::reserveTcpPort()};
   std::unique_ptr<net::HttpServer> Server_;
   std::mutex Mutex_;
   /// "METHOD PATH?QUERY" of each request that the server got.
@@ -103,7 +103,7 @@
   }
 
   static std::string unreachable() {
-    return "127.0.0.1:" + std::to_string(net::freeTcpPort());
+    return "127.0.0.1:" + std::to_string(net::reserveTcpPort());
   }
 
   static std::string errorBody(const std::string &Code,
--- a/lib/entry/tests/faulttest.cpp
+++ b/lib/entry/tests/faulttest.cpp
@@ -40,7 +40,7 @@
       : Name_(std::move(Name)), Slots_(Slots) {
     Settings_.Incarnation_ = Incarnation;
     Settings_.Listen_ = Listen;
-    Settings_.Announce_ = {"127.0.0.1", net::freeTcpPort()};
+    Settings_.Announce_ = {"127.0.0.1", net::reserveTcpPort()};
     Settings_.WorkingInterval_ = 20ms;
     // Announced once in a test.
     Settings_.AnnounceValid_ = 1h;
@@ -99,7 +99,7 @@
 
   test::Snapshots Snapshots_;
   test::Log Log_;
-  net::Address Address_{"127.0.0.1", net::freeTcpPort()};
+  net::Address Address_{"127.0.0.1", net::reserveTcpPort()};
 
   std::unique_ptr<entry::RequestService> entryHost(core::Incarnation Own,
                                                    core::Duration Silence) {
@@ -148,7 +148,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("504 unknown connection_silent"),
                          summary(Entry->handle(test::post("k"))));
     CPPUNIT_ASSERT_EQUAL(1, Frames.load());
-    TestAgent Other("other", 8, {"127.0.0.1", net::freeTcpPort()}, echo);
+    TestAgent Other("other", 8, {"127.0.0.1", net::reserveTcpPort()}, echo);
     Other.addTo(Snapshots_);
     int Answered = 0;
     for (int I = 0; I < 10; ++I)
@@ -304,7 +304,7 @@
     });
     test::Gate Elsewhere;
     Elsewhere.open();
-    TestAgent Stays("stays", 8, {"127.0.0.1", net::freeTcpPort()},
+    TestAgent Stays("stays", 8, {"127.0.0.1", net::reserveTcpPort()},
                     [&](const net::HttpRequest &Request) {
                       Elsewhere.pass();
                       return echo(Request);
--- a/lib/entry/tests/pathtest.cpp
+++ b/lib/entry/tests/pathtest.cpp
@@ -13,7 +13,7 @@
 
   /// Guards against parts that each work and do not fit together.
   void requestReachesUpstreamAndBack() {
-    const net::Address Upstream{"127.0.0.1", net::freeTcpPort()};
+    const net::Address Upstream{"127.0.0.1", net::reserveTcpPort()};
     net::HttpServer Server(
         Upstream, net::HttpLimits(), [](const net::HttpRequest &Request) {
           return net::HttpResponse{201, "text/plain",
@@ -21,8 +21,8 @@
         });
     agent::RequestServerSettings AgentSettings;
     AgentSettings.Incarnation_ = 7;
-    AgentSettings.Listen_ = {"127.0.0.1", net::freeTcpPort()};
-    AgentSettings.Announce_ = {"127.0.0.1", net::freeTcpPort()};
+    AgentSettings.Listen_ = {"127.0.0.1", net::reserveTcpPort()};
+    AgentSettings.Announce_ = {"127.0.0.1", net::reserveTcpPort()};
     agent::RequestServer Agent(AgentSettings);
     net::HttpRequest Announcement;
     Announcement.Method_ = "POST";
--- a/lib/logclient/tests/logclienttest.cpp
+++ b/lib/logclient/tests/logclienttest.cpp
@@ -94,7 +94,7 @@
   CPPUNIT_TEST(startTrustsTheStateOfASnapshot);
   CPPUNIT_TEST_SUITE_END();
 
-  const net::Address Address_{"127.0.0.1", net::freeTcpPort()};
+  const net::Address Address_{"127.0.0.1", net::reserveTcpPort()};
   standins::LogStore Store_{64};
   Collector Seen_;
   ReaderSettings Reading_;
--- a/lib/net/include/nutmegwell/net/address.h
+++ b/lib/net/include/nutmegwell/net/address.h
@@ -28,7 +28,9 @@
 /// Returns the port of a socket that the kernel bound, or 0.
 std::uint16_t localPort(int Socket);
 
-/// Returns a TCP port of the loopback address that is free now, or 0.
-std::uint16_t freeTcpPort();
+/// Reserves a TCP port of the loopback address until the process ends. A server
+/// can listen on it; the kernel gives it to no other socket. Returns 0 on an
+/// error.
+std::uint16_t reserveTcpPort();
 
 } // namespace nutmegwell::net
--- a/lib/net/src/address.cpp
+++ b/lib/net/src/address.cpp
@@ -37,18 +37,20 @@
   return ntohs(Bound.sin_port);
 }
 
-std::uint16_t freeTcpPort() {
+std::uint16_t reserveTcpPort() {
   int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (Socket < 0)
     return 0;
+  // A listener may share the port only if both sockets set this option.
+  const int On = 1;
+  setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
   sockaddr_in Any{};
   Any.sin_family = AF_INET;
   Any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  std::uint16_t Port = 0;
   if (bind(Socket, reinterpret_cast<sockaddr *>(&Any), sizeof(Any)) == 0)
-    Port = localPort(Socket);
+    return localPort(Socket);
   close(Socket);
-  return Port;
+  return 0;
 }
 
 } // namespace nutmegwell::net
--- a/lib/net/tests/frametest.cpp
+++ b/lib/net/tests/frametest.cpp
@@ -31,7 +31,7 @@
   CPPUNIT_TEST(stopFinishesFrameInProgress);
   CPPUNIT_TEST_SUITE_END();
 
-  net::Address Address_{"127.0.0.1", net::freeTcpPort()};
+  net::Address Address_{"127.0.0.1", net::reserveTcpPort()};
   net::FrameLimits Limits_;
 
   static bool echo(net::FrameConnection &Connection, std::string Frame) {
--- a/lib/net/tests/httptest.cpp
+++ b/lib/net/tests/httptest.cpp
@@ -19,7 +19,7 @@
   CPPUNIT_TEST(stopWaitsForRequestInFlight);
   CPPUNIT_TEST_SUITE_END();
 
-  net::Address Address_{"127.0.0.1", net::freeTcpPort()};
+  net::Address Address_{"127.0.0.1", net::reserveTcpPort()};
 
   static net::HttpRequest post(const std::string &Body) {
     net::HttpRequest Request;
--- a/tests/e2e/cluster.cpp
+++ b/tests/e2e/cluster.cpp
@@ -21,6 +21,10 @@
 /// Returns a socket bound to \p Port of the loopback address, or -1.
 int boundSocket(int Type, std::uint16_t Port) {
   int Socket = socket(AF_INET, Type | SOCK_CLOEXEC, 0);
+  // Lets a daemon listen on the TCP port while it is held here.
+  const int On = 1;
+  if (Type == SOCK_STREAM)
+    setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
   sockaddr_in Name{};
   Name.sin_family = AF_INET;
   Name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -38,8 +42,11 @@
 } // namespace
 
 HeldPorts::~HeldPorts() {
-  while (!Sockets_.empty())
-    release({"127.0.0.1", Sockets_.begin()->first});
+  for (const auto &Held : Sockets_) {
+    close(Held.second.first);
+    if (Held.second.second >= 0)
+      close(Held.second.second);
+  }
 }
 
 Address HeldPorts::hold() {
@@ -55,13 +62,12 @@
   }
 }
 
-void HeldPorts::release(const Address &Held) {
+void HeldPorts::releaseUdp(const Address &Held) {
   auto Known = Sockets_.find(Held.Port_);
-  if (Known == Sockets_.end())
+  if (Known == Sockets_.end() || Known->second.second < 0)
     return;
-  close(Known->second.first);
   close(Known->second.second);
-  Sockets_.erase(Known);
+  Known->second.second = -1;
 }
 
 std::string member(const std::string &Json, const std::string &Name) {
@@ -80,7 +86,7 @@
                                          const std::vector<Address> &Listens,
                                          const std::string &ReadyLine) {
   for (const Address &Listen : Listens)
-    Ports_.release(Listen);
+    Ports_.releaseUdp(Listen);
   auto Started = std::make_unique<Process>(Program, Flags);
   if (Started->waitForLine(ReadyLine) >= 0)
     return Started;
@@ -156,7 +162,7 @@
                             const std::string &Service,
                             std::vector<std::string> Flags) {
   Address Announce = Ports_.hold();
-  Ports_.release(Announce);
+  Ports_.releaseUdp(Announce);
   startAgent(Name, Domain,
              {"--kind=upstream", flag("announce-listen", Announce)});
   for (const std::string &Flag :
--- a/tests/e2e/cluster.h
+++ b/tests/e2e/cluster.h
@@ -17,16 +17,17 @@
 /// ratio between them stays as it is by default.
 extern const std::vector<std::string> FastTimes;
 
-/// Ports of the loopback address that the kernel chose. Each is held for TCP
-/// and UDP until the process that uses it starts, so that tests side by side do
-/// not get the same one.
+/// Ports of the loopback address that the kernel chose, so that tests side by
+/// side do not get the same one. Each is held for TCP until the end, also while
+/// its daemon is down, and for UDP until the process that uses it starts.
 class HeldPorts {
 public:
   ~HeldPorts();
   Address hold();
-  void release(const Address &Held);
+  void releaseUdp(const Address &Held);
 
 private:
+  /// By port, the sockets for TCP and UDP; the latter is -1 once released.
   std::map<std::uint16_t, std::pair<int, int>> Sockets_;
 };
 
--- a/tests/standins/log.cpp
+++ b/tests/standins/log.cpp
@@ -27,7 +27,7 @@
     }
   }
   if (Listen.Port_ == 0)
-    Listen.Port_ = net::freeTcpPort();
+    Listen.Port_ = net::reserveTcpPort();
   // Blocked before the server starts its threads, so that they inherit it.
   sigset_t Ends;
   sigemptyset(&Ends);
--- a/tests/standins/upstream.cpp
+++ b/tests/standins/upstream.cpp
@@ -83,7 +83,7 @@
   if (Result.Agent_.Port_ == 0)
     usage(2);
   if (Result.Port_ == 0)
-    Result.Port_ = net::freeTcpPort();
+    Result.Port_ = net::reserveTcpPort();
   return Result;
 }
 
