Tell observers when a stop refuses new work

Three tests found out that a stop was under way by repeating a real call in a loop with yield. The product offered no event for this state, and operators could not see in the log how many requests a stop still waited for. FrameServer, agent::RequestServer and entry::RequestService now call a function once when they take no more connections or requests, and both daemons log event=requests_stopping in_flight=N.

The tests wait for that call, then check once that a new connection or request is refused; the service test also checks the count of three in flight. The notice of closing that clients read was ruled out as the event: it comes before the listener is closed.

--- a/lib/agent/include/nutmegwell/agent/requestserver.h
+++ b/lib/agent/include/nutmegwell/agent/requestserver.h
@@ -36,6 +36,9 @@
   /// Called on a traffic thread after the upstream announced itself for the
   /// first time, changed or said that it is leaving. May be empty.
   std::function<void(const UpstreamStatus &)> Changed_;
+  /// Called once by stop() when no more connections are accepted, with the
+  /// number of requests in flight. May be empty.
+  std::function<void(std::uint32_t InFlight)> Stopping_;
 };
 
 /// Returns hooks that call the upstream over HTTP.
--- a/lib/agent/src/requestserver.cpp
+++ b/lib/agent/src/requestserver.cpp
@@ -80,6 +80,10 @@
             Settings.Listen_, Settings.Frames_,
             [this](net::FrameConnection &Connection, const std::string &Bytes) {
               return handle(Connection, Bytes);
+            },
+            [this] {
+              if (Hooks_.Stopping_)
+                Hooks_.Stopping_(status().InFlight_);
             }),
         Announcements_(Settings.Announce_, announceLimits(),
                        [this](const net::HttpRequest &Request) {
--- a/lib/daemon/src/agentrole.cpp
+++ b/lib/daemon/src/agentrole.cpp
@@ -56,6 +56,15 @@
                              Known.Leaving_};
 }
 
+agent::RequestServerHooks serverHooks() {
+  agent::RequestServerHooks Hooks = agent::httpHooks();
+  Hooks.Stopping_ = [](std::uint32_t InFlight) {
+    settings::logStateChange("requests_stopping",
+                             {{"in_flight", std::to_string(InFlight)}});
+  };
+  return Hooks;
+}
+
 /// Connects the control loop with the entry hosts and the worker runtime.
 class AgentRole {
 public:
@@ -90,7 +99,7 @@
     : Process_(core::systemRandom().Next_()),
       Requests_(Values.text("kind") == "upstream"
                     ? std::make_unique<agent::RequestServer>(
-                          serverSettings(Values, Process_))
+                          serverSettings(Values, Process_), serverHooks())
                     : nullptr),
       Udp_(toAddress(Values.address("udp-listen")),
            [this](const net::Address &From, const std::string &Bytes) {
--- a/lib/daemon/src/entryrole.cpp
+++ b/lib/daemon/src/entryrole.cpp
@@ -190,6 +190,10 @@
   Hooks.Observer_.Ended_ = [this](const entry::RequestRecord &Record) {
     Metrics_.requestEnded(Record);
   };
+  Hooks.Observer_.Stopping_ = [](std::size_t InFlight) {
+    settings::logStateChange("requests_stopping",
+                             {{"in_flight", std::to_string(InFlight)}});
+  };
   Hooks.Transport_ = entry::tcpTransport(entry::TransportSettings());
   Hooks.Intents_.Submit_ =
       [this](model::RecordBody Body,
--- a/lib/entry/include/nutmegwell/entry/requestservice.h
+++ b/lib/entry/include/nutmegwell/entry/requestservice.h
@@ -23,9 +23,13 @@
   core::Duration Latency_{};
 };
 
-/// Told about requests on the traffic threads; members may be empty.
+/// Told about requests, on the threads that handle them or stop the service;
+/// members may be empty.
 struct RequestObserver {
   std::function<void(const RequestRecord &)> Ended_;
+  /// Called by the first stop() when new requests are refused, with the number
+  /// of those in flight.
+  std::function<void(std::size_t InFlight)> Stopping_;
 };
 
 struct RequestServiceSettings {
--- a/lib/entry/src/requestservice.cpp
+++ b/lib/entry/src/requestservice.cpp
@@ -249,7 +249,7 @@
 }
 
 void RequestService::stop(core::Duration SettleLimit) {
-  Impl_->Slots_.stop();
+  Impl_->Slots_.stop(Impl_->Hooks_.Observer_.Stopping_);
   Impl_->Closer_.stop(SettleLimit);
 }
 
--- a/lib/entry/src/slots.cpp
+++ b/lib/entry/src/slots.cpp
@@ -1,6 +1,7 @@
 #include "slots.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace nutmegwell::entry {
 
@@ -140,9 +141,14 @@
   return InFlight_;
 }
 
-void SlotTable::stop() {
+void SlotTable::stop(const std::function<void(std::size_t)> &Stopping) {
   std::unique_lock<std::mutex> Lock(Mutex_);
-  Stopping_ = true;
+  if (!std::exchange(Stopping_, true) && Stopping) {
+    const std::size_t InFlight = InFlight_;
+    Lock.unlock();
+    Stopping(InFlight);
+    Lock.lock();
+  }
   Changed_.wait(Lock, [this] { return InFlight_ == 0; });
 }
 
--- a/lib/entry/src/slots.h
+++ b/lib/entry/src/slots.h
@@ -7,6 +7,7 @@
 #include "nutmegwell/routing/request.h"
 #include "nutmegwell/routing/snapshot.h"
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -46,8 +47,9 @@
 
   std::size_t inFlight() const;
 
-  /// Admits no more and waits until nothing is in flight.
-  void stop();
+  /// Admits no more and waits until nothing is in flight. The first call tells
+  /// \p Stopping in between; it may be empty.
+  void stop(const std::function<void(std::size_t InFlight)> &Stopping);
 
 private:
   using Ticket = std::uint64_t;
--- a/lib/entry/tests/faulttest.cpp
+++ b/lib/entry/tests/faulttest.cpp
@@ -48,6 +48,7 @@
     Hooks.Call_ = [Upstream](const net::Address &,
                              const net::HttpRequest &Request,
                              core::Duration) { return Upstream(Request); };
+    Hooks.Stopping_ = [this](std::uint32_t) { Stopping_.set_value(); };
     Server_.emplace(Settings_, Hooks);
     CPPUNIT_ASSERT_EQUAL(200u,
                          announce("POST", R"({"service":"s","port":1,)"
@@ -72,6 +73,8 @@
   const std::string Name_;
   const std::uint32_t Slots_;
   agent::RequestServerSettings Settings_;
+  /// Set when the agent takes no more connections.
+  std::promise<void> Stopping_;
   std::optional<agent::RequestServer> Server_;
 };
 
@@ -334,8 +337,8 @@
     Entry->snapshotChanged();
     auto Stopped =
         std::async(std::launch::async, [&] { Left.Server_->stop(); });
-    while (net::FrameConnection::connect(Address_, {}, 5s).ok())
-      std::this_thread::yield();
+    Left.Stopping_.get_future().wait();
+    CPPUNIT_ASSERT(!net::FrameConnection::connect(Address_, {}, 5s).ok());
     Gate.open();
     Stopped.get();
     for (auto &Each : Callers)
--- a/lib/entry/tests/requestservicetest.cpp
+++ b/lib/entry/tests/requestservicetest.cpp
@@ -223,6 +223,10 @@
       Admitted.pass();
       return Log_.find(Key);
     };
+    std::promise<std::size_t> Stopping;
+    Hooks_.Observer_.Stopping_ = [&](std::size_t InFlight) {
+      Stopping.set_value(InFlight);
+    };
     entry::RequestService Service({9}, Hooks_);
     // The third request waits for a slot.
     std::vector<std::future<std::string>> Callers;
@@ -234,9 +238,9 @@
     Admitted.awaitArrivals(3);
     Gate_.awaitArrivals(2);
     auto Stopped = std::async(std::launch::async, [&] { Service.stop(5s); });
-    // Refused for the account's bound until the stop is under way.
-    while (summary(Service.handle(test::get("/i"))) != "503 not_run stopping")
-      std::this_thread::yield();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Stopping.get_future().get());
+    CPPUNIT_ASSERT_EQUAL(std::string("503 not_run stopping"),
+                         summary(Service.handle(test::get("/i"))));
     Gate_.open();
     for (int I = 0; I < 3; ++I)
       CPPUNIT_ASSERT_EQUAL("200 " + std::to_string(I), Callers[I].get());
--- a/lib/net/include/nutmegwell/net/frame.h
+++ b/lib/net/include/nutmegwell/net/frame.h
@@ -81,8 +81,10 @@
 class FrameServer {
 public:
   /// Throws std::runtime_error when \p Listen cannot be bound.
+  /// \p Stopping may be empty; stop() calls it once when no more connections
+  /// are accepted, before it waits for those that are open.
   FrameServer(const Address &Listen, const FrameLimits &Limits,
-              FrameHandler Handler);
+              FrameHandler Handler, std::function<void()> Stopping = {});
   FrameServer(const FrameServer &) = delete;
   FrameServer &operator=(const FrameServer &) = delete;
   ~FrameServer();
--- a/lib/net/src/frameserver.cpp
+++ b/lib/net/src/frameserver.cpp
@@ -24,9 +24,10 @@
     bool Ended_ = false;
   };
 
-  Impl(const Address &Listen, const FrameLimits &Limits, FrameHandler Handler)
+  Impl(const Address &Listen, const FrameLimits &Limits, FrameHandler Handler,
+       std::function<void()> Stopping)
       : Limits_(Limits), Handler_(std::move(Handler)),
-        Wake_(eventfd(0, EFD_CLOEXEC)) {
+        Stopping_(std::move(Stopping)), Wake_(eventfd(0, EFD_CLOEXEC)) {
     if (Wake_ < 0)
       throw std::runtime_error("no event descriptor");
     try {
@@ -53,6 +54,8 @@
     Server_.terminateAccept();
     Acceptor_.join();
     Server_.close();
+    if (Stopping_)
+      Stopping_();
     for (Session &Each : Sessions_)
       Each.Thread_.join();
     Sessions_.clear();
@@ -134,6 +137,7 @@
 
   const FrameLimits Limits_;
   const FrameHandler Handler_;
+  const std::function<void()> Stopping_;
   const int Wake_;
   cxxtools::net::TcpServer Server_;
   std::thread Acceptor_;
@@ -143,8 +147,9 @@
 };
 
 FrameServer::FrameServer(const Address &Listen, const FrameLimits &Limits,
-                         FrameHandler Handler)
-    : Impl_(std::make_unique<Impl>(Listen, Limits, std::move(Handler))) {}
+                         FrameHandler Handler, std::function<void()> Stopping)
+    : Impl_(std::make_unique<Impl>(Listen, Limits, std::move(Handler),
+                                   std::move(Stopping))) {}
 
 FrameServer::~FrameServer() = default;
 
--- a/lib/net/tests/frametest.cpp
+++ b/lib/net/tests/frametest.cpp
@@ -123,13 +123,14 @@
   /// closed its idle connections.
   void frameThatCrossesTheCloseIsAnswered() {
     Limits_.CloseGrace_ = 10s;
-    net::FrameServer Server(Address_, Limits_, echo);
+    std::promise<void> Stopping;
+    net::FrameServer Server(Address_, Limits_, echo,
+                            [&] { Stopping.set_value(); });
     auto Connection = connected();
     CPPUNIT_ASSERT(Connection->send("a").ok() && Connection->receive(5s).ok());
     auto Stopped = std::async(std::launch::async, [&] { Server.stop(); });
-    // The listener refuses once the stop is under way.
-    while (net::FrameConnection::connect(Address_, Limits_, 5s).ok())
-      std::this_thread::yield();
+    Stopping.get_future().wait();
+    CPPUNIT_ASSERT(!net::FrameConnection::connect(Address_, Limits_, 5s).ok());
     CPPUNIT_ASSERT(Connection->send("crossed").ok());
     auto Received = Connection->receive(5s);
     CPPUNIT_ASSERT(Received.ok() && *Received == "crossed");
