--- a/lib/history/tests/generatedtest.cpp
+++ b/lib/history/tests/generatedtest.cpp
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <rapidcheck.h>
 
+using namespace nutmegwell;
 using namespace nutmegwell::history;
 using namespace nutmegwell::history::samples;
 
@@ -12,45 +13,51 @@
 /// of RC_PARAMS takes precedence.
 const int SeedIsSet = setenv("RC_PARAMS", "seed=4211 max_success=300", 0);
 
-constexpr int Length = 60000;
+constexpr std::chrono::milliseconds Length = 60s;
 
 /// Drawn at the full size, since RapidCheck begins with the smallest values.
-int moment(int From, int To) {
+int number(int From, int To) {
   return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(From, To + 1));
 }
 
+std::chrono::milliseconds moment(std::chrono::milliseconds From,
+                                 std::chrono::milliseconds To) {
+  return std::chrono::milliseconds(
+      number(static_cast<int>(From.count()), static_cast<int>(To.count())));
+}
+
 /// Returns a run that keeps every rule, with times and counts at random.
 std::vector<Event> keptRun() {
   std::vector<Event> Run;
-  const int Calls = moment(1, 6);
+  const int Calls = number(1, 6);
   for (int I = 0; I < Calls; ++I) {
     const std::string Id = std::to_string(I);
-    const int From = moment(0, Length / 2);
-    const int To = From + 2 + moment(0, 3000);
+    const core::Duration From = moment(0ms, Length / 2);
+    const core::Duration To = From + 2ms + moment(0ms, 3s);
     const bool Keyed = *rc::gen::arbitrary<bool>();
     Run = Run + call(Id, Keyed ? "key " + Id : "", From, To);
   }
-  const int Jobs = moment(1, 4);
+  const int Jobs = number(1, 4);
   for (int J = 0; J < Jobs; ++J) {
-    int From = moment(0, 1000);
+    core::Duration From = moment(0ms, 1s);
     for (std::uint32_t Attempt = 1; Attempt <= 3; ++Attempt) {
-      const int To = From + 5 + moment(0, 9000);
+      const core::Duration To = From + 5ms + moment(0ms, 9s);
       Run = Run + gang("job " + std::to_string(J), Attempt, From, To);
-      From = To + moment(0, 500);
+      From = To + moment(0ms, 500ms);
     }
   }
-  int Accepted = 0;
+  core::Duration Accepted{};
   for (std::uint64_t Version = 1; Version <= 4; ++Version) {
-    Accepted += moment(1, 9000);
+    Accepted += moment(1ms, 9s);
     Run.push_back(at(Accepted, ConfigAccepted{"routes", Version, "d"}));
     for (const char *Process : {"e1", "e2"})
-      Run.push_back(at(Accepted + moment(0, 1),
+      Run.push_back(at(Accepted + moment(0ms, 1ms),
                        ConfigObserved{"routes", Version, "d"}, Process));
   }
-  Run.push_back(at(1, GuaranteeRequested{"c", "b", {8, 8, 0}}));
-  Run.push_back(at(1 + moment(0, 30000), GuaranteeObtained{"c", {8, 8, 0}}));
+  Run.push_back(at(1ms, GuaranteeRequested{"c", "b", {8, 8, 0}}));
+  Run.push_back(at(1ms + moment(0ms, 30s), GuaranteeObtained{"c", {8, 8, 0}}));
   Run.push_back(at(Length, StopBegun(), "e1"));
-  Run.push_back(at(Length + moment(0, 500), StopEnded(), "e1"));
+  Run.push_back(at(Length + moment(0ms, 500ms), StopEnded(), "e1"));
   return Run;
 }
 
@@ -61,37 +68,41 @@
 
 /// Returns events that break one rule of any run that keptRun returns.
 Break someBreak() {
-  const int When = moment(0, Length / 2);
+  const core::Duration When = moment(0ms, Length / 2);
   const std::vector<Break> Breaks{
       {"guarantee-reclaim",
        {at(When, GuaranteeRequested{"d", "b", {2, 2, 0}}),
-        at(When + 30001 + moment(0, 99), GuaranteeObtained{"d", {2, 2, 0}})}},
+        at(When + 30001ms + moment(0ms, 99ms),
+           GuaranteeObtained{"d", {2, 2, 0}})}},
       {"gang-atomic",
-       {at(Length, AttemptCommitted{"p", 1, moment(2, 9) + 0u}),
+       {at(Length, AttemptCommitted{"p", 1, number(2, 9) + 0u}),
         at(Length, TaskStarted{"p", 1, 0, "w", "b"}),
-        at(Length + 15001 + moment(0, 99), TaskStopped{"p", 1, 0, false})}},
-      {"gang-atomic", gang("q", 1, When, When + 50) +
-                          gang("q", 2, When + moment(5, 47), When + 99)},
-      {"domain-out", std::vector<Event>{at(When, DomainOut{"a"})} +
-                         gang("o", 1, When + 3000 + moment(0, 99), Length * 2)},
+        at(Length + 15001ms + moment(0ms, 99ms),
+           TaskStopped{"p", 1, 0, false})}},
+      {"gang-atomic", gang("q", 1, When, When + 50ms) +
+                          gang("q", 2, When + moment(5ms, 47ms), When + 99ms)},
+      {"domain-out",
+       std::vector<Event>{at(When, DomainOut{"a"})} +
+           gang("o", 1, When + 3s + moment(0ms, 99ms), Length * 2)},
       {"own-answer",
        {at(When, CallInvoked{"x", "", "e2", true}),
-        at(When + 1, ExecutionBegun{"x", "", "u2", "d"}),
-        at(When + 2 + moment(0, 99), CallAnswered{"x", "digest 0"})}},
+        at(When + 1ms, ExecutionBegun{"x", "", "u2", "d"}),
+        at(When + 2ms + moment(0ms, 99ms), CallAnswered{"x", "digest 0"})}},
       {"true-refusal",
        {at(When, CallInvoked{"x", "", "e2", true}),
-        at(When + moment(0, 99), CallRefused{"x", "busy"}),
-        at(When + moment(0, 99), ExecutionBegun{"x", "", "u2", "d"})}},
-      {"at-most-once", call("x", "k", When, When + 5 + moment(0, 99)) +
-                           call("y", "k", When + moment(0, 99), When + 200)},
+        at(When + moment(0ms, 99ms), CallRefused{"x", "busy"}),
+        at(When + moment(0ms, 99ms), ExecutionBegun{"x", "", "u2", "d"})}},
+      {"at-most-once",
+       call("x", "k", When, When + 5ms + moment(0ms, 99ms)) +
+           call("y", "k", When + moment(0ms, 99ms), When + 200ms)},
       {"upstream-leave",
        std::vector<Event>{at(When, UpstreamLeaving{"u1"})} +
-           call("x", "", When + 3000 + moment(0, 99), When + 4000)},
+           call("x", "", When + 3s + moment(0ms, 99ms), When + 4s)},
       {"graceful-stop",
        {at(When, CallInvoked{"x", "", "e1", true}),
-        at(Length + moment(1, 99), CallUnknown{"x", "silent", true})}},
+        at(Length + moment(1ms, 99ms), CallUnknown{"x", "silent", true})}},
       {"config-monotonic",
-       {at(Length, ConfigObserved{"routes", 0u + moment(0, 3), "d"}, "e1")}}};
+       {at(Length, ConfigObserved{"routes", 0u + number(0, 3), "d"}, "e1")}}};
   return *rc::gen::elementOf(Breaks);
 }
 
--- a/lib/history/tests/historyfiletest.cpp
+++ b/lib/history/tests/historyfiletest.cpp
@@ -14,7 +14,7 @@
 
   template <std::size_t Index = 0> static void eachKind() {
     if constexpr (Index < std::variant_size_v<EventBody>) {
-      Event Empty = at(7, EventBody(std::in_place_index<Index>), "p \"1\"");
+      Event Empty = at(7ms, EventBody(std::in_place_index<Index>), "p \"1\"");
       auto Parsed = parseEvent(formatEvent(Empty));
       CPPUNIT_ASSERT_MESSAGE(formatEvent(Empty) + Parsed.status().ToString(),
                              Parsed.ok());
@@ -28,12 +28,12 @@
   void everyKindSurvivesRoundTrip() {
     eachKind();
     const std::vector<Event> Run =
-        call("1", "k", 0, 9) + gang("j", 3, 5, 20) +
-        std::vector<Event>{at(1, CallUnknown{"2", "x", true}),
-                           at(1, StopEnded{4}),
-                           at(1, TaskStopped{"j", 1, 2, true}),
-                           at(2, ConfigAccepted{"routes", 1ULL << 62, "d"}),
-                           at(2, GuaranteeRequested{"c", "a", {8, 4, 2}})};
+        call("1", "k", 0ms, 9ms) + gang("j", 3, 5ms, 20ms) +
+        std::vector<Event>{at(1ms, CallUnknown{"2", "x", true}),
+                           at(1ms, StopEnded{4}),
+                           at(1ms, TaskStopped{"j", 1, 2, true}),
+                           at(2ms, ConfigAccepted{"routes", 1ULL << 62, "d"}),
+                           at(2ms, GuaranteeRequested{"c", "a", {8, 4, 2}})};
     std::string Text;
     for (const Event &Each : Run)
       Text += formatEvent(Each) + "\n\n";
@@ -53,7 +53,7 @@
          {"{", "[]", R"({"at_us":1,"event":"other"})",
           R"({"event":"stop_begun"})", R"({"at_us":"x","event":"stop_begun"})",
           R"({"at_us":1,"event":"stop_ended","cut":-1})"}) {
-      std::istringstream In(formatEvent(at(1, StopBegun())) + "\n" + Line +
+      std::istringstream In(formatEvent(at(1ms, StopBegun())) + "\n" + Line +
                             "\n");
       auto Read = readEvents(In);
       CPPUNIT_ASSERT(!Read.ok());
--- a/lib/history/tests/rulestest.cpp
+++ b/lib/history/tests/rulestest.cpp
@@ -1,6 +1,7 @@
 #include "samples.h"
 #include <cppunit/extensions/HelperMacros.h>
 
+using namespace nutmegwell;
 using namespace nutmegwell::history;
 using namespace nutmegwell::history::samples;
 
@@ -37,27 +38,28 @@
   CPPUNIT_TEST_SUITE_END();
 
   static Event asked() {
-    return at(0, GuaranteeRequested{"c", "a", {8, 4, 1}});
+    return at(0ms, GuaranteeRequested{"c", "a", {8, 4, 1}});
   }
-  static Event got(int At, GuaranteeShape Shape) {
+  static Event got(core::Duration At, GuaranteeShape Shape) {
     return at(At, GuaranteeObtained{"c", Shape});
   }
 
   void verdicts() {
-    accept({asked(), got(30000, {8, 4, 1})});
-    accept({asked(), got(1, {9, 8, 0})});
-    accept({asked(), at(1, GuaranteeWithdrawn{"c"}), got(40000, {8, 4, 1})});
-    accept({asked(), at(5, DomainOut{"a"}), got(40000, {8, 4, 1})});
-    accept({asked(), at(30000, StopBegun()), at(30000, StopEnded())});
-    reject("guarantee-reclaim", {asked(), got(30001, {8, 4, 1})});
-    reject("guarantee-reclaim", {asked(), got(1, {7, 4, 1})});
-    reject("guarantee-reclaim", {asked(), got(1, {8, 2, 1})});
-    reject("guarantee-reclaim", {asked(), got(1, {8, 4, 2})});
-    reject("guarantee-reclaim", {asked(), at(30001, PermitGranted{"w"})});
-    reject("guarantee-reclaim", {asked(), at(30001, GuaranteeWithdrawn{"c"})});
-    reject("guarantee-reclaim", {asked(), at(30001, DomainOut{"a"})});
+    accept({asked(), got(30s, {8, 4, 1})});
+    accept({asked(), got(1ms, {9, 8, 0})});
+    accept({asked(), at(1ms, GuaranteeWithdrawn{"c"}), got(40s, {8, 4, 1})});
+    accept({asked(), at(5ms, DomainOut{"a"}), got(40s, {8, 4, 1})});
+    accept({asked(), at(30s, StopBegun()), at(30s, StopEnded())});
+    reject("guarantee-reclaim", {asked(), got(30001ms, {8, 4, 1})});
+    reject("guarantee-reclaim", {asked(), got(1ms, {7, 4, 1})});
+    reject("guarantee-reclaim", {asked(), got(1ms, {8, 2, 1})});
+    reject("guarantee-reclaim", {asked(), got(1ms, {8, 4, 2})});
+    reject("guarantee-reclaim", {asked(), at(30001ms, PermitGranted{"w"})});
     reject("guarantee-reclaim",
-           {asked(), at(5, DomainOut{"b"}), got(40000, {8, 4, 1})});
+           {asked(), at(30001ms, GuaranteeWithdrawn{"c"})});
+    reject("guarantee-reclaim", {asked(), at(30001ms, DomainOut{"a"})});
+    reject("guarantee-reclaim",
+           {asked(), at(5ms, DomainOut{"b"}), got(40s, {8, 4, 1})});
   }
 };
 
@@ -67,46 +69,46 @@
   CPPUNIT_TEST(overlaps);
   CPPUNIT_TEST_SUITE_END();
 
-  static Event commit() { return at(0, AttemptCommitted{"j", 1, 2}); }
-  static Event start(int At, std::uint32_t Task) {
+  static Event commit() { return at(0ms, AttemptCommitted{"j", 1, 2}); }
+  static Event start(core::Duration At, std::uint32_t Task) {
     return at(At, TaskStarted{"j", 1, Task, "w1", "a"});
   }
-  static Event stop(int At, std::uint32_t Task, bool Done = false) {
+  static Event stop(core::Duration At, std::uint32_t Task, bool Done = false) {
     return at(At, TaskStopped{"j", 1, Task, Done});
   }
 
   void verdicts() {
-    accept(gang("j", 1, 0, 100000));
-    accept({commit(), start(1, 0), start(5001, 1)});
-    accept({commit(), start(1, 0), stop(15001, 0)});
+    accept(gang("j", 1, 0ms, 100s));
+    accept({commit(), start(1ms, 0), start(5001ms, 1)});
+    accept({commit(), start(1ms, 0), stop(15001ms, 0)});
     accept(
-        {commit(), start(1, 0), start(2, 1), stop(50000, 0), stop(65000, 1)});
-    accept({commit(), start(1, 0), start(2, 1), stop(50000, 0, true),
-            stop(90000, 1, true)});
-    reject("gang-atomic", {commit(), start(1, 0), start(5002, 1)});
-    reject("gang-atomic", {commit(), start(1, 0), stop(15002, 0)});
-    reject("gang-atomic", {commit(), start(1, 0), at(15002, StopBegun()),
-                           at(15002, StopEnded())});
-    reject("gang-atomic", {commit(), start(1, 0), start(2, 1), stop(50000, 0),
-                           stop(65001, 1)});
-    reject("gang-atomic", {start(1, 0), stop(2, 0)});
-    reject("gang-atomic", {commit(), at(1, AttemptCommitted{"j", 1, 2}),
-                           start(2, 0), start(3, 1)});
+        {commit(), start(1ms, 0), start(2ms, 1), stop(50s, 0), stop(65s, 1)});
+    accept({commit(), start(1ms, 0), start(2ms, 1), stop(50s, 0, true),
+            stop(90s, 1, true)});
+    reject("gang-atomic", {commit(), start(1ms, 0), start(5002ms, 1)});
+    reject("gang-atomic", {commit(), start(1ms, 0), stop(15002ms, 0)});
+    reject("gang-atomic", {commit(), start(1ms, 0), at(15002ms, StopBegun()),
+                           at(15002ms, StopEnded())});
+    reject("gang-atomic", {commit(), start(1ms, 0), start(2ms, 1), stop(50s, 0),
+                           stop(65001ms, 1)});
+    reject("gang-atomic", {start(1ms, 0), stop(2ms, 0)});
+    reject("gang-atomic", {commit(), at(1ms, AttemptCommitted{"j", 1, 2}),
+                           start(2ms, 0), start(3ms, 1)});
   }
 
   void overlaps() {
-    accept(gang("j", 1, 0, 100) + gang("j", 2, 100, 200));
-    accept(gang("j", 1, 0, 100) + gang("k", 1, 50, 200));
-    Events Both = gang("j", 1, 0, 100);
+    accept(gang("j", 1, 0ms, 100ms) + gang("j", 2, 100ms, 200ms));
+    accept(gang("j", 1, 0ms, 100ms) + gang("k", 1, 50ms, 200ms));
+    Events Both = gang("j", 1, 0ms, 100ms);
     Both.pop_back();
-    reject("gang-atomic", Both + gang("j", 2, 97, 200));
-    reject("gang-atomic",
-           {commit(), start(1, 0), start(2, 1), at(3, AttemptEnded{"j", 1}),
-            stop(4, 0), stop(5, 1)});
+    reject("gang-atomic", Both + gang("j", 2, 97ms, 200ms));
     reject("gang-atomic",
-           {commit(), start(1, 0), start(2, 1), stop(3, 0), start(4, 0)});
+           {commit(), start(1ms, 0), start(2ms, 1),
+            at(3ms, AttemptEnded{"j", 1}), stop(4ms, 0), stop(5ms, 1)});
+    reject("gang-atomic", {commit(), start(1ms, 0), start(2ms, 1), stop(3ms, 0),
+                           start(4ms, 0)});
     reject("gang-atomic",
-           gang("j", 1, 0, 100) + Events{start(101, 2), stop(102, 2)});
+           gang("j", 1, 0ms, 100ms) + Events{start(101ms, 2), stop(102ms, 2)});
   }
 };
 
@@ -116,23 +118,23 @@
   CPPUNIT_TEST_SUITE_END();
 
   void verdicts() {
-    accept(Events{at(0, DomainOut{"a"})} + gang("j", 1, 2998, 9000));
-    accept(Events{at(0, DomainOut{"b"})} + gang("j", 1, 5000, 9000));
-    accept(Events{at(0, DomainOut{"a"}), at(4000, DomainIn{"a"})} +
-           gang("j", 1, 4000, 9000));
-    accept(Events{at(0, PermitRevoked{"w1"}), at(1, PermitGranted{"w1"})} +
-           gang("j", 1, 5, 9000));
+    accept(Events{at(0ms, DomainOut{"a"})} + gang("j", 1, 2998ms, 9s));
+    accept(Events{at(0ms, DomainOut{"b"})} + gang("j", 1, 5s, 9s));
+    accept(Events{at(0ms, DomainOut{"a"}), at(4s, DomainIn{"a"})} +
+           gang("j", 1, 4s, 9s));
+    accept(Events{at(0ms, PermitRevoked{"w1"}), at(1ms, PermitGranted{"w1"})} +
+           gang("j", 1, 5ms, 9s));
     reject("domain-out",
-           Events{at(0, DomainOut{"a"})} + gang("j", 1, 3000, 9000));
-    reject("domain-out", Events{at(0, DomainOut{"a"}), at(2, DomainIn{"a"}),
-                                at(10, DomainOut{"a"})} +
-                             gang("j", 1, 4000, 9000));
+           Events{at(0ms, DomainOut{"a"})} + gang("j", 1, 3s, 9s));
+    reject("domain-out", Events{at(0ms, DomainOut{"a"}), at(2ms, DomainIn{"a"}),
+                                at(10ms, DomainOut{"a"})} +
+                             gang("j", 1, 4s, 9s));
     // A repeated command does not begin a new grace time.
     reject("domain-out",
-           Events{at(0, DomainOut{"a"}), at(2500, DomainOut{"a"})} +
-               gang("j", 1, 4000, 9000));
+           Events{at(0ms, DomainOut{"a"}), at(2500ms, DomainOut{"a"})} +
+               gang("j", 1, 4s, 9s));
     reject("domain-out",
-           Events{at(0, PermitRevoked{"w1"})} + gang("j", 1, 5, 9000));
+           Events{at(0ms, PermitRevoked{"w1"})} + gang("j", 1, 5ms, 9s));
   }
 };
 
@@ -142,27 +144,27 @@
   CPPUNIT_TEST_SUITE_END();
 
   static Events crossed(const std::string &Digest) {
-    Events Run = call("1", "", 0, 10) + call("2", "", 1, 11);
+    Events Run = call("1", "", 0ms, 10ms) + call("2", "", 1ms, 11ms);
     Run.back().Body_ = CallAnswered{"2", Digest};
     return Run;
   }
 
   void verdicts() {
-    accept(call("1", "", 0, 10) + call("2", "k", 5, 20));
+    accept(call("1", "", 0ms, 10ms) + call("2", "k", 5ms, 20ms));
     // A repeat of a key gets the stored answer of the first call.
-    accept(call("1", "k", 0, 10) +
-           Events{at(20, CallInvoked{"2", "k", "e1", false}),
-                  at(21, CallAnswered{"2", "digest 1"})});
+    accept(call("1", "k", 0ms, 10ms) +
+           Events{at(20ms, CallInvoked{"2", "k", "e1", false}),
+                  at(21ms, CallAnswered{"2", "digest 1"})});
     reject("own-answer", crossed("digest 1"));
     reject("own-answer", crossed("digest"));
-    reject("own-answer", call("1", "", 0, 10) +
-                             Events{at(12, CallAnswered{"1", "digest 1"})});
-    reject("own-answer",
-           call("1", "", 0, 10) + Events{at(12, CallUnknown{"1", "late"})});
-    reject("own-answer", {at(0, CallInvoked{"1", "", "e1", true})});
-    reject("own-answer", {at(0, CallAnswered{"1", "digest 1"})});
-    Events Early = call("1", "", 0, 10);
-    Early[1].At_ = Early[3].At_ + std::chrono::milliseconds(1);
+    reject("own-answer", call("1", "", 0ms, 10ms) +
+                             Events{at(12ms, CallAnswered{"1", "digest 1"})});
+    reject("own-answer", call("1", "", 0ms, 10ms) +
+                             Events{at(12ms, CallUnknown{"1", "late"})});
+    reject("own-answer", {at(0ms, CallInvoked{"1", "", "e1", true})});
+    reject("own-answer", {at(0ms, CallAnswered{"1", "digest 1"})});
+    Events Early = call("1", "", 0ms, 10ms);
+    Early[1].At_ = Early[3].At_ + 1ms;
     Early.erase(Early.begin() + 2);
     reject("own-answer", Early);
   }
@@ -173,19 +175,19 @@
   CPPUNIT_TEST(verdicts);
   CPPUNIT_TEST_SUITE_END();
 
-  static Events refused(int RunsAt) {
-    Events Run{at(0, CallInvoked{"1", "k", "e1", false}),
-               at(10, CallRefused{"1", "busy"})};
-    if (RunsAt > 0)
+  static Events refused(core::Duration RunsAt) {
+    Events Run{at(0ms, CallInvoked{"1", "k", "e1", false}),
+               at(10ms, CallRefused{"1", "busy"})};
+    if (RunsAt > 0ms)
       Run.push_back(at(RunsAt, ExecutionBegun{"1", "k", "u1", "d"}));
     return Run;
   }
 
   void verdicts() {
-    accept(refused(0));
-    accept(refused(0) + call("2", "k", 20, 30));
-    reject("true-refusal", refused(5));
-    reject("true-refusal", refused(50000));
+    accept(refused(0ms));
+    accept(refused(0ms) + call("2", "k", 20ms, 30ms));
+    reject("true-refusal", refused(5ms));
+    reject("true-refusal", refused(50s));
   }
 };
 
@@ -195,16 +197,17 @@
   CPPUNIT_TEST_SUITE_END();
 
   static Events again(const std::string &Call, const std::string &Work) {
-    return {at(90, ExecutionBegun{Call, Work, "u2", "digest " + Call})};
+    return {at(90ms, ExecutionBegun{Call, Work, "u2", "digest " + Call})};
   }
 
   void verdicts() {
-    accept(call("1", "", 0, 10) + again("1", ""));
-    accept(call("1", "k", 0, 10) + call("2", "l", 0, 10));
-    reject("at-most-once", call("1", "k", 0, 10) + again("1", "k"));
-    reject("at-most-once", call("1", "k", 0, 10) + call("2", "k", 20, 30));
-    reject("at-most-once", Events{at(0, CallInvoked{"1", "", "e1", false}),
-                                  at(5, CallUnknown{"1", "silent"})} +
+    accept(call("1", "", 0ms, 10ms) + again("1", ""));
+    accept(call("1", "k", 0ms, 10ms) + call("2", "l", 0ms, 10ms));
+    reject("at-most-once", call("1", "k", 0ms, 10ms) + again("1", "k"));
+    reject("at-most-once",
+           call("1", "k", 0ms, 10ms) + call("2", "k", 20ms, 30ms));
+    reject("at-most-once", Events{at(0ms, CallInvoked{"1", "", "e1", false}),
+                                  at(5ms, CallUnknown{"1", "silent"})} +
                                again("1", "") + again("1", ""));
   }
 };
@@ -215,14 +218,14 @@
   CPPUNIT_TEST_SUITE_END();
 
   void verdicts() {
-    const Events Leave{at(0, UpstreamLeaving{"u1"})};
-    accept(Leave + call("1", "", 2999, 9000));
-    accept(Leave + Events{at(3500, UpstreamReturned{"u1"})} +
-           call("1", "", 4000, 9000));
-    accept(Events{at(0, UpstreamLeaving{"u2"})} + call("1", "", 4000, 9000));
-    reject("upstream-leave", Leave + call("1", "", 3000, 9000));
-    reject("upstream-leave", Leave + Events{at(2000, UpstreamLeaving{"u1"})} +
-                                 call("1", "", 4000, 9000));
+    const Events Leave{at(0ms, UpstreamLeaving{"u1"})};
+    accept(Leave + call("1", "", 2999ms, 9s));
+    accept(Leave + Events{at(3500ms, UpstreamReturned{"u1"})} +
+           call("1", "", 4s, 9s));
+    accept(Events{at(0ms, UpstreamLeaving{"u2"})} + call("1", "", 4s, 9s));
+    reject("upstream-leave", Leave + call("1", "", 3s, 9s));
+    reject("upstream-leave", Leave + Events{at(2s, UpstreamLeaving{"u1"})} +
+                                 call("1", "", 4s, 9s));
   }
 };
 
@@ -231,25 +234,27 @@
   CPPUNIT_TEST(verdicts);
   CPPUNIT_TEST_SUITE_END();
 
-  static Events stop(const std::string &Process, int From, int To) {
+  static Events stop(const std::string &Process, core::Duration From,
+                     core::Duration To) {
     return {at(From, StopBegun(), Process), at(To, StopEnded(), Process)};
   }
-  static Events unknown(int At, bool Lost) {
-    return {at(0, CallInvoked{"1", "", "e1", true}),
+  static Events unknown(core::Duration At, bool Lost) {
+    return {at(0ms, CallInvoked{"1", "", "e1", true}),
             at(At, CallUnknown{"1", "silent", Lost})};
   }
 
   void verdicts() {
-    accept(call("1", "", 0, 100) + stop("e1", 50, 200) + stop("u1", 50, 200));
-    accept(unknown(100, false) + stop("e1", 50, 200));
-    accept(unknown(10, true) + stop("e1", 50, 200));
-    accept(unknown(100, true) + stop("e2", 50, 200));
-    reject("graceful-stop", unknown(100, true) + stop("e1", 50, 200));
-    reject("graceful-stop", unknown(250, true) + stop("e1", 50, 200));
-    reject("graceful-stop", call("1", "", 0, 100) + stop("u1", 50, 60));
-    reject("graceful-stop", {at(0, StopBegun(), "e1")});
+    accept(call("1", "", 0ms, 100ms) + stop("e1", 50ms, 200ms) +
+           stop("u1", 50ms, 200ms));
+    accept(unknown(100ms, false) + stop("e1", 50ms, 200ms));
+    accept(unknown(10ms, true) + stop("e1", 50ms, 200ms));
+    accept(unknown(100ms, true) + stop("e2", 50ms, 200ms));
+    reject("graceful-stop", unknown(100ms, true) + stop("e1", 50ms, 200ms));
+    reject("graceful-stop", unknown(250ms, true) + stop("e1", 50ms, 200ms));
+    reject("graceful-stop", call("1", "", 0ms, 100ms) + stop("u1", 50ms, 60ms));
+    reject("graceful-stop", {at(0ms, StopBegun(), "e1")});
     reject("graceful-stop",
-           {at(0, StopBegun(), "e1"), at(1, StopEnded{1}, "e1")});
+           {at(0ms, StopBegun(), "e1"), at(1ms, StopEnded{1}, "e1")});
   }
 };
 
@@ -258,26 +263,26 @@
   CPPUNIT_TEST(verdicts);
   CPPUNIT_TEST_SUITE_END();
 
-  static Event accepted(int At, std::uint64_t Version) {
+  static Event accepted(core::Duration At, std::uint64_t Version) {
     return at(At, ConfigAccepted{"routes", Version, "d"});
   }
-  static Event seen(int At, std::uint64_t Version,
+  static Event seen(core::Duration At, std::uint64_t Version,
                     const std::string &Digest = "d",
                     const std::string &Item = "routes") {
     return at(At, ConfigObserved{Item, Version, Digest}, "e1");
   }
 
   void verdicts() {
-    accept({seen(0, 0), accepted(5, 1), seen(3005, 0), seen(3006, 1)});
-    accept({accepted(0, 1), seen(1, 1), seen(2, 0, "", "pools")});
+    accept({seen(0ms, 0), accepted(5ms, 1), seen(3005ms, 0), seen(3006ms, 1)});
+    accept({accepted(0ms, 1), seen(1ms, 1), seen(2ms, 0, "", "pools")});
     // Used before its publisher hears of it.
-    accept({seen(0, 1), accepted(5, 1)});
-    reject("config-monotonic", {accepted(0, 1), seen(3001, 0)});
+    accept({seen(0ms, 1), accepted(5ms, 1)});
+    reject("config-monotonic", {accepted(0ms, 1), seen(3001ms, 0)});
     reject("config-monotonic",
-           {accepted(0, 1), accepted(1, 2), seen(2, 2), seen(3, 1)});
-    reject("config-monotonic", {accepted(0, 1), accepted(1, 1)});
-    reject("config-monotonic", {seen(0, 1)});
-    reject("config-monotonic", {accepted(0, 1), seen(1, 1, "x")});
+           {accepted(0ms, 1), accepted(1ms, 2), seen(2ms, 2), seen(3ms, 1)});
+    reject("config-monotonic", {accepted(0ms, 1), accepted(1ms, 1)});
+    reject("config-monotonic", {seen(0ms, 1)});
+    reject("config-monotonic", {accepted(0ms, 1), seen(1ms, 1, "x")});
   }
 };
 
--- a/lib/history/tests/samples.h
+++ b/lib/history/tests/samples.h
@@ -4,29 +4,30 @@
 
 namespace nutmegwell::history::samples {
 
-inline Event at(int Milliseconds, EventBody Body,
+using namespace std::chrono_literals;
+
+inline Event at(core::Duration SinceStart, EventBody Body,
                 std::string Process = "test") {
-  return {core::TimePoint(std::chrono::milliseconds(Milliseconds)),
-          std::move(Process), std::move(Body)};
+  return {core::TimePoint(SinceStart), std::move(Process), std::move(Body)};
 }
 
 /// A whole job with two tasks from \p From to \p To.
 inline std::vector<Event> gang(const std::string &Job, std::uint32_t Attempt,
-                               int From, int To) {
+                               core::Duration From, core::Duration To) {
   return {at(From, AttemptCommitted{Job, Attempt, 2}),
-          at(From + 1, TaskStarted{Job, Attempt, 0, "w1", "a"}),
-          at(From + 2, TaskStarted{Job, Attempt, 1, "w2", "a"}),
-          at(To - 2, TaskStopped{Job, Attempt, 0, false}),
-          at(To - 1, TaskStopped{Job, Attempt, 1, false}),
+          at(From + 1ms, TaskStarted{Job, Attempt, 0, "w1", "a"}),
+          at(From + 2ms, TaskStarted{Job, Attempt, 1, "w2", "a"}),
+          at(To - 2ms, TaskStopped{Job, Attempt, 0, false}),
+          at(To - 1ms, TaskStopped{Job, Attempt, 1, false}),
           at(To, AttemptEnded{Job, Attempt})};
 }
 
 /// An answered call at the entry host "e1" that runs on the upstream "u1".
 inline std::vector<Event> call(const std::string &Id, const std::string &Work,
-                               int From, int To) {
+                               core::Duration From, core::Duration To) {
   return {at(From, CallInvoked{Id, Work, "e1", Work.empty()}),
-          at(From + 1, ExecutionBegun{Id, Work, "u1", "digest " + Id}),
-          at(To - 1, ExecutionEnded{Id, "u1"}),
+          at(From + 1ms, ExecutionBegun{Id, Work, "u1", "digest " + Id}),
+          at(To - 1ms, ExecutionEnded{Id, "u1"}),
           at(To, CallAnswered{Id, "digest " + Id})};
 }
 
