End the simulated work of the upstream stand-in when it stops

The stand-in slept for the delay of a request, which no stop could end. It waits on a condition variable now, and the stop at the end of the drain, or a second signal, wakes it; what still runs then is answered whole at once. During the drain requests take their full time as before, so the checks of graceful stops and of leaving upstreams see the same load.

--- a/tests/standins/upstream.cpp
+++ b/tests/standins/upstream.cpp
@@ -2,12 +2,12 @@
 #include "nutmegwell/wire/json.h"
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <csignal>
 #include <fstream>
 #include <getopt.h>
 #include <iostream>
 #include <mutex>
-#include <thread>
 
 using namespace nutmegwell;
 
@@ -105,6 +105,30 @@
   std::ofstream File_;
 };
 
+/// Simulates the time that requests take.
+class Work {
+public:
+  /// Takes \p Time, or less when the process stops.
+  void run(std::chrono::milliseconds Time) {
+    std::unique_lock<std::mutex> Lock(Mutex_);
+    Stopped_.wait_for(Lock, Time, [this] { return Stopping_; });
+  }
+
+  /// Ends what runs and what comes later at once.
+  void stop() {
+    {
+      std::lock_guard<std::mutex> Lock(Mutex_);
+      Stopping_ = true;
+    }
+    Stopped_.notify_all();
+  }
+
+private:
+  std::mutex Mutex_;
+  std::condition_variable Stopped_;
+  bool Stopping_ = false;
+};
+
 std::string describe(const Options &Settings, const net::HttpRequest &Request) {
   cxxtools::SerializationInfo Line;
   Line.addMember("service") <<= Settings.Service_;
@@ -142,6 +166,7 @@
   pthread_sigmask(SIG_BLOCK, &Stops, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   RunLog Log(Settings.Log_);
+  Work Simulated;
   try {
     net::HttpServer Server(
         {"127.0.0.1", Settings.Port_}, net::HttpLimits(),
@@ -149,10 +174,9 @@
           const std::string Line = describe(Settings, Request);
           Log.write(Line);
           const std::string Delay = Request.parameter("delay_ms");
-          std::this_thread::sleep_for(
-              Delay.empty()
-                  ? Settings.Delay_
-                  : std::chrono::milliseconds(std::atoi(Delay.c_str())));
+          Simulated.run(Delay.empty() ? Settings.Delay_
+                                      : std::chrono::milliseconds(
+                                            std::atoi(Delay.c_str())));
           return net::HttpResponse{200, "application/json", Line};
         });
     net::HttpClient Agent(Settings.Agent_);
@@ -165,6 +189,8 @@
     const timespec Drain{Settings.Drain_.count() / 1000,
                          Settings.Drain_.count() % 1000 * 1000000};
     sigtimedwait(&Stops, nullptr, &Drain);
+    // What still runs after the drain is answered at once.
+    Simulated.stop();
     Server.stop();
   } catch (const std::exception &Error) {
     std::cerr << "code=start_failed message=\"" << Error.what() << "\"\n";
