Explain a wait by every cell, also for a new job

For its first 500 ms a job is left to the cell that should take it. explain asked the other cells too, found the job absent from their queues and took that for "about to start".

The views that explain makes keep the job it is asked about. Decisions use the views as before. explanationNamesEveryCell failed before the change with "the job is about to start"; the control tests and schedules-test pass.

--- a/lib/entry/src/schedule.cpp
+++ b/lib/entry/src/schedule.cpp
@@ -120,15 +120,18 @@
   return View;
 }
 
-/// Leaves each job that has not waited long to the cell that should take it.
-void assignCells(const EntryState &State, std::vector<sched::CellView> &Views) {
+/// Leaves each job that has not waited long to the cell that should take it;
+/// \p Asked stays in every view, so that each cell can be asked about it.
+void assignCells(const EntryState &State, std::vector<sched::CellView> &Views,
+                 const core::JobId *Asked) {
   const std::vector<std::size_t> Choice = sched::preferredCells(Views);
   for (std::size_t I = 0; I < Views.size(); ++I) {
     std::vector<sched::WaitingJob> Kept;
     for (std::size_t J = 0; J < Views[I].Waiting_.size(); ++J) {
       sched::WaitingJob &Job = Views[I].Waiting_[J];
       Job.Preferred_ = Choice[J] == I;
-      if (Job.Preferred_ || Job.Waited_ >= State.Settings_.OtherCellDelay_)
+      if (Job.Preferred_ || (Asked && Job.Id_ == *Asked) ||
+          Job.Waited_ >= State.Settings_.OtherCellDelay_)
         Kept.push_back(std::move(Job));
     }
     Views[I].Waiting_ = std::move(Kept);
@@ -138,11 +141,12 @@
 /// Returns the views of all known cells. Every entry host hears every agent, so
 /// that hosts with the same log agree on the cell that should take a job.
 std::vector<sched::CellView> makeViews(const EntryState &State,
-                                       core::TimePoint Now) {
+                                       core::TimePoint Now,
+                                       const core::JobId *Asked = nullptr) {
   std::vector<sched::CellView> Views;
   for (const auto &[Domain, Tracker] : State.Cells_)
     Views.push_back(makeView(State, Domain, Now));
-  assignCells(State, Views);
+  assignCells(State, Views, Asked);
   return Views;
 }
 
@@ -197,7 +201,7 @@
 std::string waitReasons(const EntryState &State, const model::Job &Target,
                         core::TimePoint Now) {
   std::string Joined;
-  const std::vector<sched::CellView> Views = makeViews(State, Now);
+  const std::vector<sched::CellView> Views = makeViews(State, Now, &Target.Id_);
   for (const model::PoolRow &Row : State.Fold_.Pools_.Rows_) {
     if (Row.Account_ != Target.Spec_.Account_ ||
         Row.Service_ != Target.Spec_.Service_)
--- a/tests/control/contracttest.cpp
+++ b/tests/control/contracttest.cpp
@@ -213,6 +213,7 @@
   CPPUNIT_TEST(plannedStopReleasesCells);
   CPPUNIT_TEST(olderSnapshotIsIgnored);
   CPPUNIT_TEST(freshHostRefusesNothingForGood);
+  CPPUNIT_TEST(explanationNamesEveryCell);
   CPPUNIT_TEST_SUITE_END();
 
   entry::EntryState State_;
@@ -229,16 +230,16 @@
   entry::Effects readBody(model::RecordBody Body, Duration Since) {
     return read({{{1, ++Records_}, std::move(Body)}}, Since);
   }
-  entry::Effects beat(Duration Since,
-                      std::vector<model::TaskReport> Tasks = {}) {
+  entry::Effects beat(Duration Since, std::vector<model::TaskReport> Tasks = {},
+                      const char *Node = "w0", const char *Domain = "a") {
     model::Heartbeat Beat;
-    Beat.Node_ = "w0";
+    Beat.Node_ = Node;
     Beat.Incarnation_ = 9;
     Beat.Sequence_ = ++Beats_;
-    Beat.Domain_ = "a";
+    Beat.Domain_ = Domain;
     Beat.Accelerators_ = 8;
     Beat.Tasks_ = std::move(Tasks);
-    return step(entry::DatagramReceived{"w0", Beat}, Since);
+    return step(entry::DatagramReceived{Node, Beat}, Since);
   }
   void tail(Duration Since) { step(entry::LogTail{at(Since)}, Since); }
   void hold(const std::string &Node, core::Incarnation Process) {
@@ -364,6 +365,29 @@
     CPPUNIT_ASSERT_EQUAL(std::string("impossible_job"),
                          Out.Replies_.at(0).Code_);
   }
+
+  /// Guards against "about to start" for a new job that no cell can start,
+  /// whichever cell is to look at it first.
+  void explanationNamesEveryCell() {
+    claim();
+    beat(milliseconds(1800), {}, "w1", "b");
+    step(entry::Tick(), milliseconds(1800));
+    model::PoolRow Row{"p", "acc", "svc", "a"};
+    Row.Limit_ = 8;
+    model::PoolRow Other = Row;
+    Other.Domain_ = "b";
+    readBody(model::PoolsPublished{0, {{Row, Other}}}, milliseconds(1810));
+    readBody(model::DomainChanged{0, "b", false}, milliseconds(1820));
+    for (std::uint64_t I = 1; I <= 8; ++I) {
+      const core::JobId Id{77, I};
+      readBody(model::JobSubmitted{Id, makeSpec(2, 8, 1000)},
+               milliseconds(1830));
+      const std::string Text =
+          entry::explain(State_, Id, at(milliseconds(1840)));
+      CPPUNIT_ASSERT_MESSAGE(Text, Text.find("limit") != Text.npos);
+      CPPUNIT_ASSERT_MESSAGE(Text, Text.find("out of service") != Text.npos);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentContractTest);
