Write JSON text as UTF-8 in one place

Cause: cxxtools::Json takes the bytes of a std::string for Latin-1. Callers had to add text through wire::addText to avoid it; log lines, the burn report, history files and the bodies that the agent sends to the worker runtime (task ids, commands, checkpoints) did not, so non-ASCII text in them was garbled.

formatJson now writes with a formatter that decodes std::string as UTF-8, so addText is gone and nothing can be added the wrong way. Ruled out: a second copy of the conversion in metrics and settings.

With the formatter of cxxtools in its place, textIsUtf8, jsonHoldsEveryRow and jsonLineIsOneObject fail ("bü€" reads "bÃ¼â¬").

--- a/lib/metrics/src/burnjson.cpp
+++ b/lib/metrics/src/burnjson.cpp
@@ -1,7 +1,5 @@
 #include "nutmegwell/metrics/burn.h"
-#include <cxxtools/json.h>
-#include <cxxtools/serializationinfo.h>
-#include <sstream>
+#include "nutmegwell/wire/json.h"
 
 namespace nutmegwell::metrics {
 
@@ -41,9 +39,7 @@
     addWindow(Out.addMember("long"), Row.Long_);
     Out.addValue("alert", Row.Alert_);
   }
-  std::ostringstream Out;
-  Out << cxxtools::Json(Root);
-  return Out.str();
+  return wire::formatJson(Root);
 }
 
 } // namespace nutmegwell::metrics
--- a/lib/metrics/tests/burntest.cpp
+++ b/lib/metrics/tests/burntest.cpp
@@ -1,9 +1,7 @@
 #include "nutmegwell/metrics/burn.h"
+#include "nutmegwell/wire/json.h"
 #include <cppunit/extensions/HelperMacros.h>
-#include <cxxtools/json.h>
-#include <cxxtools/serializationinfo.h>
 #include <rapidcheck.h>
-#include <sstream>
 #include <thread>
 
 using namespace nutmegwell;
@@ -141,17 +139,19 @@
     CPPUNIT_ASSERT_EQUAL(20000u, row().Short_.Counts_.Requests_);
   }
 
-  /// Guards against a report whose text cannot be read by the client.
+  /// Guards against a report whose text cannot be read by the client, and
+  /// against account names that are taken for Latin-1.
   void jsonHoldsEveryRow() {
     record(1, RequestOutcome::Refused, 1ms);
-    Meter_.record("b\"", "s", RequestOutcome::Answered, 1ms, Now_);
-    std::istringstream Text(metrics::formatBurn(Meter_.report(Now_)));
-    cxxtools::SerializationInfo Root;
-    Text >> cxxtools::Json(Root);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Root.getMember("rows").memberCount());
+    const std::string Account = "b\"\xC3\xBC\xE2\x82\xAC";
+    Meter_.record(Account, "s", RequestOutcome::Answered, 1ms, Now_);
+    const auto Root = wire::parseJson(metrics::formatBurn(Meter_.report(Now_)));
+    const auto &Rows = Root->getMember("rows");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Rows.memberCount());
+    CPPUNIT_ASSERT_EQUAL(Account,
+                         wire::textMember(Rows.getMember(1), "account"));
     double Burn = 0;
-    Root.getMember("rows").getMember(0).getMember("short").getMember("burn",
-                                                                     Burn);
+    Rows.getMember(0).getMember("short").getMember("burn", Burn);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(100.0, Burn, 1e-6);
   }
 };
--- a/lib/settings/src/logging.cpp
+++ b/lib/settings/src/logging.cpp
@@ -1,10 +1,8 @@
 #include "nutmegwell/settings/logging.h"
+#include "nutmegwell/wire/json.h"
 
 #include <atomic>
-#include <cxxtools/json.h>
-#include <cxxtools/serializationinfo.h>
 #include <easylogging++.h>
-#include <sstream>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -49,9 +47,7 @@
   Object.addValue("event", std::string(Event));
   for (const LogField &Field : Fields)
     Object.addValue(Field.first, Field.second);
-  std::ostringstream Out;
-  Out << cxxtools::Json(Object);
-  return Out.str().substr(1);
+  return wire::formatJson(Object).substr(1);
 }
 
 } // namespace
--- a/lib/settings/tests/loggingtest.cpp
+++ b/lib/settings/tests/loggingtest.cpp
@@ -1,7 +1,6 @@
 #include "nutmegwell/settings/logging.h"
+#include "nutmegwell/wire/json.h"
 #include <cppunit/extensions/HelperMacros.h>
-#include <cxxtools/json.h>
-#include <cxxtools/serializationinfo.h>
 #include <iostream>
 #include <sstream>
 
@@ -36,21 +35,19 @@
     CPPUNIT_ASSERT_EQUAL(Tail, Line.substr(Line.size() - Tail.size()));
   }
 
-  /// Guards against a line that a log collector cannot parse.
+  /// Guards against a line that a log collector cannot parse, and against names
+  /// that are taken for Latin-1.
   void jsonLineIsOneObject() {
     settings::configureLogging(settings::LogFormat::Json,
                                settings::LogLevel::Info);
-    std::istringstream Line(captured([] {
-      settings::logStateChange("cell_claimed", {{"domain", "a\"\n{"}},
+    const std::string Account = "a\"\n{\xC3\xBC\xE2\x82\xAC";
+    const auto Object = wire::parseJson(captured([&Account] {
+      settings::logStateChange("job_state", {{"account", Account}},
                                settings::LogLevel::Warning);
     }));
-    cxxtools::SerializationInfo Object;
-    Line >> cxxtools::Json(Object);
-    std::string Domain, Level;
-    Object.getMember("domain", Domain);
-    Object.getMember("level", Level);
-    CPPUNIT_ASSERT_EQUAL(std::string("a\"\n{"), Domain);
-    CPPUNIT_ASSERT_EQUAL(std::string("WARNING"), Level);
+    CPPUNIT_ASSERT_EQUAL(Account, wire::textMember(*Object, "account"));
+    CPPUNIT_ASSERT_EQUAL(std::string("WARNING"),
+                         wire::textMember(*Object, "level"));
   }
 
   /// Guards against a level setting without effect.
--- a/lib/wire/include/nutmegwell/wire/json.h
+++ b/lib/wire/include/nutmegwell/wire/json.h
@@ -11,6 +11,8 @@
 absl::StatusOr<cxxtools::SerializationInfo> parseJson(const std::string &Text);
 
 /// Returns \p Value as JSON text, in several lines when \p Beautify is true.
+/// Strings in it are UTF-8. All JSON is written here: cxxtools::Json takes the
+/// bytes of a std::string for Latin-1.
 std::string formatJson(const cxxtools::SerializationInfo &Value,
                        bool Beautify = false);
 
@@ -19,11 +21,6 @@
                        const std::string &Name,
                        const std::string &Default = std::string());
 
-/// Adds the member \p Name with UTF-8 text. SerializationInfo itself takes the
-/// bytes of a std::string for Latin-1.
-void addText(cxxtools::SerializationInfo &Object, const std::string &Name,
-             const std::string &Value);
-
 /// Reads the member \p Name as a whole number in [Min, Max] into \p Value;
 /// leaves it as it is when there is no such member. Returns false for anything
 /// else.
--- a/lib/wire/src/apijson.cpp
+++ b/lib/wire/src/apijson.cpp
@@ -52,10 +52,10 @@
   SerializationInfo &Rows = addArray(Root, "findings");
   for (const model::Finding &Finding : Findings) {
     SerializationInfo &Out = Rows.addMember();
-    addText(Out, "table", Finding.Table_);
+    Out.addValue("table", Finding.Table_);
     Out.addValue("row", Finding.Row_);
-    addText(Out, "field", Finding.Field_);
-    addText(Out, "message", Finding.Message_);
+    Out.addValue("field", Finding.Field_);
+    Out.addValue("message", Finding.Message_);
   }
 }
 
@@ -81,11 +81,11 @@
 
 std::string formatError(const ApiError &Error) {
   SerializationInfo Root;
-  addText(Root, "code", Error.Code_);
-  addText(Root, "outcome", toString(Error.Outcome_));
-  addText(Root, "step", Error.Step_);
-  addText(Root, "peer", Error.Peer_);
-  addText(Root, "message", Error.Message_);
+  Root.addValue("code", Error.Code_);
+  Root.addValue("outcome", toString(Error.Outcome_));
+  Root.addValue("step", Error.Step_);
+  Root.addValue("peer", Error.Peer_);
+  Root.addValue("message", Error.Message_);
   if (!Error.Findings_.empty())
     addFindings(Root, Error.Findings_);
   if (Error.Version_)
@@ -140,8 +140,8 @@
 std::string formatExplanation(const core::JobId &Id,
                               const std::string &Explanation) {
   SerializationInfo Root;
-  addText(Root, "id", core::toString(Id));
-  addText(Root, "explanation", Explanation);
+  Root.addValue("id", core::toString(Id));
+  Root.addValue("explanation", Explanation);
   return formatJson(Root);
 }
 
@@ -188,7 +188,7 @@
 
 std::string formatDomainChange(const DomainView &Domain) {
   SerializationInfo Root;
-  addText(Root, "domain", Domain.Name_);
+  Root.addValue("domain", Domain.Name_);
   Root.addValue("in_service", Domain.InService_);
   Root.addValue("version", Domain.Version_);
   return formatJson(Root);
--- a/lib/wire/src/jobjson.cpp
+++ b/lib/wire/src/jobjson.cpp
@@ -31,12 +31,12 @@
 
 void addSpec(SerializationInfo &Out, const model::JobSpec &Spec) {
   using std::chrono::milliseconds;
-  addText(Out, "account", Spec.Account_);
-  addText(Out, "service", Spec.Service_);
+  Out.addValue("account", Spec.Account_);
+  Out.addValue("service", Spec.Service_);
   Out.addValue("tasks", Spec.Tasks_);
   Out.addValue("accelerators_per_task", Spec.AcceleratorsPerTask_);
-  addText(Out, "level", model::toString(Spec.Level_));
-  addText(Out, "class", model::toString(Spec.Class_));
+  Out.addValue("level", model::toString(Spec.Level_));
+  Out.addValue("class", model::toString(Spec.Class_));
   Out.addValue(
       "declared_ms",
       std::chrono::duration_cast<milliseconds>(Spec.DeclaredTime_).count());
@@ -60,7 +60,7 @@
   Tasks.setCategory(SerializationInfo::Array);
   for (const model::TaskPlacement &Task : Placement) {
     SerializationInfo &Row = Tasks.addMember();
-    addText(Row, "worker", Task.Worker_);
+    Row.addValue("worker", Task.Worker_);
     SerializationInfo &Accelerators = Row.addMember("accelerators");
     Accelerators.setCategory(SerializationInfo::Array);
     for (unsigned I = 0; I < 64; ++I)
@@ -102,11 +102,11 @@
 } // namespace
 
 void addJob(SerializationInfo &Out, const model::Job &Job) {
-  addText(Out, "id", core::toString(Job.Id_));
-  addText(Out, "state", model::toString(Job.State_));
+  Out.addValue("id", core::toString(Job.Id_));
+  Out.addValue("state", model::toString(Job.State_));
   Out.addValue("attempt", Job.Attempt_);
-  addText(Out, "domain", Job.Domain_);
-  addText(Out, "reason", Job.Reason_);
+  Out.addValue("domain", Job.Domain_);
+  Out.addValue("reason", Job.Reason_);
   addSpec(Out, Job.Spec_);
   addPlacement(Out, Job.Placement_);
 }
@@ -155,7 +155,7 @@
 std::string formatJobSpec(const model::JobSpec &Spec) {
   SerializationInfo Root;
   addSpec(Root, Spec);
-  addText(Root, "command", Spec.Command_);
+  Root.addValue("command", Spec.Command_);
   return formatJson(Root);
 }
 
--- a/lib/wire/src/json.cpp
+++ b/lib/wire/src/json.cpp
@@ -1,6 +1,8 @@
 #include "nutmegwell/wire/json.h"
 
+#include <cxxtools/decomposer.h>
 #include <cxxtools/json.h>
+#include <cxxtools/jsonformatter.h>
 #include <cxxtools/utf8codec.h>
 #include <sstream>
 
@@ -41,6 +43,23 @@
                          Message);
 }
 
+/// Writes the bytes of a std::string as UTF-8; cxxtools takes them for Latin-1.
+class Utf8Formatter : public cxxtools::JsonFormatter {
+public:
+  void addValueStdString(const std::string &Name, const std::string &Type,
+                         const std::string &Value) override {
+    cxxtools::String Text;
+    try {
+      Text = cxxtools::Utf8Codec::decode(Value);
+    } catch (const std::exception &) {
+      // Bytes that are not UTF-8 are kept as Latin-1, so that a message that
+      // quotes foreign input can still be sent.
+      Text = cxxtools::String::widen(Value);
+    }
+    addValueString(Name, Type, Text);
+  }
+};
+
 } // namespace
 
 absl::StatusOr<cxxtools::SerializationInfo> parseJson(const std::string &Text) {
@@ -62,7 +81,13 @@
 std::string formatJson(const cxxtools::SerializationInfo &Value,
                        bool Beautify) {
   std::ostringstream Out;
-  Out << cxxtools::Json(Value, Beautify);
+  Utf8Formatter Formatter;
+  Formatter.beautify(Beautify);
+  Formatter.begin(Out);
+  cxxtools::Decomposer<cxxtools::SerializationInfo> Parts;
+  Parts.begin(Value);
+  Parts.format(Formatter);
+  Formatter.finish();
   return Out.str();
 }
 
@@ -76,19 +101,6 @@
   return cxxtools::Utf8Codec::encode(Text);
 }
 
-void addText(cxxtools::SerializationInfo &Object, const std::string &Name,
-             const std::string &Value) {
-  cxxtools::String Text;
-  try {
-    Text = cxxtools::Utf8Codec::decode(Value);
-  } catch (const std::exception &) {
-    // Bytes that are not UTF-8 are kept as Latin-1, so that a message that
-    // quotes foreign input can still be sent.
-    Text = cxxtools::String::widen(Value);
-  }
-  Object.addValue(Name, Text);
-}
-
 bool numberMember(const cxxtools::SerializationInfo &Object,
                   const std::string &Name, std::int64_t Min, std::int64_t Max,
                   std::int64_t &Value) {
--- a/lib/wire/src/statusjson.cpp
+++ b/lib/wire/src/statusjson.cpp
@@ -19,10 +19,10 @@
   Rows.setCategory(SerializationInfo::Array);
   for (const DomainView &Domain : Domains) {
     SerializationInfo &Row = Rows.addMember();
-    addText(Row, "name", Domain.Name_);
+    Row.addValue("name", Domain.Name_);
     Row.addValue("in_service", Domain.InService_);
     Row.addValue("version", Domain.Version_);
-    addText(Row, "holder", Domain.Holder_);
+    Row.addValue("holder", Domain.Holder_);
     Row.addValue("term", Domain.Term_);
   }
 }
@@ -31,11 +31,11 @@
   Rows.setCategory(SerializationInfo::Array);
   for (const NodeView &Node : Nodes) {
     SerializationInfo &Row = Rows.addMember();
-    addText(Row, "name", Node.Name_);
-    addText(Row, "kind", Node.Kind_);
-    addText(Row, "state", Node.State_);
-    addText(Row, "domain", Node.Domain_);
-    addText(Row, "rack", Node.Rack_);
+    Row.addValue("name", Node.Name_);
+    Row.addValue("kind", Node.Kind_);
+    Row.addValue("state", Node.State_);
+    Row.addValue("domain", Node.Domain_);
+    Row.addValue("rack", Node.Rack_);
     Row.addValue("accelerators", Node.Accelerators_);
   }
 }
@@ -74,7 +74,7 @@
 
 std::string formatStatus(const StatusView &Status) {
   SerializationInfo Root;
-  addText(Root, "node", Status.Node_);
+  Root.addValue("node", Status.Node_);
   Root.addValue("config_offset", Status.ConfigOffset_);
   Root.addValue("log_available", Status.LogAvailable_);
   addDomains(Root.addMember("domains"), Status.Domains_);
--- a/lib/wire/src/tablejson.cpp
+++ b/lib/wire/src/tablejson.cpp
@@ -72,8 +72,8 @@
   Rows.setCategory(SerializationInfo::Array);
   for (const model::RouteRow &Row : Table.Rows_) {
     SerializationInfo &Out = Rows.addMember();
-    addText(Out, "path", Row.Path_);
-    addText(Out, "service", Row.Service_);
+    Out.addValue("path", Row.Path_);
+    Out.addValue("service", Row.Service_);
     Out.addValue(
         "timeout_ms",
         std::chrono::duration_cast<milliseconds>(Row.Timeout_).count());
@@ -87,10 +87,10 @@
   Rows.setCategory(SerializationInfo::Array);
   for (const model::PoolRow &Row : Table.Rows_) {
     SerializationInfo &Out = Rows.addMember();
-    addText(Out, "name", Row.Name_);
-    addText(Out, "account", Row.Account_);
-    addText(Out, "service", Row.Service_);
-    addText(Out, "domain", Row.Domain_);
+    Out.addValue("name", Row.Name_);
+    Out.addValue("account", Row.Account_);
+    Out.addValue("service", Row.Service_);
+    Out.addValue("domain", Row.Domain_);
     Out.addValue("guaranteed", Row.Guaranteed_);
     Out.addValue("block", Row.Block_);
     Out.addValue("level", std::string(model::toString(Row.Level_)));
