Print the bare id of a job from submit

The help of submit says that it prints the job's id, but it printed "job ID" and more lines, and the demo cut the id out with sed.

An id on the first line with the state on the next was ruled out: command substitution keeps all lines.

--- a/lib/client/src/jobcommands.cpp
+++ b/lib/client/src/jobcommands.cpp
@@ -19,14 +19,15 @@
 /// would be a loop on an entry host that does not wait.
 constexpr int MaxEarlyAnswers = 4;
 
-/// Prints the job of an answer and returns \p Code.
-int printJob(const Invocation &Call, const Reply &Reply, int Code) {
+/// Prints the job of an answer as \p Format writes it and returns \p Code.
+int printJob(const Invocation &Call, const Reply &Reply, int Code,
+             std::string (*Format)(const model::Job &) = formatJobText) {
   if (Reply.Outcome_ != Outcome::Answered)
     return printError(Call, Reply.Error_);
   auto Job = wire::parseJob(Reply.Response_.Body_);
   if (!Job.ok())
     return printWrongAnswer(Call, Job.status());
-  printAnswer(Call, Reply, formatJobText(*Job));
+  printAnswer(Call, Reply, Format(*Job));
   return Code;
 }
 
@@ -38,6 +39,10 @@
                                                        : std::string();
 }
 
+std::string formatIdLine(const model::Job &Job) {
+  return core::toString(Job.Id_) + "\n";
+}
+
 int printBadId(const Invocation &Call) {
   return printUsage(Call, "'" + Call.Settings_.arguments().front() +
                               "' is not the id of a job");
@@ -66,7 +71,8 @@
     Error.Findings_ = std::move(Findings);
     return printError(Call, Error);
   }
-  return printJob(Call, callApi(Call, "POST", "/v1/jobs", "", Body), Done);
+  return printJob(Call, callApi(Call, "POST", "/v1/jobs", "", Body), Done,
+                  formatIdLine);
 }
 
 int runCancel(const Invocation &Call) {
@@ -130,8 +136,10 @@
 
 Command submitCommand() {
   auto Builder = commandSettings(
-      "submit", "Submits a job, a gang of tasks that run together, and prints "
-                "its id. Write '--' before a\ncommand that has flags.");
+      "submit",
+      "Submits a job, a gang of tasks that run together. Prints the job's id "
+      "and nothing else, or\nwith --json the whole job. Write '--' before a "
+      "command that has flags.");
   Builder.arguments(1, 1024, "COMMAND...")
       .text("account", "", "client account that the job counts for")
       .required()
--- a/lib/client/tests/clienttest.cpp
+++ b/lib/client/tests/clienttest.cpp
@@ -297,7 +297,7 @@
              "--accelerators=8", "--level=rack", "--class=urgent",
              "--declared=90s", "--", "train", "--epochs", "3"});
     CPPUNIT_ASSERT_EQUAL(0, Ended.Code_);
-    CPPUNIT_ASSERT(contains(Ended.Out_, Job));
+    CPPUNIT_ASSERT_EQUAL(std::string(Job) + "\n", Ended.Out_);
     model::JobSpec Spec;
     CPPUNIT_ASSERT(wire::parseJobSpec(Last_.Body_, Spec).empty());
     CPPUNIT_ASSERT_EQUAL(std::string("train --epochs 3"), Spec.Command_);
@@ -305,7 +305,12 @@
     CPPUNIT_ASSERT(Spec.Level_ == model::Level::Rack);
     CPPUNIT_ASSERT(Spec.Class_ == model::JobClass::Urgent);
     CPPUNIT_ASSERT(Spec.DeclaredTime_ == 90s);
-    CPPUNIT_ASSERT(contains(run({"--json", "cancel", Job}).Out_, "\"id\""));
+    const std::vector<std::vector<std::string>> Lines = {
+        {"--json", "cancel", Job},
+        {"--json", "submit", "--account=a", "--service=s", "run"}};
+    for (const auto &Line : Lines)
+      CPPUNIT_ASSERT_EQUAL(jobBody(model::JobState::Waiting) + "\n",
+                           run(Line).Out_);
   }
 
   /// Guards against code 0 for a job that did not finish.
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -81,9 +81,6 @@
 done
 export NUTMEGWELL_ENTRY=$Http1,$Http2
 
-# Submits a job and prints its id alone.
-submit() { "$Client" submit "$@" | sed -n 's/^job //p'; }
-
 # Waits until the status of the entry host at $2 shows $1.
 await() {
   for _ in $(seq 150); do
@@ -131,12 +128,12 @@
 echo "the request with the key ran once"
 
 say "a gang of 2 tasks with 4 accelerators each, on adjacent workers"
-Job=$(submit --account lab --service planning --tasks 2 \
+Job=$("$Client" submit --account lab --service planning --tasks 2 \
   --accelerators 4 --level rack run:1000)
 "$Client" wait "$Job" || fail "gang job"
 
 say "take failure domain north out: a running job moves, nothing starts there"
-Job=$(submit --account lab --service planning --tasks 3 \
+Job=$("$Client" submit --account lab --service planning --tasks 3 \
   --accelerators 8 --level rack run:20000)
 for _ in $(seq 50); do
   "$Client" status "$Job" | grep -q running && break
@@ -147,7 +144,7 @@
 sleep 3
 starts() { cat "$Work"/r1.out "$Work"/r2.out "$Work"/r3.out | grep -c '^started' || true; }
 Before=$(starts)
-Small=$(submit --account lab --service planning --tasks 3 \
+Small=$("$Client" submit --account lab --service planning --tasks 3 \
   --accelerators 8 --level rack run:500)
 "$Client" explain "$Small" | tee "$Work/explain.out"
 grep -q "north is out of service" "$Work/explain.out" || fail "explain"
