Report a connect that ran out of time as not sent

HttpClient gave every timeout the step "exchange", so a call whose connection was never made counted as one that may have run. A timeout or failure to connect has the step "connect" now, but only when two signs agree: the kind of failure, and that the cxxtools client has not handed its socket to its selector, which it does once the socket is connected and before it sends.

Ruled out: connecting first and then calling, since a connected cxxtools client sends a request again when the server closes without an answer; and a second connection as a probe.

--- a/lib/net/src/httpclient.cpp
+++ b/lib/net/src/httpclient.cpp
@@ -5,6 +5,7 @@
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/request.h>
 #include <cxxtools/ioerror.h>
+#include <cxxtools/selector.h>
 #include <string_view>
 
 namespace nutmegwell::net {
@@ -55,12 +56,49 @@
                      });
 }
 
-absl::Status toError(const std::exception &Error, const std::string &Peer) {
-  const bool Connecting =
-      std::string_view(Error.what()).rfind(ConnectFailure, 0) == 0;
-  return core::makeError(absl::StatusCode::kUnavailable,
-                         Connecting ? "connect" : "exchange", Peer,
-                         Error.what());
+/// Notes whether the connection of a client was made. The client adds its
+/// socket to its selector once it is connected and before it sends.
+class ConnectionWatch : public cxxtools::SelectorBase {
+public:
+  bool connected() const { return Connected_; }
+
+protected:
+  void onAdd(cxxtools::Selectable &) override { Connected_ = true; }
+  void onRemove(cxxtools::Selectable &) override {}
+  void onReinit(cxxtools::Selectable &) override {}
+  void onChanged(cxxtools::Selectable &) override {}
+  bool onWaitUntil(cxxtools::Timespan) override { return false; }
+  void onWake() override {}
+
+private:
+  bool Connected_ = false;
+};
+
+/// Sends the request and reads the head of the answer. Returns an error of the
+/// step "connect" only when both the kind of failure and \p Watch say that no
+/// connection was made.
+absl::Status execute(cxxtools::http::Client &Client,
+                     const cxxtools::http::Request &Request,
+                     core::Duration Timeout, const ConnectionWatch &Watch,
+                     const std::string &Peer) {
+  auto Step = [&Watch](bool Connecting) {
+    return Connecting && !Watch.connected() ? "connect" : "exchange";
+  };
+  try {
+    Client.execute(
+        Request,
+        cxxtools::Milliseconds(
+            std::chrono::duration<double, std::milli>(Timeout).count()));
+    return absl::OkStatus();
+  } catch (const cxxtools::IOTimeout &) {
+    return core::makeError(absl::StatusCode::kDeadlineExceeded, Step(true),
+                           Peer, "no connection or answer in time");
+  } catch (const std::exception &Error) {
+    return core::makeError(
+        absl::StatusCode::kUnavailable,
+        Step(std::string_view(Error.what()).rfind(ConnectFailure, 0) == 0),
+        Peer, Error.what());
+  }
 }
 
 } // namespace
@@ -84,7 +122,9 @@
                            "the request has bytes that HTTP cannot carry");
   // A connected cxxtools client sends the request a second time when the
   // server closes without an answer, so each call has a connection of its own.
-  cxxtools::http::Client Client(Impl_->Server_.Ip_, Impl_->Server_.Port_);
+  ConnectionWatch Watch;
+  cxxtools::http::Client Client(Watch, Impl_->Server_.Ip_,
+                                Impl_->Server_.Port_);
   // The client sends its own query parameters only with GET.
   std::string Url = escapePath(Request.Path_);
   if (!Request.Query_.empty())
@@ -94,10 +134,10 @@
   for (const auto &Header : Request.Headers_)
     Out.setHeader(Header.first.c_str(), Header.second.c_str());
   Out.body() << Request.Body_;
+  absl::Status Executed = execute(Client, Out, Timeout, Watch, Peer);
+  if (!Executed.ok())
+    return Executed;
   try {
-    cxxtools::Milliseconds Limit(
-        std::chrono::duration<double, std::milli>(Timeout).count());
-    Client.execute(Out, Limit);
     Client.readBody();
     const auto &Header = Client.header();
     HttpResponse Response;
@@ -110,7 +150,8 @@
     return core::makeError(absl::StatusCode::kDeadlineExceeded, "exchange",
                            Peer, "no answer in time");
   } catch (const std::exception &Error) {
-    return toError(Error, Peer);
+    return core::makeError(absl::StatusCode::kUnavailable, "exchange", Peer,
+                           Error.what());
   }
 }
 
--- a/lib/net/tests/httptest.cpp
+++ b/lib/net/tests/httptest.cpp
@@ -1,6 +1,8 @@
 #include "nutmegwell/net/http.h"
 #include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
+#include <cstring>
+#include <cxxtools/ioerror.h>
 #include <cxxtools/net/tcpserver.h>
 #include <cxxtools/net/tcpsocket.h>
 #include <future>
@@ -14,6 +16,8 @@
   CPPUNIT_TEST(requestReachesHandlerWhole);
   CPPUNIT_TEST(hugeBodyIsRefused);
   CPPUNIT_TEST(refusedConnectionSaysNothingWasSent);
+  CPPUNIT_TEST(lateConnectionSaysNothingWasSent);
+  CPPUNIT_TEST(sentRequestMayHaveRun);
   CPPUNIT_TEST(pathCannotAddHeaders);
   CPPUNIT_TEST(unansweredRequestIsSentOnce);
   CPPUNIT_TEST(stopWaitsForRequestInFlight);
@@ -73,6 +77,47 @@
                          core::stepOf(Response.status()));
   }
 
+  /// Guards against "may have run" for a connection that was not made in time.
+  void lateConnectionSaysNothingWasSent() {
+    // The kernel drops the attempts that find the server's queue full.
+    cxxtools::net::TcpServer Server(Address_.Ip_, Address_.Port_, 1);
+    std::vector<std::unique_ptr<cxxtools::net::TcpSocket>> Queue;
+    for (bool Full = false; !Full;) {
+      CPPUNIT_ASSERT(Queue.size() < 16);
+      Queue.push_back(std::make_unique<cxxtools::net::TcpSocket>());
+      Queue.back()->setTimeout(cxxtools::Milliseconds(200));
+      try {
+        Queue.back()->connect(Address_.Ip_, Address_.Port_);
+      } catch (const cxxtools::IOTimeout &) {
+        Full = true;
+      }
+    }
+    auto Response = net::HttpClient(Address_).call(post("body"), 200ms);
+    CPPUNIT_ASSERT(absl::IsDeadlineExceeded(Response.status()));
+    CPPUNIT_ASSERT_EQUAL(std::string("connect"),
+                         core::stepOf(Response.status()));
+  }
+
+  /// Guards against "not run" for a request of which any part may have been
+  /// sent, wherever the server falls silent.
+  void sentRequestMayHaveRun() {
+    cxxtools::net::TcpServer Server(Address_.Ip_, Address_.Port_);
+    for (const char *Answer :
+         {"", "HTTP/1.1 200", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx"})
+      for (const std::size_t Size : {std::size_t{0}, std::size_t{32} << 20}) {
+        auto Response = std::async(std::launch::async, [&] {
+          return net::HttpClient(Address_).call(post(std::string(Size, 'x')),
+                                                200ms);
+        });
+        // Nothing of the request is read.
+        cxxtools::net::TcpSocket Socket(Server);
+        if (*Answer != 0)
+          Socket.write(Answer, std::strlen(Answer));
+        const absl::Status Failed = Response.get().status();
+        CPPUNIT_ASSERT_EQUAL(std::string("exchange"), core::stepOf(Failed));
+      }
+  }
+
   /// Guards against a caller's path, query or header that ends the request line
   /// and adds headers of its own.
   void pathCannotAddHeaders() {
