Skip gangs that nothing changed in a tick

A tick looked up the node and the report of every task by name: 79% of a tick of 4.07 ms at 533 agents with 19 tasks each. A gang that runs depends only on reports, nodes, records of its job, its domain and the log's availability, so heartbeats and log entries now mark the jobs that they change, and a tick looks at marked gangs and at gangs in other phases. Heartbeats compare their reports with the last ones in place of a copy of the last heartbeat, and ask for a decision only when a report changed.

Ruled out: references from gangs to nodes, which a copy of the state breaks and which still visit each task ten times a second.

The seeded schedules compare every fourth tick with one that looks at every gang; they fail when the marks of reports or of nodes are left out.

--- a/lib/entry/include/nutmegwell/entry/control.h
+++ b/lib/entry/include/nutmegwell/entry/control.h
@@ -169,6 +169,12 @@
   bool Stopping_ = false;
   /// True when something changed that may let a job start.
   bool Dirty_ = false;
+  /// Jobs of which a report or a record changed since the last tick. A gang
+  /// that runs undisturbed depends on nothing else, so a tick skips it.
+  std::set<core::JobId> ChangedJobs_;
+  /// True when the next tick must look at every gang: a node, a domain or the
+  /// log's availability changed.
+  bool AllChanged_ = false;
 };
 
 /// A change that a caller or operator asked for.
--- a/lib/entry/src/control.cpp
+++ b/lib/entry/src/control.cpp
@@ -3,11 +3,17 @@
 #include "parts.h"
 
 #include <algorithm>
+#include <type_traits>
 
 namespace nutmegwell::entry {
 
 namespace {
 
+/// True for the records that name a job.
+template <typename Body, typename = void> struct IsOfJob : std::false_type {};
+template <typename Body>
+struct IsOfJob<Body, std::void_t<decltype(Body::Job_)>> : std::true_type {};
+
 /// Settles the purpose of one of this host's own records.
 void settle(EntryState &State, const model::FoldResult &Result,
             core::TimePoint Now, Effects &Out) {
@@ -65,12 +71,26 @@
   EraseGone(State.Attained_);
 }
 
+/// Marks what a record may have changed for gangs.
+void markChanged(EntryState &State, const model::RecordBody &Body) {
+  std::visit(
+      [&State](const auto &Change) {
+        using Kind = std::decay_t<decltype(Change)>;
+        if constexpr (std::is_same_v<Kind, model::DomainChanged>)
+          State.AllChanged_ = true;
+        else if constexpr (IsOfJob<Kind>::value)
+          State.ChangedJobs_.insert(Change.Job_);
+      },
+      Body);
+}
+
 void onLogEntry(EntryState &State, const LogEntry &What, core::TimePoint Now,
                 Effects &Out) {
   if (What.At_ < State.Fold_.Next_)
     return;
   for (const model::Record &Change : What.Records_) {
     model::FoldResult Result = model::apply(State.Fold_, Change, What.At_);
+    markChanged(State, Change.Body_);
     if (Result.Id_.Writer_ != State.Settings_.Incarnation_)
       continue;
     // The fold rejects what this host appended before and has not read yet.
@@ -124,6 +144,7 @@
     return;
   State.LogAvailable_ = Available;
   State.Dirty_ = true;
+  State.AllChanged_ = true;
   Out.RoutingChanged_ = true;
   Out.Changes_.push_back(
       {"log_availability", {{"available", Available ? "true" : "false"}}});
@@ -209,6 +230,7 @@
        membership::advance(State.Nodes_, Now, State.Settings_.Membership_)) {
     Out.RoutingChanged_ = true;
     State.Dirty_ = true;
+    State.AllChanged_ = true;
     Out.Changes_.push_back({"node_state",
                             {{"node", Change.Node_},
                              {"from", toString(Change.From_)},
--- a/lib/entry/src/datagrams.cpp
+++ b/lib/entry/src/datagrams.cpp
@@ -1,5 +1,7 @@
 #include "parts.h"
 
+#include <algorithm>
+
 namespace nutmegwell::entry {
 
 namespace {
@@ -27,32 +29,56 @@
          A.Service_ != B.Service_ || A.RequestAddress_ != B.RequestAddress_;
 }
 
+bool sameReport(const model::TaskReport &A, const model::TaskReport &B) {
+  return A.Job_ == B.Job_ && A.Attempt_ == B.Attempt_ && A.State_ == B.State_ &&
+         A.Accelerators_ == B.Accelerators_ && A.Checkpoint_ == B.Checkpoint_;
+}
+
+/// Marks the jobs of which a worker's report was added, changed or removed.
+/// Returns true when there is one. Agents list their shares in a fixed order.
+bool markChanged(EntryState &State, const std::vector<model::TaskReport> &Old,
+                 const std::vector<model::TaskReport> &New) {
+  bool Any = false;
+  for (std::size_t I = 0; I < std::max(Old.size(), New.size()); ++I) {
+    if (I < Old.size() && I < New.size() && sameReport(Old[I], New[I]))
+      continue;
+    Any = true;
+    if (I < Old.size())
+      State.ChangedJobs_.insert(Old[I].Job_);
+    if (I < New.size())
+      State.ChangedJobs_.insert(New[I].Job_);
+  }
+  return Any;
+}
+
 void onHeartbeat(EntryState &State, const std::string &From,
                  const model::Heartbeat &Beat, core::TimePoint Now,
                  Effects &Out) {
-  model::Heartbeat Before;
+  static const model::Heartbeat Nothing;
   auto Known = State.Nodes_.Nodes_.find(Beat.Node_);
-  if (Known != State.Nodes_.Nodes_.end())
-    Before = Known->second.Last_;
+  const model::Heartbeat &Before =
+      Known == State.Nodes_.Nodes_.end() ? Nothing : Known->second.Last_;
+  if (routingDiffers(Before, Beat))
+    Out.RoutingChanged_ = true;
+  if (markChanged(State, Before.Tasks_, Beat.Tasks_) ||
+      Before.Accelerators_ != Beat.Accelerators_)
+    State.Dirty_ = true;
   for (const auto &Change :
        membership::noteHeartbeat(State.Nodes_, Beat, From, Now)) {
     Out.RoutingChanged_ = true;
     State.Dirty_ = true;
+    State.AllChanged_ = true;
     Out.Changes_.push_back({"node_state",
                             {{"node", Change.Node_},
                              {"from", toString(Change.From_)},
                              {"to", toString(Change.To_)}}});
   }
-  if (routingDiffers(Before, Beat))
-    Out.RoutingChanged_ = true;
   const membership::Node &Target = State.Nodes_.Nodes_.at(Beat.Node_);
   if (Target.Last_.Incarnation_ != Beat.Incarnation_)
     return;
   Out.Sends_.push_back({From, makeAck(State, Beat, Now)});
-  if (Beat.Kind_ == model::NodeKind::Worker && !Beat.Tasks_.empty()) {
+  if (Beat.Kind_ == model::NodeKind::Worker)
     stopUnknownTasks(State, Target, Now, Out);
-    State.Dirty_ = true;
-  }
 }
 
 void onEntryHeartbeat(EntryState &State, const model::EntryHeartbeat &Beat,
--- a/lib/entry/src/gangs.cpp
+++ b/lib/entry/src/gangs.cpp
@@ -1,6 +1,7 @@
 #include "parts.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace nutmegwell::entry {
 
@@ -415,6 +416,7 @@
     return;
   Gang &Target = Known->second;
   Target.RecordPending_ = false;
+  State.ChangedJobs_.insert(Purpose.Job_);
   if (Target.Phase_ == GangPhase::Committing && !Result.Accepted_) {
     abandon(State, Target, Now, Out);
     State.Gangs_.erase(Known);
@@ -467,9 +469,12 @@
 
 void advanceGangs(EntryState &State, core::TimePoint Now, Effects &Out) {
   reconcile(State, Now, Out);
+  const std::set<core::JobId> Changed = std::exchange(State.ChangedJobs_, {});
+  const bool All = std::exchange(State.AllChanged_, false);
   std::vector<core::JobId> Ids;
   for (const auto &[Id, Target] : State.Gangs_)
-    Ids.push_back(Id);
+    if (All || Target.Phase_ != GangPhase::Running || Changed.count(Id))
+      Ids.push_back(Id);
   for (const core::JobId &Id : Ids)
     advanceGang(State, Id, Now, Out);
 }
--- a/tests/control/world.cpp
+++ b/tests/control/world.cpp
@@ -244,8 +244,26 @@
 
 // Entry hosts.
 
+/// Guards against a gang that a tick skips although a look at it would act.
+void checkSkipped(World &All, entry::EntryState Full,
+                  const entry::Effects &Out) {
+  Full.AllChanged_ = true;
+  const entry::Effects Looked = entry::step(Full, entry::Tick(), All.Now_);
+  if (Looked.Sends_.size() != Out.Sends_.size() ||
+      Looked.Appends_.size() != Out.Appends_.size())
+    All.violate("skipped-gang", "a look at every gang has other effects");
+}
+
 void run(World &All, EntryHost &Host, const entry::Event &What) {
+  // Every fourth tick is enough, since a skipped gang stays skipped.
+  const bool Ticks = std::holds_alternative<entry::Tick>(What) &&
+                     All.Counts_["entry ticks"]++ % 4 == 0;
+  entry::EntryState Before;
+  if (Ticks)
+    Before = Host.State_;
   entry::Effects Out = entry::step(Host.State_, What, All.Now_);
+  if (Ticks)
+    checkSkipped(All, std::move(Before), Out);
   noteShown(All, Host);
   for (const entry::Send &Message : Out.Sends_)
     send(All, Host.Name_, Message.To_, Message.Message_);
