Find foreign reports of a view by an index of its jobs

The view of a cell searched all running jobs for each report of each worker. A set of their ids replaces the search. The shares of one foreign job on several workers now count together; only the first one was counted, so that accelerators of the others seemed free.

--- a/lib/entry/src/schedule.cpp
+++ b/lib/entry/src/schedule.cpp
@@ -71,23 +71,24 @@
 /// Adds accelerators that agents report as held by anything else, such as the
 /// reservations of an earlier holder.
 void addForeign(const EntryState &State, sched::CellView &View) {
+  std::set<core::JobId> Driven;
+  for (const sched::RunningJob &Job : View.Running_)
+    Driven.insert(Job.Id_);
+  std::map<core::JobId, sched::RunningJob> Foreign;
   for (const sched::WorkerView &Worker : View.Workers_) {
     for (const auto &Report :
          State.Nodes_.Nodes_.at(Worker.Name_).Last_.Tasks_) {
-      if (Report.State_ > model::TaskState::Stopping)
+      if (Report.State_ > model::TaskState::Stopping ||
+          Driven.count(Report.Job_))
         continue;
-      bool Known = std::any_of(
-          View.Running_.begin(), View.Running_.end(),
-          [&Report](const auto &Job) { return Job.Id_ == Report.Job_; });
-      if (Known)
-        continue;
-      sched::RunningJob Out;
+      sched::RunningJob &Out = Foreign[Report.Job_];
       Out.Id_ = Report.Job_;
-      Out.Placement_ = {{Worker.Name_, Report.Accelerators_}};
+      Out.Placement_.push_back({Worker.Name_, Report.Accelerators_});
       Out.Stopping_ = true;
-      View.Running_.push_back(std::move(Out));
     }
   }
+  for (auto &[Id, Job] : Foreign)
+    View.Running_.push_back(std::move(Job));
 }
 
 void addWaiting(const EntryState &State, core::TimePoint Now,
