Follow log entries by the jobs that they name

An index of the running jobs by cell replaces two more walks over all jobs, in the tick and in the view of a cell. A renewal no longer asks for a decision. A reason for waiting is kept only while the job waits, since the walk no longer clears it.

--- a/lib/entry/include/nutmegwell/entry/control.h
+++ b/lib/entry/include/nutmegwell/entry/control.h
@@ -150,6 +150,8 @@
   std::map<model::NodeName, PeerEntry> Peers_;
   std::map<model::DomainName, CellTracker> Cells_;
   std::map<core::JobId, Gang> Gangs_;
+  /// Index of Fold_: jobs that run or stop in each cell.
+  std::map<model::DomainName, std::set<core::JobId>> Attempts_;
   std::map<core::JobId, core::TimePoint> WaitingSince_;
   std::map<core::JobId, std::string> WaitReasons_;
   /// Accelerator time that this host saw a job use in earlier attempts. A new
@@ -175,6 +177,9 @@
   /// True when the next tick must look at every gang: a node, a domain or the
   /// log's availability changed.
   bool AllChanged_ = false;
+  /// True when only the load of an upstream changed. The next tick publishes
+  /// it, so that 533 upstreams do not cause 533 routing snapshots a second.
+  bool LoadsChanged_ = false;
 };
 
 /// A change that a caller or operator asked for.
--- a/lib/entry/src/cells.cpp
+++ b/lib/entry/src/cells.cpp
@@ -146,12 +146,13 @@
   // later one.
   Tracker.MineUntil_ = std::max(
       Tracker.MineUntil_, Purpose.AppendedAt_ + State.Settings_.CellLease_);
+  if (WasHeld)
+    return;
   State.Dirty_ = true;
-  if (!WasHeld)
-    Out.Changes_.push_back(
-        {"cell_held",
-         {{"domain", Purpose.Domain_},
-          {"term", std::to_string(ownTerm(State, Purpose.Domain_))}}});
+  Out.Changes_.push_back(
+      {"cell_held",
+       {{"domain", Purpose.Domain_},
+        {"term", std::to_string(ownTerm(State, Purpose.Domain_))}}});
 }
 
 void advanceCells(EntryState &State, core::TimePoint Now, Effects &Out) {
--- a/lib/entry/src/control.cpp
+++ b/lib/entry/src/control.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <type_traits>
+#include <utility>
 
 namespace nutmegwell::entry {
 
@@ -49,37 +50,60 @@
            Now, Out);
 }
 
-/// Notes since when each waiting job has waited.
+/// Brings what this host keeps of a job beside the fold up to date with it.
+void noteJob(EntryState &State, const core::JobId &Id, core::TimePoint Now) {
+  auto Place = State.Fold_.Jobs_.find(Id);
+  const model::Job *Known =
+      Place == State.Fold_.Jobs_.end() ? nullptr : &Place->second;
+  for (auto &[Domain, Jobs] : State.Attempts_)
+    Jobs.erase(Id);
+  if (Known && model::isRunning(Known->State_))
+    State.Attempts_[Known->Domain_].insert(Id);
+  if (Known && Known->State_ == model::JobState::Waiting)
+    State.WaitingSince_.emplace(Id, Now);
+  else
+    State.WaitingSince_.erase(Id);
+  if (Known && !model::isFinal(Known->State_))
+    return;
+  State.WaitReasons_.erase(Id);
+  State.LastAttempt_.erase(Id);
+  State.Attained_.erase(Id);
+}
+
+/// Does the same for all jobs, also for those that the fold no longer has.
 void noteJobs(EntryState &State, core::TimePoint Now) {
-  for (const auto &[Id, Target] : State.Fold_.Jobs_) {
-    if (Target.State_ == model::JobState::Waiting)
-      State.WaitingSince_.emplace(Id, Now);
-    else
-      State.WaitingSince_.erase(Id);
-  }
-  auto Gone = [&State](const core::JobId &Id) {
-    auto Known = State.Fold_.Jobs_.find(Id);
-    return Known == State.Fold_.Jobs_.end() || isFinal(Known->second.State_);
+  std::set<core::JobId> Ids;
+  auto AddFrom = [&Ids](const auto &Map) {
+    for (const auto &[Id, Value] : Map)
+      Ids.insert(Id);
   };
-  auto EraseGone = [&Gone](auto &Map) {
-    for (auto Place = Map.begin(); Place != Map.end();)
-      Place = Gone(Place->first) ? Map.erase(Place) : std::next(Place);
-  };
-  EraseGone(State.WaitingSince_);
-  EraseGone(State.WaitReasons_);
-  EraseGone(State.LastAttempt_);
-  EraseGone(State.Attained_);
+  AddFrom(State.Fold_.Jobs_);
+  AddFrom(State.WaitingSince_);
+  AddFrom(State.WaitReasons_);
+  AddFrom(State.LastAttempt_);
+  AddFrom(State.Attained_);
+  State.Attempts_.clear();
+  for (const core::JobId &Id : Ids)
+    noteJob(State, Id, Now);
 }
 
-/// Marks what a record may have changed for gangs.
-void markChanged(EntryState &State, const model::RecordBody &Body) {
+/// Marks what a record may have changed. Renewals, intents and snapshots change
+/// nothing that decisions or routing depend on.
+void markChanged(EntryState &State, const model::RecordBody &Body,
+                 core::TimePoint Now, Effects &Out) {
   std::visit(
-      [&State](const auto &Change) {
+      [&](const auto &Change) {
         using Kind = std::decay_t<decltype(Change)>;
-        if constexpr (std::is_same_v<Kind, model::DomainChanged>)
-          State.AllChanged_ = true;
-        else if constexpr (IsOfJob<Kind>::value)
+        constexpr bool IsDomain = std::is_same_v<Kind, model::DomainChanged>;
+        constexpr bool IsPools = std::is_same_v<Kind, model::PoolsPublished>;
+        constexpr bool IsRoutes = std::is_same_v<Kind, model::RoutesPublished>;
+        if constexpr (IsOfJob<Kind>::value) {
           State.ChangedJobs_.insert(Change.Job_);
+          noteJob(State, Change.Job_, Now);
+        }
+        State.AllChanged_ |= IsDomain;
+        State.Dirty_ |= IsDomain || IsPools || IsOfJob<Kind>::value;
+        Out.RoutingChanged_ |= IsDomain || IsPools || IsRoutes;
       },
       Body);
 }
@@ -90,7 +114,6 @@
     return;
   for (const model::Record &Change : What.Records_) {
     model::FoldResult Result = model::apply(State.Fold_, Change, What.At_);
-    markChanged(State, Change.Body_);
     if (Result.Id_.Writer_ != State.Settings_.Incarnation_)
       continue;
     // The fold rejects what this host appended before and has not read yet.
@@ -101,9 +124,8 @@
   }
   State.Fold_.Next_ = What.At_ + 1;
   noteCells(State, Now);
-  noteJobs(State, Now);
-  State.Dirty_ = true;
-  Out.RoutingChanged_ = true;
+  for (const model::Record &Change : What.Records_)
+    markChanged(State, Change.Body_, Now, Out);
 }
 
 void onLogReplaced(EntryState &State, const LogReplaced &What,
@@ -239,6 +261,7 @@
   advancePeers(State, Now);
   sendEntryHeartbeats(State, Now, Out);
   advanceCells(State, Now, Out);
+  Out.RoutingChanged_ |= std::exchange(State.LoadsChanged_, false);
   advanceGangs(State, Now, Out);
   schedule(State, Now, Out);
 }
--- a/lib/entry/src/datagrams.cpp
+++ b/lib/entry/src/datagrams.cpp
@@ -25,8 +25,8 @@
 }
 
 bool routingDiffers(const model::Heartbeat &A, const model::Heartbeat &B) {
-  return A.InFlight_ != B.InFlight_ || A.Slots_ != B.Slots_ ||
-         A.Service_ != B.Service_ || A.RequestAddress_ != B.RequestAddress_;
+  return A.Slots_ != B.Slots_ || A.Service_ != B.Service_ ||
+         A.RequestAddress_ != B.RequestAddress_;
 }
 
 bool sameReport(const model::TaskReport &A, const model::TaskReport &B) {
@@ -60,6 +60,7 @@
       Known == State.Nodes_.Nodes_.end() ? Nothing : Known->second.Last_;
   if (routingDiffers(Before, Beat))
     Out.RoutingChanged_ = true;
+  State.LoadsChanged_ |= Before.InFlight_ != Beat.InFlight_;
   if (markChanged(State, Before.Tasks_, Beat.Tasks_) ||
       Before.Accelerators_ != Beat.Accelerators_)
     State.Dirty_ = true;
--- a/lib/entry/src/gangs.cpp
+++ b/lib/entry/src/gangs.cpp
@@ -303,10 +303,15 @@
 /// Adopts attempts of held cells and drops gangs whose attempt is over or whose
 /// cell is no longer held.
 void reconcile(EntryState &State, core::TimePoint Now, Effects &Out) {
-  for (const auto &[Id, Known] : State.Fold_.Jobs_)
-    if (model::isRunning(Known.State_) && holds(State, Known.Domain_, Now) &&
-        !State.Gangs_.count(Id) && mayAdopt(State, Known, Now))
-      adopt(State, Known, Now);
+  for (const auto &[Domain, Jobs] : State.Attempts_) {
+    if (!holds(State, Domain, Now))
+      continue;
+    for (const core::JobId &Id : Jobs) {
+      const model::Job &Known = State.Fold_.Jobs_.at(Id);
+      if (!State.Gangs_.count(Id) && mayAdopt(State, Known, Now))
+        adopt(State, Known, Now);
+    }
+  }
   for (auto Place = State.Gangs_.begin(); Place != State.Gangs_.end();) {
     Gang &Target = Place->second;
     auto Known = State.Fold_.Jobs_.find(Place->first);
@@ -391,8 +396,11 @@
   Gang &Target = Known->second;
   if (!Answer.Accepted_) {
     abandon(State, Target, Now, Out);
-    State.WaitReasons_[Answer.Job_] =
-        "worker " + Answer.Node_ + " refused the reservation: " + Answer.Code_;
+    // The job may have ended since; then nothing would forget the reason.
+    if (State.WaitingSince_.count(Answer.Job_))
+      State.WaitReasons_[Answer.Job_] =
+          "worker " + Answer.Node_ +
+          " refused the reservation: " + Answer.Code_;
     State.Gangs_.erase(Known);
     return;
   }
--- a/lib/entry/src/schedule.cpp
+++ b/lib/entry/src/schedule.cpp
@@ -41,9 +41,11 @@
 /// Adds committed and reserved attempts of the cell.
 void addRunning(const EntryState &State, core::TimePoint Now,
                 sched::CellView &View) {
-  for (const auto &[Id, Known] : State.Fold_.Jobs_) {
-    if (Known.Domain_ != View.Domain_ || !model::isRunning(Known.State_))
-      continue;
+  auto Running = State.Attempts_.find(View.Domain_);
+  const std::set<core::JobId> Nothing;
+  for (const core::JobId &Id :
+       Running == State.Attempts_.end() ? Nothing : Running->second) {
+    const model::Job &Known = State.Fold_.Jobs_.at(Id);
     sched::RunningJob Out;
     Out.Id_ = Id;
     Out.Spec_ = Known.Spec_;
