--- a/lib/entry/src/gangs.cpp
+++ b/lib/entry/src/gangs.cpp
@@ -1,6 +1,7 @@
 #include "parts.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace nutmegwell::entry {
 
@@ -302,10 +303,15 @@
 /// Adopts attempts of held cells and drops gangs whose attempt is over or whose
 /// cell is no longer held.
 void reconcile(EntryState &State, core::TimePoint Now, Effects &Out) {
-  for (const auto &[Id, Known] : State.Fold_.Jobs_)
-    if (model::isRunning(Known.State_) && holds(State, Known.Domain_, Now) &&
-        !State.Gangs_.count(Id) && mayAdopt(State, Known, Now))
-      adopt(State, Known, Now);
+  for (const auto &[Domain, Jobs] : State.Attempts_) {
+    if (!holds(State, Domain, Now))
+      continue;
+    for (const core::JobId &Id : Jobs) {
+      const model::Job &Known = State.Fold_.Jobs_.at(Id);
+      if (!State.Gangs_.count(Id) && mayAdopt(State, Known, Now))
+        adopt(State, Known, Now);
+    }
+  }
   for (auto Place = State.Gangs_.begin(); Place != State.Gangs_.end();) {
     Gang &Target = Place->second;
     auto Known = State.Fold_.Jobs_.find(Place->first);
@@ -390,8 +396,11 @@
   Gang &Target = Known->second;
   if (!Answer.Accepted_) {
     abandon(State, Target, Now, Out);
-    State.WaitReasons_[Answer.Job_] =
-        "worker " + Answer.Node_ + " refused the reservation: " + Answer.Code_;
+    // The job may have ended since; then nothing would forget the reason.
+    if (State.WaitingSince_.count(Answer.Job_))
+      State.WaitReasons_[Answer.Job_] =
+          "worker " + Answer.Node_ +
+          " refused the reservation: " + Answer.Code_;
     State.Gangs_.erase(Known);
     return;
   }
@@ -415,6 +424,7 @@
     return;
   Gang &Target = Known->second;
   Target.RecordPending_ = false;
+  State.ChangedJobs_.insert(Purpose.Job_);
   if (Target.Phase_ == GangPhase::Committing && !Result.Accepted_) {
     abandon(State, Target, Now, Out);
     State.Gangs_.erase(Known);
@@ -467,9 +477,12 @@
 
 void advanceGangs(EntryState &State, core::TimePoint Now, Effects &Out) {
   reconcile(State, Now, Out);
+  const std::set<core::JobId> Changed = std::exchange(State.ChangedJobs_, {});
+  const bool All = std::exchange(State.AllChanged_, false);
   std::vector<core::JobId> Ids;
   for (const auto &[Id, Target] : State.Gangs_)
-    Ids.push_back(Id);
+    if (All || Target.Phase_ != GangPhase::Running || Changed.count(Id))
+      Ids.push_back(Id);
   for (const core::JobId &Id : Ids)
     advanceGang(State, Id, Now, Out);
 }
