Try a quarantined worker with one job alone

Cause: after a quarantine a worker counted as healthy until its next failure, so that every waiting job that fitted was placed there at once and failed with it. Jobs that were placed before the quarantine also doubled it each time they failed.

membership now tells how much work a node may get (none, one job, any). The view of a cell closes a worker on trial while an attempt that began after the quarantine is there, and of one plan at most one start may use such a worker. Ruled out: marking the job in lib/sched, which knows no trials and need not.

--- a/lib/entry/src/api.cpp
+++ b/lib/entry/src/api.cpp
@@ -118,8 +118,9 @@
 }
 
 std::string nodeState(const membership::Node &Known, core::TimePoint Now) {
-  bool Quarantined = Known.State_ == membership::NodeState::Alive &&
-                     !membership::takesWork(Known, Now);
+  bool Quarantined =
+      Known.State_ == membership::NodeState::Alive &&
+      membership::intakeOf(Known, Now) == membership::Intake::None;
   return Quarantined ? "quarantined" : toString(Known.State_);
 }
 
--- a/lib/entry/src/schedule.cpp
+++ b/lib/entry/src/schedule.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <set>
 
 namespace nutmegwell::entry {
 
@@ -14,9 +15,9 @@
   for (const auto &[Name, Known] : State.Nodes_.Nodes_)
     if (Known.Last_.Kind_ == model::NodeKind::Worker &&
         Known.Last_.Domain_ == View.Domain_)
-      View.Workers_.push_back({Name, Known.Last_.Rack_,
-                               Known.Last_.Accelerators_,
-                               membership::takesWork(Known, Now)});
+      View.Workers_.push_back(
+          {Name, Known.Last_.Rack_, Known.Last_.Accelerators_,
+           membership::intakeOf(Known, Now) != membership::Intake::None});
 }
 
 core::Duration attained(const EntryState &State, const core::JobId &Id) {
@@ -90,6 +91,38 @@
   }
 }
 
+bool onTrial(const EntryState &State, const model::NodeName &Worker,
+             core::TimePoint Now) {
+  return membership::intakeOf(State.Nodes_.Nodes_.at(Worker), Now) ==
+         membership::Intake::OneJob;
+}
+
+/// Returns true when an attempt that began within \p Since, or whose begin is
+/// not known, is on the worker.
+bool hasYoungJob(const sched::CellView &View, const model::NodeName &Worker,
+                 core::Duration Since) {
+  return std::any_of(
+      View.Running_.begin(), View.Running_.end(), [&](const auto &Job) {
+        return Job.RunTime_ < Since &&
+               std::any_of(Job.Placement_.begin(), Job.Placement_.end(),
+                           [&Worker](const model::TaskPlacement &Task) {
+                             return Task.Worker_ == Worker;
+                           });
+      });
+}
+
+/// Closes each worker on trial that has its one job. Jobs that ran there before
+/// its quarantine do not count: they may run for hours.
+void closeTrials(const EntryState &State, core::TimePoint Now,
+                 sched::CellView &View) {
+  for (sched::WorkerView &Worker : View.Workers_)
+    if (onTrial(State, Worker.Name_, Now) &&
+        hasYoungJob(
+            View, Worker.Name_,
+            Now - State.Nodes_.Nodes_.at(Worker.Name_).Quarantine_.Since_))
+      Worker.Usable_ = false;
+}
+
 void addWaiting(const EntryState &State, core::TimePoint Now,
                 sched::CellView &View) {
   for (const auto &[Id, Since] : State.WaitingSince_) {
@@ -116,6 +149,7 @@
   addWorkers(State, Now, View);
   addRunning(State, Now, View);
   addForeign(State, View);
+  closeTrials(State, Now, View);
   addWaiting(State, Now, View);
   return View;
 }
@@ -146,14 +180,36 @@
   return Views;
 }
 
+/// Notes the workers on trial that \p Tasks would use. Returns false when one
+/// of them has its job by this plan already.
+bool takeTrials(const EntryState &State, const model::Placement &Tasks,
+                core::TimePoint Now, std::set<model::NodeName> &Taken) {
+  std::set<model::NodeName> Wanted;
+  for (const model::TaskPlacement &Task : Tasks)
+    if (onTrial(State, Task.Worker_, Now))
+      Wanted.insert(Task.Worker_);
+  for (const model::NodeName &Worker : Wanted)
+    if (Taken.count(Worker) != 0)
+      return false;
+  Taken.insert(Wanted.begin(), Wanted.end());
+  return true;
+}
+
 void apply(EntryState &State, const model::DomainName &Domain,
            const sched::Plan &Plan, core::TimePoint Now, Effects &Out) {
   for (const sched::WaitReason &Wait : Plan.Waits_)
     State.WaitReasons_[Wait.Job_] = Wait.Reason_;
+  std::set<model::NodeName> Trials;
   for (const sched::StartDecision &Start : Plan.Starts_) {
     // Another cell of this host may have taken the job in the same round.
     if (State.Gangs_.count(Start.Job_))
       continue;
+    // A plan may put several jobs on a worker on trial. The next decision finds
+    // the worker closed and places the others elsewhere.
+    if (!takeTrials(State, Start.Placement_, Now, Trials)) {
+      State.Dirty_ = true;
+      continue;
+    }
     State.WaitReasons_.erase(Start.Job_);
     reserveGang(State, Domain, State.Fold_.Jobs_.at(Start.Job_),
                 Start.Placement_, Now, Out);
--- a/lib/membership/include/nutmegwell/membership/membership.h
+++ b/lib/membership/include/nutmegwell/membership/membership.h
@@ -26,6 +26,16 @@
   core::Duration LongestQuarantine_ = std::chrono::minutes(10);
 };
 
+/// What a worker's failures in a row have led to.
+struct Quarantine {
+  /// Failed starts since the last success.
+  std::uint32_t FailedStarts_ = 0;
+  /// Zero without a quarantine.
+  core::Duration Length_{};
+  /// When the quarantine began.
+  core::TimePoint Since_{};
+};
+
 /// A node as its heartbeats describe it.
 struct Node {
   model::Heartbeat Last_;
@@ -35,9 +45,7 @@
   NodeState State_ = NodeState::Alive;
   /// Incarnations that were replaced; a late heartbeat of one is ignored.
   std::deque<core::Incarnation> Replaced_;
-  std::uint32_t FailedStarts_ = 0;
-  core::TimePoint QuarantinedUntil_{};
-  core::Duration NextQuarantine_{};
+  Quarantine Quarantine_;
 };
 
 struct MembershipState {
@@ -64,13 +72,22 @@
                                 const MembershipSettings &Settings);
 
 /// Notes whether a start on a worker succeeded. Enough failures in a row
-/// quarantine it; each further one doubles the time.
+/// quarantine it; a failure after that time starts one of twice the length.
+/// Failures meanwhile are of jobs that were placed before and change nothing.
 void noteStart(MembershipState &State, const model::NodeName &Worker,
                bool Succeeded, core::TimePoint Now,
                const MembershipSettings &Settings);
 
-/// Returns true when the node may get new work.
-bool takesWork(const Node &Target, core::TimePoint Now);
+/// How much new work a node may get.
+enum class Intake : std::uint8_t {
+  None,
+  /// One job alone: the node is on trial after a quarantine, until a task has
+  /// run with success or failed there.
+  OneJob,
+  Any
+};
+
+Intake intakeOf(const Node &Target, core::TimePoint Now);
 
 /// Returns the accelerators that the known workers of each domain announced,
 /// lapsed ones included: a failed host does not make a table wrong.
--- a/lib/membership/src/membership.cpp
+++ b/lib/membership/src/membership.cpp
@@ -33,6 +33,11 @@
   return Known.State_;
 }
 
+bool lasts(const Quarantine &Known, core::TimePoint Now) {
+  return Known.Length_ != core::Duration::zero() &&
+         Now < Known.Since_ + Known.Length_;
+}
+
 } // namespace
 
 const char *toString(NodeState Value) {
@@ -88,23 +93,25 @@
   auto Place = State.Nodes_.find(Worker);
   if (Place == State.Nodes_.end())
     return;
-  Node &Known = Place->second;
+  Quarantine &Known = Place->second.Quarantine_;
   if (Succeeded) {
-    Known.FailedStarts_ = 0;
-    Known.NextQuarantine_ = {};
+    Known = Quarantine();
     return;
   }
-  if (++Known.FailedStarts_ < Settings.FailureLimit_)
+  if (++Known.FailedStarts_ < Settings.FailureLimit_ || lasts(Known, Now))
     return;
-  Known.NextQuarantine_ =
-      Known.NextQuarantine_ == core::Duration::zero()
+  Known.Length_ =
+      Known.Length_ == core::Duration::zero()
           ? Settings.FirstQuarantine_
-          : std::min(Known.NextQuarantine_ * 2, Settings.LongestQuarantine_);
-  Known.QuarantinedUntil_ = Now + Known.NextQuarantine_;
+          : std::min(Known.Length_ * 2, Settings.LongestQuarantine_);
+  Known.Since_ = Now;
 }
 
-bool takesWork(const Node &Target, core::TimePoint Now) {
-  return Target.State_ == NodeState::Alive && Now >= Target.QuarantinedUntil_;
+Intake intakeOf(const Node &Target, core::TimePoint Now) {
+  if (Target.State_ != NodeState::Alive || lasts(Target.Quarantine_, Now))
+    return Intake::None;
+  return Target.Quarantine_.Length_ == core::Duration::zero() ? Intake::Any
+                                                              : Intake::OneJob;
 }
 
 model::DomainCapacity capacityOf(const MembershipState &State) {
--- a/lib/membership/tests/membershiptest.cpp
+++ b/lib/membership/tests/membershiptest.cpp
@@ -28,13 +28,17 @@
     return noteHeartbeat(State_, Beat, "127.0.0.1:1", Start_ + At);
   }
 
+  Intake intake(core::Duration At) {
+    return intakeOf(State_.Nodes_["w1"], Start_ + At);
+  }
+
   /// Guards against work sent to a node that stopped answering.
   void silenceLapseAndReturn() {
     beat(1, 1);
     CPPUNIT_ASSERT(advance(State_, Start_ + 2s, Settings_).empty());
     CPPUNIT_ASSERT(advance(State_, Start_ + 3s, Settings_).at(0).To_ ==
                    NodeState::Silent);
-    CPPUNIT_ASSERT(!takesWork(State_.Nodes_["w1"], Start_ + 3s));
+    CPPUNIT_ASSERT(intake(3s) == Intake::None);
     CPPUNIT_ASSERT(advance(State_, Start_ + 6s, Settings_).at(0).To_ ==
                    NodeState::Lapsed);
     auto Changes = beat(1, 2, false, 7s);
@@ -56,7 +60,7 @@
   void leavingNodeTakesNoWork() {
     beat(1, 1);
     CPPUNIT_ASSERT(beat(1, 2, true).at(0).To_ == NodeState::Leaving);
-    CPPUNIT_ASSERT(!takesWork(State_.Nodes_["w1"], Start_));
+    CPPUNIT_ASSERT(intake(0s) == Intake::None);
   }
 
   /// Guards against a broken worker that drains the queue by failing jobs.
@@ -64,12 +68,14 @@
     beat(1, 1);
     for (int I = 0; I < 3; ++I)
       noteStart(State_, "w1", false, Start_, Settings_);
-    CPPUNIT_ASSERT(!takesWork(State_.Nodes_["w1"], Start_ + 29s));
-    CPPUNIT_ASSERT(takesWork(State_.Nodes_["w1"], Start_ + 30s));
+    noteStart(State_, "w1", false, Start_ + 1s, Settings_);
+    CPPUNIT_ASSERT(intake(29s) == Intake::None);
+    CPPUNIT_ASSERT(intake(30s) == Intake::OneJob);
     noteStart(State_, "w1", false, Start_ + 30s, Settings_);
-    CPPUNIT_ASSERT(!takesWork(State_.Nodes_["w1"], Start_ + 89s));
+    CPPUNIT_ASSERT(intake(89s) == Intake::None);
+    CPPUNIT_ASSERT(intake(90s) == Intake::OneJob);
     noteStart(State_, "w1", true, Start_ + 90s, Settings_);
-    CPPUNIT_ASSERT(takesWork(State_.Nodes_["w1"], Start_ + 90s));
+    CPPUNIT_ASSERT(intake(90s) == Intake::Any);
   }
 };
 
--- a/tests/control/faulttest.cpp
+++ b/tests/control/faulttest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(urgentJobWaitsForStop);
   CPPUNIT_TEST(lateStartAfterDomainOut);
   CPPUNIT_TEST(failingWorkerIsQuarantined);
+  CPPUNIT_TEST(workerOnTrialGetsOneJob);
   CPPUNIT_TEST_SUITE_END();
 
   /// Runs seeds First to Last. NUTMEGWELL_SEED=N runs that seed alone.
@@ -143,6 +144,28 @@
     CPPUNIT_ASSERT(All.Violations_.empty());
   }
 
+  /// Guards against a worker that fails several jobs at once on its trial.
+  void workerOnTrialGetsOneJob() {
+    for (std::uint64_t Seed = 1; Seed <= 50; ++Seed) {
+      Schedule Run(Seed);
+      World &All = Run.World_;
+      build(All, 1, 2, 1);
+      publishPools(Run);
+      All.Agents_[0].FailsEverything_ = true;
+      for (std::uint64_t I = 1; I <= 18; ++I)
+        Run.Jobs_.push_back({{77, I},
+                             makeSpec(1, 2, 3000),
+                             All.Now_ + seconds(I <= 6 ? 3 : 60)});
+      drive(Run);
+      runUntil(All, All.Now_ + seconds(30));
+      const unsigned Before = All.Counts_["tasks failed"];
+      CPPUNIT_ASSERT(Before >= 3);
+      runUntil(All, All.Now_ + seconds(75));
+      CPPUNIT_ASSERT_EQUAL(Before + 1, All.Counts_["tasks failed"]);
+      CPPUNIT_ASSERT(All.Violations_.empty());
+    }
+  }
+
   /// Guards against faults found before with seeds beyond the ranges here.
   void seedsThatFailed() {
     for (std::uint64_t Seed :
