State what a repeat of an evicted key gets

Checked: an agent that has evicted a settled key answers "forgotten" to a query and to a frame of the old attempt, and the entry host ends the repeat as unknown because the log's intent names that attempt and is settled. A new attempt needs a new intent, which the fold rejects. So a key that the log remembers does not run again. New cases: eviction by 65,536 later attempts at the agent, a settled intent whose agent says "not run" or "unknown", and the whole path over sockets with a bound of one attempt.

The log itself remembers the last 65,536 settled keys; after that a repeat is a new request and runs.

--- a/lib/agent/tests/attemptstest.cpp
+++ b/lib/agent/tests/attemptstest.cpp
@@ -136,14 +136,24 @@
 
   /// Guards against the release of a key whose attempt ran.
   void evictedAttemptIsNotNotSeen() {
-    request({1, 5}, "k");
-    agent::finish(Table_, {1, 5}, model::AnswerFrame{{1, 5}, 200, "", "x"},
-                  Now_);
-    Now_ += Table_.Bounds_.MaxAge_ + 1s;
-    CPPUNIT_ASSERT(isUnknown(query({1, 5}, "k")));
-    CPPUNIT_ASSERT(isUnknown(request({1, 5}, "k")));
-    CPPUNIT_ASSERT(Table_.Known_.empty());
-    CPPUNIT_ASSERT(isNotRun(query({1, 6}, "k")));
+    auto Run = [this](const core::AttemptId &Attempt, const char *Key) {
+      request(Attempt, Key);
+      agent::finish(Table_, Attempt, model::AnswerFrame{Attempt, 200, "", "x"},
+                    Now_);
+    };
+    for (const bool ByAge : {true, false}) {
+      setUp();
+      Run({1, 5}, "k");
+      for (std::uint64_t I = 1; !ByAge && I <= Table_.Bounds_.MaxAttempts_; ++I)
+        Run({2, I}, std::to_string(I).c_str());
+      if (ByAge)
+        Now_ += Table_.Bounds_.MaxAge_ + 1s;
+      CPPUNIT_ASSERT(isUnknown(query({1, 5}, "k")));
+      CPPUNIT_ASSERT(isUnknown(request({1, 5}, "k")));
+      CPPUNIT_ASSERT_EQUAL(ByAge ? 0 : Table_.Bounds_.MaxAttempts_,
+                           Table_.Known_.size());
+      CPPUNIT_ASSERT(isNotRun(query({1, 6}, "k")));
+    }
   }
 
   /// Guards against a run on an agent that has lost what it refused.
--- a/lib/entry/tests/faulttest.cpp
+++ b/lib/entry/tests/faulttest.cpp
@@ -36,11 +36,13 @@
       const net::HttpRequest &)>;
 
   TestAgent(std::string Name, core::Incarnation Incarnation,
-            const net::Address &Listen, Call Upstream, std::uint32_t Slots = 4)
+            const net::Address &Listen, Call Upstream, std::uint32_t Slots = 4,
+            agent::AttemptBounds Bounds = agent::AttemptBounds())
       : Name_(std::move(Name)), Slots_(Slots) {
     Settings_.Incarnation_ = Incarnation;
     Settings_.Listen_ = Listen;
     Settings_.Announce_ = {"127.0.0.1", net::reserveTcpPort()};
+    Settings_.Attempts_ = Bounds;
     Settings_.WorkingInterval_ = 20ms;
     // Announced once in a test.
     Settings_.AnnounceValid_ = 1h;
@@ -210,11 +212,17 @@
   /// Guards against a repeat that runs again or gets no answer.
   void repeatGetsTheSameAnswer() {
     test::Gate Gate;
-    TestAgent Agent("u", 7, Address_, [&](const net::HttpRequest &Request) {
-      Gate.pass();
-      return net::HttpResponse{201, "text/plain",
-                               Request.Body_ + std::to_string(Gate.arrived())};
-    });
+    agent::AttemptBounds Bounds;
+    Bounds.MaxAttempts_ = 1;
+    TestAgent Agent(
+        "u", 7, Address_,
+        [&](const net::HttpRequest &Request) {
+          Gate.pass();
+          return net::HttpResponse{201, "text/plain",
+                                   Request.Body_ +
+                                       std::to_string(Gate.arrived())};
+        },
+        4, Bounds);
     Agent.addTo(Snapshots_);
     auto First = entryHost(9, 10s);
     auto Second = entryHost(10, 10s);
@@ -231,6 +239,11 @@
     CPPUNIT_ASSERT_EQUAL(std::string("201 k1"),
                          summary(Second->handle(test::post("k"))));
     CPPUNIT_ASSERT_EQUAL(1, Gate.arrived());
+    // The answer of another key takes the place of the first.
+    Second->handle(test::post("l"));
+    CPPUNIT_ASSERT_EQUAL(std::string("504 unknown forgotten"),
+                         summary(Second->handle(test::post("k"))));
+    CPPUNIT_ASSERT_EQUAL(2, Gate.arrived());
   }
 
   /// Guards against an intent that blocks its key, or a key that runs twice,
--- a/lib/routing/tests/requesttest.cpp
+++ b/lib/routing/tests/requesttest.cpp
@@ -157,6 +157,15 @@
     const routing::RequestEffect Answered = end(Outcome::Answered);
     assertEnd(Outcome::Answered, Answered);
     CPPUNIT_ASSERT(Answered.Settle_);
+    // A settled key has run, whatever its agent still knows of it.
+    for (const Outcome Lost : {Outcome::NotRun, Outcome::Unknown}) {
+      State_ = routing::RequestState();
+      setUp();
+      model::Intent Settled = Known;
+      Settled.State_ = model::IntentState::Settled;
+      assertKind(EffectKind::Query, step(routing::RequestBegun{true, Settled}));
+      assertEnd(Outcome::Unknown, end(Lost));
+    }
   }
 
   /// Guards against a second dispatch while the first intent stands.
