Say that an agent serves /metrics only with http-listen

The help and the operators' page gave http-listen as the address for callers and operators, so nothing told that an agent without it has no /metrics. A default was ruled out: agents run beside workloads, several may share a host, and a fixed port would collide or open a listener that nobody asked for.

settings-test passes.

--- a/lib/settings/src/daemon.cpp
+++ b/lib/settings/src/daemon.cpp
@@ -30,7 +30,9 @@
   Builder.address("log-address", "HTTP address of the platform's log service")
       .requiredWhen("role", "entry")
       .text("log-stream", "nutmegwell", "stream of the log to use")
-      .listenAddress("http-listen", "address for callers and operators")
+      .listenAddress("http-listen",
+                     "entry: address for callers and operators; agent: address "
+                     "that serves /metrics, none when not set")
       .requiredWhen("role", "entry")
       .listenAddress("udp-listen", "address for heartbeats and gang messages")
       .required()
