--- a/lib/client/src/run.cpp
+++ b/lib/client/src/run.cpp
@@ -22,7 +22,9 @@
 std::string overview() {
   std::string Text = "Usage: nutmegwell [--entry IP:PORT] COMMAND\n\n";
   for (const Command &Entry : commands())
-    Text += "  " + Entry.Name_ + " " + Entry.Spec_.ArgumentsHelp_ + "\n      " +
+    Text += "  " + Entry.Name_ +
+            (Entry.Spec_.ArgumentsHelp_.empty() ? "" : " ") +
+            Entry.Spec_.ArgumentsHelp_ + "\n      " +
             Entry.Spec_.Purpose_.substr(0, Entry.Spec_.Purpose_.find('.') + 1) +
             "\n";
   return Text +
--- a/lib/settings/src/daemon.cpp
+++ b/lib/settings/src/daemon.cpp
@@ -40,7 +40,8 @@
                      "entry: address for peers that load the state; agent: "
                      "address for request frames")
       .required()
-      .addressList("entries", "UDP addresses of the entry hosts")
+      .addressList("entries",
+                   "UDP addresses of the entry hosts; entry: of the others")
       .requiredWhen("role", "agent")
       .addressList("peers", "TCP state addresses of the other entry hosts")
       .address("runtime-address", "HTTP address of the worker runtime")
