--- a/lib/entry/tests/faulttest.cpp
+++ b/lib/entry/tests/faulttest.cpp
@@ -4,6 +4,7 @@
 
 using namespace nutmegwell;
 using namespace std::chrono_literals;
+using test::expect;
 using test::summary;
 
 // The whole path over sockets: entry hosts, framed TCP, agents, and a function
@@ -135,8 +136,7 @@
     Snapshots_.addAgent("u", 7, net::toString(Address_), 4);
     auto Entry = entryHost(9, 10s);
     for (int I = 0; I < 3; ++I)
-      CPPUNIT_ASSERT_EQUAL(std::string("200 own"),
-                           summary(Entry->handle(test::get("/i"))));
+      expect("200 own", *Entry, test::get("/i"));
   }
 
   /// Guards against a request that hangs on a dead connection, and against a
@@ -150,8 +150,7 @@
                            });
     Snapshots_.addAgent("silent", 7, net::toString(Address_), 4);
     auto Entry = entryHost(9, 50ms);
-    CPPUNIT_ASSERT_EQUAL(std::string("504 unknown connection_silent"),
-                         summary(Entry->handle(test::post("k"))));
+    expect("504 unknown connection_silent", *Entry, test::post("k"));
     CPPUNIT_ASSERT_EQUAL(1, Frames.load());
     TestAgent Other("other", 8, {"127.0.0.1", net::reserveTcpPort()}, echo);
     Other.addTo(Snapshots_);
@@ -170,9 +169,7 @@
       return echo(Request);
     });
     Agent.addTo(Snapshots_);
-    CPPUNIT_ASSERT_EQUAL(
-        std::string("200 k"),
-        summary(entryHost(9, Silence)->handle(test::post("k"))));
+    expect("200 k", *entryHost(9, Silence), test::post("k"));
   }
 
   /// Guards against a second run after the agent that may have run it has gone.
@@ -187,26 +184,21 @@
     Snapshots_.addAgent("u", 7, net::toString(Address_), 4);
     auto Entry = entryHost(9, 10s);
     auto Other = entryHost(10, 10s);
-    CPPUNIT_ASSERT_EQUAL(std::string("504 unknown connection_lost"),
-                         summary(Entry->handle(test::post("k"))));
+    expect("504 unknown connection_lost", *Entry, test::post("k"));
     Killed.reset();
     TestAgent Replaced("u", 8, Address_, [&](const net::HttpRequest &Request) {
       ++Runs;
       return echo(Request);
     });
     // Before the entry hosts hear of it, and after.
-    CPPUNIT_ASSERT_EQUAL(std::string("504 unknown other_incarnation"),
-                         summary(Other->handle(test::post("k"))));
-    CPPUNIT_ASSERT_EQUAL(std::string("503 not_run other_incarnation"),
-                         summary(Other->handle(test::post("new"))));
+    expect("504 unknown other_incarnation", *Other, test::post("k"));
+    expect("503 not_run other_incarnation", *Other, test::post("new"));
     Snapshots_.change(
         [](routing::RoutingSnapshot &Value) { Value.Upstreams_.clear(); });
     Replaced.addTo(Snapshots_);
-    CPPUNIT_ASSERT_EQUAL(std::string("504 unknown agent_replaced"),
-                         summary(Entry->handle(test::post("k"))));
+    expect("504 unknown agent_replaced", *Entry, test::post("k"));
     CPPUNIT_ASSERT_EQUAL(1, Runs.load());
-    CPPUNIT_ASSERT_EQUAL(std::string("200 new"),
-                         summary(Entry->handle(test::post("new"))));
+    expect("200 new", *Entry, test::post("new"));
   }
 
   /// Guards against a repeat that runs again or gets no answer.
@@ -236,13 +228,11 @@
     CPPUNIT_ASSERT_EQUAL(std::string("201 k1"), summary(Original.get()));
     CPPUNIT_ASSERT_EQUAL(std::string("201 k1"), summary(Repeat.get()));
     First.reset();
-    CPPUNIT_ASSERT_EQUAL(std::string("201 k1"),
-                         summary(Second->handle(test::post("k"))));
+    expect("201 k1", *Second, test::post("k"));
     CPPUNIT_ASSERT_EQUAL(1, Gate.arrived());
     // The answer of another key takes the place of the first.
     Second->handle(test::post("l"));
-    CPPUNIT_ASSERT_EQUAL(std::string("504 unknown forgotten"),
-                         summary(Second->handle(test::post("k"))));
+    expect("504 unknown forgotten", *Second, test::post("k"));
     CPPUNIT_ASSERT_EQUAL(2, Gate.arrived());
   }
 
@@ -258,13 +248,11 @@
     auto First = entryHost(9, 10s);
     auto Second = entryHost(10, 10s);
     Log_.setMode(test::Log::Mode::LosesResults);
-    CPPUNIT_ASSERT_EQUAL(std::string("503 not_run log_unavailable"),
-                         summary(First->handle(test::post("k"))));
+    expect("503 not_run log_unavailable", *First, test::post("k"));
     CPPUNIT_ASSERT_EQUAL(0, Runs.load());
     Log_.setMode(test::Log::Mode::Works);
     for (entry::RequestService *Each : {Second.get(), First.get()})
-      CPPUNIT_ASSERT_EQUAL(std::string("200 k"),
-                           summary(Each->handle(test::post("k"))));
+      expect("200 k", *Each, test::post("k"));
     CPPUNIT_ASSERT_EQUAL(1, Runs.load());
   }
 
@@ -282,8 +270,7 @@
     auto First = entryHost(9, 10s);
     auto Second = entryHost(10, 10s);
     for (entry::RequestService *Each : {First.get(), Second.get()})
-      CPPUNIT_ASSERT_EQUAL(std::string("504 unknown upstream_failed"),
-                           summary(Each->handle(test::post("k"))));
+      expect("504 unknown upstream_failed", *Each, test::post("k"));
     CPPUNIT_ASSERT_EQUAL(1, Runs.load());
   }
 
@@ -301,12 +288,10 @@
                     });
     Agent.addTo(Snapshots_);
     auto Entry = entryHost(9, 10s);
-    CPPUNIT_ASSERT_EQUAL(std::string("503 not_run upstream_unreachable"),
-                         summary(Entry->handle(test::post("k"))));
+    expect("503 not_run upstream_unreachable", *Entry, test::post("k"));
     CPPUNIT_ASSERT(!Log_.find({"a", "k"}));
     Reachable = true;
-    CPPUNIT_ASSERT_EQUAL(std::string("200 k"),
-                         summary(Entry->handle(test::post("k"))));
+    expect("200 k", *Entry, test::post("k"));
   }
 
   /// Guards against a graceful stop that cuts requests or lets new ones in.
@@ -379,8 +364,7 @@
                            [&] { return First->handle(test::post("k")); });
     const test::OpenAtExit Open{Gate};
     Gate.awaitArrivals(1);
-    CPPUNIT_ASSERT_EQUAL(std::string("503 not_run busy"),
-                         summary(Second->handle(test::post("l"))));
+    expect("503 not_run busy", *Second, test::post("l"));
     CPPUNIT_ASSERT_EQUAL(1, Gate.arrived());
     // One intent of the first request; each attempt of the second records and
     // releases one.
@@ -388,8 +372,7 @@
                          Log_.Appends_);
     Gate.open();
     CPPUNIT_ASSERT_EQUAL(std::string("200 k"), summary(Held.get()));
-    CPPUNIT_ASSERT_EQUAL(std::string("200 l"),
-                         summary(Second->handle(test::post("l"))));
+    expect("200 l", *Second, test::post("l"));
   }
 
   /// Guards against input that ends the agent.
@@ -405,8 +388,7 @@
       CPPUNIT_ASSERT(absl::IsUnavailable((*Connection)->receive(5s).status()));
     }
     Agent.addTo(Snapshots_);
-    CPPUNIT_ASSERT_EQUAL(std::string("200 k"),
-                         summary(entryHost(9, 10s)->handle(test::post("k"))));
+    expect("200 k", *entryHost(9, 10s), test::post("k"));
   }
 
   /// Guards against an upstream that replaces another by accident, and against
@@ -423,8 +405,7 @@
     CPPUNIT_ASSERT_EQUAL(200u, Agent.announce("DELETE", ""));
     CPPUNIT_ASSERT(Agent.Server_->upstream().Leaving_);
     Agent.addTo(Snapshots_);
-    CPPUNIT_ASSERT_EQUAL(std::string("503 not_run leaving"),
-                         summary(entryHost(9, 10s)->handle(test::post("k"))));
+    expect("503 not_run leaving", *entryHost(9, 10s), test::post("k"));
   }
 };
 
--- a/lib/entry/tests/requestservicetest.cpp
+++ b/lib/entry/tests/requestservicetest.cpp
@@ -4,6 +4,7 @@
 using namespace nutmegwell;
 using namespace std::chrono_literals;
 using routing::Outcome;
+using test::expect;
 using test::summary;
 
 // fault                              expected effect                     test
@@ -84,24 +85,29 @@
     };
   }
 
+  static std::vector<std::future<std::string>>
+  postAtOnce(entry::RequestService &Service, int Count) {
+    std::vector<std::future<std::string>> Callers;
+    for (int I = 0; I < Count; ++I)
+      Callers.push_back(std::async(std::launch::async, [&Service, I] {
+        return summary(Service.handle(test::post(std::to_string(I))));
+      }));
+    return Callers;
+  }
+
   /// Guards against errors that a caller cannot act on.
   void refusalsNameTheirReason() {
     entry::RequestService Service({9}, Hooks_);
-    CPPUNIT_ASSERT_EQUAL(std::string("404 not_run no_route"),
-                         summary(Service.handle(test::get("/other"))));
+    expect("404 not_run no_route", Service, test::get("/other"));
     net::HttpRequest Request = test::post("k");
     Request.Headers_.pop_back();
-    CPPUNIT_ASSERT_EQUAL(std::string("400 not_run key_required"),
-                         summary(Service.handle(Request)));
+    expect("400 not_run key_required", Service, Request);
     Request.Headers_[0].second = "b";
-    CPPUNIT_ASSERT_EQUAL(std::string("403 not_run account_unknown"),
-                         summary(Service.handle(Request)));
+    expect("403 not_run account_unknown", Service, Request);
     Request.Headers_.clear();
-    CPPUNIT_ASSERT_EQUAL(std::string("401 not_run account_missing"),
-                         summary(Service.handle(Request)));
+    expect("401 not_run account_missing", Service, Request);
     CPPUNIT_ASSERT_EQUAL(0, Sent_.load());
-    CPPUNIT_ASSERT_EQUAL(std::string("200 k"),
-                         summary(Service.handle(test::post("k"))));
+    expect("200 k", Service, test::post("k"));
   }
 
   /// Guards against a queue without bound and refusals of requests that ran.
@@ -118,12 +124,8 @@
         Refusals.pass();
     };
     entry::RequestService Service({9}, Hooks_);
-    std::vector<std::future<std::string>> Callers;
+    auto Callers = postAtOnce(Service, 20);
     const test::OpenAtExit Open{Gate_};
-    for (int I = 0; I < 20; ++I)
-      Callers.push_back(std::async(std::launch::async, [&Service, I] {
-        return summary(Service.handle(test::post(std::to_string(I))));
-      }));
     // Two slots and three places in the queue.
     Refusals.awaitArrivals(15);
     Gate_.open();
@@ -150,8 +152,7 @@
     entry::RequestService Service({9}, Hooks_);
     constexpr int Requests = 200;
     for (int I = 0; I < Requests; ++I)
-      CPPUNIT_ASSERT_EQUAL(std::string("504 unknown failed"),
-                           summary(Service.handle(test::get("/i"))));
+      expect("504 unknown failed", Service, test::get("/i"));
     const int Retries = Sent_ - Requests;
     CPPUNIT_ASSERT(Retries > Requests / 10);
     CPPUNIT_ASSERT(Retries <= Requests / 10 + 10);
@@ -164,8 +165,7 @@
     entry::RequestService Service({9}, Hooks_);
     Service.handle(test::get("/i"));
     CPPUNIT_ASSERT_EQUAL(2, Sent_.exchange(0));
-    CPPUNIT_ASSERT_EQUAL(std::string("504 unknown failed"),
-                         summary(Service.handle(test::post("k"))));
+    expect("504 unknown failed", Service, test::post("k"));
     CPPUNIT_ASSERT_EQUAL(1, Sent_.load());
   }
 
@@ -229,18 +229,13 @@
     };
     entry::RequestService Service({9}, Hooks_);
     // The third request waits for a slot.
-    std::vector<std::future<std::string>> Callers;
+    auto Callers = postAtOnce(Service, 3);
     const test::OpenAtExit Open{Gate_};
-    for (int I = 0; I < 3; ++I)
-      Callers.push_back(std::async(std::launch::async, [&Service, I] {
-        return summary(Service.handle(test::post(std::to_string(I))));
-      }));
     Admitted.awaitArrivals(3);
     Gate_.awaitArrivals(2);
     auto Stopped = std::async(std::launch::async, [&] { Service.stop(5s); });
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Stopping.get_future().get());
-    CPPUNIT_ASSERT_EQUAL(std::string("503 not_run stopping"),
-                         summary(Service.handle(test::get("/i"))));
+    expect("503 not_run stopping", Service, test::get("/i"));
     Gate_.open();
     for (int I = 0; I < 3; ++I)
       CPPUNIT_ASSERT_EQUAL("200 " + std::to_string(I), Callers[I].get());
@@ -256,16 +251,16 @@
     entry::RequestService Service({9}, Hooks_);
     Snapshots_.change(
         [](routing::RoutingSnapshot &Value) { Value.LogAvailable_ = false; });
-    CPPUNIT_ASSERT_EQUAL(Refused, summary(Service.handle(test::post("k"))));
+    expect(Refused, Service, test::post("k"));
     CPPUNIT_ASSERT_EQUAL(0, Log_.Appends_);
     CPPUNIT_ASSERT_EQUAL(200u, Service.handle(test::get("/i")).Status_);
     Snapshots_.change(
         [](routing::RoutingSnapshot &Value) { Value.LogAvailable_ = true; });
     Sent_ = 0;
     Log_.setMode(test::Log::Mode::LosesAppends);
-    CPPUNIT_ASSERT_EQUAL(Refused, summary(Service.handle(test::post("k"))));
+    expect(Refused, Service, test::post("k"));
     Log_.setMode(test::Log::Mode::LosesResults);
-    CPPUNIT_ASSERT_EQUAL(Refused, summary(Service.handle(test::post("l"))));
+    expect(Refused, Service, test::post("l"));
     CPPUNIT_ASSERT_EQUAL(0, Sent_.load());
   }
 
@@ -285,8 +280,7 @@
       return Result;
     };
     entry::RequestService Service({9}, Hooks_);
-    CPPUNIT_ASSERT_EQUAL(std::string("200 k"),
-                         summary(Service.handle(test::post("k"))));
+    expect("200 k", Service, test::post("k"));
     Appended.awaitArrivals(2);
     CPPUNIT_ASSERT(Log_.find({"a", "k"})->State_ ==
                    model::IntentState::Dispatched);
--- a/lib/entry/tests/testworld.h
+++ b/lib/entry/tests/testworld.h
@@ -157,4 +157,14 @@
          wire::textMember(*Parsed, "code");
 }
 
+/// Fails at the caller's line unless the answer to \p Request has the summary
+/// \p Expected.
+inline void expect(const std::string &Expected, entry::RequestService &Service,
+                   const net::HttpRequest &Request,
+                   const char *File = __builtin_FILE(),
+                   int Line = __builtin_LINE()) {
+  CPPUNIT_NS::assertEquals(Expected, summary(Service.handle(Request)),
+                           CPPUNIT_NS::SourceLine(File, Line), "");
+}
+
 } // namespace nutmegwell::test
