Check exit codes in the client tests by one function

24 checks ran a command line and compared its exit code in two statements; expect does both, reports the caller's line and shows standard error.

--- a/lib/client/tests/clienttest.cpp
+++ b/lib/client/tests/clienttest.cpp
@@ -102,6 +102,17 @@
     return {Code, Out.str(), Err.str()};
   }
 
+  /// Runs the command line; fails at the caller's line unless it ends with
+  /// \p Code.
+  Result expect(int Code, std::vector<std::string> Words,
+                const std::vector<std::string> &Entries = {},
+                int Line = __builtin_LINE()) {
+    Result Ended = run(std::move(Words), Entries);
+    CPPUNIT_NS::assertEquals(
+        Code, Ended.Code_, CPPUNIT_NS::SourceLine(__FILE__, Line), Ended.Err_);
+    return Ended;
+  }
+
   static std::string unreachable() {
     return "127.0.0.1:" + std::to_string(net::reserveTcpPort());
   }
@@ -167,8 +178,7 @@
         {"submit", "--account=a", "--service=s", "--tasks=65", "run"},
         {"submit", "--account=a", "--service=s"}};
     for (const auto &Line : Lines) {
-      const Result Ended = run(Line);
-      CPPUNIT_ASSERT_EQUAL(int(client::Usage), Ended.Code_);
+      const Result Ended = expect(client::Usage, Line);
       CPPUNIT_ASSERT(!Ended.Err_.empty());
     }
     CPPUNIT_ASSERT(Requests_.empty());
@@ -185,8 +195,7 @@
       for (std::string Word; In >> Word;)
         Words.push_back(Word);
       Words.push_back("--help");
-      const Result Ended = run(Words);
-      CPPUNIT_ASSERT_EQUAL(0, Ended.Code_);
+      const Result Ended = expect(client::Done, Words);
       CPPUNIT_ASSERT(contains(Ended.Out_, "default 30s"));
       CPPUNIT_ASSERT(contains(Ended.Out_, "Exit codes: 0 done"));
     }
@@ -197,9 +206,9 @@
   void requestCarriesAccountKeyAndBody() {
     serveAlways(200, "answer");
     File_ = "text";
-    const Result Ended = run({"request", "--account=a", "--key=k",
+    const Result Ended =
+        expect(client::Done, {"request", "--account=a", "--key=k",
                               "--method=POST", "--body=f", "/x?y=1"});
-    CPPUNIT_ASSERT_EQUAL(0, Ended.Code_);
     CPPUNIT_ASSERT_EQUAL(std::string("answer"), Ended.Out_);
     CPPUNIT_ASSERT_EQUAL(std::string("POST /x?y=1"), Requests_.at(0));
     CPPUNIT_ASSERT_EQUAL(std::string("a"), Last_.header("X-Client-Account"));
@@ -211,23 +220,19 @@
   void requestRefusesHeaderInjection() {
     serveAlways(200, "");
     for (const char *Flag : {"--account=a\r\nX-Other: 1", "--key=k\n"})
-      CPPUNIT_ASSERT_EQUAL(int(client::Usage),
-                           run({"request", "--account=a", Flag, "/x"}).Code_);
-    CPPUNIT_ASSERT_EQUAL(
-        int(client::Usage),
-        run({"request", "--account=a", "/x HTTP/1.1\r\n"}).Code_);
+      expect(client::Usage, {"request", "--account=a", Flag, "/x"});
+    expect(client::Usage, {"request", "--account=a", "/x HTTP/1.1\r\n"});
     CPPUNIT_ASSERT(Requests_.empty());
   }
 
   /// Guards against one dead entry host that stops callers.
   void unreachableEntryIsSkipped() {
     serveAlways(200, "answer");
-    const Result Ended =
-        run({"request", "--account=a", "/x"}, {unreachable(), unreachable()});
-    CPPUNIT_ASSERT_EQUAL(0, Ended.Code_);
+    const Result Ended = expect(client::Done, {"request", "--account=a", "/x"},
+                                {unreachable(), unreachable()});
     Server_.reset();
-    const Result Refused = run({"request", "--account=a", "/x"});
-    CPPUNIT_ASSERT_EQUAL(int(client::RefusedNotRun), Refused.Code_);
+    const Result Refused =
+        expect(client::RefusedNotRun, {"request", "--account=a", "/x"});
     CPPUNIT_ASSERT(contains(Refused.Err_, "refused, not run: unreachable"));
   }
 
@@ -236,8 +241,8 @@
     serveAlways(504, errorBody("agent_lost", wire::ApiOutcome::Unknown));
     const std::string Same = net::toString(Entry_);
     const Result Ended =
-        run({"request", "--account=a", "--key=k", "/x"}, {Same});
-    CPPUNIT_ASSERT_EQUAL(int(client::OutcomeUnknown), Ended.Code_);
+        expect(client::OutcomeUnknown,
+               {"request", "--account=a", "--key=k", "/x"}, {Same});
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Requests_.size());
     CPPUNIT_ASSERT(contains(Ended.Err_, "outcome unknown: agent_lost: m (step "
                                         "dispatch, peer u1)"));
@@ -253,9 +258,9 @@
       return net::HttpResponse();
     });
     const Result Ended =
-        run({"request", "--account=a", "--timeout=100ms", "/x"},
-            {net::toString(Entry_)});
-    CPPUNIT_ASSERT_EQUAL(int(client::OutcomeUnknown), Ended.Code_);
+        expect(client::OutcomeUnknown,
+               {"request", "--account=a", "--timeout=100ms", "/x"},
+               {net::toString(Entry_)});
     Closed.unlock();
     Server_.reset();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Requests_.size());
@@ -292,11 +297,10 @@
   /// Guards against a job that runs with other values than asked for.
   void submitSendsTheJobAndPrintsItsId() {
     serveAlways(202, jobBody(model::JobState::Waiting));
-    const Result Ended =
-        run({"submit", "--account=a", "--service=s", "--tasks=4",
-             "--accelerators=8", "--level=rack", "--class=urgent",
-             "--declared=90s", "--", "train", "--epochs", "3"});
-    CPPUNIT_ASSERT_EQUAL(0, Ended.Code_);
+    const Result Ended = expect(
+        client::Done, {"submit", "--account=a", "--service=s", "--tasks=4",
+                       "--accelerators=8", "--level=rack", "--class=urgent",
+                       "--declared=90s", "--", "train", "--epochs", "3"});
     CPPUNIT_ASSERT_EQUAL(std::string(Job) + "\n", Ended.Out_);
     model::JobSpec Spec;
     CPPUNIT_ASSERT(wire::parseJobSpec(Last_.Body_, Spec).empty());
@@ -331,8 +335,7 @@
   void waitDoesNotSpin() {
     Clock_ = {[] { return core::TimePoint(1000s); }};
     serveAlways(200, jobBody(model::JobState::Waiting));
-    CPPUNIT_ASSERT_EQUAL(int(client::JobNotFinished),
-                         run({"wait", "--for=720h", Job}).Code_);
+    expect(client::JobNotFinished, {"wait", "--for=720h", Job});
     CPPUNIT_ASSERT(Requests_.size() <= 5);
     CPPUNIT_ASSERT(contains(Requests_.at(0), "/wait?timeout_ms=20000"));
   }
@@ -346,14 +349,14 @@
                                    ? wire::formatRoutesAnswer(7, {})
                                    : wire::formatVersion(8)};
     });
-    const Result Ended = run({"tables", "publish", "routes", "f"});
-    CPPUNIT_ASSERT_EQUAL(0, Ended.Code_);
+    const Result Ended =
+        expect(client::Done, {"tables", "publish", "routes", "f"});
     CPPUNIT_ASSERT_EQUAL(std::string("PUT /v1/tables/routes?version=7"),
                          Requests_.at(1));
     CPPUNIT_ASSERT_EQUAL(File_, Last_.Body_);
     CPPUNIT_ASSERT(contains(Ended.Out_, "version 8"));
-    CPPUNIT_ASSERT_EQUAL(
-        0, run({"tables", "publish", "routes", "f", "--version", "3"}).Code_);
+    expect(client::Done,
+           {"tables", "publish", "routes", "f", "--version", "3"});
     CPPUNIT_ASSERT_EQUAL(std::string("PUT /v1/tables/routes?version=3"),
                          Requests_.at(2));
   }
@@ -363,8 +366,8 @@
     serveAlways(200, wire::formatVersion(1));
     File_ = R"({"pools":[{"name":"p","account":"a","service":"s",)"
             R"("domain":"d","limt":4}]})";
-    const Result Ended = run({"tables", "publish", "pools", "f"});
-    CPPUNIT_ASSERT_EQUAL(int(client::RefusedNotRun), Ended.Code_);
+    const Result Ended =
+        expect(client::RefusedNotRun, {"tables", "publish", "pools", "f"});
     CPPUNIT_ASSERT_EQUAL(std::string("pools row 1 field limt: unknown field\n"),
                          Ended.Out_);
     CPPUNIT_ASSERT(Requests_.empty());
@@ -376,8 +379,8 @@
     serveAlways(422, wire::formatError(wire::invalidTable(
                          {{"routes", 1, "service", "has no pools row"}})));
     const Result Ended =
-        run({"tables", "publish", "routes", "f", "--version=1"});
-    CPPUNIT_ASSERT_EQUAL(int(client::RefusedNotRun), Ended.Code_);
+        expect(client::RefusedNotRun,
+               {"tables", "publish", "routes", "f", "--version=1"});
     CPPUNIT_ASSERT_EQUAL(
         std::string("routes row 1 field service: has no pools row\n"),
         Ended.Out_);
@@ -392,12 +395,12 @@
     File_ = R"({"routes":[]})";
     serveAlways(409, wire::formatError(wire::staleVersion("routes", 9)));
     const Result Ended =
-        run({"tables", "publish", "routes", "f", "--version=7"});
-    CPPUNIT_ASSERT_EQUAL(int(client::RefusedNotRun), Ended.Code_);
+        expect(client::RefusedNotRun,
+               {"tables", "publish", "routes", "f", "--version=7"});
     CPPUNIT_ASSERT(
         contains(Ended.Err_, "version 9 is in force, 7 was expected"));
-    const Result Domain = run({"domain", "out", "d1", "--version=7"});
-    CPPUNIT_ASSERT_EQUAL(int(client::RefusedNotRun), Domain.Code_);
+    const Result Domain =
+        expect(client::RefusedNotRun, {"domain", "out", "d1", "--version=7"});
     CPPUNIT_ASSERT(contains(Domain.Err_, "version 9 is in force"));
   }
 
@@ -406,10 +409,8 @@
   void unreadableVersionPublishesNothing() {
     File_ = R"({"routes":[]})";
     serveAlways(200, "{}");
-    CPPUNIT_ASSERT_EQUAL(int(client::RefusedNotRun),
-                         run({"tables", "publish", "routes", "f"}).Code_);
-    CPPUNIT_ASSERT_EQUAL(int(client::RefusedNotRun),
-                         run({"domain", "out", "d1"}).Code_);
+    expect(client::RefusedNotRun, {"tables", "publish", "routes", "f"});
+    expect(client::RefusedNotRun, {"domain", "out", "d1"});
     for (const std::string &Request : Requests_)
       CPPUNIT_ASSERT_EQUAL(std::string("GET"), Request.substr(0, 3));
   }
@@ -424,17 +425,17 @@
                                    : wire::formatRoutesAnswer(1, {})};
     });
     File_ = R"({"routes":[{"path":"/a","service":"s"}]})";
-    const Result Routes = run({"tables", "check", "routes", "f"});
-    CPPUNIT_ASSERT_EQUAL(int(client::RefusedNotRun), Routes.Code_);
+    const Result Routes =
+        expect(client::RefusedNotRun, {"tables", "check", "routes", "f"});
     CPPUNIT_ASSERT(contains(Routes.Out_, "routes row 1 field service"));
     File_ = R"({"pools":[{"name":"p","account":"a","service":"s",)"
             R"("domain":"d1","guaranteed":16,"limit":16}]})";
-    const Result Pools = run({"tables", "check", "pools", "f"});
-    CPPUNIT_ASSERT_EQUAL(int(client::RefusedNotRun), Pools.Code_);
+    const Result Pools =
+        expect(client::RefusedNotRun, {"tables", "check", "pools", "f"});
     CPPUNIT_ASSERT(contains(Pools.Out_, "pools row 1 field guaranteed"));
     File_ = R"({"pools":[{"name":"p","account":"a","service":"s",)"
             R"("domain":"d1","guaranteed":8,"limit":16}]})";
-    CPPUNIT_ASSERT_EQUAL(0, run({"tables", "check", "pools", "f"}).Code_);
+    expect(client::Done, {"tables", "check", "pools", "f"});
   }
 
   /// Guards against a change that overwrites one which nobody has seen.
@@ -446,14 +447,12 @@
               ? statusBody()
               : wire::formatDomainChange({"d1", false, 7, "", 0})};
     });
-    const Result Ended = run({"domain", "out", "d1"});
-    CPPUNIT_ASSERT_EQUAL(0, Ended.Code_);
+    const Result Ended = expect(client::Done, {"domain", "out", "d1"});
     CPPUNIT_ASSERT_EQUAL(std::string("POST /v1/domains/d1/out?version=6"),
                          Requests_.at(1));
     CPPUNIT_ASSERT_EQUAL(
         std::string("domain d1 is out of service, version 7\n"), Ended.Out_);
-    CPPUNIT_ASSERT_EQUAL(int(client::RefusedNotRun),
-                         run({"domain", "out", "d9"}).Code_);
+    expect(client::RefusedNotRun, {"domain", "out", "d9"});
   }
 
   /// Guards against columns that hide a node or an alert.
