--- a/lib/entry/tests/faulttest.cpp
+++ b/lib/entry/tests/faulttest.cpp
@@ -9,25 +9,6 @@
 
 // The whole path over sockets: entry hosts, framed TCP, agents, and a function
 // in place of the upstream.
-//
-// fault                                   expected effect                test
-// answer to another attempt comes first   dropped crossedAnswerIsDropped
-// connection goes silent, new ones work   "unknown", retried when
-// silentConnectionIsLeft
-//                                           idempotent
-// slow upstream                           Working frames keep it alive
-// workingFramesKeepSlowRequest agent killed after dispatch, replaced "unknown",
-// never run again     replacedAgentEndsInUnknown
-//   with empty state
-// repeat through another entry host       the answer of the one run
-// repeatGetsTheSameAnswer
-//   during and after
-// append lost after effect                refused; a repeat runs once
-// lostAppendResultRunsOnce upstream connection refused             not run,
-// released              unreachableUpstreamIsNotRun agent stops under load
-// nothing cut, no new work       agentStopCutsNothing foreign frame at an agent
-// connection closed              foreignFrameClosesConnection bad announcement
-// refused                        badAnnouncementIsRefused
 
 namespace {
 
--- a/lib/entry/tests/protocoltest.cpp
+++ b/lib/entry/tests/protocoltest.cpp
@@ -14,19 +14,6 @@
 
 // The product's decisions (routing::step, the fold, the agent's table) under
 // random interleavings of calls through three entry hosts.
-//
-// fault                                      expected effect        test
-// frame arrives after the entry gave up,     key runs at most once
-// keysRunAtMostOnce
-//   also at a replaced agent
-// append lost, applied late, or its result   key runs at most once
-// keysRunAtMostOnce
-//   lost; entry hosts that lag in the log
-// answer or query lost after effect          key runs at most once
-// keysRunAtMostOnce repeat through another entry host          answer of the
-// one run  keysRunAtMostOnce
-//   during and after the run
-// agent replaced with empty state            "unknown" keysRunAtMostOnce
 
 namespace {
 
--- a/lib/routing/tests/choicetest.cpp
+++ b/lib/routing/tests/choicetest.cpp
@@ -5,13 +5,6 @@
 
 using namespace nutmegwell;
 
-// fault                             expected effect                  test
-// upstream leaving or silent        never chosen unusableIsNeverChosen all
-// slots filled by this host     not chosen, still a candidate
-// fullUpstreamIsNotChosen own requests in the report        counted once
-// ownRequestsAreCountedOnce one upstream busier than others   gets fewer
-// requests              lessLoadedOfTwoWins
-
 class ChoiceTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ChoiceTest);
   CPPUNIT_TEST(unusableIsNeverChosen);
