--- a/lib/client/src/jobcommands.cpp
+++ b/lib/client/src/jobcommands.cpp
@@ -1,6 +1,6 @@
 #include "commands.h"
 
-#include "output.h"
+#include "jobs.h"
 #include <algorithm>
 #include <ostream>
 
@@ -19,35 +19,10 @@
 /// would be a loop on an entry host that does not wait.
 constexpr int MaxEarlyAnswers = 4;
 
-/// Prints the job of an answer as \p Format writes it and returns \p Code.
-int printJob(const Invocation &Call, const Reply &Reply, int Code,
-             std::string (*Format)(const model::Job &) = formatJobText) {
-  if (Reply.Outcome_ != Outcome::Answered)
-    return printError(Call, Reply.Error_);
-  auto Job = wire::parseJob(Reply.Response_.Body_);
-  if (!Job.ok())
-    return printWrongAnswer(Call, Job.status());
-  printAnswer(Call, Reply, Format(*Job));
-  return Code;
-}
-
-/// Returns the path of the job that the first argument names, or an empty text.
-std::string jobPath(const Invocation &Call) {
-  core::JobId Id;
-  const std::string &Text = Call.Settings_.arguments().front();
-  return core::parseId(Text, Id.Writer_, Id.Sequence_) ? "/v1/jobs/" + Text
-                                                       : std::string();
-}
-
 std::string formatIdLine(const model::Job &Job) {
   return core::toString(Job.Id_) + "\n";
 }
 
-int printBadId(const Invocation &Call) {
-  return printUsage(Call, "'" + Call.Settings_.arguments().front() +
-                              "' is not the id of a job");
-}
-
 int runSubmit(const Invocation &Call) {
   const settings::Settings &Settings = Call.Settings_;
   model::JobSpec Spec;
@@ -134,6 +109,29 @@
 
 } // namespace
 
+std::string jobPath(const Invocation &Call) {
+  core::JobId Id;
+  const std::string &Text = Call.Settings_.arguments().front();
+  return core::parseId(Text, Id.Writer_, Id.Sequence_) ? "/v1/jobs/" + Text
+                                                       : std::string();
+}
+
+int printBadId(const Invocation &Call) {
+  return printUsage(Call, "'" + Call.Settings_.arguments().front() +
+                              "' is not the id of a job");
+}
+
+int printJob(const Invocation &Call, const Reply &Reply, int Code,
+             std::string (*Format)(const model::Job &)) {
+  if (Reply.Outcome_ != Outcome::Answered)
+    return printError(Call, Reply.Error_);
+  auto Job = wire::parseJob(Reply.Response_.Body_);
+  if (!Job.ok())
+    return printWrongAnswer(Call, Job.status());
+  printAnswer(Call, Reply, Format(*Job));
+  return Code;
+}
+
 Command submitCommand() {
   auto Builder = commandSettings(
       "submit",
--- a/lib/client/src/statuscommand.cpp
+++ b/lib/client/src/statuscommand.cpp
@@ -1,6 +1,6 @@
 #include "commands.h"
 
-#include "output.h"
+#include "jobs.h"
 
 namespace nutmegwell::client {
 
@@ -35,23 +35,16 @@
          formatColumns(Jobs);
 }
 
-int runJobStatus(const Invocation &Call, const std::string &Text) {
-  core::JobId Id;
-  if (!core::parseId(Text, Id.Writer_, Id.Sequence_))
-    return printUsage(Call, "'" + Text + "' is not the id of a job");
-  const Reply Result = callApi(Call, "GET", "/v1/jobs/" + Text);
-  if (Result.Outcome_ != Outcome::Answered)
-    return printError(Call, Result.Error_);
-  auto Job = wire::parseJob(Result.Response_.Body_);
-  if (!Job.ok())
-    return printWrongAnswer(Call, Job.status());
-  printAnswer(Call, Result, formatJobText(*Job));
-  return Done;
+int runJobStatus(const Invocation &Call) {
+  const std::string Path = jobPath(Call);
+  if (Path.empty())
+    return printBadId(Call);
+  return printJob(Call, callApi(Call, "GET", Path), Done);
 }
 
 int runStatus(const Invocation &Call) {
   if (!Call.Settings_.arguments().empty())
-    return runJobStatus(Call, Call.Settings_.arguments().front());
+    return runJobStatus(Call);
   const Reply Result = callApi(Call, "GET", "/v1/status");
   if (Result.Outcome_ != Outcome::Answered)
     return printError(Call, Result.Error_);
--- a/lib/client/src/tablecommands.cpp
+++ b/lib/client/src/tablecommands.cpp
@@ -21,6 +21,18 @@
                     "'" + tableOf(Call) + "' is neither routes nor pools");
 }
 
+/// Reads the file with a table that the arguments name into \p Text. Returns
+/// the exit code when there is no such table or file.
+std::optional<int> readTableFile(const Invocation &Call, std::string &Text) {
+  if (!isTable(tableOf(Call)))
+    return printBadTable(Call);
+  auto Read = Call.Context_.ReadFile_(Call.Settings_.arguments()[1]);
+  if (!Read.ok())
+    return printUsage(Call, std::string(Read.status().message()));
+  Text = *std::move(Read);
+  return std::nullopt;
+}
+
 std::string tablePath(const std::string &Name) { return "/v1/tables/" + Name; }
 
 std::vector<model::Finding> findingsOfForm(const std::string &Name,
@@ -41,12 +53,10 @@
 
 int runPublish(const Invocation &Call) {
   const std::string &Name = tableOf(Call);
-  if (!isTable(Name))
-    return printBadTable(Call);
-  auto Text = Call.Context_.ReadFile_(Call.Settings_.arguments()[1]);
-  if (!Text.ok())
-    return printUsage(Call, std::string(Text.status().message()));
-  auto Findings = findingsOfForm(Name, *Text);
+  std::string Text;
+  if (auto Code = readTableFile(Call, Text))
+    return *Code;
+  auto Findings = findingsOfForm(Name, Text);
   if (!Findings.empty())
     return printError(Call, wire::invalidTable(std::move(Findings)));
   core::Version Expected = 0;
@@ -64,7 +74,7 @@
     Expected = *Version;
   }
   const Reply Result = callApi(Call, "PUT", tablePath(Name),
-                               "version=" + std::to_string(Expected), *Text);
+                               "version=" + std::to_string(Expected), Text);
   if (Result.Outcome_ != Outcome::Answered) {
     const int Code = printError(Call, Result.Error_);
     if (Result.Error_.Version_ && !jsonAsked(Call))
@@ -129,22 +139,20 @@
 
 int runCheck(const Invocation &Call) {
   const std::string &Name = tableOf(Call);
-  if (!isTable(Name))
-    return printBadTable(Call);
-  auto Text = Call.Context_.ReadFile_(Call.Settings_.arguments()[1]);
-  if (!Text.ok())
-    return printUsage(Call, std::string(Text.status().message()));
+  std::string Text;
+  if (auto Code = readTableFile(Call, Text))
+    return *Code;
   const bool Joined = Call.Settings_.has("entry");
-  auto Findings = findingsOfForm(Name, *Text);
+  auto Findings = findingsOfForm(Name, Text);
   if (Findings.empty() && Joined) {
     InForce Known;
     if (auto Error = readInForce(Call, Name, Known))
       return printError(Call, *Error);
     if (Name == "routes") {
-      wire::parseRoutes(*Text, Known.Routes_);
+      wire::parseRoutes(Text, Known.Routes_);
       Findings = model::validateRoutes(Known.Routes_, Known.Pools_);
     } else {
-      wire::parsePools(*Text, Known.Pools_);
+      wire::parsePools(Text, Known.Pools_);
       Findings =
           model::validatePools(Known.Pools_, Known.Routes_, Known.Capacity_);
     }
