--- a/lib/entry/tests/pathtest.cpp
+++ b/lib/entry/tests/pathtest.cpp
@@ -1,5 +1,4 @@
-#include "nutmegwell/agent/requestserver.h"
-#include "nutmegwell/entry/requestservice.h"
+#include "testworld.h"
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace nutmegwell;
@@ -34,34 +33,15 @@
     CPPUNIT_ASSERT(Announced.ok() && Announced->Status_ == 200);
     CPPUNIT_ASSERT(Agent.upstream().Present_);
 
-    auto Snapshot = std::make_shared<routing::RoutingSnapshot>();
-    Snapshot->LogAvailable_ = true;
-    Snapshot->Routes_.Rows_ = {{"/s", "s", 5s, false, 4}};
-    Snapshot->Pools_.Rows_.resize(1);
-    Snapshot->Pools_.Rows_[0].Account_ = "a";
-    Snapshot->Pools_.Rows_[0].Service_ = "s";
-    Snapshot->Upstreams_ = {{"agent", 7, "d", "s",
-                             net::toString(AgentSettings.Listen_), 2, 0, true}};
+    test::Snapshots Snapshots;
+    Snapshots.addAgent("agent", 7, net::toString(AgentSettings.Listen_), 2);
+    test::Log Log;
     entry::RequestServiceHooks Hooks;
-    Hooks.Snapshot_ = [&] { return Snapshot; };
+    Hooks.Snapshot_ = Snapshots.source();
+    Hooks.Intents_ = Log.store();
     Hooks.Transport_ = entry::tcpTransport({});
-    Hooks.Intents_.Find_ = [](const model::IntentKey &) {
-      return std::nullopt;
-    };
-    Hooks.Intents_.Submit_ = [](const model::RecordBody &, core::Duration) {
-      model::FoldResult Result;
-      Result.Accepted_ = true;
-      return Result;
-    };
     entry::RequestService Entry({9}, Hooks);
-    net::HttpRequest Request;
-    Request.Method_ = "POST";
-    Request.Path_ = "/s/x";
-    Request.Headers_ = {{"X-Client-Account", "a"}, {"Idempotency-Key", "k"}};
-    Request.Body_ = "body";
-    const net::HttpResponse Response = Entry.handle(Request);
-    CPPUNIT_ASSERT_EQUAL(std::string("/s/x body"), Response.Body_);
-    CPPUNIT_ASSERT_EQUAL(201u, Response.Status_);
+    test::expect("201 /s/x k", Entry, test::post("k"));
   }
 };
 
--- a/lib/history/tests/rulestest.cpp
+++ b/lib/history/tests/rulestest.cpp
@@ -118,21 +118,19 @@
   CPPUNIT_TEST_SUITE_END();
 
   void verdicts() {
-    accept(Events{at(0ms, DomainOut{"a"})} + gang("j", 1, 2998ms, 9s));
+    const Events Out{at(0ms, DomainOut{"a"})};
+    accept(Out + gang("j", 1, 2998ms, 9s));
     accept(Events{at(0ms, DomainOut{"b"})} + gang("j", 1, 5s, 9s));
-    accept(Events{at(0ms, DomainOut{"a"}), at(4s, DomainIn{"a"})} +
-           gang("j", 1, 4s, 9s));
+    accept(Out + Events{at(4s, DomainIn{"a"})} + gang("j", 1, 4s, 9s));
     accept(Events{at(0ms, PermitRevoked{"w1"}), at(1ms, PermitGranted{"w1"})} +
            gang("j", 1, 5ms, 9s));
+    reject("domain-out", Out + gang("j", 1, 3s, 9s));
     reject("domain-out",
-           Events{at(0ms, DomainOut{"a"})} + gang("j", 1, 3s, 9s));
-    reject("domain-out", Events{at(0ms, DomainOut{"a"}), at(2ms, DomainIn{"a"}),
-                                at(10ms, DomainOut{"a"})} +
-                             gang("j", 1, 4s, 9s));
+           Out + Events{at(2ms, DomainIn{"a"}), at(10ms, DomainOut{"a"})} +
+               gang("j", 1, 4s, 9s));
     // A repeated command does not begin a new grace time.
     reject("domain-out",
-           Events{at(0ms, DomainOut{"a"}), at(2500ms, DomainOut{"a"})} +
-               gang("j", 1, 4s, 9s));
+           Out + Events{at(2500ms, DomainOut{"a"})} + gang("j", 1, 4s, 9s));
     reject("domain-out",
            Events{at(0ms, PermitRevoked{"w1"})} + gang("j", 1, 5ms, 9s));
   }
--- a/lib/settings/tests/settingstest.cpp
+++ b/lib/settings/tests/settingstest.cpp
@@ -49,6 +49,14 @@
     return parse(Flags);
   }
 
+  /// Fails unless \p Parsed is an error that names \p Setting.
+  static void expectError(const absl::StatusOr<settings::Settings> &Parsed,
+                          const char *Setting) {
+    CPPUNIT_ASSERT_MESSAGE(Setting, !Parsed.ok());
+    const std::string Message(Parsed.status().message());
+    CPPUNIT_ASSERT_MESSAGE(Message, Message.find(Setting) != Message.npos);
+  }
+
   /// Guards against a variable that overrides what the command line says.
   void flagComesBeforeVariableBeforeDefault() {
     auto Flags = entryFlags();
@@ -86,17 +94,10 @@
         {"-x", "-x"},
         {"--peers", "peers"},
         {"stray", "stray"}};
-    for (const auto &Case : Cases) {
-      auto Parsed = withFlag(Case.first);
-      CPPUNIT_ASSERT_MESSAGE(Case.first, !Parsed.ok());
-      CPPUNIT_ASSERT_MESSAGE(std::string(Parsed.status().message()),
-                             Parsed.status().message().find(Case.second) !=
-                                 std::string::npos);
-    }
-    auto Flags = entryFlags();
-    auto Parsed = parse(Flags, {{"NUTMEGWELL_MAX_BODY", "big"}});
-    CPPUNIT_ASSERT(Parsed.status().message().find("NUTMEGWELL_MAX_BODY") !=
-                   std::string::npos);
+    for (const auto &Case : Cases)
+      expectError(withFlag(Case.first), Case.second);
+    expectError(parse(entryFlags(), {{"NUTMEGWELL_MAX_BODY", "big"}}),
+                "NUTMEGWELL_MAX_BODY");
   }
 
   /// Guards against an agent that starts without knowing its entry hosts.
@@ -104,14 +105,11 @@
     auto Flags = entryFlags();
     CPPUNIT_ASSERT(parse(Flags).ok());
     Flags[0] = "--role=agent";
-    CPPUNIT_ASSERT(parse(Flags).status().message().find("kind") !=
-                   std::string::npos);
+    expectError(parse(Flags), "kind");
     Flags.push_back("--kind=upstream");
-    CPPUNIT_ASSERT(parse(Flags).status().message().find("entries") !=
-                   std::string::npos);
+    expectError(parse(Flags), "entries");
     Flags.push_back("--entries=127.0.0.1:7000");
-    CPPUNIT_ASSERT(parse(Flags).status().message().find("announce-listen") !=
-                   std::string::npos);
+    expectError(parse(Flags), "announce-listen");
     Flags.push_back("--announce-listen=127.0.0.1:0");
     CPPUNIT_ASSERT(parse(Flags).ok());
   }
