--- a/lib/client/tests/clienttest.cpp
+++ b/lib/client/tests/clienttest.cpp
@@ -81,6 +81,15 @@
     });
   }
 
+  /// Answers the path of the status, and every other path with \p Body.
+  void serveBesideStatus(const std::string &Body) {
+    serve([=](const net::HttpRequest &Request) {
+      return net::HttpResponse{200, "application/json",
+                               Request.Path_ == "/v1/status" ? statusBody()
+                                                             : Body};
+    });
+  }
+
   /// Runs the command line with the server as its entry host.
   Result run(std::vector<std::string> Words,
              const std::vector<std::string> &Entries = {}) {
@@ -231,9 +240,9 @@
     const Result Ended = expect(client::Done, {"request", "--account=a", "/x"},
                                 {unreachable(), unreachable()});
     Server_.reset();
-    const Result Refused =
-        expect(client::RefusedNotRun, {"request", "--account=a", "/x"});
-    CPPUNIT_ASSERT(contains(Refused.Err_, "refused, not run: unreachable"));
+    CPPUNIT_ASSERT(contains(
+        expect(client::RefusedNotRun, {"request", "--account=a", "/x"}).Err_,
+        "refused, not run: unreachable"));
   }
 
   /// Guards against a request that may have run and is sent again.
@@ -394,14 +403,15 @@
   void lostRaceShowsTheWinnersVersion() {
     File_ = R"({"routes":[]})";
     serveAlways(409, wire::formatError(wire::staleVersion("routes", 9)));
-    const Result Ended =
-        expect(client::RefusedNotRun,
-               {"tables", "publish", "routes", "f", "--version=7"});
     CPPUNIT_ASSERT(
-        contains(Ended.Err_, "version 9 is in force, 7 was expected"));
-    const Result Domain =
-        expect(client::RefusedNotRun, {"domain", "out", "d1", "--version=7"});
-    CPPUNIT_ASSERT(contains(Domain.Err_, "version 9 is in force"));
+        contains(expect(client::RefusedNotRun,
+                        {"tables", "publish", "routes", "f", "--version=7"})
+                     .Err_,
+                 "version 9 is in force, 7 was expected"));
+    CPPUNIT_ASSERT(contains(
+        expect(client::RefusedNotRun, {"domain", "out", "d1", "--version=7"})
+            .Err_,
+        "version 9 is in force"));
   }
 
   /// Guards against a publication over an unknown version, and against
@@ -425,14 +435,14 @@
                                    : wire::formatRoutesAnswer(1, {})};
     });
     File_ = R"({"routes":[{"path":"/a","service":"s"}]})";
-    const Result Routes =
-        expect(client::RefusedNotRun, {"tables", "check", "routes", "f"});
-    CPPUNIT_ASSERT(contains(Routes.Out_, "routes row 1 field service"));
+    CPPUNIT_ASSERT(contains(
+        expect(client::RefusedNotRun, {"tables", "check", "routes", "f"}).Out_,
+        "routes row 1 field service"));
     File_ = R"({"pools":[{"name":"p","account":"a","service":"s",)"
             R"("domain":"d1","guaranteed":16,"limit":16}]})";
-    const Result Pools =
-        expect(client::RefusedNotRun, {"tables", "check", "pools", "f"});
-    CPPUNIT_ASSERT(contains(Pools.Out_, "pools row 1 field guaranteed"));
+    CPPUNIT_ASSERT(contains(
+        expect(client::RefusedNotRun, {"tables", "check", "pools", "f"}).Out_,
+        "pools row 1 field guaranteed"));
     File_ = R"({"pools":[{"name":"p","account":"a","service":"s",)"
             R"("domain":"d1","guaranteed":8,"limit":16}]})";
     expect(client::Done, {"tables", "check", "pools", "f"});
@@ -440,13 +450,7 @@
 
   /// Guards against a change that overwrites one which nobody has seen.
   void domainChangeUsesTheVersionShown() {
-    serve([](const net::HttpRequest &Request) {
-      return net::HttpResponse{
-          200, "application/json",
-          Request.Path_ == "/v1/status"
-              ? statusBody()
-              : wire::formatDomainChange({"d1", false, 7, "", 0})};
-    });
+    serveBesideStatus(wire::formatDomainChange({"d1", false, 7, "", 0}));
     const Result Ended = expect(client::Done, {"domain", "out", "d1"});
     CPPUNIT_ASSERT_EQUAL(std::string("POST /v1/domains/d1/out?version=6"),
                          Requests_.at(1));
@@ -457,16 +461,10 @@
 
   /// Guards against columns that hide a node or an alert.
   void statusAndBurnArePrintedAsTables() {
-    serve([](const net::HttpRequest &Request) {
-      return net::HttpResponse{
-          200, "application/json",
-          Request.Path_ == "/v1/status"
-              ? statusBody()
-              : R"({"short_ms":1,"long_ms":2,"rows":[{"account":"a",)"
-                R"("service":"s","short":{"burn":20.126},"long":{"burn":15,)"
-                R"("requests":9,"refused":1,"unknown":2,"slow":3},)"
-                R"("alert":true}]})"};
-    });
+    serveBesideStatus(
+        R"({"short_ms":1,"long_ms":2,"rows":[{"account":"a","service":"s",)"
+        R"("short":{"burn":20.126},"long":{"burn":15,"requests":9,)"
+        R"("refused":1,"unknown":2,"slow":3},"alert":true}]})");
     const Result Status = run({"status"});
     CPPUNIT_ASSERT(contains(Status.Out_, "w1    worker  alive"));
     CPPUNIT_ASSERT_EQUAL(
