--- a/lib/entry/src/control.cpp
+++ b/lib/entry/src/control.cpp
@@ -205,15 +205,9 @@
 
 void onTick(EntryState &State, core::TimePoint Now, Effects &Out) {
   notePause(State, Now);
-  for (const auto &Change :
-       membership::advance(State.Nodes_, Now, State.Settings_.Membership_)) {
-    Out.RoutingChanged_ = true;
-    State.Dirty_ = true;
-    Out.Changes_.push_back({"node_state",
-                            {{"node", Change.Node_},
-                             {"from", toString(Change.From_)},
-                             {"to", toString(Change.To_)}}});
-  }
+  noteNodeChanges(
+      State,
+      membership::advance(State.Nodes_, Now, State.Settings_.Membership_), Out);
   advancePeers(State, Now);
   sendEntryHeartbeats(State, Now, Out);
   advanceCells(State, Now, Out);
--- a/lib/entry/src/datagrams.cpp
+++ b/lib/entry/src/datagrams.cpp
@@ -34,15 +34,8 @@
   auto Known = State.Nodes_.Nodes_.find(Beat.Node_);
   if (Known != State.Nodes_.Nodes_.end())
     Before = Known->second.Last_;
-  for (const auto &Change :
-       membership::noteHeartbeat(State.Nodes_, Beat, From, Now)) {
-    Out.RoutingChanged_ = true;
-    State.Dirty_ = true;
-    Out.Changes_.push_back({"node_state",
-                            {{"node", Change.Node_},
-                             {"from", toString(Change.From_)},
-                             {"to", toString(Change.To_)}}});
-  }
+  noteNodeChanges(
+      State, membership::noteHeartbeat(State.Nodes_, Beat, From, Now), Out);
   if (routingDiffers(Before, Beat))
     Out.RoutingChanged_ = true;
   const membership::Node &Target = State.Nodes_.Nodes_.at(Beat.Node_);
@@ -66,6 +59,19 @@
 
 } // namespace
 
+void noteNodeChanges(EntryState &State,
+                     const std::vector<membership::NodeChange> &Changes,
+                     Effects &Out) {
+  for (const membership::NodeChange &Change : Changes) {
+    Out.RoutingChanged_ = true;
+    State.Dirty_ = true;
+    Out.Changes_.push_back({"node_state",
+                            {{"node", Change.Node_},
+                             {"from", toString(Change.From_)},
+                             {"to", toString(Change.To_)}}});
+  }
+}
+
 void onDatagram(EntryState &State, const DatagramReceived &What,
                 core::TimePoint Now, Effects &Out) {
   if (auto *Beat = std::get_if<model::Heartbeat>(&What.Message_))
--- a/lib/entry/src/parts.h
+++ b/lib/entry/src/parts.h
@@ -15,6 +15,11 @@
 void onDatagram(EntryState &State, const DatagramReceived &What,
                 core::TimePoint Now, Effects &Out);
 
+/// Reports changes of node states, which routing and scheduling depend on.
+void noteNodeChanges(EntryState &State,
+                     const std::vector<membership::NodeChange> &Changes,
+                     Effects &Out);
+
 /// Claims, renews and releases cells.
 void advanceCells(EntryState &State, core::TimePoint Now, Effects &Out);
 void noteCells(EntryState &State, core::TimePoint Now);
