Keep the quarantine of a worker with its agent

Cause: only the holder that drove a gang counted its failures, so that a new holder, or the same host after a restart, knew of no quarantine and placed work on the broken worker at once.

The agent now counts the outcomes of its shares with the same pure rule (membership/quarantine.h) and tells length and age of the quarantine in each heartbeat. Ruled out: a count in each entry host, which ends when the hosts are replaced, and log records, which repeat what a heartbeat tells anew each second. A share that was already being stopped when it failed does not count, as before. A share that ends with success counts even when another member of its gang fails.

--- a/lib/agent/include/nutmegwell/agent/control.h
+++ b/lib/agent/include/nutmegwell/agent/control.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegwell/core/time.h"
+#include "nutmegwell/membership/quarantine.h"
 #include "nutmegwell/model/messages.h"
 #include <cstdint>
 #include <map>
@@ -32,6 +33,7 @@
   core::Duration RuntimeInterval_ = std::chrono::milliseconds(500);
   /// Time for which the end of a share stays reported.
   core::Duration FinalKept_ = std::chrono::minutes(10);
+  membership::QuarantineSettings Quarantine_;
 };
 
 /// Most task reports of one heartbeat, so that it fits one datagram.
@@ -78,6 +80,8 @@
   /// When recent heartbeats were sent, by sequence number.
   std::map<std::uint64_t, core::TimePoint> SentAt_;
   std::map<ShareKey, Share> Shares_;
+  /// Counted here, so that every entry host knows it from the next heartbeat.
+  membership::Quarantine Quarantine_;
   UpstreamInfo Upstream_;
   /// False until tasks that an earlier process left behind are stopped.
   bool Ready_ = false;
--- a/lib/agent/src/control.cpp
+++ b/lib/agent/src/control.cpp
@@ -33,6 +33,10 @@
   if (State.Stopping_ && State.LeaveSequence_ == 0)
     State.LeaveSequence_ = Beat.Sequence_;
   Beat.HighestTerm_ = State.HighestTerm_;
+  if (State.Quarantine_.Length_ != core::Duration::zero()) {
+    Beat.Quarantine_ = State.Quarantine_.Length_;
+    Beat.QuarantinedFor_ = Now - State.Quarantine_.Since_;
+  }
   Beat.Tasks_ = makeReports(State);
   State.SentAt_[Beat.Sequence_] = Now;
   if (State.SentAt_.size() > MaxSentAt)
--- a/lib/agent/src/shares.cpp
+++ b/lib/agent/src/shares.cpp
@@ -88,6 +88,16 @@
   }
 }
 
+/// Counts a share that failed of itself or ended with success. One that was
+/// being stopped says nothing about the worker when it fails.
+void noteOutcome(AgentState &State, TaskState Before, TaskState Sum,
+                 core::TimePoint Now) {
+  bool Succeeded = Sum == TaskState::Done;
+  if (Succeeded || (Sum == TaskState::Failed && Before != TaskState::Stopping))
+    membership::noteStart(State.Quarantine_, Succeeded, Now,
+                          State.Settings_.Quarantine_);
+}
+
 bool anyRuns(const Share &Target) {
   return std::any_of(Target.Tasks_.begin(), Target.Tasks_.end(),
                      [](TaskState Value) { return !ended(Value); });
@@ -188,6 +198,7 @@
       continue;
     noteTasks(Target, Key, What, State.Settings_.RuntimeCallBound_);
     TaskState Sum = sumOf(Target);
+    noteOutcome(State, Target.State_, Sum, Now);
     // A failed task ends its share only when the others have ended too, so
     // that a final report means that nothing runs.
     if (ended(Sum) && anyRuns(Target)) {
@@ -217,8 +228,10 @@
             Now >= Target.StartNotAfter_ || Target.State_ == TaskState::Stopping
                 ? TaskState::Stopped
                 : TaskState::Failed;
-        if (!anyRuns(Target))
+        if (!anyRuns(Target)) {
+          noteOutcome(State, Target.State_, sumOf(Target), Now);
           end(Target, sumOf(Target), Now);
+        }
         return true;
       }
   return false;
--- a/lib/entry/src/gangs.cpp
+++ b/lib/entry/src/gangs.cpp
@@ -167,7 +167,7 @@
   bool TaskFailed_ = false;
 };
 
-GangReport inspect(EntryState &State, const Gang &Target, core::TimePoint Now) {
+GangReport inspect(const EntryState &State, const Gang &Target) {
   GangReport Result;
   for (const auto &[Worker, Process] : Target.Members_) {
     if (lost(State, Worker, Process)) {
@@ -191,8 +191,6 @@
     if (Report->State_ == TaskState::Failed) {
       Result.Fault_ = "a task failed on worker " + Worker;
       Result.TaskFailed_ = true;
-      membership::noteStart(State.Nodes_, Worker, false, Now,
-                            State.Settings_.Membership_);
     }
     if (Report->State_ == TaskState::Stopped)
       Result.Fault_ = "worker " + Worker + " stopped the task";
@@ -200,11 +198,7 @@
   return Result;
 }
 
-void finish(EntryState &State, Gang &Target, core::TimePoint Now,
-            Effects &Out) {
-  for (const auto &[Worker, Process] : Target.Members_)
-    membership::noteStart(State.Nodes_, Worker, true, Now,
-                          State.Settings_.Membership_);
+void finish(EntryState &State, Gang &Target, Effects &Out) {
   Target.RecordPending_ = true;
   append(State, Out,
          model::JobFinished{Target.Job_, Target.Attempt_, Target.Domain_,
@@ -221,12 +215,12 @@
                     Effects &Out) {
   if (Target.RecordPending_)
     return;
-  GangReport Report = inspect(State, Target, Now);
+  GangReport Report = inspect(State, Target);
   const model::Job &Known = State.Fold_.Jobs_.at(Target.Job_);
   Target.TaskFailed_ = Report.TaskFailed_;
   if (Report.Done_ == Target.Members_.size()) {
     if (State.LogAvailable_)
-      finish(State, Target, Now, Out);
+      finish(State, Target, Out);
     return;
   }
   if (Known.CancelRequested_)
--- a/lib/membership/include/nutmegwell/membership/membership.h
+++ b/lib/membership/include/nutmegwell/membership/membership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegwell/core/time.h"
+#include "nutmegwell/membership/quarantine.h"
 #include "nutmegwell/model/messages.h"
 #include "nutmegwell/model/tables.h"
 #include <cstdint>
@@ -20,20 +21,6 @@
   core::Duration LapseAfter_ = std::chrono::seconds(6);
   /// A lapsed node is forgotten after this time.
   core::Duration ForgetAfter_ = std::chrono::minutes(10);
-  /// Failed starts in a row, across jobs, that quarantine a worker.
-  std::uint32_t FailureLimit_ = 3;
-  core::Duration FirstQuarantine_ = std::chrono::seconds(30);
-  core::Duration LongestQuarantine_ = std::chrono::minutes(10);
-};
-
-/// What a worker's failures in a row have led to.
-struct Quarantine {
-  /// Failed starts since the last success.
-  std::uint32_t FailedStarts_ = 0;
-  /// Zero without a quarantine.
-  core::Duration Length_{};
-  /// When the quarantine began.
-  core::TimePoint Since_{};
 };
 
 /// A node as its heartbeats describe it.
@@ -45,6 +32,7 @@
   NodeState State_ = NodeState::Alive;
   /// Incarnations that were replaced; a late heartbeat of one is ignored.
   std::deque<core::Incarnation> Replaced_;
+  /// As the last heartbeat tells; the agent counts the failures.
   Quarantine Quarantine_;
 };
 
@@ -71,13 +59,6 @@
 std::vector<NodeChange> advance(MembershipState &State, core::TimePoint Now,
                                 const MembershipSettings &Settings);
 
-/// Notes whether a start on a worker succeeded. Enough failures in a row
-/// quarantine it; a failure after that time starts one of twice the length.
-/// Failures meanwhile are of jobs that were placed before and change nothing.
-void noteStart(MembershipState &State, const model::NodeName &Worker,
-               bool Succeeded, core::TimePoint Now,
-               const MembershipSettings &Settings);
-
 /// How much new work a node may get.
 enum class Intake : std::uint8_t {
   None,
--- a/lib/membership/src/membership.cpp
+++ b/lib/membership/src/membership.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t MaxReplaced = 8;
+constexpr core::Duration MaxTold = std::chrono::hours(24);
 
 constexpr const char *StateNames[] = {"alive", "silent", "lapsed", "leaving"};
 
@@ -33,9 +34,14 @@
   return Known.State_;
 }
 
-bool lasts(const Quarantine &Known, core::TimePoint Now) {
-  return Known.Length_ != core::Duration::zero() &&
-         Now < Known.Since_ + Known.Length_;
+/// Takes over the quarantine that the agent tells. Bounds what a foreign
+/// datagram can hold, so that no sum of times overflows.
+Quarantine toldQuarantine(const model::Heartbeat &Beat, core::TimePoint Now) {
+  const core::Duration None{0};
+  Quarantine Told;
+  Told.Length_ = std::clamp(Beat.Quarantine_, None, MaxTold);
+  Told.Since_ = Now - std::clamp(Beat.QuarantinedFor_, None, MaxTold);
+  return Told;
 }
 
 } // namespace
@@ -65,6 +71,7 @@
   Known.Last_ = Beat;
   Known.Address_ = From;
   Known.LastHeard_ = Now;
+  Known.Quarantine_ = toldQuarantine(Beat, Now);
   Known.State_ = Beat.Leaving_ ? NodeState::Leaving : NodeState::Alive;
   if (Known.State_ == Before && !NewIncarnation)
     return {};
@@ -87,26 +94,6 @@
   return Changes;
 }
 
-void noteStart(MembershipState &State, const model::NodeName &Worker,
-               bool Succeeded, core::TimePoint Now,
-               const MembershipSettings &Settings) {
-  auto Place = State.Nodes_.find(Worker);
-  if (Place == State.Nodes_.end())
-    return;
-  Quarantine &Known = Place->second.Quarantine_;
-  if (Succeeded) {
-    Known = Quarantine();
-    return;
-  }
-  if (++Known.FailedStarts_ < Settings.FailureLimit_ || lasts(Known, Now))
-    return;
-  Known.Length_ =
-      Known.Length_ == core::Duration::zero()
-          ? Settings.FirstQuarantine_
-          : std::min(Known.Length_ * 2, Settings.LongestQuarantine_);
-  Known.Since_ = Now;
-}
-
 Intake intakeOf(const Node &Target, core::TimePoint Now) {
   if (Target.State_ != NodeState::Alive || lasts(Target.Quarantine_, Now))
     return Intake::None;
--- a/lib/membership/tests/membershiptest.cpp
+++ b/lib/membership/tests/membershiptest.cpp
@@ -16,6 +16,7 @@
   MembershipState State_;
   MembershipSettings Settings_;
   core::TimePoint Start_{1000s};
+  std::uint64_t Beats_ = 0;
 
   std::vector<NodeChange> beat(core::Incarnation Process,
                                std::uint64_t Sequence, bool Leaving = false,
@@ -65,16 +66,25 @@
 
   /// Guards against a broken worker that drains the queue by failing jobs.
   void workerThatFailsEverythingIsQuarantined() {
-    beat(1, 1);
+    Quarantine Known;
+    auto Told = [&](bool Succeeded, core::Duration At) {
+      noteStart(Known, Succeeded, Start_ + At, QuarantineSettings());
+      model::Heartbeat Beat;
+      Beat.Node_ = "w1";
+      Beat.Sequence_ = ++Beats_;
+      Beat.Quarantine_ = Known.Length_;
+      Beat.QuarantinedFor_ = Start_ + At - Known.Since_;
+      noteHeartbeat(State_, Beat, "127.0.0.1:1", Start_ + At);
+    };
     for (int I = 0; I < 3; ++I)
-      noteStart(State_, "w1", false, Start_, Settings_);
-    noteStart(State_, "w1", false, Start_ + 1s, Settings_);
+      Told(false, 0s);
+    Told(false, 1s);
     CPPUNIT_ASSERT(intake(29s) == Intake::None);
     CPPUNIT_ASSERT(intake(30s) == Intake::OneJob);
-    noteStart(State_, "w1", false, Start_ + 30s, Settings_);
+    Told(false, 30s);
     CPPUNIT_ASSERT(intake(89s) == Intake::None);
     CPPUNIT_ASSERT(intake(90s) == Intake::OneJob);
-    noteStart(State_, "w1", true, Start_ + 90s, Settings_);
+    Told(true, 90s);
     CPPUNIT_ASSERT(intake(90s) == Intake::Any);
   }
 };
--- a/lib/model/include/nutmegwell/model/messages.h
+++ b/lib/model/include/nutmegwell/model/messages.h
@@ -52,6 +52,10 @@
   std::uint32_t InFlight_ = 0;
   bool Leaving_ = false;
   core::Term HighestTerm_ = 0;
+  /// Length of the worker's quarantine, zero without one, and the time since it
+  /// began.
+  core::Duration Quarantine_{};
+  core::Duration QuarantinedFor_{};
   std::vector<TaskReport> Tasks_;
 };
 
--- a/lib/wire/src/fields.h
+++ b/lib/wire/src/fields.h
@@ -161,7 +161,8 @@
   Fields(V.Node_, V.Incarnation_, V.Sequence_);
   enumeration(Fields, V.Kind_, NodeKind::Upstream);
   Fields(V.Domain_, V.Rack_, V.Accelerators_, V.Service_, V.RequestAddress_,
-         V.Slots_, V.InFlight_, V.Leaving_, V.HighestTerm_, V.Tasks_);
+         V.Slots_, V.InFlight_, V.Leaving_, V.HighestTerm_, V.Quarantine_,
+         V.QuarantinedFor_, V.Tasks_);
 }
 
 template <class A> void serialize(A &Fields, HeartbeatAck &V) {
--- a/tests/control/faulttest.cpp
+++ b/tests/control/faulttest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(lateStartAfterDomainOut);
   CPPUNIT_TEST(failingWorkerIsQuarantined);
   CPPUNIT_TEST(workerOnTrialGetsOneJob);
+  CPPUNIT_TEST(quarantineOutlivesHolders);
   CPPUNIT_TEST_SUITE_END();
 
   /// Runs seeds First to Last. NUTMEGWELL_SEED=N runs that seed alone.
@@ -166,6 +167,31 @@
     }
   }
 
+  /// Guards against a quarantine that is forgotten when every entry host is
+  /// replaced.
+  void quarantineOutlivesHolders() {
+    for (std::uint64_t Seed = 1; Seed <= 50; ++Seed) {
+      Schedule Run(Seed);
+      World &All = Run.World_;
+      build(All, 2, 2, 1);
+      publishPools(Run);
+      All.Agents_[0].FailsEverything_ = true;
+      for (std::uint64_t I = 1; I <= 12; ++I)
+        Run.Jobs_.push_back({{77, I},
+                             makeSpec(1, 2, 1000),
+                             All.Now_ + seconds(I <= 6 ? 3 : 10)});
+      drive(Run);
+      runUntil(All, All.Now_ + seconds(9));
+      const unsigned Before = All.Counts_["tasks failed"];
+      CPPUNIT_ASSERT(Before >= 3);
+      for (EntryHost &Host : All.Entries_)
+        replace(All, Host, milliseconds(500));
+      runUntil(All, All.Now_ + seconds(22));
+      CPPUNIT_ASSERT_EQUAL(Before, All.Counts_["tasks failed"]);
+      CPPUNIT_ASSERT(jobOf(Run, 12).State_ == model::JobState::Finished);
+    }
+  }
+
   /// Guards against faults found before with seeds beyond the ranges here.
   void seedsThatFailed() {
     for (std::uint64_t Seed :
