Turn to a peer when retention has overtaken a host

The start of the daemon took the log when it could be read, and else any peer, by a rule of its own; chooseStart was used by tests alone.

findBestStart gathers what the log and the peers offer and lets chooseStart decide. The daemon uses it at its start and, through ReaderEvents::FindStart_, when the reader was overtaken. The bound is the highest offset that this host has applied or a peer has announced, asked for before the log is read. A log that ends below that bound is no longer taken.

schedules-test uses the same function in both places.

--- a/lib/daemon/src/entrylog.cpp
+++ b/lib/daemon/src/entrylog.cpp
@@ -56,51 +56,63 @@
 }
 
 void EntryLog::findState() {
-  while (!startFromLog() && !startFromPeer()) {
+  while (true) {
+    auto Start = findStart();
+    if (Start.ok())
+      return read(std::move(*Start));
     std::unique_lock<std::mutex> Lock(Mutex_);
     if (Changed_.wait_for(Lock, StartRetry, [this] { return Stopping_; }))
       return;
   }
 }
 
-/// Returns the highest offset that a peer entry host has announced.
+/// Returns the highest offset that this host has applied or a peer entry host
+/// has announced.
 core::Offset EntryLog::highestKnown() {
   core::Offset Highest = 0;
   Control_.load()->query([&](const entry::EntryState &State) {
+    Highest = State.Fold_.Next_;
     for (const auto &[Name, Peer] : State.Peers_)
       Highest = std::max(Highest, Peer.Next_);
   });
   return Highest;
 }
 
-bool EntryLog::startFromLog() {
-  auto Start = logclient::findStart(Log_, StartEntries);
-  if (!Start.ok())
-    return false;
-  read(std::move(Start->State_), Start->From_);
-  return true;
+bool EntryLog::stopping() {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  return Stopping_;
 }
 
-bool EntryLog::startFromPeer() {
-  const core::Offset AtLeast = highestKnown();
+std::map<model::NodeName, model::ControlState>
+EntryLog::peerStates(core::Offset AtLeast) {
+  std::map<model::NodeName, model::ControlState> States;
   for (const net::Address &Peer : Peers_) {
+    if (stopping())
+      break;
     auto State = fetchState(Peer, AtLeast, PeerTimeout);
-    if (!State.ok())
-      continue;
-    settings::logStateChange("state_from_peer",
-                             {{"peer", net::toString(Peer)},
-                              {"next", std::to_string(State->Next_)}});
-    const core::Offset From = State->Next_;
-    read(std::move(*State), From);
-    return true;
+    if (State.ok())
+      States.emplace(net::toString(Peer), std::move(*State));
   }
-  return false;
+  return States;
+}
+
+absl::StatusOr<logclient::StartPoint> EntryLog::findStart() {
+  auto Start = logclient::findBestStart(
+      Log_, StartEntries,
+      {[this] { return highestKnown(); },
+       [this](core::Offset AtLeast) { return peerStates(AtLeast); }});
+  if (Start.ok() && !Start->Peer_.empty())
+    settings::logStateChange(
+        "state_from_peer",
+        {{"peer", Start->Peer_}, {"next", std::to_string(Start->From_)}});
+  return Start;
 }
 
-void EntryLog::read(model::ControlState State, core::Offset From) {
+void EntryLog::read(logclient::StartPoint Start) {
   entry::ControlLoop &Control = *Control_;
-  State.Next_ = From;
-  Control.postWait(entry::LogReplaced{std::move(State)});
+  const core::Offset From = Start.From_;
+  Start.State_.Next_ = From;
+  Control.postWait(entry::LogReplaced{std::move(Start.State_)});
   logclient::ReaderEvents Events;
   Events.OnBatch_ = [this, &Control](core::Offset At,
                                      const model::Batch &Entry) {
@@ -111,6 +123,7 @@
     Appender_.noteTail(Began);
     Control.postWait(entry::LogTail{Began});
   };
+  Events.FindStart_ = [this] { return findStart(); };
   Events.OnRestart_ = [this, &Control](const logclient::StartPoint &Point) {
     Appender_.noteRestart(Point.State_);
     model::ControlState Restarted = Point.State_;
--- a/lib/daemon/src/entrylog.h
+++ b/lib/daemon/src/entrylog.h
@@ -37,10 +37,12 @@
 private:
   logclient::AppenderEvents appenderEvents();
   void findState();
-  bool startFromLog();
-  bool startFromPeer();
-  void read(model::ControlState State, core::Offset From);
+  absl::StatusOr<logclient::StartPoint> findStart();
+  void read(logclient::StartPoint Start);
   core::Offset highestKnown();
+  std::map<model::NodeName, model::ControlState>
+  peerStates(core::Offset AtLeast);
+  bool stopping();
 
   LogProgress Progress_;
   const logclient::LogService Log_;
--- a/lib/logclient/include/nutmegwell/logclient/readercore.h
+++ b/lib/logclient/include/nutmegwell/logclient/readercore.h
@@ -4,6 +4,8 @@
 #include "nutmegwell/model/controlstate.h"
 #include "nutmegwell/model/records.h"
 #include <atomic>
+#include <functional>
+#include <map>
 
 namespace nutmegwell::logclient {
 
@@ -20,8 +22,10 @@
 struct StartPoint {
   model::ControlState State_;
   core::Offset From_ = 0;
-  /// True when State_ is from a snapshot; otherwise the log is whole.
-  bool FromSnapshot_ = false;
+  /// The log's end as the search found it; 0 for a peer's state.
+  core::Offset End_ = 0;
+  /// Peer that gave State_; empty when it is from the log.
+  model::NodeName Peer_;
 };
 
 /// Returns where to start: the latest snapshot whose following entries are all
@@ -31,12 +35,32 @@
 absl::StatusOr<StartPoint> findStart(const LogService &Log,
                                      std::size_t MaxEntries);
 
+/// The other entry hosts as sources of a state to start from.
+struct StartPeers {
+  /// Returns the highest offset that this host or a peer has announced as its
+  /// next one.
+  std::function<core::Offset()> AtLeast_;
+  /// Returns the states of the peers that have applied the log up to an offset.
+  std::function<std::map<model::NodeName, model::ControlState>(core::Offset)>
+      States_;
+};
+
+/// Returns where to start by the rule of chooseStart, from the log or from a
+/// peer. Returns NotFound when neither has a state that is new enough, and the
+/// log's error when it cannot be read and no peer helps.
+absl::StatusOr<StartPoint> findBestStart(const LogService &Log,
+                                         std::size_t MaxEntries,
+                                         const StartPeers &Peers);
+
 struct ReaderEvents {
   /// Called in the log's order for each decodable entry.
   std::function<void(core::Offset, const model::Batch &)> OnBatch_;
   /// Called after every read that reached the tail, with the time at which
   /// that read began.
   std::function<void(core::TimePoint)> OnTail_;
+  /// Finds where to go on when entries were lost to retention. Without it the
+  /// log alone is searched.
+  std::function<absl::StatusOr<StartPoint>()> FindStart_;
   /// Called when entries were lost to retention: the state so far must be
   /// replaced by this one. Batches follow from StartPoint::From_ on.
   std::function<void(const StartPoint &)> OnRestart_;
--- a/lib/logclient/src/findstart.cpp
+++ b/lib/logclient/src/findstart.cpp
@@ -1,4 +1,5 @@
 #include "nutmegwell/logclient/readercore.h"
+#include "nutmegwell/logclient/snapshots.h"
 #include "nutmegwell/wire/binary.h"
 #include <algorithm>
 
@@ -72,7 +73,7 @@
         (Best && Best->From_ >= State->Next_))
       continue;
     const core::Offset From = State->Next_;
-    Best = StartPoint{std::move(*State), From, true};
+    Best = StartPoint{std::move(*State), From, 0, {}};
   }
 }
 
@@ -103,12 +104,48 @@
     }
     To = From;
   }
-  if (Best)
+  if (!Best && *First == 0)
+    Best = StartPoint();
+  if (Best) {
+    Best->End_ = *End;
     return *Best;
-  if (*First == 0)
-    return StartPoint();
+  }
   return core::makeError(absl::StatusCode::kNotFound, "find snapshot", "",
                          "no usable snapshot is retained");
 }
 
+absl::StatusOr<StartPoint> findBestStart(const LogService &Log,
+                                         std::size_t MaxEntries,
+                                         const StartPeers &Peers) {
+  StartSources Sources;
+  // Asked before the log is read: peers read on meanwhile.
+  Sources.AtLeast_ = Peers.AtLeast_();
+  auto Found = findStart(Log, MaxEntries);
+  if (Found.ok()) {
+    Sources.LogRead_ = true;
+    Sources.LogNext_ = Found->End_;
+  } else if (absl::IsNotFound(Found.status())) {
+    auto First = findFirst(Log);
+    if (!First.ok())
+      return First.status();
+    Sources.LogRead_ = true;
+    Sources.First_ = *First;
+  }
+  if (chooseStart(Sources).Kind_ == StartKind::Log)
+    return Found;
+  auto States = Peers.States_(std::max(Sources.First_, Sources.AtLeast_));
+  for (const auto &[Name, State] : States)
+    Sources.Peers_.push_back({Name, State.Next_});
+  const StartChoice Choice = chooseStart(Sources);
+  if (Choice.Kind_ == StartKind::Peer) {
+    model::ControlState &State = States.at(Choice.Peer_);
+    const core::Offset From = State.Next_;
+    return StartPoint{std::move(State), From, 0, Choice.Peer_};
+  }
+  if (!Found.ok())
+    return Found.status();
+  return core::makeError(absl::StatusCode::kNotFound, "find start", "",
+                         "the log ends below what a peer has applied");
+}
+
 } // namespace nutmegwell::logclient
--- a/lib/logclient/src/readercore.cpp
+++ b/lib/logclient/src/readercore.cpp
@@ -8,7 +8,8 @@
 
 bool restart(ReaderState &State, const LogService &Log,
              const ReaderSettings &Settings, const ReaderEvents &Events) {
-  auto Start = findStart(Log, Settings.MaxEntries_);
+  auto Start = Events.FindStart_ ? Events.FindStart_()
+                                 : findStart(Log, Settings.MaxEntries_);
   if (!Start.ok())
     return false;
   ++State.Restarts_;
--- a/lib/logclient/tests/logclienttest.cpp
+++ b/lib/logclient/tests/logclienttest.cpp
@@ -90,6 +90,7 @@
   CPPUNIT_TEST(tailIsAsOldAsItsRead);
   CPPUNIT_TEST(readerSkipsUndecodableEntries);
   CPPUNIT_TEST(readerRestartsFromSnapshot);
+  CPPUNIT_TEST(readerTurnsToAPeer);
   CPPUNIT_TEST(startIsTheLatestUsableSnapshot);
   CPPUNIT_TEST(startTrustsTheStateOfASnapshot);
   CPPUNIT_TEST_SUITE_END();
@@ -252,6 +253,36 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{29}, Seen_.Read_.size());
   }
 
+  /// Guards against a host that asks the log for good when retention has
+  /// overtaken it and no snapshot is retained, and against older states.
+  void readerTurnsToAPeer() {
+    for (core::Offset I = 0; I < 100; ++I)
+      CPPUNIT_ASSERT(Store_.append(renewal(I)).ok());
+    Store_.dropBelow(40);
+    LogService Log = serviceOf(Store_);
+    core::Offset AtLeast = 60;
+    std::map<model::NodeName, model::ControlState> Offered;
+    ReaderEvents Events = Seen_.readerEvents(nullptr);
+    Events.FindStart_ = [&] {
+      return findBestStart(
+          Log, 8,
+          {[&] { return AtLeast; }, [&](core::Offset) { return Offered; }});
+    };
+    ReaderState State(10);
+    auto Read = [&] {
+      return readOnce(State, Log, Reading_, Events, core::steadyClock());
+    };
+    CPPUNIT_ASSERT(!Read());
+    Offered["old"].Next_ = 39;
+    Offered["behind"].Next_ = 59;
+    CPPUNIT_ASSERT(!Read());
+    Offered["e2"].Next_ = 61;
+    CPPUNIT_ASSERT(Read());
+    CPPUNIT_ASSERT_EQUAL(std::string("e2"), Seen_.Restarts_.at(0).Peer_);
+    CPPUNIT_ASSERT(Read());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{39}, Seen_.Read_.size());
+  }
+
   /// Guards against starting from a broken snapshot, or from one whose
   /// following entries are gone.
   void startIsTheLatestUsableSnapshot() {
--- a/tests/schedules/world.h
+++ b/tests/schedules/world.h
@@ -66,6 +66,8 @@
   void crash(Host &Target);
   void pump(Host &Target);
   void start(Host &Target);
+  logclient::StartPeers peersOf(Host &Target);
+  void takeState(Host &Target, const logclient::StartPoint &Point);
   void readStep(Host &Target);
   void applyBatch(Host &Target, core::Offset At, const model::Batch &Entry);
   void onOwnVerdict(Host &Target, const model::Record &Change,
