--- a/lib/membership/tests/membershiptest.cpp
+++ b/lib/membership/tests/membershiptest.cpp
@@ -66,15 +66,18 @@
   /// Guards against a broken worker that drains the queue by failing jobs.
   void workerThatFailsEverythingIsQuarantined() {
     beat(1, 1);
+    auto Told = [&](bool Succeeded, core::Duration At) {
+      noteStart(State_.Nodes_["w1"].Quarantine_, Succeeded, Start_ + At, {});
+    };
     for (int I = 0; I < 3; ++I)
-      noteStart(State_, "w1", false, Start_, Settings_);
-    noteStart(State_, "w1", false, Start_ + 1s, Settings_);
+      Told(false, 0s);
+    Told(false, 1s);
     CPPUNIT_ASSERT(intake(29s) == Intake::None);
     CPPUNIT_ASSERT(intake(30s) == Intake::OneJob);
-    noteStart(State_, "w1", false, Start_ + 30s, Settings_);
+    Told(false, 30s);
     CPPUNIT_ASSERT(intake(89s) == Intake::None);
     CPPUNIT_ASSERT(intake(90s) == Intake::OneJob);
-    noteStart(State_, "w1", true, Start_ + 90s, Settings_);
+    Told(true, 90s);
     CPPUNIT_ASSERT(intake(90s) == Intake::Any);
   }
 };
--- /dev/null
+++ b/lib/sched/tests/waittest.cpp
@@ -0,0 +1,81 @@
+#include "cells.h"
+#include "nutmegwell/core/random.h"
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace nutmegwell;
+using namespace std::chrono_literals;
+
+/// A full cell of 16 accelerators and urgent jobs without end. All jobs have
+/// one shape, so that none slips into a gap that the others cannot use.
+class WaitTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(WaitTest);
+  CPPUNIT_TEST(patientWorkGetsItsTurn);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Time between decisions, and time that a preempted job takes to stop.
+  static constexpr auto Step = 10s;
+  static constexpr auto LongestRun = 60min;
+  const core::JobId Patient_{1, 1};
+  core::Random Random_;
+  sched::CellView View_;
+  std::map<core::JobId, core::Duration> Left_;
+
+  void add(const core::JobId &Id, model::JobClass Class, core::Duration Run) {
+    auto Spec = model::JobSpecBuilder().acceleratorsPerTask(4).jobClass(Class);
+    View_.Waiting_.push_back({Id, Spec.build(), {}, {}, true});
+    Left_[Id] = Run;
+  }
+
+  void advance() {
+    for (sched::WaitingJob &Job : View_.Waiting_)
+      Job.Waited_ += Step;
+    std::vector<sched::RunningJob> Running;
+    for (sched::RunningJob &Job : View_.Running_) {
+      Job.SinceCheckpoint_ = Job.RunTime_ += Step;
+      if (Job.Stopping_)
+        View_.Waiting_.push_back({Job.Id_, Job.Spec_, {}, {}, true});
+      else if ((Left_[Job.Id_] -= Step) > 0s)
+        Running.push_back(Job);
+    }
+    View_.Running_ = Running;
+    while (View_.Waiting_.size() < 8)
+      add({2, Left_.size()}, model::JobClass::Urgent,
+          (1 + core::below(Random_, 60)) * LongestRun / 60);
+    std::stable_sort(
+        View_.Waiting_.begin(), View_.Waiting_.end(),
+        [](const auto &A, const auto &B) { return A.Waited_ > B.Waited_; });
+    sched::tests::apply(View_, sched::decide(View_));
+  }
+
+  const sched::RunningJob *patient() const {
+    for (const sched::RunningJob &Job : View_.Running_)
+      if (Job.Id_ == Patient_)
+        return &Job;
+    return nullptr;
+  }
+
+  /// Guards against patient work that never starts, or is stopped at once,
+  /// while urgent work never ends.
+  void patientWorkGetsItsTurn() {
+    for (std::uint64_t Seed = 1; Seed <= 50; ++Seed) {
+      Random_ = core::seededRandom(Seed);
+      View_ = sched::CellView();
+      View_.Workers_ = {{"w1", "r1", 8, true}, {"w2", "r1", 8, true}};
+      View_.Pools_.emplace_back().Limit_ = 1000;
+      for (int I = 0; I < 1000; ++I)
+        advance();
+      const auto Ahead = static_cast<unsigned>(View_.Waiting_.size());
+      add(Patient_, model::JobClass::Patient, 10h);
+      core::Duration Left = 2h + (Ahead + 1) * LongestRun + Step;
+      for (; !patient() && Left > Step; Left -= Step)
+        advance();
+      CPPUNIT_ASSERT(patient());
+      while (!patient()->Stopping_ && patient()->RunTime_ < 10min)
+        advance();
+      CPPUNIT_ASSERT(patient()->RunTime_ >= 10min);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WaitTest);
