Gather records that may wait into fewer appends

An appender sent its next batch as soon as the last one had ended, so 60 writers under load made 600 appends a second against a log of several hundred. Batches now start at least append-interval (250 ms) apart. A record after a pause still goes at once; so do job records, tables, domains, claims, releases and full batches. So that a renewal waits for a small part of its lease only, the interval is at most a 24th of cell-lease. An intent waits at most one interval beside the append in flight, so routes of non-idempotent requests need a timeout well above it.

Ruled out: a wait from the arrival of a record, which adds 250 ms to each request even on an idle host; intents that skip the interval, since they are what is not bounded.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -21,5 +21,6 @@
   printMessageTimes(Sizes);
   printControlTimes(Sizes);
   printFoldTimes(Sizes);
+  printAppends();
   return 0;
 }
--- a/bench/capacityslopes.h
+++ b/bench/capacityslopes.h
@@ -34,5 +34,7 @@
 void printMessageTimes(const Extent &Sizes);
 void printControlTimes(const Extent &Sizes);
 void printFoldTimes(const Extent &Sizes);
+/// Prints appends and waits of the appender in simulated time.
+void printAppends();
 
 } // namespace nutmegwell::bench
--- a/lib/daemon/src/entrylog.cpp
+++ b/lib/daemon/src/entrylog.cpp
@@ -16,10 +16,10 @@
 } // namespace
 
 EntryLog::EntryLog(logclient::LogService Log, core::Incarnation Process,
+                   const logclient::AppenderSettings &Settings,
                    std::vector<net::Address> Peers, EntryMetrics &Metrics)
     : Log_(observeReads(std::move(Log), Progress_)), Peers_(std::move(Peers)),
-      Metrics_(Metrics), Appender_(Log_, Process, logclient::AppenderSettings(),
-                                   appenderEvents()) {}
+      Metrics_(Metrics), Appender_(Log_, Process, Settings, appenderEvents()) {}
 
 EntryLog::~EntryLog() { stop(); }
 
--- a/lib/daemon/src/entrylog.h
+++ b/lib/daemon/src/entrylog.h
@@ -20,6 +20,7 @@
 class EntryLog {
 public:
   EntryLog(logclient::LogService Log, core::Incarnation Process,
+           const logclient::AppenderSettings &Settings,
            std::vector<net::Address> Peers, EntryMetrics &Metrics);
   EntryLog(const EntryLog &) = delete;
   EntryLog &operator=(const EntryLog &) = delete;
--- a/lib/daemon/src/entryrole.cpp
+++ b/lib/daemon/src/entryrole.cpp
@@ -13,6 +13,7 @@
 #include "nutmegwell/wire/binary.h"
 #include "statetransfer.h"
 #include "stopsignals.h"
+#include <algorithm>
 #include <atomic>
 
 namespace nutmegwell::daemon {
@@ -66,6 +67,16 @@
   return Result;
 }
 
+logclient::AppenderSettings appenderSettings(const settings::Settings &Values) {
+  // A renewal may wait for a small part of the lease only: after an append and
+  // its read-back, a holder must still have time for a second one.
+  constexpr int LeaseParts = 24;
+  logclient::AppenderSettings Result;
+  Result.BatchInterval_ = std::min(Values.duration("append-interval"),
+                                   Values.duration("cell-lease") / LeaseParts);
+  return Result;
+}
+
 /// Connects the control loop with the log, the peers and the callers.
 class EntryRole {
 public:
@@ -107,7 +118,7 @@
       Metrics_(core::steadyClock(), objective(Values)),
       Log_(logclient::httpLogService({toAddress(Values.address("log-address")),
                                       Values.text("log-stream")}),
-           Process_, peerAddresses(Values), Metrics_),
+           Process_, appenderSettings(Values), peerAddresses(Values), Metrics_),
       Udp_(toAddress(Values.address("udp-listen")),
            [this](const net::Address &From, const std::string &Bytes) {
              onDatagram(From, Bytes);
--- a/lib/logclient/include/nutmegwell/logclient/appendercore.h
+++ b/lib/logclient/include/nutmegwell/logclient/appendercore.h
@@ -18,6 +18,9 @@
   /// Bounds of one batch. A larger record goes alone.
   std::size_t MaxBatchRecords_ = 256;
   std::size_t MaxBatchBytes_ = 256 << 10;
+  /// Least time between the starts of two batches, unless a record that may not
+  /// wait is queued or a batch is full. A record after a pause goes at once.
+  core::Duration BatchInterval_ = std::chrono::milliseconds(250);
   /// Pause after a failure: doubles from the first to the second, less up to
   /// half of it at random.
   core::Duration BackoffMin_ = std::chrono::milliseconds(50);
@@ -83,6 +86,12 @@
 absl::Status submit(AppenderState &State, model::Record Change,
                     core::TimePoint Deadline);
 
+/// Returns true for records that may wait for a batch: renewals of cells, whose
+/// lease must be far longer than the interval, intents, whose requests wait,
+/// and snapshots. Jobs, tables, domains, claims and releases have bounds of
+/// their own or are rare.
+bool mayWait(const model::RecordBody &Body);
+
 /// Returns the batch to append now, or nothing.
 std::optional<model::Batch> startAppend(AppenderState &State,
                                         core::TimePoint Now);
--- a/lib/logclient/src/appendercore.cpp
+++ b/lib/logclient/src/appendercore.cpp
@@ -45,6 +45,25 @@
   State.Phase_ = AppendPhase::Idle;
 }
 
+/// Returns true when the queue holds a full batch or a record that may not
+/// wait.
+bool hurries(const AppenderState &State) {
+  return State.Queue_.size() >= State.Settings_.MaxBatchRecords_ ||
+         State.Bytes_ >= State.Settings_.MaxBatchBytes_ ||
+         std::any_of(State.Queue_.begin(), State.Queue_.end(),
+                     [](const PendingRecord &Pending) {
+                       return !mayWait(Pending.Record_.Body_);
+                     });
+}
+
+/// Returns when the next batch may start.
+core::TimePoint nextBatch(const AppenderState &State) {
+  if (hurries(State))
+    return State.NotBefore_;
+  return std::max(State.NotBefore_,
+                  State.SentAt_ + State.Settings_.BatchInterval_);
+}
+
 /// Time until which the read-back may decide on \p Pending.
 core::TimePoint doubtUntil(const AppenderState &State,
                            const PendingRecord &Pending) {
@@ -60,6 +79,14 @@
 
 } // namespace
 
+bool mayWait(const model::RecordBody &Body) {
+  return std::holds_alternative<model::CellRenewed>(Body) ||
+         std::holds_alternative<model::IntentRecorded>(Body) ||
+         std::holds_alternative<model::IntentReleased>(Body) ||
+         std::holds_alternative<model::IntentSettled>(Body) ||
+         std::holds_alternative<model::SnapshotTaken>(Body);
+}
+
 absl::StatusOr<core::RecordId>
 submit(AppenderState &State, model::RecordBody Body, core::TimePoint Deadline) {
   core::RecordId Id{State.Writer_, State.LastSequence_ + 1};
@@ -94,7 +121,7 @@
 std::optional<model::Batch> startAppend(AppenderState &State,
                                         core::TimePoint Now) {
   expire(State, Now);
-  if (State.Phase_ != AppendPhase::Idle || Now < State.NotBefore_)
+  if (State.Phase_ != AppendPhase::Idle || Now < nextBatch(State))
     return std::nullopt;
   model::Batch Entry;
   std::size_t Bytes = 0;
@@ -214,7 +241,7 @@
   for (const PendingRecord &Pending : State.Queue_)
     Consider(Pending.Deadline_);
   if (State.Phase_ == AppendPhase::Idle && !State.Queue_.empty())
-    Consider(State.NotBefore_);
+    Consider(nextBatch(State));
   if (State.Phase_ == AppendPhase::ReadBack)
     for (const PendingRecord &Pending : State.Flight_)
       Consider(doubtUntil(State, Pending));
--- a/lib/logclient/tests/appendercoretest.cpp
+++ b/lib/logclient/tests/appendercoretest.cpp
@@ -9,6 +9,7 @@
   CPPUNIT_TEST_SUITE(AppenderCoreTest);
   CPPUNIT_TEST(oneBatchIsInFlight);
   CPPUNIT_TEST(batchesAreBounded);
+  CPPUNIT_TEST(recordsThatMayWaitAreGathered);
   CPPUNIT_TEST(fullQueueRefuses);
   CPPUNIT_TEST(neverSentIsRefusedAtItsDeadline);
   CPPUNIT_TEST(lostAnswerWaitsForTheTail);
@@ -51,6 +52,7 @@
   void setUp() override {
     State_ = AppenderState();
     State_.Writer_ = 7;
+    State_.Settings_.BatchInterval_ = {};
   }
 
   /// Guards against records that reach the log out of order.
@@ -75,6 +77,27 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, start().size());
   }
 
+  /// Guards against more appends than the log takes, and against urgent records
+  /// that wait for others.
+  void recordsThatMayWaitAreGathered() {
+    State_.Settings_.BatchInterval_ = 250ms;
+    add();
+    start();
+    finish(core::Offset{0});
+    Now_ += 249ms;
+    add();
+    add();
+    CPPUNIT_ASSERT(!startAppend(State_, Now_));
+    CPPUNIT_ASSERT(nextDue(State_) == Now_ + 1ms);
+    Now_ += 1ms;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, start().size());
+    finish(core::Offset{1});
+    add();
+    CPPUNIT_ASSERT(!startAppend(State_, Now_));
+    CPPUNIT_ASSERT(submit(State_, model::JobCancelled{}, Now_ + 10s).ok());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, start().size());
+  }
+
   /// Guards against memory that grows through an outage.
   void fullQueueRefuses() {
     State_.Settings_.MaxQueued_ = 2;
--- a/lib/settings/src/daemon.cpp
+++ b/lib/settings/src/daemon.cpp
@@ -67,6 +67,9 @@
                 "validity of the permission to start tasks")
       .duration("task-lease", seconds(15), seconds(1), minutes(10),
                 "validity of a running task without renewal")
+      .duration("append-interval", milliseconds(250), milliseconds(0),
+                seconds(1),
+                "least time between two appends of renewals and request keys")
       .duration("checkpoint-grace", seconds(10), milliseconds(0), minutes(10),
                 "time that a preempted task has for a checkpoint")
       .shorter("heartbeat-interval", "silent-after")
