--- a/bench/capacityappend.cpp
+++ b/bench/capacityappend.cpp
@@ -1,6 +1,7 @@
 #include "capacityslopes.h"
 #include "capacitystates.h"
 #include "nutmegwell/logclient/appendercore.h"
+#include "nutmegwell/logclient/snapshots.h"
 #include <algorithm>
 #include <map>
 
@@ -62,9 +63,31 @@
           Total.count() / Count, Longest.count()};
 }
 
+/// Returns the bytes a second that snapshots of \p Size add to a log of the
+/// design size, by the default policy.
+double snapshotLoad(std::uint64_t Size) {
+  // Entries and their bytes a second, from docs/CAPACITY.md, "Reader".
+  constexpr std::uint64_t Entries = 16;
+  constexpr std::uint64_t Bytes = 40200;
+  const logclient::SnapshotPolicy Policy;
+  logclient::SnapshotView View;
+  View.SnapshotBytes_ = Size;
+  std::uint64_t Seconds = 0;
+  while (!logclient::snapshotDue(Policy, View)) {
+    ++Seconds;
+    View.Next_ += Entries;
+    View.BytesSince_ += Bytes;
+  }
+  return static_cast<double>(Size) / static_cast<double>(Seconds);
+}
+
 } // namespace
 
 void printAppends() {
+  std::vector<Point> Snapshots;
+  for (std::uint64_t Size : {100000, 1000000, 9800000})
+    Snapshots.push_back({static_cast<double>(Size), snapshotLoad(Size)});
+  printSlope("log.snapshots_a_second.by_size", "B/s", Snapshots);
   for (int Interval : {0, 250}) {
     std::vector<Point> Appends;
     std::vector<Point> Means;
--- a/lib/daemon/src/entrylog.cpp
+++ b/lib/daemon/src/entrylog.cpp
@@ -77,6 +77,7 @@
   auto Start = logclient::findStart(Log_, StartEntries);
   if (!Start.ok())
     return false;
+  Progress_.SnapshotBytes_ = Start->SnapshotBytes_;
   read(std::move(Start->State_), Start->From_);
   return true;
 }
@@ -105,6 +106,7 @@
   Events.OnBatch_ = [this, &Control](core::Offset At,
                                      const model::Batch &Entry) {
     Appender_.noteBatch(At, Entry);
+    noteSnapshot(Progress_, Entry);
     Control.postWait(entry::LogEntry{At, Entry});
   };
   Events.OnTail_ = [this, &Control](core::TimePoint Began) {
@@ -113,6 +115,7 @@
   };
   Events.OnRestart_ = [this, &Control](const logclient::StartPoint &Point) {
     Appender_.noteRestart(Point.State_);
+    Progress_.SnapshotBytes_ = Point.SnapshotBytes_;
     model::ControlState Restarted = Point.State_;
     Restarted.Next_ = Point.From_;
     Control.postWait(entry::LogReplaced{std::move(Restarted)});
--- a/lib/daemon/src/snapshotwriter.cpp
+++ b/lib/daemon/src/snapshotwriter.cpp
@@ -11,6 +11,12 @@
 
 } // namespace
 
+void noteSnapshot(LogProgress &Progress, const model::Batch &Entry) {
+  for (const model::Record &Change : Entry)
+    if (auto *Taken = std::get_if<model::SnapshotTaken>(&Change.Body_))
+      Progress.SnapshotBytes_ = Taken->State_.size();
+}
+
 logclient::LogService observeReads(logclient::LogService Log,
                                    LogProgress &Progress) {
   auto Read = Log.Read_;
@@ -68,6 +74,7 @@
     BytesAtSnapshot_ = Progress_.Bytes_;
   }
   View.Covered_ = Covered_;
+  View.SnapshotBytes_ = Progress_.SnapshotBytes_;
   View.BytesSince_ = Progress_.Bytes_ - BytesAtSnapshot_;
   return View;
 }
--- a/lib/daemon/src/snapshotwriter.h
+++ b/lib/daemon/src/snapshotwriter.h
@@ -16,8 +16,13 @@
   std::atomic<core::Offset> First_{0};
   /// Bytes read since the start.
   std::atomic<std::uint64_t> Bytes_{0};
+  /// Size of the snapshot that was read last; 0 before.
+  std::atomic<std::uint64_t> SnapshotBytes_{0};
 };
 
+/// Notes the size of a snapshot in \p Entry.
+void noteSnapshot(LogProgress &Progress, const model::Batch &Entry);
+
 /// Returns \p Log with its reads noted in \p Progress.
 logclient::LogService observeReads(logclient::LogService Log,
                                    LogProgress &Progress);
--- a/lib/logclient/include/nutmegwell/logclient/readercore.h
+++ b/lib/logclient/include/nutmegwell/logclient/readercore.h
@@ -22,6 +22,8 @@
   core::Offset From_ = 0;
   /// True when State_ is from a snapshot; otherwise the log is whole.
   bool FromSnapshot_ = false;
+  /// Encoded size of that snapshot.
+  std::uint64_t SnapshotBytes_ = 0;
 };
 
 /// Returns where to start: the latest snapshot whose following entries are all
--- a/lib/logclient/include/nutmegwell/logclient/snapshots.h
+++ b/lib/logclient/include/nutmegwell/logclient/snapshots.h
@@ -12,12 +12,16 @@
 
 /// When to write snapshots.
 struct SnapshotPolicy {
-  /// Entries and bytes after the last snapshot, which every starting entry host
-  /// must read.
-  std::uint64_t MaxEntries_ = 2000;
-  std::uint64_t MaxBytes_ = 16 << 20;
+  /// Entries after the last snapshot, which every starting entry host must
+  /// read: 200 reads of 256 entries.
+  std::uint64_t MaxEntries_ = 50000;
+  /// Bytes after the last snapshot for which none is written.
+  std::uint64_t MinBytes_ = 1 << 20;
   /// Largest encoded state that is written.
   std::size_t MaxSnapshot_ = 32 << 20;
+  /// Bytes after the last snapshot, as a multiple of its size. Snapshots then
+  /// add at most a quarter to the other bytes of the log.
+  std::uint64_t Growth_ = 4;
 };
 
 /// What an entry host knows of the log and its snapshots.
@@ -30,6 +34,8 @@
   core::Offset Covered_ = 0;
   /// Bytes of the entries from Covered_ on.
   std::uint64_t BytesSince_ = 0;
+  /// Size of the last snapshot; 0 when this host does not know it.
+  std::uint64_t SnapshotBytes_ = 0;
   /// True while an own snapshot waits to be appended or read.
   bool Pending_ = false;
   /// Place of this host among the live entry hosts, from 0. Hosts of a higher
--- a/lib/logclient/src/findstart.cpp
+++ b/lib/logclient/src/findstart.cpp
@@ -72,7 +72,7 @@
         (Best && Best->From_ >= State->Next_))
       continue;
     const core::Offset From = State->Next_;
-    Best = StartPoint{std::move(*State), From, true};
+    Best = StartPoint{std::move(*State), From, true, Snapshot->State_.size()};
   }
 }
 
--- a/lib/logclient/src/snapshots.cpp
+++ b/lib/logclient/src/snapshots.cpp
@@ -14,8 +14,10 @@
   if (View.Pending_ || View.Next_ <= View.Covered_)
     return false;
   const std::uint64_t Entries = View.Next_ - View.Covered_;
+  const std::uint64_t MaxBytes =
+      std::max(Policy.MinBytes_, Policy.Growth_ * View.SnapshotBytes_);
   if (Entries * Quarters >= Policy.MaxEntries_ * Factor ||
-      View.BytesSince_ * Quarters >= Policy.MaxBytes_ * Factor)
+      View.BytesSince_ * Quarters >= MaxBytes * Factor)
     return true;
   if (View.First_ == 0 || View.Next_ <= View.First_)
     return false;
--- a/lib/logclient/tests/snapshotstest.cpp
+++ b/lib/logclient/tests/snapshotstest.cpp
@@ -28,6 +28,11 @@
     CPPUNIT_ASSERT(!snapshotDue(Policy_, View));
     View.BytesSince_ = 1000;
     CPPUNIT_ASSERT(snapshotDue(Policy_, View));
+    // A large state is not written again for a few bytes.
+    View.SnapshotBytes_ = 251;
+    CPPUNIT_ASSERT(!snapshotDue(Policy_, View));
+    View.BytesSince_ = 1004;
+    CPPUNIT_ASSERT(snapshotDue(Policy_, View));
     View.BytesSince_ = 0;
     View.Next_ = 100;
     CPPUNIT_ASSERT(snapshotDue(Policy_, View));
