Give preempted tasks 3 s for a checkpoint

The default is 3 s in both.

A fault was found beside it: a holder that does not hear an agent counted its own checkpoint grace before it let the next attempt start, but an agent whose lease lapsed gives its tasks a fixed 5 s. With a grace below that (e2e runs with 1 s), two attempts could run at once for up to 4 s.

--- a/lib/agent/src/control.cpp
+++ b/lib/agent/src/control.cpp
@@ -102,7 +102,7 @@
     if (!ended(Known.State_))
       Keys.push_back(Key);
   for (const ShareKey &Key : Keys)
-    stop(State, Key, LapseGrace, Now, Out);
+    stop(State, Key, model::LapseGrace, Now, Out);
 }
 
 /// Asks again for what the runtime has not done yet.
@@ -115,7 +115,7 @@
   // The runtime's lease must not outlast the task lease: an agent that is
   // paused or dies while cut off cannot stop its tasks.
   Listing.Lease_ = std::clamp<core::Duration>(
-      State.LeaseUntil_ + LapseGrace - Now, core::Duration::zero(),
+      State.LeaseUntil_ + model::LapseGrace - Now, core::Duration::zero(),
       State.Settings_.RuntimeLease_);
   for (const auto &[Key, Known] : State.Shares_) {
     bool Stopping = Known.State_ == model::TaskState::Stopping;
--- a/lib/agent/src/shares.cpp
+++ b/lib/agent/src/shares.cpp
@@ -192,7 +192,8 @@
     // that a final report means that nothing runs.
     if (ended(Sum) && anyRuns(Target)) {
       Sum = TaskState::Stopping;
-      Target.Grace_ = std::max<core::Duration>(Target.Grace_, LapseGrace);
+      Target.Grace_ =
+          std::max<core::Duration>(Target.Grace_, model::LapseGrace);
     }
     if (Target.State_ == TaskState::Stopping && !ended(Sum))
       continue;
--- a/lib/agent/src/shares.h
+++ b/lib/agent/src/shares.h
@@ -4,9 +4,6 @@
 
 namespace nutmegwell::agent {
 
-/// Checkpoint grace when no holder asked for the stop.
-constexpr auto LapseGrace = std::chrono::seconds(5);
-
 /// Returns true for states that a share never leaves.
 bool ended(model::TaskState Value);
 
--- a/lib/entry/include/nutmegwell/entry/control.h
+++ b/lib/entry/include/nutmegwell/entry/control.h
@@ -35,7 +35,8 @@
   /// find counts as lost.
   core::Duration DoubtTime_ = std::chrono::seconds(2);
   core::Duration TaskLease_ = std::chrono::seconds(15);
-  /// Time beyond a task lease and the checkpoint grace after which an agent
+  /// Time beyond a task lease and the longer of the checkpoint grace and
+  /// model::LapseGrace after which an agent
   /// that is not heard certainly runs nothing: 2 s for a call to its runtime, 1
   /// s for timers.
   core::Duration StopMargin_ = std::chrono::seconds(3);
@@ -45,7 +46,7 @@
   core::Duration ReservationLease_ = std::chrono::seconds(5);
   /// Time from the commit in which every task of a gang must have started.
   core::Duration StartBound_ = std::chrono::seconds(5);
-  core::Duration CheckpointGrace_ = std::chrono::seconds(5);
+  core::Duration CheckpointGrace_ = std::chrono::seconds(3);
   core::Duration ResendInterval_ = std::chrono::milliseconds(500);
   /// Wait of hosts that do not hold a job's preferred cell.
   core::Duration OtherCellDelay_ = std::chrono::milliseconds(500);
--- a/lib/entry/src/gangs.cpp
+++ b/lib/entry/src/gangs.cpp
@@ -100,9 +100,10 @@
   const core::TimePoint Renewed =
       std::max(Known ? Known->LastHeard_ : Target.Since_,
                renewedByOthers(State, Target.Domain_));
-  const bool LeaseOver = Now - Renewed >= Settings.TaskLease_ +
-                                              Settings.CheckpointGrace_ +
-                                              Settings.StopMargin_;
+  const core::Duration Grace =
+      std::max<core::Duration>(Settings.CheckpointGrace_, model::LapseGrace);
+  const bool LeaseOver =
+      Now - Renewed >= Settings.TaskLease_ + Grace + Settings.StopMargin_;
   if (!Known)
     return LeaseOver;
   // A new process of an agent stops what its predecessor left behind before it
--- a/lib/model/include/nutmegwell/model/messages.h
+++ b/lib/model/include/nutmegwell/model/messages.h
@@ -26,6 +26,10 @@
 
 const char *toString(TaskState Value);
 
+/// Checkpoint grace of a share that its agent stops because no holder renewed
+/// its lease. A holder that does not hear the agent waits for it too.
+constexpr auto LapseGrace = std::chrono::seconds(5);
+
 /// State of an agent's share of one gang. Tasks of one attempt on one worker
 /// are reported together.
 struct TaskReport {
--- a/lib/settings/src/daemon.cpp
+++ b/lib/settings/src/daemon.cpp
@@ -70,7 +70,7 @@
       .duration("append-interval", milliseconds(250), milliseconds(0),
                 seconds(1),
                 "least time between two appends of renewals and request keys")
-      .duration("checkpoint-grace", seconds(10), milliseconds(0), minutes(10),
+      .duration("checkpoint-grace", seconds(3), milliseconds(0), minutes(10),
                 "time that a preempted task has for a checkpoint")
       .shorter("heartbeat-interval", "silent-after")
       .shorter("heartbeat-interval", "start-permit")
--- a/tests/control/contracttest.cpp
+++ b/tests/control/contracttest.cpp
@@ -210,6 +210,7 @@
   CPPUNIT_TEST(rejectedCommitStartsNothing);
   CPPUNIT_TEST(newHolderAdoptsGangs);
   CPPUNIT_TEST(uncommittedTaskIsStopped);
+  CPPUNIT_TEST(unheardAgentMayRunForItsLease);
   CPPUNIT_TEST(plannedStopReleasesCells);
   CPPUNIT_TEST(olderSnapshotIsIgnored);
   CPPUNIT_TEST(freshHostRefusesNothingForGood);
@@ -336,6 +337,27 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent<model::Stop>(Out).size());
   }
 
+  /// Guards against an attempt that starts while an agent that is cut off stops
+  /// the one before: with its lease's end, its own grace and the margin.
+  void unheardAgentMayRunForItsLease() {
+    State_.Settings_.CheckpointGrace_ = Duration::zero();
+    claim();
+    read(commit().Appends_, milliseconds(1970));
+    beat(seconds(2), {{Job, 1, model::TaskState::Running, 15, ""}});
+    for (Duration Since = seconds(2); Since < seconds(26);
+         Since += milliseconds(100)) {
+      auto Out = step(entry::Tick(), Since);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(Since == seconds(2) + seconds(15) +
+                                                    model::LapseGrace +
+                                                    State_.Settings_.StopMargin_
+                                           ? 1
+                                           : 0),
+                           appended<model::JobRequeued>(Out).size());
+      if (!Out.Appends_.empty())
+        read(Out.Appends_, Since);
+    }
+  }
+
   /// Guards against cells that stay held by a process that has stopped.
   void plannedStopReleasesCells() {
     claim();
