Decide when an urgent job may go to another cell

With decisions gathered over 500 ms, an urgent job whose preferred cell has no room could wait up to 0.5 s beyond OtherCellDelay_ for the next one. The end of that delay is now a reason to decide, for urgent jobs only: normal jobs have no bound that 0.5 s matters to.

--- a/lib/entry/src/schedule.cpp
+++ b/lib/entry/src/schedule.cpp
@@ -213,12 +213,17 @@
   return Joined;
 }
 
-bool urgentWaits(const EntryState &State) {
+/// Returns true when an urgent job waits and something changed, or when the
+/// time has come at which every cell may take it.
+bool urgentDue(const EntryState &State, core::TimePoint Now) {
+  auto Due = [&](const auto &Each) {
+    const core::TimePoint Any = Each.second + State.Settings_.OtherCellDelay_;
+    return (State.Dirty_ || (Any > State.LastSchedule_ && Any <= Now)) &&
+           State.Fold_.Jobs_.at(Each.first).Spec_.Class_ ==
+               model::JobClass::Urgent;
+  };
   return std::any_of(State.WaitingSince_.begin(), State.WaitingSince_.end(),
-                     [&State](const auto &Each) {
-                       return State.Fold_.Jobs_.at(Each.first).Spec_.Class_ ==
-                              model::JobClass::Urgent;
-                     });
+                     Due);
 }
 
 } // namespace
@@ -245,8 +250,7 @@
   // even when nothing else changed. Changes in between are gathered, since a
   // decision over many waiting jobs takes milliseconds.
   bool Due = Now - State.LastSchedule_ >= State.Settings_.ScheduleInterval_;
-  if (State.WaitingSince_.empty() ||
-      (!Due && !(State.Dirty_ && urgentWaits(State))))
+  if (State.WaitingSince_.empty() || (!Due && !urgentDue(State, Now)))
     return;
   State.Dirty_ = false;
   State.LastSchedule_ = Now;
--- a/tests/control/contracttest.cpp
+++ b/tests/control/contracttest.cpp
@@ -318,6 +318,10 @@
     Submit(21);
     Submit(22);
     CPPUNIT_ASSERT_EQUAL(6, Decisions);
+    // Job 21 has waited for 0.5 s at the fourth tick, so other cells may act.
+    for (int Tick = 0; Tick < 4; ++Tick, Since += milliseconds(100))
+      step(entry::Tick(), Since);
+    CPPUNIT_ASSERT_EQUAL(7, Decisions);
   }
 
   /// Guards against a gang that starts without an accepted commit.
