--- a/lib/daemon/src/entrylog.cpp
+++ b/lib/daemon/src/entrylog.cpp
@@ -16,10 +16,10 @@
 } // namespace
 
 EntryLog::EntryLog(logclient::LogService Log, core::Incarnation Process,
+                   const logclient::AppenderSettings &Settings,
                    std::vector<net::Address> Peers, EntryMetrics &Metrics)
     : Log_(observeReads(std::move(Log), Progress_)), Peers_(std::move(Peers)),
-      Metrics_(Metrics), Appender_(Log_, Process, logclient::AppenderSettings(),
-                                   appenderEvents()) {}
+      Metrics_(Metrics), Appender_(Log_, Process, Settings, appenderEvents()) {}
 
 EntryLog::~EntryLog() { stop(); }
 
@@ -111,12 +111,14 @@
 void EntryLog::read(logclient::StartPoint Start) {
   entry::ControlLoop &Control = *Control_;
   const core::Offset From = Start.From_;
+  Progress_.SnapshotBytes_ = Start.SnapshotBytes_;
   Start.State_.Next_ = From;
   Control.postWait(entry::LogReplaced{std::move(Start.State_)});
   logclient::ReaderEvents Events;
   Events.OnBatch_ = [this, &Control](core::Offset At,
                                      const model::Batch &Entry) {
     Appender_.noteBatch(At, Entry);
+    noteSnapshot(Progress_, Entry);
     Control.postWait(entry::LogEntry{At, Entry});
   };
   Events.OnTail_ = [this, &Control](core::TimePoint Began) {
@@ -126,6 +128,7 @@
   Events.FindStart_ = [this] { return findStart(); };
   Events.OnRestart_ = [this, &Control](const logclient::StartPoint &Point) {
     Appender_.noteRestart(Point.State_);
+    Progress_.SnapshotBytes_ = Point.SnapshotBytes_;
     model::ControlState Restarted = Point.State_;
     Restarted.Next_ = Point.From_;
     Control.postWait(entry::LogReplaced{std::move(Restarted)});
--- a/lib/entry/src/schedule.cpp
+++ b/lib/entry/src/schedule.cpp
@@ -273,6 +273,19 @@
   return Joined;
 }
 
+/// Returns true when an urgent job waits and something changed, or when the
+/// time has come at which every cell may take it.
+bool urgentDue(const EntryState &State, core::TimePoint Now) {
+  auto Due = [&](const auto &Each) {
+    const core::TimePoint Any = Each.second + State.Settings_.OtherCellDelay_;
+    return (State.Dirty_ || (Any > State.LastSchedule_ && Any <= Now)) &&
+           State.Fold_.Jobs_.at(Each.first).Spec_.Class_ ==
+               model::JobClass::Urgent;
+  };
+  return std::any_of(State.WaitingSince_.begin(), State.WaitingSince_.end(),
+                     Due);
+}
+
 } // namespace
 
 std::string explain(const EntryState &State, const core::JobId &Id,
@@ -294,9 +307,10 @@
 
 void schedule(EntryState &State, core::TimePoint Now, Effects &Out) {
   // Waiting times change decisions too, so a cell is looked at now and then
-  // even when nothing else changed.
+  // even when nothing else changed. Changes in between are gathered, since a
+  // decision over many waiting jobs takes milliseconds.
   bool Due = Now - State.LastSchedule_ >= State.Settings_.ScheduleInterval_;
-  if (State.WaitingSince_.empty() || (!State.Dirty_ && !Due))
+  if (State.WaitingSince_.empty() || (!Due && !urgentDue(State, Now)))
     return;
   State.Dirty_ = false;
   State.LastSchedule_ = Now;
--- a/lib/logclient/include/nutmegwell/logclient/readercore.h
+++ b/lib/logclient/include/nutmegwell/logclient/readercore.h
@@ -26,6 +26,8 @@
   core::Offset End_ = 0;
   /// Peer that gave State_; empty when it is from the log.
   model::NodeName Peer_;
+  /// Encoded size of the snapshot that gave State_; 0 for another start.
+  std::uint64_t SnapshotBytes_ = 0;
 };
 
 /// Returns where to start: the latest snapshot whose following entries are all
--- a/lib/logclient/src/findstart.cpp
+++ b/lib/logclient/src/findstart.cpp
@@ -73,7 +73,7 @@
         (Best && Best->From_ >= State->Next_))
       continue;
     const core::Offset From = State->Next_;
-    Best = StartPoint{std::move(*State), From, 0, {}};
+    Best = StartPoint{std::move(*State), From, 0, {}, Snapshot->State_.size()};
   }
 }
 
--- a/tests/control/contracttest.cpp
+++ b/tests/control/contracttest.cpp
@@ -185,9 +185,11 @@
 class EntryContractTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EntryContractTest);
   CPPUNIT_TEST(permitNeedsFreshLog);
+  CPPUNIT_TEST(changesAreGatheredForADecision);
   CPPUNIT_TEST(rejectedCommitStartsNothing);
   CPPUNIT_TEST(newHolderAdoptsGangs);
   CPPUNIT_TEST(uncommittedTaskIsStopped);
+  CPPUNIT_TEST(unheardAgentMayRunForItsLease);
   CPPUNIT_TEST(plannedStopReleasesCells);
   CPPUNIT_TEST(olderSnapshotIsIgnored);
   CPPUNIT_TEST(freshHostRefusesNothingForGood);
@@ -272,6 +274,35 @@
     CPPUNIT_ASSERT(Permit(beat(milliseconds(2920))) == Duration::zero());
   }
 
+  /// Guards against a decision for each change, which a full queue makes long,
+  /// and against urgent jobs that wait for the others.
+  void changesAreGatheredForADecision() {
+    claim();
+    int Decisions = 0;
+    State_.Settings_.Decide_ = [&Decisions](const sched::CellView &) {
+      ++Decisions;
+      return sched::Plan();
+    };
+    model::JobSpec Spec = makeSpec(1, 1, 1000);
+    Duration Since = milliseconds(1900);
+    auto Submit = [&](std::uint64_t Number) {
+      readBody(model::JobSubmitted{{77, Number}, Spec}, Since);
+      step(entry::Tick(), Since);
+      Since += milliseconds(100);
+    };
+    for (std::uint64_t Number = 1; Number <= 20; ++Number)
+      Submit(Number);
+    CPPUNIT_ASSERT_EQUAL(4, Decisions);
+    Spec.Class_ = model::JobClass::Urgent;
+    Submit(21);
+    Submit(22);
+    CPPUNIT_ASSERT_EQUAL(6, Decisions);
+    // Job 21 has waited for 0.5 s at the fourth tick, so other cells may act.
+    for (int Tick = 0; Tick < 4; ++Tick, Since += milliseconds(100))
+      step(entry::Tick(), Since);
+    CPPUNIT_ASSERT_EQUAL(7, Decisions);
+  }
+
   /// Guards against a gang that starts without an accepted commit.
   void rejectedCommitStartsNothing() {
     claim();
@@ -315,6 +346,27 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent<model::Stop>(Out).size());
   }
 
+  /// Guards against an attempt that starts while an agent that is cut off stops
+  /// the one before: with its lease's end, its own grace and the margin.
+  void unheardAgentMayRunForItsLease() {
+    State_.Settings_.CheckpointGrace_ = Duration::zero();
+    claim();
+    read(commit().Appends_, milliseconds(1970));
+    beat(seconds(2), {{Job, 1, model::TaskState::Running, 15, ""}});
+    for (Duration Since = seconds(2); Since < seconds(26);
+         Since += milliseconds(100)) {
+      auto Out = step(entry::Tick(), Since);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(Since == seconds(2) + seconds(15) +
+                                                    model::LapseGrace +
+                                                    State_.Settings_.StopMargin_
+                                           ? 1
+                                           : 0),
+                           appended<model::JobRequeued>(Out).size());
+      if (!Out.Appends_.empty())
+        read(Out.Appends_, Since);
+    }
+  }
+
   /// Guards against cells that stay held by a process that has stopped.
   void plannedStopReleasesCells() {
     claim();
