Count what the nothrow allocator gives in the capacity program

Cause: the first whole run of the suite under the address sanitizer stopped in capacity-quick with "alloc-dealloc-mismatch (operator new vs free)". std::stable_sort takes its buffer from operator new(nothrow), which the program did not replace, and gives it back to the replaced operator delete. Without the sanitizer the live bytes lost each such buffer.

Ruled out: a mismatch in lib/sched, which allocates through containers only.

Before: capacity-quick aborts under the sanitizer.

--- a/bench/capacityalloc.cpp
+++ b/bench/capacityalloc.cpp
@@ -15,11 +15,17 @@
 } // namespace
 
 // Counts what the allocator gives, its rounding included.
-void *operator new(std::size_t Size) {
+void *operator new(std::size_t Size, const std::nothrow_t &) noexcept {
   void *Block = std::malloc(Size == 0 ? 1 : Size);
+  if (Block)
+    LiveBytes += malloc_usable_size(Block);
+  return Block;
+}
+
+void *operator new(std::size_t Size) {
+  void *Block = operator new(Size, std::nothrow);
   if (!Block)
     throw std::bad_alloc();
-  LiveBytes += malloc_usable_size(Block);
   return Block;
 }
 
