Give a starting entry host its state only at the log's tail

Cause: e2e-configAcrossRestarts failed once in a run of the whole suite with "config-monotonic: e2 went back to routes version 1".

The host folds the entries up to the first tail and then hands the state over; until then it is not ready, as it was before its start point. A state from a peer is used at once as before. Ruled out: refusing answers until the first tail in the API alone, since requests would still be routed by old tables.

Left: a host whose log goes away during its replay stays not ready until the log is back, instead of asking a peer.

--- a/lib/daemon/src/entrylog.cpp
+++ b/lib/daemon/src/entrylog.cpp
@@ -77,7 +77,7 @@
   auto Start = logclient::findStart(Log_, StartEntries);
   if (!Start.ok())
     return false;
-  read(std::move(Start->State_), Start->From_);
+  read(std::move(Start->State_), Start->From_, true);
   return true;
 }
 
@@ -91,32 +91,57 @@
                              {{"peer", net::toString(Peer)},
                               {"next", std::to_string(State->Next_)}});
     const core::Offset From = State->Next_;
-    read(std::move(*State), From);
+    read(std::move(*State), From, false);
     return true;
   }
   return false;
 }
 
-void EntryLog::read(model::ControlState State, core::Offset From) {
+logclient::ReaderEvents
+EntryLog::readerEvents(const std::shared_ptr<CatchUp> &Behind) {
   entry::ControlLoop &Control = *Control_;
-  State.Next_ = From;
-  Control.postWait(entry::LogReplaced{std::move(State)});
   logclient::ReaderEvents Events;
-  Events.OnBatch_ = [this, &Control](core::Offset At,
-                                     const model::Batch &Entry) {
+  Events.OnBatch_ = [this, &Control, Behind](core::Offset At,
+                                             const model::Batch &Entry) {
     Appender_.noteBatch(At, Entry);
-    Control.postWait(entry::LogEntry{At, Entry});
+    if (!*Behind) {
+      Control.postWait(entry::LogEntry{At, Entry});
+      return;
+    }
+    for (const model::Record &Change : Entry)
+      model::apply(**Behind, Change, At);
+    (*Behind)->Next_ = At + 1;
   };
-  Events.OnTail_ = [this, &Control](core::TimePoint Began) {
+  Events.OnTail_ = [this, &Control, Behind](core::TimePoint Began) {
     Appender_.noteTail(Began);
+    if (*Behind)
+      Control.postWait(entry::LogReplaced{std::move(**Behind)});
+    Behind->reset();
     Control.postWait(entry::LogTail{Began});
   };
-  Events.OnRestart_ = [this, &Control](const logclient::StartPoint &Point) {
+  Events.OnRestart_ = [this, &Control,
+                       Behind](const logclient::StartPoint &Point) {
     Appender_.noteRestart(Point.State_);
     model::ControlState Restarted = Point.State_;
     Restarted.Next_ = Point.From_;
-    Control.postWait(entry::LogReplaced{std::move(Restarted)});
+    if (*Behind)
+      *Behind = std::move(Restarted);
+    else
+      Control.postWait(entry::LogReplaced{std::move(Restarted)});
   };
+  return Events;
+}
+
+void EntryLog::read(model::ControlState State, core::Offset From,
+                    bool UpToTail) {
+  entry::ControlLoop &Control = *Control_;
+  State.Next_ = From;
+  auto Behind = std::make_shared<CatchUp>();
+  if (UpToTail)
+    *Behind = std::move(State);
+  else
+    Control.postWait(entry::LogReplaced{std::move(State)});
+  logclient::ReaderEvents Events = readerEvents(Behind);
   std::lock_guard<std::mutex> Lock(Mutex_);
   if (Stopping_)
     return;
--- a/lib/daemon/src/entrylog.h
+++ b/lib/daemon/src/entrylog.h
@@ -10,6 +10,7 @@
 #include <condition_variable>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -35,11 +36,19 @@
   void stop();
 
 private:
+  /// The state while it is behind the tail; empty once the control loop has it.
+  /// Used by the reader's thread alone.
+  using CatchUp = std::optional<model::ControlState>;
+
   logclient::AppenderEvents appenderEvents();
   void findState();
   bool startFromLog();
   bool startFromPeer();
-  void read(model::ControlState State, core::Offset From);
+  /// Reads on from \p State. With \p UpToTail the control loop gets the state
+  /// only when it holds all up to the tail: a host that restarts must not show
+  /// or use an older version than the one that it had in force.
+  void read(model::ControlState State, core::Offset From, bool UpToTail);
+  logclient::ReaderEvents readerEvents(const std::shared_ptr<CatchUp> &Behind);
   core::Offset highestKnown();
 
   LogProgress Progress_;
