--- a/lib/daemon/src/entrylog.cpp
+++ b/lib/daemon/src/entrylog.cpp
@@ -108,31 +108,55 @@
   return Start;
 }
 
-void EntryLog::read(logclient::StartPoint Start) {
+logclient::ReaderEvents
+EntryLog::readerEvents(const std::shared_ptr<CatchUp> &Behind) {
   entry::ControlLoop &Control = *Control_;
-  const core::Offset From = Start.From_;
-  Progress_.SnapshotBytes_ = Start.SnapshotBytes_;
-  Start.State_.Next_ = From;
-  Control.postWait(entry::LogReplaced{std::move(Start.State_)});
   logclient::ReaderEvents Events;
-  Events.OnBatch_ = [this, &Control](core::Offset At,
-                                     const model::Batch &Entry) {
+  Events.OnBatch_ = [this, &Control, Behind](core::Offset At,
+                                             const model::Batch &Entry) {
     Appender_.noteBatch(At, Entry);
     noteSnapshot(Progress_, Entry);
-    Control.postWait(entry::LogEntry{At, Entry});
+    if (!*Behind) {
+      Control.postWait(entry::LogEntry{At, Entry});
+      return;
+    }
+    for (const model::Record &Change : Entry)
+      model::apply(**Behind, Change, At);
+    (*Behind)->Next_ = At + 1;
   };
-  Events.OnTail_ = [this, &Control](core::TimePoint Began) {
+  Events.OnTail_ = [this, &Control, Behind](core::TimePoint Began) {
     Appender_.noteTail(Began);
+    if (*Behind)
+      Control.postWait(entry::LogReplaced{std::move(**Behind)});
+    Behind->reset();
     Control.postWait(entry::LogTail{Began});
   };
   Events.FindStart_ = [this] { return findStart(); };
-  Events.OnRestart_ = [this, &Control](const logclient::StartPoint &Point) {
+  Events.OnRestart_ = [this, &Control,
+                       Behind](const logclient::StartPoint &Point) {
     Appender_.noteRestart(Point.State_);
     Progress_.SnapshotBytes_ = Point.SnapshotBytes_;
     model::ControlState Restarted = Point.State_;
     Restarted.Next_ = Point.From_;
-    Control.postWait(entry::LogReplaced{std::move(Restarted)});
+    if (*Behind)
+      *Behind = std::move(Restarted);
+    else
+      Control.postWait(entry::LogReplaced{std::move(Restarted)});
   };
+  return Events;
+}
+
+void EntryLog::read(logclient::StartPoint Start) {
+  entry::ControlLoop &Control = *Control_;
+  const core::Offset From = Start.From_;
+  Progress_.SnapshotBytes_ = Start.SnapshotBytes_;
+  Start.State_.Next_ = From;
+  auto Behind = std::make_shared<CatchUp>();
+  if (Start.Peer_.empty())
+    *Behind = std::move(Start.State_);
+  else
+    Control.postWait(entry::LogReplaced{std::move(Start.State_)});
+  logclient::ReaderEvents Events = readerEvents(Behind);
   std::lock_guard<std::mutex> Lock(Mutex_);
   if (Stopping_)
     return;
--- a/lib/daemon/src/entrylog.h
+++ b/lib/daemon/src/entrylog.h
@@ -10,6 +10,7 @@
 #include <condition_variable>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -36,10 +37,18 @@
   void stop();
 
 private:
+  /// The state while it is behind the tail; empty once the control loop has it.
+  /// Used by the reader's thread alone.
+  using CatchUp = std::optional<model::ControlState>;
+
   logclient::AppenderEvents appenderEvents();
   void findState();
   absl::StatusOr<logclient::StartPoint> findStart();
+  /// Reads on from \p Start. The control loop gets a state from the log only
+  /// when it holds all up to the tail: a host that restarts must not show or
+  /// use an older version than the one that it had in force.
   void read(logclient::StartPoint Start);
+  logclient::ReaderEvents readerEvents(const std::shared_ptr<CatchUp> &Behind);
   core::Offset highestKnown();
   std::map<model::NodeName, model::ControlState>
   peerStates(core::Offset AtLeast);
