Keep the fault tables in the test files as lists

A table belongs beside its tests as well, since a reader of a test file looks there for the fault that a case produces.

List items are not joined.

Each of the 74 entries was made from the table in PROOFS.md; every case that it names is in the file. The tests of the ten files pass.

--- a/lib/agent/tests/attemptstest.cpp
+++ b/lib/agent/tests/attemptstest.cpp
@@ -7,6 +7,18 @@
 using namespace std::chrono_literals;
 using Kind = agent::AttemptDecision::Kind;
 
+/// Faults, their expected effects and the cases that produce them:
+/// - repeated frames, lost answers: each attempt and key runs once
+///   (nothingRunsTwice)
+/// - query before the attempt arrives: attempt refused for good
+///   (refusedAttemptNeverRuns)
+/// - answer evicted by bounds: unknown, never "not seen"
+///   (evictedAttemptIsNotNotSeen)
+/// - agent replaced with empty state: other incarnation refused
+///   (otherIncarnationIsRefused)
+/// - bursts beyond the slots: busy, not run (slotsAreEnforced)
+/// - upstream or agent leaving, silent: refused, not run
+///   (leavingUpstreamTakesNothing)
 class AttemptsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AttemptsTest);
   CPPUNIT_TEST(nothingRunsTwice);
--- a/lib/entry/tests/faulttest.cpp
+++ b/lib/entry/tests/faulttest.cpp
@@ -68,6 +68,26 @@
 
 } // namespace
 
+/// Faults, their expected effects and the cases that produce them:
+/// - answer to another attempt comes first: dropped (crossedAnswerIsDropped)
+/// - connection goes silent, new ones work: unknown, retried when idempotent
+///   (silentConnectionIsLeft)
+/// - slow upstream: Working frames keep it alive (workingFramesKeepSlowRequest)
+/// - agent killed after dispatch, replaced with empty state: unknown, never run
+///   again (replacedAgentEndsInUnknown)
+/// - repeat through another entry host, during and after; answer evicted: the
+///   answer of the one run; then unknown (repeatGetsTheSameAnswer)
+/// - append lost after effect: refused; a repeat runs once
+///   (lostAppendResultRunsOnce)
+/// - upstream's answer lost: unknown, runs once (lostUpstreamAnswerIsUnknown)
+/// - upstream connection refused: not run, released
+///   (unreachableUpstreamIsNotRun)
+/// - agent stops under load: nothing cut, no new work (agentStopCutsNothing)
+/// - upstream full by another entry host's requests: busy in time, slots kept
+///   (busyAgentRefusesInTime)
+/// - foreign frame at an agent: connection closed
+///   (foreignFrameClosesConnection)
+/// - bad announcement: refused (badAnnouncementIsRefused)
 class FaultTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FaultTest);
   CPPUNIT_TEST(crossedAnswerIsDropped);
--- a/lib/entry/tests/protocoltest.cpp
+++ b/lib/entry/tests/protocoltest.cpp
@@ -307,6 +307,16 @@
 
 } // namespace
 
+/// Faults, their expected effects and the cases that produce them:
+/// - frame arrives after the entry host gave up, also at a replaced agent: key
+///   runs at most once (keysRunAtMostOnce)
+/// - append lost, applied late, or its result lost; entry hosts that lag in the
+///   log: key runs at most once (keysRunAtMostOnce)
+/// - answer or query lost after effect: key runs at most once
+///   (keysRunAtMostOnce)
+/// - repeat through another entry host during and after the run: answer of the
+///   one run (keysRunAtMostOnce)
+/// - agent replaced with empty state: unknown (keysRunAtMostOnce)
 class ProtocolTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ProtocolTest);
   CPPUNIT_TEST(keysRunAtMostOnce);
--- a/lib/entry/tests/requestservicetest.cpp
+++ b/lib/entry/tests/requestservicetest.cpp
@@ -7,6 +7,23 @@
 using test::expect;
 using test::summary;
 
+/// Faults, their expected effects and the cases that produce them:
+/// - requests that cannot be routed: refused, JSON error, not sent
+///   (refusalsNameTheirReason)
+/// - burst beyond the bounds: refused as not run, queue bounded
+///   (burstIsRefusedBeyondBounds)
+/// - every attempt fails: retries within the budget
+///   (retryBudgetHoldsUnderTotalFailure)
+/// - attempt lost: retried only when idempotent (onlyIdempotentIsRetried)
+/// - upstream appears while waiting: the waiting request is served
+///   (newUpstreamServesWaiter)
+/// - upstream leaves: no request after the snapshot
+///   (leavingUpstreamGetsNothing)
+/// - stop with requests in flight: answered; new ones refused
+///   (stopFinishesRequests)
+/// - log out around the intent: refused, nothing sent
+///   (logOutageRefusesKeyedRequests)
+/// - settling append fails: appended again (settlingIsTriedAgain)
 class RequestServiceTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RequestServiceTest);
   CPPUNIT_TEST(refusalsNameTheirReason);
--- a/lib/net/tests/frametest.cpp
+++ b/lib/net/tests/frametest.cpp
@@ -8,6 +8,21 @@
 using namespace nutmegwell;
 using namespace std::chrono_literals;
 
+/// Faults, their expected effects and the cases that produce them:
+/// - frame above the bound: connection closed, counted
+///   (oversizedFrameIsRefused)
+/// - sender stops within a frame: connection closed, counted
+///   (slowSenderIsCutOff)
+/// - server that speaks another protocol: step connect, nothing sent
+///   (foreignServerIsRefused)
+/// - more connections than the bound: step connect, nothing sent
+///   (connectionsAreBounded)
+/// - connection that goes silent: DeadlineExceeded after the wait
+///   (silenceIsReported)
+/// - frame sent as the server stops: still answered
+///   (frameThatCrossesTheCloseIsAnswered)
+/// - stop while a frame is handled: the answer still arrives
+///   (stopFinishesFrameInProgress)
 class FrameTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FrameTest);
   CPPUNIT_TEST(framesArriveWhole);
--- a/lib/net/tests/httptest.cpp
+++ b/lib/net/tests/httptest.cpp
@@ -11,6 +11,11 @@
 using namespace nutmegwell;
 using namespace std::chrono_literals;
 
+/// Faults, their expected effects and the cases that produce them:
+/// - HTTP connection not made in time: step connect, nothing sent
+///   (lateConnectionSaysNothingWasSent)
+/// - HTTP server silent after it took the connection: step exchange, may have
+///   run (sentRequestMayHaveRun)
 class HttpTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpTest);
   CPPUNIT_TEST(requestReachesHandlerWhole);
--- a/lib/routing/tests/admissiontest.cpp
+++ b/lib/routing/tests/admissiontest.cpp
@@ -5,6 +5,12 @@
 using namespace nutmegwell;
 using namespace std::chrono_literals;
 
+/// Faults, their expected effects and the cases that produce them:
+/// - burst above the bounds: refused, counts return to zero
+///   (boundsHoldInAnyOrder)
+/// - every request fails and retries: retries stay within the budget
+///   (budgetHoldsUnderTotalFailure)
+/// - idle time: no more than 10 retries saved (budgetIsNotSavedUp)
 class AdmissionTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AdmissionTest);
   CPPUNIT_TEST(boundsHoldInAnyOrder);
--- a/lib/routing/tests/choicetest.cpp
+++ b/lib/routing/tests/choicetest.cpp
@@ -5,6 +5,12 @@
 
 using namespace nutmegwell;
 
+/// Faults, their expected effects and the cases that produce them:
+/// - upstream leaving or silent: never chosen (unusableIsNeverChosen)
+/// - all slots filled by this host: not chosen, still a candidate
+///   (fullUpstreamIsNotChosen)
+/// - own requests in the report: counted once (ownRequestsAreCountedOnce)
+/// - one upstream busier than others: gets fewer requests (lessLoadedOfTwoWins)
 class ChoiceTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ChoiceTest);
   CPPUNIT_TEST(unusableIsNeverChosen);
--- a/lib/routing/tests/requesttest.cpp
+++ b/lib/routing/tests/requesttest.cpp
@@ -8,6 +8,20 @@
 using routing::EffectKind;
 using routing::Outcome;
 
+/// Faults, their expected effects and the cases that produce them:
+/// - attempt lost, next one refused: unknown, never not_run
+///   (refusalIsTrueAfterLostAttempt)
+/// - attempts fail without end: bounded by attempts, time, budget
+///   (everyRequestEnds)
+/// - answer to another attempt: not given to the caller
+///   (crossedAnswerIsNotDelivered)
+/// - log out before the intent, or append lost after effect: refused, nothing
+///   sent (nothingIsSentWithoutIntent)
+/// - key taken by another request: asks its agent; a settled key never runs
+///   again (takenKeyIsAskedFor)
+/// - agent refuses the attempt: intent released before a retry
+///   (releaseComesBeforeRetry)
+/// - attempt of a key lost: unknown, no retry (lostKeyedAttemptIsNotRetried)
 class RequestTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RequestTest);
   CPPUNIT_TEST(refusalIsTrueAfterLostAttempt);
--- a/tests/control/contracttest.cpp
+++ b/tests/control/contracttest.cpp
@@ -38,6 +38,28 @@
 
 } // namespace
 
+/// Faults, their expected effects and the cases that produce them:
+/// - message of a lower term: no effect (lowerTermIsRefused)
+/// - late Start after Stop: nothing starts (lateStartHasNoEffect)
+/// - late Reserve after Stop: refused (lateStartHasNoEffect)
+/// - Start after the permit: nothing starts (permitCountsFromHeartbeat)
+/// - slow acknowledgement: permit is shorter (permitCountsFromHeartbeat)
+/// - domain out: zero permit, at once (zeroPermitEndsOldOne)
+/// - older acknowledgement arrives: permit stays ended (zeroPermitEndsOldOne)
+/// - no holder heard for 15 s: tasks are stopped (lapsedLeaseStopsTasks)
+/// - reservation without a start: lapses (reservationLapses)
+/// - agent's process replaced: old tasks stopped (newProcessClearsRuntime)
+/// - task that no share accounts for: stopped (unknownTaskIsStopped)
+/// - domain out, or stale log: acknowledgement without a permit
+///   (permitNeedsFreshLog)
+/// - commit rejected: stops, no Start (rejectedCommitStartsNothing)
+/// - holder changes: gangs go on (newHolderAdoptsGangs)
+/// - uncommitted task reported: Stop (uncommittedTaskIsStopped)
+/// - planned stop of an entry host: cells released (plannedStopReleasesCells)
+/// - snapshot older than the fold: ignored (olderSnapshotIsIgnored)
+/// - host has just started: not_ready (freshHostRefusesNothingForGood)
+/// - no cell can start a new job: each cell's reason is given
+///   (explanationNamesEveryCell)
 class AgentContractTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AgentContractTest);
   CPPUNIT_TEST(lowerTermIsRefused);
