Build views only of cells whose workers are known

A decision built the view of every cell of the log and searched each for each waiting job, also of cells of which this host hears no agent and which can offer nothing. The capacity program knew one cell; it now adds the 29 others of the design size with 120 pools each.

--- a/bench/capacitytimes.cpp
+++ b/bench/capacitytimes.cpp
@@ -50,12 +50,30 @@
   std::exit(1);
 }
 
+/// Adds the other cells of the design size as the log tells of them, with a
+/// pool of each account, to a cell whose agents alone are heard.
+void addOtherCells(HeldCell &Cell) {
+  constexpr std::size_t Cells = 30;
+  constexpr std::size_t Accounts = 120;
+  for (std::size_t C = 2; C <= Cells; ++C) {
+    const std::string Domain = nameOf("domain-", C, 13);
+    Cell.State_.Cells_[Domain].SeenAt_ = Cell.Now_;
+    Cell.State_.Fold_.Cells_[Domain] = {1, "entry-000002", CapacitySeed, 1};
+    for (std::size_t A = 0; A < Accounts; ++A) {
+      model::PoolRow Row = poolRowOf(A);
+      Row.Domain_ = Domain;
+      Cell.State_.Fold_.Pools_.Rows_.push_back(std::move(Row));
+    }
+  }
+}
+
 void printTick(const Extent &Sizes, const std::string &Name, bool Loaded,
                std::size_t Waiting) {
   std::vector<Point> Points;
   for (std::size_t Agents : agentCounts(Sizes)) {
     HeldCell Cell = heldCell(Agents, Loaded, Sizes.Quick_ ? 0 : Waiting);
     requireRunning(Cell);
+    addOtherCells(Cell);
     // Makes the tick decide when jobs wait.
     Cell.State_.LastSchedule_ = {};
     Points.push_back(
--- a/lib/entry/src/schedule.cpp
+++ b/lib/entry/src/schedule.cpp
@@ -138,13 +138,15 @@
   }
 }
 
-/// Returns the views of all known cells. Every entry host hears every agent, so
-/// that hosts with the same log agree on the cell that should take a job.
+/// Returns the views of the cells of which this host knows workers; another one
+/// has nothing to offer. Hosts that hear every agent and have the same log
+/// agree on the cell that should take a job.
 std::vector<sched::CellView> makeViews(const EntryState &State,
                                        core::TimePoint Now) {
   std::vector<sched::CellView> Views;
-  for (const auto &[Domain, Tracker] : State.Cells_)
-    Views.push_back(makeView(State, Domain, Now));
+  for (const auto &[Domain, Total] : membership::capacityOf(State.Nodes_))
+    if (Total > 0 && State.Cells_.count(Domain))
+      Views.push_back(makeView(State, Domain, Now));
   assignCells(State, Views);
   return Views;
 }
