--- a/lib/entry/src/schedule.cpp
+++ b/lib/entry/src/schedule.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <unordered_set>
 
 namespace nutmegwell::entry {
 
@@ -73,7 +74,7 @@
 /// Adds accelerators that agents report as held by anything else, such as the
 /// reservations of an earlier holder.
 void addForeign(const EntryState &State, sched::CellView &View) {
-  std::set<core::JobId> Driven;
+  std::unordered_set<core::JobId> Driven;
   for (const sched::RunningJob &Job : View.Running_)
     Driven.insert(Job.Id_);
   std::map<core::JobId, sched::RunningJob> Foreign;
