--- a/lib/entry/src/gangs.cpp
+++ b/lib/entry/src/gangs.cpp
@@ -1,7 +1,6 @@
 #include "parts.h"
 
 #include <algorithm>
-#include <unordered_map>
 #include <utility>
 
 namespace nutmegwell::entry {
@@ -302,22 +301,6 @@
                      });
 }
 
-/// This host's part in a cell.
-struct Tenure {
-  core::Term Term_ = 0;
-  bool Holds_ = false;
-};
-
-/// Returns the term and the hold of each cell on record, so that a walk over
-/// many gangs does not look up each one's cell.
-std::unordered_map<model::DomainName, Tenure>
-ownTenures(const EntryState &State, core::TimePoint Now) {
-  std::unordered_map<model::DomainName, Tenure> Found;
-  for (const auto &[Domain, Cell] : State.Fold_.Cells_)
-    Found[Domain] = {ownTerm(State, Domain), holds(State, Domain, Now)};
-  return Found;
-}
-
 /// Adopts attempts of held cells and drops gangs whose attempt is over or whose
 /// cell is no longer held.
 void reconcile(EntryState &State, core::TimePoint Now, Effects &Out) {
@@ -330,22 +313,21 @@
         adopt(State, Known, Now);
     }
   }
-  auto Tenures = ownTenures(State, Now);
   for (auto Place = State.Gangs_.begin(); Place != State.Gangs_.end();) {
     Gang &Target = Place->second;
-    const Tenure &Own = Tenures[Target.Domain_];
     auto Known = State.Fold_.Jobs_.find(Place->first);
     bool Committed = Target.Phase_ != GangPhase::Reserving &&
                      Target.Phase_ != GangPhase::Committing;
     // A committed gang is driven for as long as no other holder is known, so
     // that it is stopped when it fails while the log is unavailable. Agents
     // refuse the term once they have heard of a higher one.
-    bool Held = Committed ? Own.Term_ != 0 : Own.Holds_;
+    bool Held = Committed ? ownTerm(State, Target.Domain_) != 0
+                          : holds(State, Target.Domain_, Now);
     bool Over = Known == State.Fold_.Jobs_.end() || !Held ||
                 (Committed ? !model::isRunning(Known->second.State_) ||
                                  Known->second.Attempt_ != Target.Attempt_
                            : Known->second.State_ != model::JobState::Waiting);
-    Target.Term_ = Own.Term_;
+    Target.Term_ = ownTerm(State, Target.Domain_);
     if (Over && !Committed)
       abandon(State, Target, Now, Out);
     Place = Over ? State.Gangs_.erase(Place) : std::next(Place);
