--- a/lib/daemon/src/entrylog.cpp
+++ b/lib/daemon/src/entrylog.cpp
@@ -88,11 +88,13 @@
     auto State = fetchState(Peer, AtLeast, PeerTimeout);
     if (!State.ok())
       continue;
-    settings::logStateChange("state_from_peer",
-                             {{"peer", net::toString(Peer)},
-                              {"next", std::to_string(State->Next_)}});
     const core::Offset From = State->Next_;
     read(std::move(*State), From);
+    // Whoever sees this line is answered and routed by that state: queries wait
+    // in the control queue behind it.
+    settings::logStateChange(
+        "state_from_peer",
+        {{"peer", net::toString(Peer)}, {"next", std::to_string(From)}});
     return true;
   }
   return false;
