--- a/lib/daemon/src/entrylog.cpp
+++ b/lib/daemon/src/entrylog.cpp
@@ -13,6 +13,14 @@
 constexpr std::size_t StartEntries = 256;
 constexpr auto PeerTimeout = std::chrono::seconds(5);
 
+/// Call after the state was given to the control loop: whoever sees the line is
+/// then answered by that state, since queries wait behind it.
+void logPeerState(const logclient::StartPoint &Start) {
+  settings::logStateChange(
+      "state_from_peer",
+      {{"peer", Start.Peer_}, {"next", std::to_string(Start.From_)}});
+}
+
 } // namespace
 
 EntryLog::EntryLog(logclient::LogService Log, core::Incarnation Process,
@@ -97,15 +105,10 @@
 }
 
 absl::StatusOr<logclient::StartPoint> EntryLog::findStart() {
-  auto Start = logclient::findBestStart(
+  return logclient::findBestStart(
       Log_, StartEntries,
       {[this] { return highestKnown(); },
        [this](core::Offset AtLeast) { return peerStates(AtLeast); }});
-  if (Start.ok() && !Start->Peer_.empty())
-    settings::logStateChange(
-        "state_from_peer",
-        {{"peer", Start->Peer_}, {"next", std::to_string(Start->From_)}});
-  return Start;
 }
 
 logclient::ReaderEvents
@@ -142,6 +145,8 @@
       *Behind = std::move(Restarted);
     else
       Control.postWait(entry::LogReplaced{std::move(Restarted)});
+    if (!Point.Peer_.empty())
+      logPeerState(Point);
   };
   return Events;
 }
@@ -152,10 +157,12 @@
   Progress_.SnapshotBytes_ = Start.SnapshotBytes_;
   Start.State_.Next_ = From;
   auto Behind = std::make_shared<CatchUp>();
-  if (Start.Peer_.empty())
+  if (Start.Peer_.empty()) {
     *Behind = std::move(Start.State_);
-  else
+  } else {
     Control.postWait(entry::LogReplaced{std::move(Start.State_)});
+    logPeerState(Start);
+  }
   logclient::ReaderEvents Events = readerEvents(Behind);
   std::lock_guard<std::mutex> Lock(Mutex_);
   if (Stopping_)
--- a/lib/entry/src/schedule.cpp
+++ b/lib/entry/src/schedule.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <functional>
 #include <set>
+#include <unordered_set>
 
 namespace nutmegwell::entry {
 
@@ -74,7 +75,7 @@
 /// Adds accelerators that agents report as held by anything else, such as the
 /// reservations of an earlier holder.
 void addForeign(const EntryState &State, sched::CellView &View) {
-  std::set<core::JobId> Driven;
+  std::unordered_set<core::JobId> Driven;
   for (const sched::RunningJob &Job : View.Running_)
     Driven.insert(Job.Id_);
   std::map<core::JobId, sched::RunningJob> Foreign;
@@ -175,14 +176,16 @@
   }
 }
 
-/// Returns the views of all known cells. Every entry host hears every agent, so
-/// that hosts with the same log agree on the cell that should take a job.
+/// Returns the views of the cells of which this host knows workers; another one
+/// has nothing to offer. Hosts that hear every agent and have the same log
+/// agree on the cell that should take a job.
 std::vector<sched::CellView> makeViews(const EntryState &State,
                                        core::TimePoint Now,
                                        const core::JobId *Asked = nullptr) {
   std::vector<sched::CellView> Views;
-  for (const auto &[Domain, Tracker] : State.Cells_)
-    Views.push_back(makeView(State, Domain, Now));
+  for (const auto &[Domain, Total] : membership::capacityOf(State.Nodes_))
+    if (Total > 0 && State.Cells_.count(Domain))
+      Views.push_back(makeView(State, Domain, Now));
   assignCells(State, Views, Asked);
   return Views;
 }
