Give the policy bench filters for its runs

Options through getopt_long choose deployments, loads, seeds and runs with or without an absence. Without options the program runs as before.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -4,8 +4,9 @@
 #include "baselines.h"
 #include "cost.h"
 #include "measures.h"
+#include "options.h"
+#include <algorithm>
 #include <cstdio>
-#include <cstring>
 
 namespace {
 
@@ -64,32 +65,56 @@
   return Broken;
 }
 
+/// Returns the deployments to run.
+std::vector<Deployment> deploymentsOf(const Options &Chosen) {
+  std::vector<Deployment> Result;
+  for (Deployment &One :
+       std::vector<Deployment>{deploymentA(), deploymentB(), designCell()}) {
+    if (std::find(Chosen.Deployments_.begin(), Chosen.Deployments_.end(),
+                  One.Name_) == Chosen.Deployments_.end())
+      continue;
+    if (Chosen.Quick_)
+      One.Jobs_ = 100;
+    Result.push_back(std::move(One));
+  }
+  return Result;
+}
+
+/// Runs the configurations and returns the number of broken placements.
+std::size_t runAll(const Options &Chosen) {
+  constexpr double AbsenceLoad = 0.9;
+  std::size_t Broken = 0;
+  for (const Deployment &One : deploymentsOf(Chosen)) {
+    if (Chosen.Presence_)
+      for (double Load : Chosen.Loads_)
+        Broken += runConfiguration(One, Load, false, Chosen.Seeds_);
+    if (Chosen.Absence_ && !One.DesignSize_)
+      Broken += runConfiguration(One, AbsenceLoad, true, Chosen.Seeds_);
+  }
+  return Broken;
+}
+
 } // namespace
 
 int main(int Argc, char **Argv) {
-  bool Quick = Argc == 2 && std::strcmp(Argv[1], "--quick") == 0;
-  if (Argc > 1 && !Quick) {
-    std::fprintf(stderr, "usage: nutmegwell-bench [--quick]\n");
+  Options Chosen;
+  if (!parseOptions(Argc, Argv, Chosen)) {
+    std::fputs(usage(), stderr);
     return 2;
   }
-  std::vector<std::uint64_t> Seeds = {1, 2, 3};
-  std::vector<double> Loads = {0.6, 0.9, 1.1};
-  std::vector<Deployment> Sizes = {deploymentA(), deploymentB(), designCell()};
-  if (Quick) {
-    Seeds = {1};
-    Loads = {0.9};
-    for (Deployment &One : Sizes)
-      One.Jobs_ = 100;
+  if (Chosen.Help_) {
+    std::fputs(usage(), stdout);
+    return 0;
   }
-  std::size_t Broken = 0;
-  for (const Deployment &One : Sizes) {
-    for (double Load : Loads)
-      Broken += runConfiguration(One, Load, false, Seeds);
-    if (!One.DesignSize_)
-      Broken += runConfiguration(One, 0.9, true, Seeds);
+  if (Chosen.Quick_) {
+    Chosen.Seeds_ = {1};
+    Chosen.Loads_ = {0.9};
   }
+  std::size_t Broken = runAll(Chosen);
   std::vector<NamedPolicy> Policies = policies();
-  printCost(Policies.front().Decide_, Policies.back().Decide_, Quick ? 3 : 30);
+  if (Chosen.Cost_)
+    printCost(Policies.front().Decide_, Policies.back().Decide_,
+              Chosen.Quick_ ? 3 : 30);
   if (Broken > 0)
     std::fprintf(stderr, "broken placements: %zu\n", Broken);
   return Broken > 0 ? 1 : 0;
