--- a/bench/measures.cpp
+++ b/bench/measures.cpp
@@ -29,6 +29,43 @@
   return Accelerators <= 8 ? "medium" : "large";
 }
 
+/// Adds what the slowest hundredth of the jobs have in common, to tell what
+/// makes the p99 of completion.
+void addSlowest(const RunResult &Run, Figures &Result) {
+  std::vector<const JobResult *> Jobs;
+  for (const JobResult &Job : Run.Jobs_)
+    Jobs.push_back(&Job);
+  std::sort(Jobs.begin(), Jobs.end(),
+            [](const JobResult *A, const JobResult *B) {
+              return A->Completion_ > B->Completion_;
+            });
+  Jobs.resize((Jobs.size() + 99) / 100);
+  std::vector<double> Sizes;
+  std::vector<double> Waited;
+  std::vector<double> Preempted;
+  for (const JobResult *Job : Jobs) {
+    Sizes.push_back(Job->Accelerators_);
+    Waited.push_back(toSeconds(Job->Waited_) / toSeconds(Job->Completion_));
+    Preempted.push_back(Job->Preemptions_);
+  }
+  Result["slowest_accelerators"] = {mean(Sizes), "accelerators"};
+  Result["slowest_waited"] = {mean(Waited), "share"};
+  Result["slowest_preempted"] = {mean(Preempted), "times"};
+}
+
+/// Adds the waits of urgent jobs with a free guarantee and of the others.
+void addUrgent(const RunResult &Run, Figures &Result) {
+  std::vector<double> Entitled;
+  std::vector<double> Others;
+  for (const JobResult &Job : Run.Jobs_)
+    if (Job.Class_ == model::JobClass::Urgent)
+      (Job.Entitled_ ? Entitled : Others).push_back(toSeconds(Job.FirstWait_));
+  Result["urgent_within_jobs"] = {static_cast<double>(Entitled.size()), "jobs"};
+  Result["urgent_within_wait_p50"] = {quantile(Entitled, 0.5), "s"};
+  Result["urgent_within_wait_p99"] = {quantile(Entitled, 0.99), "s"};
+  Result["urgent_borrower_wait_p99"] = {quantile(Others, 0.99), "s"};
+}
+
 } // namespace
 
 double quantile(std::vector<double> Values, double Quantile) {
@@ -62,6 +99,10 @@
   for (const char *Size : {"small", "medium", "large"})
     Result[std::string("slowdown_") + Size] = {mean(Slowdown[Size]), "ratio"};
   Result["fragmentation"] = {Run.Fragmentation_, "share"};
+  addSlowest(Run, Result);
+  addUrgent(Run, Result);
+  Result["absence_idle"] = {Run.AbsenceIdle_, "share"};
+  Result["absence_changing"] = {Run.AbsenceChanging_, "share"};
   Result["absence_useful"] = {Run.AbsenceShare_, "share"};
   double Cases = static_cast<double>(Run.ReclaimSeconds_.size());
   double Late = static_cast<double>(Run.ReclaimLate_);
--- a/bench/probes.cpp
+++ b/bench/probes.cpp
@@ -182,13 +182,25 @@
   }
 }
 
-void ReclaimProbe::started(std::size_t Job, core::Duration Now) {
+bool ReclaimProbe::started(std::size_t Job, core::Duration Now) {
   auto Found = Open_.find(Job);
   if (Found == Open_.end())
-    return;
+    return false;
   Times_.push_back(std::chrono::duration<double>(Now - Found->second).count());
   Late_ += Now - Found->second > Grace_;
   Open_.erase(Found);
+  return true;
+}
+
+void AbsenceProbe::observe(const Use &Next, core::Duration Now) {
+  core::Duration Length = std::min(Now, To_) - std::max(Since_, From_);
+  if (Length > core::Duration(0)) {
+    double Seconds = std::chrono::duration<double>(Length).count();
+    Sum_.Idle_ += Current_.Idle_ * Seconds;
+    Sum_.Changing_ += Current_.Changing_ * Seconds;
+  }
+  Since_ = Now;
+  Current_ = Next;
 }
 
 } // namespace nutmegwell::bench
--- a/bench/probes.h
+++ b/bench/probes.h
@@ -31,7 +31,9 @@
   explicit ReclaimProbe(core::Duration Grace) : Grace_(Grace) {}
   /// Takes the state of the cells before a decision at \p Now.
   void observe(const std::vector<sched::CellView> &Cells, core::Duration Now);
-  void started(std::size_t Job, core::Duration Now);
+  /// Returns true when the job had a free guarantee.
+  bool started(std::size_t Job, core::Duration Now);
+  bool isOpen(std::size_t Job) const { return Open_.count(Job) != 0; }
   const std::vector<double> &times() const { return Times_; }
   std::size_t late() const { return Late_; }
 
@@ -42,4 +44,28 @@
   std::size_t Late_ = 0;
 };
 
+/// Sums up what accelerators do during an absence besides useful work.
+class AbsenceProbe {
+public:
+  /// Accelerators, or accelerator-seconds when summed up.
+  struct Use {
+    /// Idle while jobs wait.
+    double Idle_ = 0;
+    /// Held by jobs that stop or read a checkpoint.
+    double Changing_ = 0;
+  };
+
+  AbsenceProbe(core::Duration From, core::Duration To) : From_(From), To_(To) {}
+  /// Takes the use from \p Now on; it holds until the next call.
+  void observe(const Use &Next, core::Duration Now);
+  const Use &sum() const { return Sum_; }
+
+private:
+  core::Duration From_;
+  core::Duration To_;
+  core::Duration Since_{};
+  Use Current_;
+  Use Sum_;
+};
+
 } // namespace nutmegwell::bench
--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -45,6 +45,10 @@
   core::Duration Saved_{};
   core::Duration Attained_{};
   core::Duration LongestWait_{};
+  core::Duration Waited_{};
+  core::Duration FirstWait_{};
+  std::uint32_t Preemptions_ = 0;
+  bool Entitled_ = false;
 };
 
 enum class EventKind : std::uint8_t { Arrival, End, Stopped, Fault, Tick };
@@ -85,6 +89,7 @@
   void fillView(std::size_t Cell);
   void decideCell(std::size_t Cell);
   void decideAll();
+  void observeAbsence();
   void finishResult();
 
   const Workload &Load_;
@@ -97,6 +102,7 @@
   core::Duration Now_{};
   double UsefulInAbsence_ = 0;
   FragmentationProbe Fragmentation_;
+  AbsenceProbe Absence_{Load_.AbsenceFrom_, Load_.AbsenceTo_};
   ReclaimProbe Reclaim_{CheckpointGrace + seconds(1)};
   RunResult Result_;
 };
@@ -145,6 +151,9 @@
                        model::Placement Tasks) {
   SimJob &Job = Jobs_[J];
   Job.LongestWait_ = std::max(Job.LongestWait_, Now_ - Job.WaitFrom_);
+  Job.Waited_ += Now_ - Job.WaitFrom_;
+  if (Job.Attempt_ == 0)
+    Job.FirstWait_ = Job.Waited_;
   Job.State_ = State::Running;
   Job.Cell_ = Cell;
   Job.Placement_ = std::move(Tasks);
@@ -154,7 +163,8 @@
   Active_.insert(J);
   push(Job.StartAt_ + input(J).RunTime_ - Job.Saved_, EventKind::End, J,
        Job.Attempt_);
-  Reclaim_.started(J, Now_);
+  bool HadGuarantee = Reclaim_.started(J, Now_);
+  Job.Entitled_ = Job.Entitled_ && (Job.Attempt_ > 1 || HadGuarantee);
 }
 
 void Simulation::preempt(std::size_t J, core::JobId For) {
@@ -162,6 +172,7 @@
   saveAs(J, input(J).SavesOnDemand_ ? workAt(J) : periodicSave(J));
   Jobs_[J].State_ = State::Stopping;
   ++Result_.Preemptions_;
+  ++Jobs_[J].Preemptions_;
   push(Now_ + CheckpointGrace, EventKind::Stopped, J, Jobs_[J].Attempt_);
 }
 
@@ -213,10 +224,11 @@
     saveAs(Next.Index_, input(Next.Index_).RunTime_);
     Job.State_ = State::Finished;
     Active_.erase(Next.Index_);
-    Result_.Jobs_.push_back({Now_ - input(Next.Index_).Arrival_,
-                             input(Next.Index_).RunTime_, Job.LongestWait_,
-                             input(Next.Index_).Spec_.Class_,
-                             input(Next.Index_).Spec_.accelerators()});
+    Result_.Jobs_.push_back(
+        {Now_ - input(Next.Index_).Arrival_, input(Next.Index_).RunTime_,
+         Job.LongestWait_, input(Next.Index_).Spec_.Class_,
+         input(Next.Index_).Spec_.accelerators(), Job.Preemptions_, Job.Waited_,
+         Job.FirstWait_, Job.Entitled_});
   } else if (Next.Kind_ == EventKind::Stopped &&
              Job.State_ == State::Stopping) {
     putBack(Next.Index_);
@@ -276,6 +288,9 @@
   for (std::size_t C = 0; C < Cells_.size(); ++C)
     fillView(C);
   Reclaim_.observe(Cells_, Now_);
+  for (std::size_t J : Waiting_)
+    if (Jobs_[J].Attempt_ == 0 && Jobs_[J].WaitFrom_ == Now_)
+      Jobs_[J].Entitled_ = Reclaim_.isOpen(J);
   std::vector<std::size_t> Preferred = sched::preferredCells(Cells_);
   std::size_t Next = 0;
   for (std::size_t J : Waiting_)
@@ -285,6 +300,28 @@
   for (std::size_t C = 0; C < Cells_.size(); ++C)
     fillView(C);
   Fragmentation_.observe(Cells_, Now_);
+  observeAbsence();
+}
+
+/// Takes what the remaining domains do from now until the next event.
+void Simulation::observeAbsence() {
+  if (Load_.AbsenceTo_ <= Load_.AbsenceFrom_)
+    return;
+  AbsenceProbe::Use Use;
+  for (std::size_t C = 1; C < Cells_.size(); ++C)
+    for (const sched::WorkerView &Worker : Cells_[C].Workers_)
+      Use.Idle_ += Worker.Usable_ ? Worker.Accelerators_ : 0;
+  for (std::size_t J : Active_) {
+    if (Jobs_[J].Cell_ == 0)
+      continue;
+    std::uint32_t Size = input(J).Spec_.accelerators();
+    Use.Idle_ -= Size;
+    if (Jobs_[J].State_ == State::Stopping || Jobs_[J].StartAt_ > Now_)
+      Use.Changing_ += Size;
+  }
+  if (Waiting_.empty())
+    Use.Idle_ = 0;
+  Absence_.observe(Use, Now_);
 }
 
 void Simulation::finishResult() {
@@ -295,8 +332,11 @@
   double Length =
       std::chrono::duration<double>(Load_.AbsenceTo_ - Load_.AbsenceFrom_)
           .count();
-  if (Length > 0)
+  if (Length > 0) {
     Result_.AbsenceShare_ = UsefulInAbsence_ / (Remaining * Length);
+    Result_.AbsenceIdle_ = Absence_.sum().Idle_ / (Remaining * Length);
+    Result_.AbsenceChanging_ = Absence_.sum().Changing_ / (Remaining * Length);
+  }
   Result_.Fragmentation_ = Fragmentation_.mean();
   Result_.ReclaimSeconds_ = Reclaim_.times();
   Result_.ReclaimLate_ = Reclaim_.late();
--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -14,6 +14,14 @@
   core::Duration LongestWait_{};
   model::JobClass Class_ = model::JobClass::Normal;
   std::uint32_t Accelerators_ = 0;
+  std::uint32_t Preemptions_ = 0;
+  /// All waits of the job together.
+  core::Duration Waited_{};
+  /// The wait of the first attempt.
+  core::Duration FirstWait_{};
+  /// True when the account had a free guarantee of the job's shape from the
+  /// job's arrival until it started.
+  bool Entitled_ = false;
 };
 
 struct RunResult {
@@ -24,6 +32,10 @@
   /// Useful accelerator-seconds during the absence over what the remaining
   /// domains could do; 0 without an absence.
   double AbsenceShare_ = 0;
+  /// Shares of the remaining accelerators during the absence that were idle
+  /// while jobs waited, and in which jobs were stopped or restored.
+  double AbsenceIdle_ = 0;
+  double AbsenceChanging_ = 0;
   /// Time from when a job had a free guarantee until it started.
   std::vector<double> ReclaimSeconds_;
   /// Cases that took longer than the checkpoint grace and one decision.
