Count a job's wait over all its attempts in the borrowing order

A gang that was preempted went back behind every job that had waited longer since its own last attempt, so that the slowest jobs waited their 2 h several times. The order now uses the sum of all waits, which the caller gives in WaitingJob::WaitedBefore_ (queueing by age, as in EASY, Lifka 1995).

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -21,7 +21,7 @@
 /// The policy that was in force before the last change to it.
 sched::Policy previousPolicy() {
   sched::Policy Result;
-  Result.SpareUnowned_ = false;
+  Result.TotalWait_ = false;
   return Result;
 }
 
--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -244,7 +244,8 @@
                              input(J).Spec_,
                              Now_ - Jobs_[J].WaitFrom_,
                              Jobs_[J].Attained_,
-                             Jobs_[J].Preferred_ == Cell});
+                             Jobs_[J].Preferred_ == Cell,
+                             Jobs_[J].Waited_});
   for (std::size_t J : Active_) {
     const SimJob &Job = Jobs_[J];
     if (Job.Cell_ != Cell)
--- a/lib/sched/include/nutmegwell/sched/plan.h
+++ b/lib/sched/include/nutmegwell/sched/plan.h
@@ -30,6 +30,8 @@
   /// False while another cell is to take the job (see preferredCells); then
   /// nothing is preempted for it here.
   bool Preferred_ = true;
+  /// How long the job waited for its earlier attempts.
+  core::Duration WaitedBefore_{};
 };
 
 struct RunningJob {
--- a/lib/sched/include/nutmegwell/sched/policy.h
+++ b/lib/sched/include/nutmegwell/sched/policy.h
@@ -47,6 +47,9 @@
   /// Whether a job with a claim on borrowed accelerators starts in a free place
   /// outside all guaranteed blocks instead, when there is one.
   bool SpareUnowned_ = true;
+  /// Whether a job's wait counts from all its attempts, so that a preempted job
+  /// does not go back behind those that arrived after it.
+  bool TotalWait_ = true;
 };
 
 } // namespace nutmegwell::sched
--- a/lib/sched/src/queue.cpp
+++ b/lib/sched/src/queue.cpp
@@ -15,8 +15,6 @@
 /// wide as the one before, so that jobs do not change places all the time.
 constexpr std::chrono::seconds FirstLevel{3600};
 
-bool waitedTooLong(const WaitingJob &Job) { return Job.Waited_ >= LongestWait; }
-
 int serviceLevel(const WaitingJob &Job) {
   int Level = 0;
   for (core::Duration Bound = FirstLevel; Job.Attained_ >= Bound; Bound *= 10)
@@ -48,12 +46,18 @@
                    const Policy &Choices) {
   if (Choices.Order_ == Order::Listed)
     return;
+  auto Wait = [&](const WaitingJob *Job) {
+    return Choices.TotalWait_ ? Job->Waited_ + Job->WaitedBefore_
+                              : Job->Waited_;
+  };
   std::stable_sort(Jobs.begin(), Jobs.end(),
-                   [](const WaitingJob *A, const WaitingJob *B) {
-                     bool LateA = waitedTooLong(*A);
-                     bool LateB = waitedTooLong(*B);
+                   [&](const WaitingJob *A, const WaitingJob *B) {
+                     core::Duration WaitA = Wait(A);
+                     core::Duration WaitB = Wait(B);
+                     bool LateA = WaitA >= LongestWait;
+                     bool LateB = WaitB >= LongestWait;
                      if (LateA || LateB)
-                       return LateA && (!LateB || A->Waited_ > B->Waited_);
+                       return LateA && (!LateB || WaitA > WaitB);
                      return std::make_pair(A->Spec_.Class_, serviceLevel(*A)) <
                             std::make_pair(B->Spec_.Class_, serviceLevel(*B));
                    });
