Try showing a job to its preferred cell first

Other cells look for room for a job only after its preferred cell has had its turn, as entry hosts do.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -4,6 +4,7 @@
 #include "baselines.h"
 #include "cost.h"
 #include "measures.h"
+#include "nutmegwell/sched/prefer.h"
 #include "options.h"
 #include <algorithm>
 #include <cstdio>
@@ -13,11 +14,6 @@
 using namespace nutmegwell;
 using namespace nutmegwell::bench;
 
-struct NamedPolicy {
-  std::string Name_;
-  Decide Decide_;
-};
-
 /// The policy that was in force before the last change to it.
 sched::Policy previousPolicy() {
   sched::Policy Result;
@@ -25,17 +21,24 @@
   return Result;
 }
 
+NamedPolicy makePolicy(const std::string &Name, const sched::Policy &Choices,
+                       bool PreferredFirst) {
+  return {Name,
+          [Choices](const sched::CellView &View) {
+            return sched::decide(View, Choices);
+          },
+          [Choices](const std::vector<sched::CellView> &Cells) {
+            return sched::preferredCells(Cells, Choices);
+          },
+          PreferredFirst};
+}
+
 /// The policy first, then the baselines.
 std::vector<NamedPolicy> policies() {
-  Decide Current = [](const sched::CellView &View) {
-    return sched::decide(View);
-  };
-  return {{"policy", Current},
-          {"first_come", decideFirstCome},
-          {"backfill", decideBackfill},
-          {"previous", [](const sched::CellView &View) {
-             return sched::decide(View, previousPolicy());
-           }}};
+  return {makePolicy("policy", sched::Policy(), true),
+          {"first_come", decideFirstCome, {}},
+          {"backfill", decideBackfill, {}},
+          makePolicy("previous", previousPolicy(), false)};
 }
 
 std::size_t runConfiguration(const Deployment &Sizes, double Load, bool Absence,
@@ -51,7 +54,7 @@
     if (Absence)
       addAbsence(Input);
     for (std::size_t P = 0; P < Policies.size(); ++P) {
-      RunResult Run = simulate(Input, Policies[P].Decide_);
+      RunResult Run = simulate(Input, Policies[P]);
       Broken += Run.PartialGangs_ + Run.Invalid_;
       Runs[P].push_back(figuresOf(Run));
     }
--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -1,6 +1,5 @@
 #include "simulation.h"
 
-#include "nutmegwell/sched/prefer.h"
 #include "probes.h"
 #include <algorithm>
 #include <queue>
@@ -66,7 +65,7 @@
 
 class Simulation {
 public:
-  Simulation(const Workload &Load, const Decide &Policy)
+  Simulation(const Workload &Load, const NamedPolicy &Policy)
       : Load_(Load), Policy_(Policy), Cells_(Load.Cells_),
         Jobs_(Load.Jobs_.size()) {}
 
@@ -87,13 +86,13 @@
   void saveAs(std::size_t J, core::Duration Saved);
   void creditAbsence(std::size_t J, core::Duration From, core::Duration To);
   void fillView(std::size_t Cell);
-  void decideCell(std::size_t Cell);
+  void decideCell(std::size_t Cell, bool PreferredOnly);
   void decideAll();
   void observeAbsence();
   void finishResult();
 
   const Workload &Load_;
-  const Decide &Policy_;
+  const NamedPolicy &Policy_;
   std::vector<sched::CellView> Cells_;
   std::vector<SimJob> Jobs_;
   std::set<std::size_t> Waiting_;
@@ -264,10 +263,17 @@
   }
 }
 
-void Simulation::decideCell(std::size_t Cell) {
+void Simulation::decideCell(std::size_t Cell, bool PreferredOnly) {
   fillView(Cell);
+  if (PreferredOnly) {
+    std::vector<sched::WaitingJob> &Jobs = Cells_[Cell].Waiting_;
+    Jobs.erase(std::remove_if(
+                   Jobs.begin(), Jobs.end(),
+                   [](const sched::WaitingJob &Job) { return !Job.Preferred_; }),
+               Jobs.end());
+  }
   auto Before = std::chrono::steady_clock::now();
-  sched::Plan Plan = Policy_(Cells_[Cell]);
+  sched::Plan Plan = Policy_.Decide_(Cells_[Cell]);
   std::chrono::duration<double, std::micro> Spent =
       std::chrono::steady_clock::now() - Before;
   Result_.DecisionMicros_.push_back(Spent.count());
@@ -292,12 +298,17 @@
   for (std::size_t J : Waiting_)
     if (Jobs_[J].Attempt_ == 0 && Jobs_[J].WaitFrom_ == Now_)
       Jobs_[J].Entitled_ = Reclaim_.isOpen(J);
-  std::vector<std::size_t> Preferred = sched::preferredCells(Cells_);
-  std::size_t Next = 0;
-  for (std::size_t J : Waiting_)
-    Jobs_[J].Preferred_ = Preferred[Next++];
+  if (Policy_.Prefer_) {
+    std::vector<std::size_t> Preferred = Policy_.Prefer_(Cells_);
+    std::size_t Next = 0;
+    for (std::size_t J : Waiting_)
+      Jobs_[J].Preferred_ = Preferred[Next++];
+  }
+  if (Policy_.PreferredFirst_ && Cells_.size() > 1)
+    for (std::size_t C = 0; C < Cells_.size(); ++C)
+      decideCell(C, true);
   for (std::size_t C = 0; C < Cells_.size(); ++C)
-    decideCell(C);
+    decideCell(C, false);
   for (std::size_t C = 0; C < Cells_.size(); ++C)
     fillView(C);
   Fragmentation_.observe(Cells_, Now_);
@@ -370,7 +381,7 @@
 
 } // namespace
 
-RunResult simulate(const Workload &Load, const Decide &Policy) {
+RunResult simulate(const Workload &Load, const NamedPolicy &Policy) {
   return Simulation(Load, Policy).run();
 }
 
--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -49,8 +49,21 @@
   std::vector<double> DecisionMicros_;
 };
 
-/// Runs the jobs and faults through the decision function under a simulated
-/// clock. Only decision times depend on the machine.
-RunResult simulate(const Workload &Load, const Decide &Policy);
+/// A policy to run.
+struct NamedPolicy {
+  std::string Name_;
+  Decide Decide_;
+  /// Chooses the cell that is to take each waiting job; without it, every cell
+  /// may take every job.
+  std::function<std::vector<std::size_t>(const std::vector<sched::CellView> &)>
+      Prefer_;
+  /// Whether other cells see a job only after its preferred cell had decided,
+  /// as between entry hosts.
+  bool PreferredFirst_ = false;
+};
+
+/// Runs the jobs and faults through the policy under a simulated clock. Only
+/// decision times depend on the machine.
+RunResult simulate(const Workload &Load, const NamedPolicy &Policy);
 
 } // namespace nutmegwell::bench
