Try preferring the cell with the least room

A job that does not run at once prefers the cell with the least free room, so that another one keeps room for large gangs.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -18,6 +18,7 @@
 sched::Policy previousPolicy() {
   sched::Policy Result;
   Result.TotalWait_ = false;
+  Result.PackCells_ = false;
   return Result;
 }
 
--- a/lib/sched/include/nutmegwell/sched/policy.h
+++ b/lib/sched/include/nutmegwell/sched/policy.h
@@ -50,6 +50,9 @@
   /// Whether a job's wait counts from all its attempts, so that a preempted job
   /// does not go back behind those that arrived after it.
   bool TotalWait_ = true;
+  /// Whether, of cells that take a job equally well, the one with least room
+  /// left is preferred, so that the others keep room for large gangs.
+  bool PackCells_ = true;
 };
 
 } // namespace nutmegwell::sched
--- a/lib/sched/src/prefer.cpp
+++ b/lib/sched/src/prefer.cpp
@@ -1,6 +1,7 @@
 #include "nutmegwell/sched/prefer.h"
 
 #include "cellstate.h"
+#include "place.h"
 #include <memory>
 
 namespace nutmegwell::sched {
@@ -12,6 +13,8 @@
   std::size_t Cell_ = 0;
   std::optional<Claim> Claim_;
   double Cost_ = 0;
+  /// A free place for a job without a claim.
+  std::optional<Slices> Place_;
 };
 
 /// Returns what the preemptions of a claim cost.
@@ -24,18 +27,20 @@
 
 /// Returns true when A is better than B: a claim before none, then what is free
 /// at once, then what costs least, then the cell with more free accelerators.
-bool betterOffer(const std::vector<std::unique_ptr<CellState>> &States,
+bool betterOffer(const std::vector<std::unique_ptr<CellState>> &States, bool PackCells,
                  const Offer &A, const Offer &B) {
   auto Key = [&](const Offer &One) {
-    return std::make_tuple(
-        !One.Claim_, One.Claim_ && !One.Claim_->Free_, One.Cost_,
-        -static_cast<std::int64_t>(States[One.Cell_]->Free_.freeInCell()));
+    std::int64_t Room = States[One.Cell_]->Free_.freeInCell();
+    bool Pack = One.Place_ || (One.Claim_ && One.Claim_->Free_);
+    return std::make_tuple(!One.Claim_, One.Claim_ && !One.Claim_->Free_,
+                           One.Cost_, !One.Place_,
+                           Pack && PackCells ? Room : -Room);
   };
   return Key(A) < Key(B);
 }
 
 std::size_t chooseCell(std::vector<std::unique_ptr<CellState>> &States,
-                       const WaitingJob &Job) {
+                       const WaitingJob &Job, const Policy &Choices) {
   std::optional<Offer> Best;
   // Starting at a place given by the id spreads equal offers over the cells.
   std::size_t First = std::hash<core::JobId>()(Job.Id_) % States.size();
@@ -50,7 +55,9 @@
     Next.Claim_ = claimFor(State, Job.Spec_, Pool);
     if (Next.Claim_)
       Next.Cost_ = costOf(State, *Next.Claim_);
-    if (!Best || betterOffer(States, Next, *Best))
+    else if (Choices.PackCells_)
+      Next.Place_ = findPlace(State.Free_, Job.Spec_, Choices.Fit_);
+    if (!Best || betterOffer(States, Choices.PackCells_, Next, *Best))
       Best = std::move(Next);
   }
   if (!Best)
@@ -58,6 +65,8 @@
   CellState &State = *States[Best->Cell_];
   if (Best->Claim_)
     keepClaim(State, *Best->Claim_, Job.Spec_, poolOf(State.View_, Job.Spec_));
+  else if (Best->Place_)
+    keepPlace(State, *Best->Place_, Job.Spec_, poolOf(State.View_, Job.Spec_));
   return Best->Cell_;
 }
 
@@ -74,7 +83,7 @@
   for (const CellView &View : Cells)
     States.push_back(std::make_unique<CellState>(View, Choices));
   for (const WaitingJob &Job : Cells[0].Waiting_)
-    Result.push_back(chooseCell(States, Job));
+    Result.push_back(chooseCell(States, Job, Choices));
   return Result;
 }
 
