Move jobs within a guarantee to free a place for a gang

The slowest jobs are gangs above any guarantee that wait behind jobs within guarantees. A job within a guarantee may now be stopped when it can go on within its guarantee in another cell (migration as in Gandiva, OSDI 2018).

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -4,6 +4,7 @@
 #include "baselines.h"
 #include "cost.h"
 #include "measures.h"
+#include "nutmegwell/sched/moves.h"
 #include "nutmegwell/sched/prefer.h"
 #include "options.h"
 #include <algorithm>
@@ -19,6 +20,7 @@
   sched::Policy Result;
   Result.TotalWait_ = false;
   Result.PackCells_ = false;
+  Result.Moves_ = false;
   return Result;
 }
 
@@ -28,8 +30,13 @@
           [Choices](const sched::CellView &View) {
             return sched::decide(View, Choices);
           },
-          [Choices](const std::vector<sched::CellView> &Cells) {
-            return sched::preferredCells(Cells, Choices);
+          [Choices](std::vector<sched::CellView> &Cells) {
+            std::vector<std::size_t> Preferred =
+                sched::preferredCells(Cells, Choices);
+            for (std::size_t C = 0; C < Cells.size(); ++C)
+              for (std::size_t J = 0; J < Preferred.size(); ++J)
+                Cells[C].Waiting_[J].Preferred_ = Preferred[J] == C;
+            sched::planMoves(Cells, Choices);
           },
           PreferredFirst};
 }
--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -38,6 +38,7 @@
   std::size_t Cell_ = 0;
   std::size_t Preferred_ = 0;
   core::JobId StoppingFor_;
+  core::JobId MovesFor_;
   model::Placement Placement_;
   core::Duration WaitFrom_{};
   core::Duration StartAt_{};
@@ -259,7 +260,8 @@
          Job.Attained_ + Run * input(J).Spec_.accelerators(),
          Stopping,
          Job.StoppingFor_,
-         std::max(Now_ - Job.StartAt_, core::Duration(0))});
+         std::max(Now_ - Job.StartAt_, core::Duration(0)),
+         Job.MovesFor_});
   }
 }
 
@@ -298,11 +300,15 @@
   for (std::size_t J : Waiting_)
     if (Jobs_[J].Attempt_ == 0 && Jobs_[J].WaitFrom_ == Now_)
       Jobs_[J].Entitled_ = Reclaim_.isOpen(J);
-  if (Policy_.Prefer_) {
-    std::vector<std::size_t> Preferred = Policy_.Prefer_(Cells_);
-    std::size_t Next = 0;
-    for (std::size_t J : Waiting_)
-      Jobs_[J].Preferred_ = Preferred[Next++];
+  if (Policy_.Arrange_) {
+    Policy_.Arrange_(Cells_);
+    for (std::size_t C = 0; C < Cells_.size(); ++C) {
+      for (const sched::WaitingJob &Job : Cells_[C].Waiting_)
+        if (Job.Preferred_)
+          Jobs_[Job.Id_.Sequence_ - 1].Preferred_ = C;
+      for (const sched::RunningJob &Job : Cells_[C].Running_)
+        Jobs_[Job.Id_.Sequence_ - 1].MovesFor_ = Job.MovesFor_;
+    }
   }
   if (Policy_.PreferredFirst_ && Cells_.size() > 1)
     for (std::size_t C = 0; C < Cells_.size(); ++C)
--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -53,10 +53,8 @@
 struct NamedPolicy {
   std::string Name_;
   Decide Decide_;
-  /// Chooses the cell that is to take each waiting job; without it, every cell
-  /// may take every job.
-  std::function<std::vector<std::size_t>(const std::vector<sched::CellView> &)>
-      Prefer_;
+  /// Sets what depends on all cells; without it, every cell may take every job.
+  std::function<void(std::vector<sched::CellView> &)> Arrange_;
   /// Whether other cells see a job only after its preferred cell had decided,
   /// as between entry hosts.
   bool PreferredFirst_ = false;
--- a/lib/sched/include/nutmegwell/sched/plan.h
+++ b/lib/sched/include/nutmegwell/sched/plan.h
@@ -47,6 +47,9 @@
   core::JobId StoppingFor_;
   /// Time since this attempt started; one with 0 keeps its place.
   core::Duration RunTime_{};
+  /// The waiting job for which this one may be moved to another cell, if any
+  /// (see planMoves).
+  core::JobId MovesFor_{};
 };
 
 /// All that a decision for one cell depends on.
--- a/lib/sched/src/aging.cpp
+++ b/lib/sched/src/aging.cpp
@@ -19,6 +19,8 @@
   const RunningJob &Running = State.View_.Running_[J];
   if (Running.Stopping_ || State.Running_.Cost_[J] == 0)
     return true;
+  if (Running.MovesFor_.valid() && Running.MovesFor_ == Job.Id_)
+    return true;
   if (State.Guarantees_.Within_[J])
     return false;
   if (Running.Spec_.Class_ < Job.Spec_.Class_)
--- /dev/null
+++ b/lib/sched/src/moves.cpp
@@ -0,0 +1,144 @@
+#include "nutmegwell/sched/moves.h"
+
+#include "aging.h"
+#include "cellstate.h"
+#include "place.h"
+#include <algorithm>
+#include <memory>
+
+namespace nutmegwell::sched {
+
+namespace {
+
+using States = std::vector<std::unique_ptr<CellState>>;
+
+/// A job is not moved before it has run this long.
+constexpr std::chrono::minutes ShortestStay{5};
+
+/// Jobs for which a place is sought in one call, which bounds its time.
+constexpr std::size_t MostSought = 3;
+
+States makeStates(const std::vector<CellView> &Cells, const Policy &Choices) {
+  States Result;
+  for (const CellView &View : Cells)
+    Result.push_back(std::make_unique<CellState>(View, Choices));
+  return Result;
+}
+
+core::Duration totalWait(const WaitingJob &Job) {
+  return Job.Waited_ + Job.WaitedBefore_;
+}
+
+/// Returns the aged waiting jobs, the longest wait first.
+std::vector<const WaitingJob *> agedJobs(const CellView &View) {
+  std::vector<const WaitingJob *> Result;
+  for (const WaitingJob &Job : View.Waiting_)
+    if (totalWait(Job) >= patienceOf(model::JobClass::Patient))
+      Result.push_back(&Job);
+  std::stable_sort(Result.begin(), Result.end(),
+                   [](const WaitingJob *A, const WaitingJob *B) {
+                     return totalWait(*A) > totalWait(*B);
+                   });
+  return Result;
+}
+
+bool beingServed(const std::vector<CellView> &Cells, const core::JobId &Job) {
+  for (const CellView &View : Cells)
+    for (const RunningJob &Running : View.Running_)
+      if (Running.Stopping_ && Running.StoppingFor_ == Job)
+        return true;
+  return false;
+}
+
+bool fitsNow(const States &All, const WaitingJob &Job) {
+  return std::any_of(All.begin(), All.end(), [&](const auto &State) {
+    return State->View_.MayStart_ &&
+           findPlace(State->Free_, Job.Spec_, Fit::Best);
+  });
+}
+
+/// Keeps a place within the guarantee of the job's account in a cell other than
+/// \p From. Returns false when there is none.
+bool rehouse(States &All, std::size_t From, const RunningJob &Job) {
+  for (std::size_t C = 0; C < All.size(); ++C) {
+    if (C == From || !All[C]->View_.MayStart_)
+      continue;
+    std::size_t Pool = poolOf(All[C]->View_, Job.Spec_);
+    if (auto Found = claimFor(*All[C], Job.Spec_, Pool)) {
+      keepClaim(*All[C], *Found, Job.Spec_, Pool);
+      return true;
+    }
+  }
+  return false;
+}
+
+/// Returns the jobs to move out of a cell so that \p Gang has a place there, or
+/// nothing when no set of jobs with places elsewhere was found.
+std::optional<std::pair<double, std::vector<std::size_t>>>
+movesIn(const std::vector<CellView> &Cells, std::size_t C,
+        const WaitingJob &Gang, const Policy &Choices) {
+  CellView View = Cells[C];
+  std::vector<std::size_t> Candidates;
+  States Probe = makeStates(Cells, Choices);
+  std::size_t Pool = poolOf(View, Gang.Spec_);
+  if (Pool == NoOwner || !withinLimit(*Probe[C], Gang.Spec_, Pool))
+    return std::nullopt;
+  for (std::size_t J = 0; J < View.Running_.size(); ++J)
+    if (Probe[C]->Guarantees_.Within_[J] &&
+        View.Running_[J].RunTime_ >= ShortestStay &&
+        rehouse(Probe, C, View.Running_[J]))
+      View.Running_[J].MovesFor_ = Gang.Id_;
+  CellState State(View, Choices);
+  auto Found = agedPlace(State, Gang);
+  if (!Found)
+    return std::nullopt;
+  double Cost = 0;
+  std::vector<std::size_t> Result;
+  for (std::size_t J : Found->Victims_) {
+    Cost += State.Running_.Cost_[J];
+    if (State.Guarantees_.Within_[J])
+      Result.push_back(J);
+  }
+  return std::make_pair(Cost, Result);
+}
+
+} // namespace
+
+void planMoves(std::vector<CellView> &Cells, const Policy &Choices) {
+  if (!Choices.Moves_ || Cells.size() < 2)
+    return;
+  States All = makeStates(Cells, Choices);
+  std::size_t Sought = 0;
+  for (const WaitingJob *Gang : agedJobs(Cells[0])) {
+    if (Sought == MostSought)
+      return;
+    ++Sought;
+    if (beingServed(Cells, Gang->Id_))
+      return;
+    if (fitsNow(All, *Gang))
+      continue;
+    std::optional<std::size_t> Best;
+    double BestCost = 0;
+    std::vector<std::size_t> Moved;
+    for (std::size_t C = 0; C < Cells.size(); ++C) {
+      if (!Cells[C].MayStart_)
+        continue;
+      auto Found = movesIn(Cells, C, *Gang, Choices);
+      if (Found && (!Best || Found->first < BestCost)) {
+        Best = C;
+        BestCost = Found->first;
+        Moved = Found->second;
+      }
+    }
+    if (!Best)
+      continue;
+    std::size_t Index = static_cast<std::size_t>(Gang - Cells[0].Waiting_.data());
+    for (std::size_t C = 0; C < Cells.size(); ++C)
+      Cells[C].Waiting_[Index].Preferred_ = C == *Best;
+    for (std::size_t J : Moved)
+      Cells[*Best].Running_[J].MovesFor_ = Gang->Id_;
+    return;
+  }
+}
+
+} // namespace nutmegwell::sched
