--- a/lib/sched/include/nutmegwell/sched/policy.h
+++ b/lib/sched/include/nutmegwell/sched/policy.h
@@ -53,6 +53,9 @@
   /// Whether, of cells that take a job equally well, the one with least room
   /// left is preferred, so that the others keep room for large gangs.
   bool PackCells_ = true;
+  /// Whether the places that are freed for borrowers, and one for the job that
+  /// has waited longest, are kept until a claim has no other place.
+  bool Holds_ = true;
   /// Whether jobs within a guarantee are moved to other cells for the gang that
   /// has waited longest.
   bool Moves_ = true;
--- a/lib/sched/src/plan.cpp
+++ b/lib/sched/src/plan.cpp
@@ -46,7 +46,8 @@
 void preemptFor(Decision &State, const WaitingJob &Job, const Claim &Found,
                 const std::string &Reason) {
   for (std::size_t J : Found.Victims_)
-    State.Plan_.Preemptions_.push_back(
+    if (J < State.Cell_.View_.Running_.size())
+      State.Plan_.Preemptions_.push_back(
         {State.Cell_.View_.Running_[J].Id_, Job.Id_, Reason});
 }
 
@@ -105,6 +106,24 @@
   return true;
 }
 
+/// Starts a job in the place that is held for it, or waits until all of it is
+/// free. Returns false when there is none.
+bool useHold(Decision &State, const WaitingJob &Job, std::size_t Pool) {
+  const Hold *Held = holdOf(State.Cell_, Job.Id_);
+  if (!Held)
+    return false;
+  State.Cell_.Held_[Pool] += Job.Spec_.accelerators();
+  std::uint32_t Free = 0;
+  for (const Slice &Part : Held->Free_)
+    Free += countBits(Part.Bits_);
+  if (Free == Job.Spec_.accelerators())
+    State.Plan_.Starts_.push_back(
+        {Job.Id_, toPlacement(State.Cell_.View_, Held->Tasks_)});
+  else
+    wait(State, Job, turnReason(State.Cell_.View_, Job.Spec_, 0));
+  return true;
+}
+
 /// Starts a job on accelerators that nobody uses at present.
 void borrow(Decision &State, const WaitingJob &Job, std::size_t Pool) {
   std::optional<Slices> Found;
@@ -143,6 +162,10 @@
 /// so that a job that waits for its guarantee does not lose it to a borrower.
 void decideStarts(Decision &State) {
   const CellView &View = State.Cell_.View_;
+  if (State.Choices_.Holds_) {
+    holdServed(State.Cell_);
+    holdLongest(State.Cell_);
+  }
   std::vector<const WaitingJob *> Borrowers;
   for (const WaitingJob *Job : claimOrder(View, State.Choices_))
     if (!State.Choices_.Guarantees_ ||
@@ -151,7 +174,7 @@
   sortBorrowers(Borrowers, State.Choices_);
   for (const WaitingJob *Job : Borrowers) {
     std::size_t Pool = poolWithRoom(State, *Job);
-    if (Pool != NoOwner)
+    if (Pool != NoOwner && !useHold(State, *Job, Pool))
       borrow(State, *Job, Pool);
   }
 }
--- a/lib/sched/src/prefer.cpp
+++ b/lib/sched/src/prefer.cpp
@@ -41,6 +41,9 @@
 
 std::size_t chooseCell(std::vector<std::unique_ptr<CellState>> &States,
                        const WaitingJob &Job, const Policy &Choices) {
+  for (std::size_t I = 0; I < States.size(); ++I)
+    if (holdOf(*States[I], Job.Id_))
+      return I;
   std::optional<Offer> Best;
   // Starting at a place given by the id spreads equal offers over the cells.
   std::size_t First = std::hash<core::JobId>()(Job.Id_) % States.size();
@@ -65,6 +68,8 @@
   CellState &State = *States[Best->Cell_];
   if (Best->Claim_)
     keepClaim(State, *Best->Claim_, Job.Spec_, poolOf(State.View_, Job.Spec_));
+  else if (Best->Place_ && Choices.Holds_)
+    addHold(State, Job, std::move(*Best->Place_));
   else if (Best->Place_)
     keepPlace(State, *Best->Place_, Job.Spec_, poolOf(State.View_, Job.Spec_));
   return Best->Cell_;
@@ -82,8 +87,19 @@
   std::vector<std::unique_ptr<CellState>> States;
   for (const CellView &View : Cells)
     States.push_back(std::make_unique<CellState>(View, Choices));
+  const WaitingJob *First = nullptr;
+  std::size_t FirstCell = 0;
+  if (Choices.Holds_) {
+    First = longestWaiting(Cells[0]);
+    for (auto &State : States) {
+      holdServed(*State);
+    }
+    if (First)
+      FirstCell = chooseCell(States, *First, Choices);
+  }
   for (const WaitingJob &Job : Cells[0].Waiting_)
-    Result.push_back(chooseCell(States, Job, Choices));
+    Result.push_back(&Job == First ? FirstCell
+                                   : chooseCell(States, Job, Choices));
   return Result;
 }
 
