--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -261,7 +261,8 @@
          Stopping,
          Job.StoppingFor_,
          std::max(Now_ - Job.StartAt_, core::Duration(0)),
-         Job.MovesFor_});
+         Job.MovesFor_,
+         Job.Waited_});
   }
 }
 
--- a/lib/sched/include/nutmegwell/sched/plan.h
+++ b/lib/sched/include/nutmegwell/sched/plan.h
@@ -50,6 +50,8 @@
   /// The waiting job for which this one may be moved to another cell, if any
   /// (see planMoves).
   core::JobId MovesFor_{};
+  /// How long the job waited for all its attempts.
+  core::Duration Waited_{};
 };
 
 /// All that a decision for one cell depends on.
--- a/lib/sched/include/nutmegwell/sched/policy.h
+++ b/lib/sched/include/nutmegwell/sched/policy.h
@@ -56,6 +56,8 @@
   /// Whether the places that are freed for borrowers, and one for the job that
   /// has waited longest, are kept until a claim has no other place.
   bool Holds_ = true;
+  /// Whether a job takes its turn only from jobs that waited less than it.
+  bool TurnsByWait_ = true;
   /// Whether jobs within a guarantee are moved to other cells for the gang that
   /// has waited longest.
   bool Moves_ = true;
--- a/lib/sched/src/cellstate.cpp
+++ b/lib/sched/src/cellstate.cpp
@@ -129,7 +129,7 @@
 }
 
 CellState::CellState(const CellView &View, const Policy &Choices)
-    : View_(View), Map_(makeTopology(View)), Free_(Map_),
+    : View_(View), TurnsByWait_(Choices.TurnsByWait_), Map_(makeTopology(View)), Free_(Map_),
       Held_(View.Pools_.size()), Claimed_(View.Workers_.size()) {
   Running_.JobsOn_.resize(View.Workers_.size());
   for (std::size_t J = 0; J < View.Running_.size(); ++J)
--- a/lib/sched/src/cellstate.h
+++ b/lib/sched/src/cellstate.h
@@ -22,6 +22,7 @@
   CellState &operator=(const CellState &) = delete;
 
   const CellView &View_;
+  bool TurnsByWait_;
   Topology Map_;
   /// Accelerators that are free and not kept for a claim.
   FreeIndex Free_;
