Let a job at its account's limit take turns from its account

A gang could never take its turn while its own account filled the limit. It may now take it from jobs of the same account.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -21,6 +21,7 @@
   Result.TotalWait_ = false;
   Result.PackCells_ = false;
   Result.Holds_ = false;
+  Result.TurnsPastLimit_ = false;
   Result.TurnsByWait_ = false;
   Result.Moves_ = false;
   return Result;
--- a/lib/sched/include/nutmegwell/sched/policy.h
+++ b/lib/sched/include/nutmegwell/sched/policy.h
@@ -58,6 +58,9 @@
   bool Holds_ = true;
   /// Whether a job takes its turn only from jobs that waited less than it.
   bool TurnsByWait_ = true;
+  /// Whether a job whose account is at its limit takes its turn from jobs of
+  /// the same account.
+  bool TurnsPastLimit_ = true;
   /// Whether jobs within a guarantee are moved to other cells for the gang that
   /// has waited longest.
   bool Moves_ = true;
--- a/lib/sched/src/cellstate.cpp
+++ b/lib/sched/src/cellstate.cpp
@@ -2,6 +2,7 @@
 
 #include "place.h"
 #include "region.h"
+#include <algorithm>
 
 namespace nutmegwell::sched {
 
@@ -69,7 +70,7 @@
 /// Returns true when the job keeps its limit and has no claim.
 static bool borrows(const CellState &State, const WaitingJob &Job) {
   std::size_t Pool = poolOf(State.View_, Job.Spec_);
-  return Pool != NoOwner && withinLimit(State, Job.Spec_, Pool) &&
+  return Pool != NoOwner && withinLimitAfter(State, Job, Pool, {}) &&
          !claimFor(State, Job.Spec_, Pool);
 }
 
@@ -143,6 +144,21 @@
          State.View_.Pools_[Pool].Limit_;
 }
 
+bool withinLimitAfter(const CellState &State, const WaitingJob &Job,
+                      std::size_t Pool,
+                      const std::vector<std::size_t> &Victims) {
+  std::uint32_t Held = State.Held_[Pool];
+  for (std::size_t J = 0; J < State.View_.Running_.size(); ++J) {
+    const RunningJob &Running = State.View_.Running_[J];
+    bool Leaves =
+        (Running.Stopping_ && Running.StoppingFor_ == Job.Id_) ||
+        std::find(Victims.begin(), Victims.end(), J) != Victims.end();
+    if (Leaves && poolOf(State.View_, Running.Spec_) == Pool)
+      Held -= Running.Spec_.accelerators();
+  }
+  return Held + Job.Spec_.accelerators() <= State.View_.Pools_[Pool].Limit_;
+}
+
 std::optional<Claim> claimFor(const CellState &State,
                               const model::JobSpec &Spec, std::size_t Pool) {
   if (Pool == NoOwner || !withinLimit(State, Spec, Pool))
--- a/lib/sched/src/cellstate.h
+++ b/lib/sched/src/cellstate.h
@@ -58,6 +58,12 @@
 bool withinLimit(const CellState &State, const model::JobSpec &Spec,
                  std::size_t Pool);
 
+/// Returns true when the job keeps its limit once the victims of a claim and
+/// the jobs that are being stopped for it are gone.
+bool withinLimitAfter(const CellState &State, const WaitingJob &Job,
+                      std::size_t Pool,
+                      const std::vector<std::size_t> &Victims);
+
 /// Returns the claim of a job on its account's guarantee, or nothing.
 std::optional<Claim> claimFor(const CellState &State,
                               const model::JobSpec &Spec, std::size_t Pool);
--- a/lib/sched/src/moves.cpp
+++ b/lib/sched/src/moves.cpp
@@ -53,6 +53,8 @@
 bool fitsNow(const States &All, const WaitingJob &Job) {
   return std::any_of(All.begin(), All.end(), [&](const auto &State) {
     return State->View_.MayStart_ &&
+           poolOf(State->View_, Job.Spec_) != NoOwner &&
+           withinLimit(*State, Job.Spec_, poolOf(State->View_, Job.Spec_)) &&
            findPlace(State->Free_, Job.Spec_, Fit::Best);
   });
 }
@@ -81,7 +83,7 @@
   std::vector<std::size_t> Candidates;
   States Probe = makeStates(Cells, Choices);
   std::size_t Pool = poolOf(View, Gang.Spec_);
-  if (Pool == NoOwner || !withinLimit(*Probe[C], Gang.Spec_, Pool))
+  if (Pool == NoOwner)
     return std::nullopt;
   for (std::size_t J = 0; J < View.Running_.size(); ++J)
     if (Probe[C]->Guarantees_.Within_[J] &&
@@ -90,7 +92,7 @@
       View.Running_[J].MovesFor_ = Gang.Id_;
   CellState State(View, Choices);
   auto Found = agedPlace(State, Gang);
-  if (!Found)
+  if (!Found || !withinLimitAfter(State, Gang, Pool, Found->Victims_))
     return std::nullopt;
   double Cost = 0;
   std::vector<std::size_t> Result;
--- a/lib/sched/src/plan.cpp
+++ b/lib/sched/src/plan.cpp
@@ -92,7 +92,8 @@
     return false;
   ++State.TurnsSought_;
   auto Found = agedPlace(State.Cell_, Job);
-  if (!Found || Found->Free_)
+  if (!Found || Found->Free_ ||
+      !withinLimitAfter(State.Cell_, Job, Pool, Found->Victims_))
     return false;
   for (std::size_t J : Found->Victims_)
     State.Cell_.Running_.Cost_[J] = 0;
@@ -112,20 +113,29 @@
   const Hold *Held = holdOf(State.Cell_, Job.Id_);
   if (!Held)
     return false;
-  State.Cell_.Held_[Pool] += Job.Spec_.accelerators();
   std::uint32_t Free = 0;
   for (const Slice &Part : Held->Free_)
     Free += countBits(Part.Bits_);
-  if (Free == Job.Spec_.accelerators())
+  if (Free == Job.Spec_.accelerators() &&
+      withinLimit(State.Cell_, Job.Spec_, Pool))
     State.Plan_.Starts_.push_back(
         {Job.Id_, toPlacement(State.Cell_.View_, Held->Tasks_)});
   else
     wait(State, Job, turnReason(State.Cell_.View_, Job.Spec_, 0));
+  State.Cell_.Held_[Pool] += Job.Spec_.accelerators();
   return true;
 }
 
 /// Starts a job on accelerators that nobody uses at present.
 void borrow(Decision &State, const WaitingJob &Job, std::size_t Pool) {
+  if (!withinLimit(State.Cell_, Job.Spec_, Pool)) {
+    if (State.Choices_.TurnsPastLimit_ && takeTurn(State, Job, Pool))
+      return;
+    const CellView &View = State.Cell_.View_;
+    return wait(State, Job,
+                limitReason(View, Job.Spec_, State.Cell_.Held_[Pool],
+                            View.Pools_[Pool].Limit_));
+  }
   std::optional<Slices> Found;
   if (State.NoPlace_.count(shapeOf(Job.Spec_)) == 0)
     Found = findPlace(State.Cell_.Free_, Job.Spec_, State.Choices_.Fit_);
@@ -142,22 +152,6 @@
       {Job.Id_, toPlacement(State.Cell_.View_, *Found)});
 }
 
-/// Returns the pool under which the job may start, or NoOwner after it noted
-/// why the job waits.
-std::size_t poolWithRoom(Decision &State, const WaitingJob &Job) {
-  const CellView &View = State.Cell_.View_;
-  std::size_t Pool = poolOf(View, Job.Spec_);
-  if (Pool == NoOwner)
-    wait(State, Job, noPoolReason(View, Job.Spec_));
-  else if (withinLimit(State.Cell_, Job.Spec_, Pool))
-    return Pool;
-  else
-    wait(State, Job,
-         limitReason(View, Job.Spec_, State.Cell_.Held_[Pool],
-                     View.Pools_[Pool].Limit_));
-  return NoOwner;
-}
-
 /// Makes the claims on guarantees, then lends what is left. Claims come first,
 /// so that a job that waits for its guarantee does not lose it to a borrower.
 void decideStarts(Decision &State) {
@@ -173,8 +167,10 @@
       Borrowers.push_back(Job);
   sortBorrowers(Borrowers, State.Choices_);
   for (const WaitingJob *Job : Borrowers) {
-    std::size_t Pool = poolWithRoom(State, *Job);
-    if (Pool != NoOwner && !useHold(State, *Job, Pool))
+    std::size_t Pool = poolOf(View, Job->Spec_);
+    if (Pool == NoOwner)
+      wait(State, *Job, noPoolReason(View, Job->Spec_));
+    else if (!useHold(State, *Job, Pool))
       borrow(State, *Job, Pool);
   }
 }
