--- a/lib/sched/src/cellstate.cpp
+++ b/lib/sched/src/cellstate.cpp
@@ -67,6 +67,9 @@
 
 } // namespace
 
+/// Jobs that are served before others at one time.
+constexpr std::size_t MostServed = 3;
+
 /// Returns true when the job keeps its limit and has no claim.
 static bool borrows(const CellState &State, const WaitingJob &Job) {
   std::size_t Pool = poolOf(State.View_, Job.Spec_);
@@ -74,14 +77,20 @@
          !claimFor(State, Job.Spec_, Pool);
 }
 
-const WaitingJob *longestWaiting(const CellView &View) {
-  const WaitingJob *Result = nullptr;
-  for (const WaitingJob &Job : View.Waiting_) {
-    core::Duration Wait = Job.Waited_ + Job.WaitedBefore_;
-    if (Wait >= LongestWait &&
-        (!Result || Wait > Result->Waited_ + Result->WaitedBefore_))
-      Result = &Job;
-  }
+std::vector<const WaitingJob *> longestWaiting(const CellView &View) {
+  auto Wait = [](const WaitingJob *Job) {
+    return Job->Waited_ + Job->WaitedBefore_;
+  };
+  std::vector<const WaitingJob *> Result;
+  for (const WaitingJob &Job : View.Waiting_)
+    if (Wait(&Job) >= LongestWait)
+      Result.push_back(&Job);
+  std::stable_sort(Result.begin(), Result.end(),
+                   [&](const WaitingJob *A, const WaitingJob *B) {
+                     return Wait(A) > Wait(B);
+                   });
+  if (Result.size() > MostServed)
+    Result.resize(MostServed);
   return Result;
 }
 
@@ -114,12 +123,12 @@
 }
 
 void holdLongest(CellState &State) {
-  const WaitingJob *Job = longestWaiting(State.View_);
-  if (!Job || !Job->Preferred_ || holdOf(State, Job->Id_) ||
-      !borrows(State, *Job))
-    return;
-  if (auto Place = findPlace(State.Free_, Job->Spec_, Fit::Best))
-    addHold(State, *Job, std::move(*Place));
+  for (const WaitingJob *Job : longestWaiting(State.View_)) {
+    if (!Job->Preferred_ || holdOf(State, Job->Id_) || !borrows(State, *Job))
+      continue;
+    if (auto Place = findPlace(State.Free_, Job->Spec_, Fit::Best))
+      addHold(State, *Job, std::move(*Place));
+  }
 }
 
 const Hold *holdOf(const CellState &State, const core::JobId &Job) {
--- a/lib/sched/src/cellstate.h
+++ b/lib/sched/src/cellstate.h
@@ -43,16 +43,16 @@
 /// Holds the places that are being freed for borrowers.
 void holdServed(CellState &State);
 
-/// Holds a place for the job that has waited longest, when it fits now and this
-/// cell is to take it.
+/// Holds places for the jobs that have waited longest, when they fit now and
+/// this cell is to take them.
 void holdLongest(CellState &State);
 
 /// Returns the place held for the job, or null.
 const Hold *holdOf(const CellState &State, const core::JobId &Job);
 
-/// Returns the waiting job that has waited longest in all its attempts, when
-/// that is long enough for it to be served before others, or null.
-const WaitingJob *longestWaiting(const CellView &View);
+/// Returns the few waiting jobs that have waited longest in all their attempts,
+/// when that is long enough for them to be served before others.
+std::vector<const WaitingJob *> longestWaiting(const CellView &View);
 
 /// Returns true when the job keeps the limit of its pool row.
 bool withinLimit(const CellState &State, const model::JobSpec &Spec,
--- a/lib/sched/src/moves.cpp
+++ b/lib/sched/src/moves.cpp
@@ -15,9 +15,6 @@
 /// A job is not moved before it has run this long.
 constexpr std::chrono::minutes ShortestStay{5};
 
-/// Jobs for which a place is sought in one call, which bounds its time.
-constexpr std::size_t MostSought = 3;
-
 States makeStates(const std::vector<CellView> &Cells, const Policy &Choices) {
   States Result;
   for (const CellView &View : Cells)
@@ -25,23 +22,6 @@
   return Result;
 }
 
-core::Duration totalWait(const WaitingJob &Job) {
-  return Job.Waited_ + Job.WaitedBefore_;
-}
-
-/// Returns the aged waiting jobs, the longest wait first.
-std::vector<const WaitingJob *> agedJobs(const CellView &View) {
-  std::vector<const WaitingJob *> Result;
-  for (const WaitingJob &Job : View.Waiting_)
-    if (totalWait(Job) >= patienceOf(model::JobClass::Patient))
-      Result.push_back(&Job);
-  std::stable_sort(Result.begin(), Result.end(),
-                   [](const WaitingJob *A, const WaitingJob *B) {
-                     return totalWait(*A) > totalWait(*B);
-                   });
-  return Result;
-}
-
 bool beingServed(const std::vector<CellView> &Cells, const core::JobId &Job) {
   for (const CellView &View : Cells)
     for (const RunningJob &Running : View.Running_)
@@ -110,11 +90,10 @@
   if (!Choices.Moves_ || Cells.size() < 2)
     return;
   States All = makeStates(Cells, Choices);
-  std::size_t Sought = 0;
-  for (const WaitingJob *Gang : agedJobs(Cells[0])) {
-    if (Sought == MostSought)
-      return;
-    ++Sought;
+  for (CellView &View : Cells)
+    for (RunningJob &Job : View.Running_)
+      Job.MovesFor_ = core::JobId();
+  for (const WaitingJob *Gang : longestWaiting(Cells[0])) {
     if (beingServed(Cells, Gang->Id_))
       return;
     if (fitsNow(All, *Gang))
--- a/lib/sched/src/prefer.cpp
+++ b/lib/sched/src/prefer.cpp
@@ -87,19 +87,18 @@
   std::vector<std::unique_ptr<CellState>> States;
   for (const CellView &View : Cells)
     States.push_back(std::make_unique<CellState>(View, Choices));
-  const WaitingJob *First = nullptr;
-  std::size_t FirstCell = 0;
+  std::map<const WaitingJob *, std::size_t> First;
   if (Choices.Holds_) {
-    First = longestWaiting(Cells[0]);
-    for (auto &State : States) {
+    for (auto &State : States)
       holdServed(*State);
-    }
-    if (First)
-      FirstCell = chooseCell(States, *First, Choices);
+    for (const WaitingJob *Job : longestWaiting(Cells[0]))
+      First[Job] = chooseCell(States, *Job, Choices);
+  }
+  for (const WaitingJob &Job : Cells[0].Waiting_) {
+    auto Chosen = First.find(&Job);
+    Result.push_back(Chosen == First.end() ? chooseCell(States, Job, Choices)
+                                           : Chosen->second);
   }
-  for (const WaitingJob &Job : Cells[0].Waiting_)
-    Result.push_back(&Job == First ? FirstCell
-                                   : chooseCell(States, Job, Choices));
   return Result;
 }
 
