--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -20,6 +20,7 @@
   sched::Policy Result;
   Result.TotalWait_ = false;
   Result.PackCells_ = false;
+  Result.RunLevels_ = false;
   Result.Holds_ = false;
   Result.TurnsPastLimit_ = false;
   Result.TurnsByWait_ = false;
--- a/lib/sched/include/nutmegwell/sched/policy.h
+++ b/lib/sched/include/nutmegwell/sched/policy.h
@@ -61,6 +61,8 @@
   /// Whether a job whose account is at its limit takes its turn from jobs of
   /// the same account.
   bool TurnsPastLimit_ = true;
+  /// Whether, of jobs that have waited long, those that have run least go first.
+  bool RunLevels_ = true;
   /// Whether jobs within a guarantee are moved to other cells for the gang that
   /// has waited longest.
   bool Moves_ = true;
--- a/lib/sched/src/cellstate.cpp
+++ b/lib/sched/src/cellstate.cpp
@@ -1,6 +1,7 @@
 #include "cellstate.h"
 
 #include "place.h"
+#include "queue.h"
 #include "region.h"
 #include <algorithm>
 
@@ -85,9 +86,13 @@
   for (const WaitingJob &Job : View.Waiting_)
     if (Wait(&Job) >= LongestWait)
       Result.push_back(&Job);
+  auto Key = [&](const WaitingJob *Job) {
+    return std::make_pair(
+        runLevel(Job->Attained_, Job->Spec_.accelerators()), -Wait(Job).count());
+  };
   std::stable_sort(Result.begin(), Result.end(),
                    [&](const WaitingJob *A, const WaitingJob *B) {
-                     return Wait(A) > Wait(B);
+                     return Key(A) < Key(B);
                    });
   if (Result.size() > MostServed)
     Result.resize(MostServed);
