--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -19,17 +19,13 @@
 sched::Policy previousPolicy() {
   sched::Policy Result;
   Result.TotalWait_ = false;
-  Result.PackCells_ = false;
-  Result.RunLevels_ = false;
-  Result.Holds_ = false;
   Result.TurnsPastLimit_ = false;
   Result.TurnsByWait_ = false;
   Result.Moves_ = false;
   return Result;
 }
 
-NamedPolicy makePolicy(const std::string &Name, const sched::Policy &Choices,
-                       bool PreferredFirst) {
+NamedPolicy makePolicy(const std::string &Name, const sched::Policy &Choices) {
   return {Name,
           [Choices](const sched::CellView &View) {
             return sched::decide(View, Choices);
@@ -41,16 +37,15 @@
               for (std::size_t J = 0; J < Preferred.size(); ++J)
                 Cells[C].Waiting_[J].Preferred_ = Preferred[J] == C;
             sched::planMoves(Cells, Choices);
-          },
-          PreferredFirst};
+          }};
 }
 
 /// The policy first, then the baselines.
 std::vector<NamedPolicy> policies() {
-  return {makePolicy("policy", sched::Policy(), true),
+  return {makePolicy("policy", sched::Policy()),
           {"first_come", decideFirstCome, {}},
           {"backfill", decideBackfill, {}},
-          makePolicy("previous", previousPolicy(), false)};
+          makePolicy("previous", previousPolicy())};
 }
 
 std::size_t runConfiguration(const Deployment &Sizes, double Load, bool Absence,
--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -87,7 +87,7 @@
   void saveAs(std::size_t J, core::Duration Saved);
   void creditAbsence(std::size_t J, core::Duration From, core::Duration To);
   void fillView(std::size_t Cell);
-  void decideCell(std::size_t Cell, bool PreferredOnly);
+  void decideCell(std::size_t Cell);
   void decideAll();
   void observeAbsence();
   void finishResult();
@@ -266,15 +266,8 @@
   }
 }
 
-void Simulation::decideCell(std::size_t Cell, bool PreferredOnly) {
+void Simulation::decideCell(std::size_t Cell) {
   fillView(Cell);
-  if (PreferredOnly) {
-    std::vector<sched::WaitingJob> &Jobs = Cells_[Cell].Waiting_;
-    Jobs.erase(std::remove_if(
-                   Jobs.begin(), Jobs.end(),
-                   [](const sched::WaitingJob &Job) { return !Job.Preferred_; }),
-               Jobs.end());
-  }
   auto Before = std::chrono::steady_clock::now();
   sched::Plan Plan = Policy_.Decide_(Cells_[Cell]);
   std::chrono::duration<double, std::micro> Spent =
@@ -311,11 +304,8 @@
         Jobs_[Job.Id_.Sequence_ - 1].MovesFor_ = Job.MovesFor_;
     }
   }
-  if (Policy_.PreferredFirst_ && Cells_.size() > 1)
-    for (std::size_t C = 0; C < Cells_.size(); ++C)
-      decideCell(C, true);
   for (std::size_t C = 0; C < Cells_.size(); ++C)
-    decideCell(C, false);
+    decideCell(C);
   for (std::size_t C = 0; C < Cells_.size(); ++C)
     fillView(C);
   Fragmentation_.observe(Cells_, Now_);
--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -55,9 +55,6 @@
   Decide Decide_;
   /// Sets what depends on all cells; without it, every cell may take every job.
   std::function<void(std::vector<sched::CellView> &)> Arrange_;
-  /// Whether other cells see a job only after its preferred cell had decided,
-  /// as between entry hosts.
-  bool PreferredFirst_ = false;
 };
 
 /// Runs the jobs and faults through the policy under a simulated clock. Only
--- a/lib/sched/include/nutmegwell/sched/policy.h
+++ b/lib/sched/include/nutmegwell/sched/policy.h
@@ -50,19 +50,11 @@
   /// Whether a job's wait counts from all its attempts, so that a preempted job
   /// does not go back behind those that arrived after it.
   bool TotalWait_ = true;
-  /// Whether, of cells that take a job equally well, the one with least room
-  /// left is preferred, so that the others keep room for large gangs.
-  bool PackCells_ = true;
-  /// Whether the places that are freed for borrowers, and one for the job that
-  /// has waited longest, are kept until a claim has no other place.
-  bool Holds_ = true;
   /// Whether a job takes its turn only from jobs that waited less than it.
   bool TurnsByWait_ = true;
   /// Whether a job whose account is at its limit takes its turn from jobs of
   /// the same account.
   bool TurnsPastLimit_ = true;
-  /// Whether, of jobs that have waited long, those that have run least go first.
-  bool RunLevels_ = true;
   /// Whether jobs within a guarantee are moved to other cells for the gang that
   /// has waited longest.
   bool Moves_ = true;
--- a/lib/sched/src/aging.cpp
+++ b/lib/sched/src/aging.cpp
@@ -1,6 +1,5 @@
 #include "aging.h"
 
-#include "queue.h"
 #include "region.h"
 
 namespace nutmegwell::sched {
@@ -26,16 +25,8 @@
     return false;
   if (Running.Spec_.Class_ < Job.Spec_.Class_)
     return false;
-  if (State.TurnsByWait_) {
-    auto Key = [](core::Duration Attained, const model::JobSpec &Spec,
-                  core::Duration Wait) {
-      return std::make_pair(runLevel(Attained, Spec.accelerators()),
-                            -Wait.count());
-    };
-    if (Key(Running.Attained_, Running.Spec_, Running.Waited_) <=
-        Key(Job.Attained_, Job.Spec_, Job.Waited_ + Job.WaitedBefore_))
-      return false;
-  }
+  if (State.TurnsByWait_ && Running.Waited_ >= Job.Waited_ + Job.WaitedBefore_)
+    return false;
   return Running.RunTime_ >= ShortestTurn;
 }
 
--- a/lib/sched/src/moves.cpp
+++ b/lib/sched/src/moves.cpp
@@ -12,6 +12,8 @@
 
 using States = std::vector<std::unique_ptr<CellState>>;
 
+/// Only for jobs that have waited this long are others moved.
+constexpr std::chrono::minutes LongWait{30};
 /// A job is not moved before it has run this long.
 constexpr std::chrono::minutes ShortestStay{5};
 
@@ -22,6 +24,27 @@
   return Result;
 }
 
+/// Jobs for which a place is sought in one call, which bounds its time.
+constexpr std::size_t MostSought = 3;
+
+/// Returns the few waiting jobs that have waited longest in all their attempts.
+std::vector<const WaitingJob *> longestWaiting(const CellView &View) {
+  auto Wait = [](const WaitingJob *Job) {
+    return Job->Waited_ + Job->WaitedBefore_;
+  };
+  std::vector<const WaitingJob *> Result;
+  for (const WaitingJob &Job : View.Waiting_)
+    if (Wait(&Job) >= LongWait)
+      Result.push_back(&Job);
+  std::stable_sort(Result.begin(), Result.end(),
+                   [&](const WaitingJob *A, const WaitingJob *B) {
+                     return Wait(A) > Wait(B);
+                   });
+  if (Result.size() > MostSought)
+    Result.resize(MostSought);
+  return Result;
+}
+
 bool beingServed(const std::vector<CellView> &Cells, const core::JobId &Job) {
   for (const CellView &View : Cells)
     for (const RunningJob &Running : View.Running_)
@@ -72,7 +95,7 @@
       View.Running_[J].MovesFor_ = Gang.Id_;
   CellState State(View, Choices);
   auto Found = agedPlace(State, Gang);
-  if (!Found || !withinLimitAfter(State, Gang, Pool, Found->Victims_))
+  if (!Found || !withinLimitAfter(State, Gang.Spec_, Pool, Found->Victims_))
     return std::nullopt;
   double Cost = 0;
   std::vector<std::size_t> Result;
@@ -113,7 +136,8 @@
     }
     if (!Best)
       continue;
-    std::size_t Index = static_cast<std::size_t>(Gang - Cells[0].Waiting_.data());
+    std::size_t Index =
+        static_cast<std::size_t>(Gang - Cells[0].Waiting_.data());
     for (std::size_t C = 0; C < Cells.size(); ++C)
       Cells[C].Waiting_[Index].Preferred_ = C == *Best;
     for (std::size_t J : Moved)
--- a/lib/sched/src/plan.cpp
+++ b/lib/sched/src/plan.cpp
@@ -46,8 +46,7 @@
 void preemptFor(Decision &State, const WaitingJob &Job, const Claim &Found,
                 const std::string &Reason) {
   for (std::size_t J : Found.Victims_)
-    if (J < State.Cell_.View_.Running_.size())
-      State.Plan_.Preemptions_.push_back(
+    State.Plan_.Preemptions_.push_back(
         {State.Cell_.View_.Running_[J].Id_, Job.Id_, Reason});
 }
 
@@ -93,7 +92,7 @@
   ++State.TurnsSought_;
   auto Found = agedPlace(State.Cell_, Job);
   if (!Found || Found->Free_ ||
-      !withinLimitAfter(State.Cell_, Job, Pool, Found->Victims_))
+      !withinLimitAfter(State.Cell_, Job.Spec_, Pool, Found->Victims_))
     return false;
   for (std::size_t J : Found->Victims_)
     State.Cell_.Running_.Cost_[J] = 0;
@@ -107,35 +106,8 @@
   return true;
 }
 
-/// Starts a job in the place that is held for it, or waits until all of it is
-/// free. Returns false when there is none.
-bool useHold(Decision &State, const WaitingJob &Job, std::size_t Pool) {
-  const Hold *Held = holdOf(State.Cell_, Job.Id_);
-  if (!Held)
-    return false;
-  std::uint32_t Free = 0;
-  for (const Slice &Part : Held->Free_)
-    Free += countBits(Part.Bits_);
-  if (Free == Job.Spec_.accelerators() &&
-      withinLimit(State.Cell_, Job.Spec_, Pool))
-    State.Plan_.Starts_.push_back(
-        {Job.Id_, toPlacement(State.Cell_.View_, Held->Tasks_)});
-  else
-    wait(State, Job, turnReason(State.Cell_.View_, Job.Spec_, 0));
-  State.Cell_.Held_[Pool] += Job.Spec_.accelerators();
-  return true;
-}
-
 /// Starts a job on accelerators that nobody uses at present.
 void borrow(Decision &State, const WaitingJob &Job, std::size_t Pool) {
-  if (!withinLimit(State.Cell_, Job.Spec_, Pool)) {
-    if (State.Choices_.TurnsPastLimit_ && takeTurn(State, Job, Pool))
-      return;
-    const CellView &View = State.Cell_.View_;
-    return wait(State, Job,
-                limitReason(View, Job.Spec_, State.Cell_.Held_[Pool],
-                            View.Pools_[Pool].Limit_));
-  }
   std::optional<Slices> Found;
   if (State.NoPlace_.count(shapeOf(Job.Spec_)) == 0)
     Found = findPlace(State.Cell_.Free_, Job.Spec_, State.Choices_.Fit_);
@@ -152,14 +124,29 @@
       {Job.Id_, toPlacement(State.Cell_.View_, *Found)});
 }
 
+/// Returns the pool under which the job may start at once, or NoOwner after it
+/// noted why the job waits. A job over the limit of its account may still take
+/// its turn from jobs of the account.
+std::size_t poolWithRoom(Decision &State, const WaitingJob &Job) {
+  const CellView &View = State.Cell_.View_;
+  std::size_t Pool = poolOf(View, Job.Spec_);
+  if (Pool == NoOwner)
+    wait(State, Job, noPoolReason(View, Job.Spec_));
+  else if (withinLimit(State.Cell_, Job.Spec_, Pool))
+    return Pool;
+  else if (State.Choices_.TurnsPastLimit_ && takeTurn(State, Job, Pool))
+    return NoOwner;
+  else
+    wait(State, Job,
+         limitReason(View, Job.Spec_, State.Cell_.Held_[Pool],
+                     View.Pools_[Pool].Limit_));
+  return NoOwner;
+}
+
 /// Makes the claims on guarantees, then lends what is left. Claims come first,
 /// so that a job that waits for its guarantee does not lose it to a borrower.
 void decideStarts(Decision &State) {
   const CellView &View = State.Cell_.View_;
-  if (State.Choices_.Holds_) {
-    holdServed(State.Cell_);
-    holdLongest(State.Cell_);
-  }
   std::vector<const WaitingJob *> Borrowers;
   for (const WaitingJob *Job : claimOrder(View, State.Choices_))
     if (!State.Choices_.Guarantees_ ||
@@ -167,10 +154,8 @@
       Borrowers.push_back(Job);
   sortBorrowers(Borrowers, State.Choices_);
   for (const WaitingJob *Job : Borrowers) {
-    std::size_t Pool = poolOf(View, Job->Spec_);
-    if (Pool == NoOwner)
-      wait(State, *Job, noPoolReason(View, Job->Spec_));
-    else if (!useHold(State, *Job, Pool))
+    std::size_t Pool = poolWithRoom(State, *Job);
+    if (Pool != NoOwner)
       borrow(State, *Job, Pool);
   }
 }
--- a/lib/sched/src/prefer.cpp
+++ b/lib/sched/src/prefer.cpp
@@ -1,7 +1,6 @@
 #include "nutmegwell/sched/prefer.h"
 
 #include "cellstate.h"
-#include "place.h"
 #include <memory>
 
 namespace nutmegwell::sched {
@@ -13,8 +12,6 @@
   std::size_t Cell_ = 0;
   std::optional<Claim> Claim_;
   double Cost_ = 0;
-  /// A free place for a job without a claim.
-  std::optional<Slices> Place_;
 };
 
 /// Returns what the preemptions of a claim cost.
@@ -27,23 +24,18 @@
 
 /// Returns true when A is better than B: a claim before none, then what is free
 /// at once, then what costs least, then the cell with more free accelerators.
-bool betterOffer(const std::vector<std::unique_ptr<CellState>> &States, bool PackCells,
+bool betterOffer(const std::vector<std::unique_ptr<CellState>> &States,
                  const Offer &A, const Offer &B) {
   auto Key = [&](const Offer &One) {
-    std::int64_t Room = States[One.Cell_]->Free_.freeInCell();
-    bool Pack = One.Place_ || (One.Claim_ && One.Claim_->Free_);
-    return std::make_tuple(!One.Claim_, One.Claim_ && !One.Claim_->Free_,
-                           One.Cost_, !One.Place_,
-                           Pack && PackCells ? Room : -Room);
+    return std::make_tuple(
+        !One.Claim_, One.Claim_ && !One.Claim_->Free_, One.Cost_,
+        -static_cast<std::int64_t>(States[One.Cell_]->Free_.freeInCell()));
   };
   return Key(A) < Key(B);
 }
 
 std::size_t chooseCell(std::vector<std::unique_ptr<CellState>> &States,
-                       const WaitingJob &Job, const Policy &Choices) {
-  for (std::size_t I = 0; I < States.size(); ++I)
-    if (holdOf(*States[I], Job.Id_))
-      return I;
+                       const WaitingJob &Job) {
   std::optional<Offer> Best;
   // Starting at a place given by the id spreads equal offers over the cells.
   std::size_t First = std::hash<core::JobId>()(Job.Id_) % States.size();
@@ -58,9 +50,7 @@
     Next.Claim_ = claimFor(State, Job.Spec_, Pool);
     if (Next.Claim_)
       Next.Cost_ = costOf(State, *Next.Claim_);
-    else if (Choices.PackCells_)
-      Next.Place_ = findPlace(State.Free_, Job.Spec_, Choices.Fit_);
-    if (!Best || betterOffer(States, Choices.PackCells_, Next, *Best))
+    if (!Best || betterOffer(States, Next, *Best))
       Best = std::move(Next);
   }
   if (!Best)
@@ -68,10 +58,6 @@
   CellState &State = *States[Best->Cell_];
   if (Best->Claim_)
     keepClaim(State, *Best->Claim_, Job.Spec_, poolOf(State.View_, Job.Spec_));
-  else if (Best->Place_ && Choices.Holds_)
-    addHold(State, Job, std::move(*Best->Place_));
-  else if (Best->Place_)
-    keepPlace(State, *Best->Place_, Job.Spec_, poolOf(State.View_, Job.Spec_));
   return Best->Cell_;
 }
 
@@ -87,18 +73,8 @@
   std::vector<std::unique_ptr<CellState>> States;
   for (const CellView &View : Cells)
     States.push_back(std::make_unique<CellState>(View, Choices));
-  std::map<const WaitingJob *, std::size_t> First;
-  if (Choices.Holds_) {
-    for (auto &State : States)
-      holdServed(*State);
-    for (const WaitingJob *Job : longestWaiting(Cells[0]))
-      First[Job] = chooseCell(States, *Job, Choices);
-  }
-  for (const WaitingJob &Job : Cells[0].Waiting_) {
-    auto Chosen = First.find(&Job);
-    Result.push_back(Chosen == First.end() ? chooseCell(States, Job, Choices)
-                                           : Chosen->second);
-  }
+  for (const WaitingJob &Job : Cells[0].Waiting_)
+    Result.push_back(chooseCell(States, Job));
   return Result;
 }
 
--- a/lib/sched/src/queue.cpp
+++ b/lib/sched/src/queue.cpp
@@ -15,9 +15,6 @@
 /// wide as the one before, so that jobs do not change places all the time.
 constexpr std::chrono::seconds FirstLevel{3600};
 
-/// Width of the first level of run time; each is three times as wide.
-constexpr std::chrono::minutes FirstRunLevel{20};
-
 int serviceLevel(const WaitingJob &Job) {
   int Level = 0;
   for (core::Duration Bound = FirstLevel; Job.Attained_ >= Bound; Bound *= 10)
@@ -27,14 +24,6 @@
 
 } // namespace
 
-int runLevel(core::Duration Attained, std::uint32_t Accelerators) {
-  core::Duration Time = Attained / std::max(Accelerators, 1U);
-  int Level = 0;
-  for (core::Duration Bound = FirstRunLevel; Time >= Bound; Bound *= 3)
-    ++Level;
-  return Level;
-}
-
 std::vector<const WaitingJob *> claimOrder(const CellView &View,
                                            const Policy &Choices) {
   std::vector<const WaitingJob *> Order;
@@ -57,11 +46,6 @@
                    const Policy &Choices) {
   if (Choices.Order_ == Order::Listed)
     return;
-  auto Level = [&](const WaitingJob *Job) {
-    return Choices.RunLevels_
-               ? runLevel(Job->Attained_, Job->Spec_.accelerators())
-               : 0;
-  };
   auto Wait = [&](const WaitingJob *Job) {
     return Choices.TotalWait_ ? Job->Waited_ + Job->WaitedBefore_
                               : Job->Waited_;
@@ -73,10 +57,7 @@
                      bool LateA = WaitA >= LongestWait;
                      bool LateB = WaitB >= LongestWait;
                      if (LateA || LateB)
-                       return LateA &&
-                              (!LateB ||
-                               std::make_pair(Level(A), -WaitA.count()) <
-                                   std::make_pair(Level(B), -WaitB.count()));
+                       return LateA && (!LateB || WaitA > WaitB);
                      return std::make_pair(A->Spec_.Class_, serviceLevel(*A)) <
                             std::make_pair(B->Spec_.Class_, serviceLevel(*B));
                    });
--- a/lib/sched/src/queue.h
+++ b/lib/sched/src/queue.h
@@ -10,10 +10,6 @@
 std::vector<const WaitingJob *> claimOrder(const CellView &View,
                                            const Policy &Choices);
 
-/// Returns the level of a job by the time that it has run, all attempts
-/// together. Levels are few, so that jobs do not change places all the time.
-int runLevel(core::Duration Attained, std::uint32_t Accelerators);
-
 /// Puts the jobs in the order in which they borrow. Declared run times are far
 /// off, so that attained service stands in for what is left, and aging bounds
 /// the wait (Tiresias, Gu et al., NSDI 2019).
