Count jobs being stopped for a job as leaving its account's limit

While victims of a turn of the same account stopped, the job they made way for was over the limit again and its place was not kept.

--- a/lib/sched/src/cellstate.cpp
+++ b/lib/sched/src/cellstate.cpp
@@ -1,6 +1,7 @@
 #include "cellstate.h"
 
 #include "place.h"
+#include <algorithm>
 
 namespace nutmegwell::sched {
 
@@ -53,14 +54,18 @@
          State.View_.Pools_[Pool].Limit_;
 }
 
-bool withinLimitAfter(const CellState &State, const model::JobSpec &Spec,
+bool withinLimitAfter(const CellState &State, const WaitingJob &Job,
                       std::size_t Pool,
                       const std::vector<std::size_t> &Victims) {
   std::uint32_t Held = State.Held_[Pool];
-  for (std::size_t J : Victims)
-    if (poolOf(State.View_, State.View_.Running_[J].Spec_) == Pool)
-      Held -= State.View_.Running_[J].Spec_.accelerators();
-  return Held + Spec.accelerators() <= State.View_.Pools_[Pool].Limit_;
+  for (std::size_t J = 0; J < State.View_.Running_.size(); ++J) {
+    const RunningJob &Running = State.View_.Running_[J];
+    bool Leaves = (Running.Stopping_ && Running.StoppingFor_ == Job.Id_) ||
+                  std::find(Victims.begin(), Victims.end(), J) != Victims.end();
+    if (Leaves && poolOf(State.View_, Running.Spec_) == Pool)
+      Held -= Running.Spec_.accelerators();
+  }
+  return Held + Job.Spec_.accelerators() <= State.View_.Pools_[Pool].Limit_;
 }
 
 std::optional<Claim> claimFor(const CellState &State,
--- a/lib/sched/src/cellstate.h
+++ b/lib/sched/src/cellstate.h
@@ -28,9 +28,9 @@
 bool withinLimit(const CellState &State, const model::JobSpec &Spec,
                  std::size_t Pool);
 
-/// Returns true when the job keeps its limit once the victims of a claim are
-/// gone.
-bool withinLimitAfter(const CellState &State, const model::JobSpec &Spec,
+/// Returns true when the job keeps its limit once the victims of a claim and
+/// the jobs that are being stopped for it are gone.
+bool withinLimitAfter(const CellState &State, const WaitingJob &Job,
                       std::size_t Pool,
                       const std::vector<std::size_t> &Victims);
 
--- a/lib/sched/src/moves.cpp
+++ b/lib/sched/src/moves.cpp
@@ -95,7 +95,7 @@
       View.Running_[J].MovesFor_ = Gang.Id_;
   CellState State(View, Choices);
   auto Found = agedPlace(State, Gang);
-  if (!Found || !withinLimitAfter(State, Gang.Spec_, Pool, Found->Victims_))
+  if (!Found || !withinLimitAfter(State, Gang, Pool, Found->Victims_))
     return std::nullopt;
   double Cost = 0;
   std::vector<std::size_t> Result;
--- a/lib/sched/src/plan.cpp
+++ b/lib/sched/src/plan.cpp
@@ -92,7 +92,7 @@
   ++State.TurnsSought_;
   auto Found = agedPlace(State.Cell_, Job);
   if (!Found || Found->Free_ ||
-      !withinLimitAfter(State.Cell_, Job.Spec_, Pool, Found->Victims_))
+      !withinLimitAfter(State.Cell_, Job, Pool, Found->Victims_))
     return false;
   for (std::size_t J : Found->Victims_)
     State.Cell_.Running_.Cost_[J] = 0;
