Tell late reclaims from a guarantee that went to the same account

In a burst of one account, jobs count as waiting for a free guarantee until the first of them runs, although the guarantee is already being reclaimed for these. The old figure stays as it is; reclaimed_from_others_in_time leaves these cases out.

--- a/bench/measures.cpp
+++ b/bench/measures.cpp
@@ -109,6 +109,12 @@
   Result["reclaim_cases"] = {Cases, "cases"};
   Result["reclaim_max"] = {quantile(Run.ReclaimSeconds_, 1), "s"};
   Result["reclaimed_in_time"] = {Cases > 0 ? 1 - Late / Cases : 1, "share"};
+  Result["reclaim_late"] = {Late, "cases"};
+  Result["reclaim_late_to_own"] = {static_cast<double>(Run.ReclaimLateToOwn_),
+                                   "cases"};
+  double LateToOthers = Late - static_cast<double>(Run.ReclaimLateToOwn_);
+  Result["reclaimed_from_others_in_time"] = {
+      Cases > 0 ? 1 - LateToOthers / Cases : 1, "share"};
   Result["patient_wait_max"] = {PatientWait, "s"};
   Result["urgent_wait_p50"] = {quantile(UrgentWait, 0.5), "s"};
   Result["urgent_wait_p99"] = {quantile(UrgentWait, 0.99), "s"};
--- a/bench/probes.cpp
+++ b/bench/probes.cpp
@@ -175,6 +175,7 @@
       continue;
     if (Now - Found->second > Grace_) {
       ++Late_;
+      ++LateToOwn_;
       Times_.push_back(
           std::chrono::duration<double>(Now - Found->second).count());
     }
--- a/bench/probes.h
+++ b/bench/probes.h
@@ -36,12 +36,15 @@
   bool isOpen(std::size_t Job) const { return Open_.count(Job) != 0; }
   const std::vector<double> &times() const { return Times_; }
   std::size_t late() const { return Late_; }
+  /// Late cases in which another job of the account got the guarantee.
+  std::size_t lateToOwn() const { return LateToOwn_; }
 
 private:
   core::Duration Grace_;
   std::map<std::size_t, core::Duration> Open_;
   std::vector<double> Times_;
   std::size_t Late_ = 0;
+  std::size_t LateToOwn_ = 0;
 };
 
 /// Sums up what accelerators do during an absence besides useful work.
--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -349,6 +349,7 @@
   Result_.Fragmentation_ = Fragmentation_.mean();
   Result_.ReclaimSeconds_ = Reclaim_.times();
   Result_.ReclaimLate_ = Reclaim_.late();
+  Result_.ReclaimLateToOwn_ = Reclaim_.lateToOwn();
   Result_.Unfinished_ = Jobs_.size() - Result_.Jobs_.size();
 }
 
--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -40,6 +40,9 @@
   std::vector<double> ReclaimSeconds_;
   /// Cases that took longer than the checkpoint grace and one decision.
   std::size_t ReclaimLate_ = 0;
+  /// Those of them in which another job of the account got the guarantee, most
+  /// often one of the same burst for which it was already being reclaimed.
+  std::size_t ReclaimLateToOwn_ = 0;
   std::size_t PartialGangs_ = 0;
   std::size_t Invalid_ = 0;
   std::size_t Unfinished_ = 0;
