Keep a moved job away from the place that it left for a minute

A moved job often claimed the place that it had just left, whose accelerators were free at no cost, and the gang for which it was moved waited on. The caller gives the domain in WaitingJob::MovedFrom_ from PreemptDecision::Move_.

--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -39,6 +39,7 @@
   std::size_t Preferred_ = 0;
   core::JobId StoppingFor_;
   core::JobId MovesFor_;
+  model::DomainName MovedFrom_;
   model::Placement Placement_;
   core::Duration WaitFrom_{};
   core::Duration StartAt_{};
@@ -81,7 +82,7 @@
   void handle(const Event &Next);
   void handleFault(const Fault &Next);
   void start(std::size_t J, std::size_t Cell, model::Placement Tasks);
-  void preempt(std::size_t J, core::JobId For);
+  void preempt(const sched::PreemptDecision &Next);
   void putBack(std::size_t J);
   void kill(std::size_t J);
   void saveAs(std::size_t J, core::Duration Saved);
@@ -167,8 +168,11 @@
   Job.Entitled_ = Job.Entitled_ && (Job.Attempt_ > 1 || HadGuarantee);
 }
 
-void Simulation::preempt(std::size_t J, core::JobId For) {
-  Jobs_[J].StoppingFor_ = For;
+void Simulation::preempt(const sched::PreemptDecision &Next) {
+  std::size_t J = Next.Job_.Sequence_ - 1;
+  Jobs_[J].StoppingFor_ = Next.For_;
+  Jobs_[J].MovedFrom_ =
+      Next.Move_ ? Cells_[Jobs_[J].Cell_].Domain_ : model::DomainName();
   saveAs(J, input(J).SavesOnDemand_ ? workAt(J) : periodicSave(J));
   Jobs_[J].State_ = State::Stopping;
   ++Result_.Preemptions_;
@@ -245,7 +249,8 @@
                              Now_ - Jobs_[J].WaitFrom_,
                              Jobs_[J].Attained_,
                              Jobs_[J].Preferred_ == Cell,
-                             Jobs_[J].Waited_});
+                             Jobs_[J].Waited_,
+                             Jobs_[J].MovedFrom_});
   for (std::size_t J : Active_) {
     const SimJob &Job = Jobs_[J];
     if (Job.Cell_ != Cell)
@@ -280,7 +285,7 @@
   }
   for (const sched::PreemptDecision &Next : Plan.Preemptions_)
     if (Jobs_[Next.Job_.Sequence_ - 1].State_ == State::Running)
-      preempt(Next.Job_.Sequence_ - 1, Next.For_);
+      preempt(Next);
   if (!Plan.Starts_.empty()) {
     fillView(Cell);
     Result_.Invalid_ += !placementsValid(Cells_[Cell]);
--- a/lib/sched/include/nutmegwell/sched/plan.h
+++ b/lib/sched/include/nutmegwell/sched/plan.h
@@ -32,6 +32,9 @@
   bool Preferred_ = true;
   /// How long the job waited for its earlier attempts.
   core::Duration WaitedBefore_{};
+  /// The domain from which the job was moved for a waiting one (see planMoves);
+  /// it does not go back there at once.
+  model::DomainName MovedFrom_{};
 };
 
 struct RunningJob {
@@ -75,6 +78,9 @@
   /// The waiting job that takes the accelerators.
   core::JobId For_;
   std::string Reason_;
+  /// True when the job is moved: it is within its guarantee and has a place in
+  /// another cell (see planMoves).
+  bool Move_ = false;
 };
 
 /// Why a job waits and what would let it start, in one plain sentence.
--- a/lib/sched/src/cellstate.cpp
+++ b/lib/sched/src/cellstate.cpp
@@ -11,6 +11,10 @@
 /// checkpoint grace and as much to read the checkpoint.
 constexpr std::chrono::seconds RestartTime{60};
 
+/// How long a job that was moved keeps away from the place that it left, so
+/// that the job for which it left starts first: twice the checkpoint grace.
+constexpr std::chrono::seconds StayAway{60};
+
 /// Returns what preempting a job costs, in accelerator-seconds for least lost.
 double costOf(const RunningJob &Job, Victims Order) {
   if (Job.Stopping_)
@@ -48,6 +52,10 @@
   Guarantees_ = bindGuarantees(View, Map_, Running_.Slices_);
 }
 
+bool justMovedOut(const CellView &View, const WaitingJob &Job) {
+  return Job.MovedFrom_ == View.Domain_ && Job.Waited_ < StayAway;
+}
+
 bool withinLimit(const CellState &State, const model::JobSpec &Spec,
                  std::size_t Pool) {
   return State.Held_[Pool] + Spec.accelerators() <=
--- a/lib/sched/src/cellstate.h
+++ b/lib/sched/src/cellstate.h
@@ -24,6 +24,9 @@
   std::vector<std::uint64_t> Claimed_;
 };
 
+/// Returns true for a job that was moved out of this cell a short time ago.
+bool justMovedOut(const CellView &View, const WaitingJob &Job);
+
 /// Returns true when the job keeps the limit of its pool row.
 bool withinLimit(const CellState &State, const model::JobSpec &Spec,
                  std::size_t Pool);
--- a/lib/sched/src/plan.cpp
+++ b/lib/sched/src/plan.cpp
@@ -45,9 +45,11 @@
 
 void preemptFor(Decision &State, const WaitingJob &Job, const Claim &Found,
                 const std::string &Reason) {
-  for (std::size_t J : Found.Victims_)
-    State.Plan_.Preemptions_.push_back(
-        {State.Cell_.View_.Running_[J].Id_, Job.Id_, Reason});
+  for (std::size_t J : Found.Victims_) {
+    const RunningJob &Victim = State.Cell_.View_.Running_[J];
+    bool Move = Victim.MovesFor_.valid() && Victim.MovesFor_ == Job.Id_;
+    State.Plan_.Preemptions_.push_back({Victim.Id_, Job.Id_, Reason, Move});
+  }
 }
 
 /// Starts a job within the free guarantee of its account, or preempts the
@@ -149,8 +151,10 @@
   const CellView &View = State.Cell_.View_;
   std::vector<const WaitingJob *> Borrowers;
   for (const WaitingJob *Job : claimOrder(View, State.Choices_))
-    if (!State.Choices_.Guarantees_ ||
-        !useGuarantee(State, *Job, poolOf(View, Job->Spec_)))
+    if (justMovedOut(View, *Job))
+      wait(State, *Job, movedReason(View));
+    else if (!State.Choices_.Guarantees_ ||
+             !useGuarantee(State, *Job, poolOf(View, Job->Spec_)))
       Borrowers.push_back(Job);
   sortBorrowers(Borrowers, State.Choices_);
   for (const WaitingJob *Job : Borrowers) {
--- a/lib/sched/src/prefer.cpp
+++ b/lib/sched/src/prefer.cpp
@@ -45,7 +45,7 @@
     const CellState &State = *States[Next.Cell_];
     std::size_t Pool = poolOf(State.View_, Job.Spec_);
     if (!State.View_.MayStart_ || Pool == NoOwner ||
-        !withinLimit(State, Job.Spec_, Pool))
+        justMovedOut(State.View_, Job) || !withinLimit(State, Job.Spec_, Pool))
       continue;
     Next.Claim_ = claimFor(State, Job.Spec_, Pool);
     if (Next.Claim_)
--- a/lib/sched/src/reasons.cpp
+++ b/lib/sched/src/reasons.cpp
@@ -20,6 +20,12 @@
          "domain is in service and the log is available";
 }
 
+std::string movedReason(const CellView &View) {
+  return "the job was moved out of domain " + View.Domain_ +
+         " a short time ago and can start in another domain, or there after a "
+         "minute";
+}
+
 std::string noPoolReason(const CellView &View, const model::JobSpec &Spec) {
   return "account " + Spec.Account_ + " has no pool for service " +
          Spec.Service_ + " in domain " + View.Domain_ +
--- a/lib/sched/src/reasons.h
+++ b/lib/sched/src/reasons.h
@@ -7,6 +7,7 @@
 /// Each returns one plain sentence that says why a job waits and what would let
 /// it start.
 std::string notStartingReason(const CellView &View);
+std::string movedReason(const CellView &View);
 std::string noPoolReason(const CellView &View, const model::JobSpec &Spec);
 std::string limitReason(const CellView &View, const model::JobSpec &Spec,
                         std::uint32_t Held, std::uint32_t Limit);
