--- a/lib/entry/include/nutmegwell/entry/control.h
+++ b/lib/entry/include/nutmegwell/entry/control.h
@@ -151,6 +151,11 @@
   std::map<model::DomainName, CellTracker> Cells_;
   std::map<core::JobId, Gang> Gangs_;
   std::map<core::JobId, core::TimePoint> WaitingSince_;
+  /// How long each job waited for its earlier attempts. A host that starts
+  /// later counts from then on.
+  std::map<core::JobId, core::Duration> WaitedBefore_;
+  /// The domain from which this host last moved a job for a waiting one.
+  std::map<core::JobId, model::DomainName> MovedFrom_;
   std::map<core::JobId, std::string> WaitReasons_;
   /// Accelerator time that this host saw a job use in earlier attempts. A new
   /// holder starts from zero, which only changes the order of equal jobs.
--- a/lib/entry/src/control.cpp
+++ b/lib/entry/src/control.cpp
@@ -48,8 +48,11 @@
   for (const auto &[Id, Target] : State.Fold_.Jobs_) {
     if (Target.State_ == model::JobState::Waiting)
       State.WaitingSince_.emplace(Id, Now);
-    else
-      State.WaitingSince_.erase(Id);
+    else if (auto Place = State.WaitingSince_.find(Id);
+             Place != State.WaitingSince_.end()) {
+      State.WaitedBefore_[Id] += Now - Place->second;
+      State.WaitingSince_.erase(Place);
+    }
   }
   auto Gone = [&State](const core::JobId &Id) {
     auto Known = State.Fold_.Jobs_.find(Id);
@@ -60,6 +63,8 @@
       Place = Gone(Place->first) ? Map.erase(Place) : std::next(Place);
   };
   EraseGone(State.WaitingSince_);
+  EraseGone(State.WaitedBefore_);
+  EraseGone(State.MovedFrom_);
   EraseGone(State.WaitReasons_);
   EraseGone(State.LastAttempt_);
   EraseGone(State.Attained_);
--- a/lib/entry/src/schedule.cpp
+++ b/lib/entry/src/schedule.cpp
@@ -1,3 +1,4 @@
+#include "nutmegwell/sched/moves.h"
 #include "nutmegwell/sched/plan.h"
 #include "nutmegwell/sched/prefer.h"
 #include "parts.h"
@@ -19,10 +20,11 @@
                                membership::takesWork(Known, Now)});
 }
 
-core::Duration attained(const EntryState &State, const core::JobId &Id) {
-  auto Known = State.Attained_.find(Id);
-  return Known == State.Attained_.end() ? core::Duration::zero()
-                                        : Known->second;
+/// Returns what is noted for the job, or an empty value.
+template <typename Value>
+Value noted(const std::map<core::JobId, Value> &Notes, const core::JobId &Id) {
+  auto Known = Notes.find(Id);
+  return Known == Notes.end() ? Value() : Known->second;
 }
 
 /// Adds what this host knows of the attempt beyond the fold.
@@ -48,7 +50,8 @@
     Out.Id_ = Id;
     Out.Spec_ = Known.Spec_;
     Out.Placement_ = Known.Placement_;
-    Out.Attained_ = attained(State, Id);
+    Out.Attained_ = noted(State.Attained_, Id);
+    Out.Waited_ = noted(State.WaitedBefore_, Id);
     Out.Stopping_ = Known.State_ == model::JobState::Stopping;
     auto Driven = State.Gangs_.find(Id);
     if (Driven != State.Gangs_.end())
@@ -97,7 +100,8 @@
     if (State.Gangs_.count(Id) || Known.CancelRequested_)
       continue;
     View.Waiting_.push_back(
-        {Id, Known.Spec_, Now - Since, attained(State, Id), true});
+        {Id, Known.Spec_, Now - Since, noted(State.Attained_, Id), true,
+         noted(State.WaitedBefore_, Id), noted(State.MovedFrom_, Id)});
   }
   std::stable_sort(
       View.Waiting_.begin(), View.Waiting_.end(),
@@ -123,15 +127,16 @@
 /// Leaves each job that has not waited long to the cell that should take it.
 void assignCells(const EntryState &State, std::vector<sched::CellView> &Views) {
   const std::vector<std::size_t> Choice = sched::preferredCells(Views);
-  for (std::size_t I = 0; I < Views.size(); ++I) {
+  for (std::size_t I = 0; I < Views.size(); ++I)
+    for (std::size_t J = 0; J < Views[I].Waiting_.size(); ++J)
+      Views[I].Waiting_[J].Preferred_ = Choice[J] == I;
+  sched::planMoves(Views);
+  for (sched::CellView &View : Views) {
     std::vector<sched::WaitingJob> Kept;
-    for (std::size_t J = 0; J < Views[I].Waiting_.size(); ++J) {
-      sched::WaitingJob &Job = Views[I].Waiting_[J];
-      Job.Preferred_ = Choice[J] == I;
+    for (sched::WaitingJob &Job : View.Waiting_)
       if (Job.Preferred_ || Job.Waited_ >= State.Settings_.OtherCellDelay_)
         Kept.push_back(std::move(Job));
-    }
-    Views[I].Waiting_ = std::move(Kept);
+    View.Waiting_ = std::move(Kept);
   }
 }
 
@@ -164,6 +169,8 @@
         (Known->second.Phase_ == GangPhase::Starting ||
          Known->second.Phase_ == GangPhase::Running)) {
       Known->second.StoppingFor_ = Preempt.For_;
+      if (Preempt.Move_)
+        State.MovedFrom_[Preempt.Job_] = Domain;
       stopGang(State, Known->second, Preempt.Reason_, Now, Out);
     }
   }
