--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -22,7 +22,6 @@
   Result.TurnsPastLimit_ = false;
   Result.TurnsByWait_ = false;
   Result.Moves_ = false;
-  Result.KeepPreferred_ = false;
   return Result;
 }
 
--- a/lib/sched/include/nutmegwell/sched/policy.h
+++ b/lib/sched/include/nutmegwell/sched/policy.h
@@ -55,9 +55,6 @@
   /// Whether a job whose account is at its limit takes its turn from jobs of
   /// the same account.
   bool TurnsPastLimit_ = true;
-  /// Whether the cell in which jobs are being stopped for a job stays its
-  /// preferred one.
-  bool KeepPreferred_ = true;
   /// Whether jobs within a guarantee are moved to other cells for the gang that
   /// has waited longest.
   bool Moves_ = true;
--- a/lib/sched/src/moves.cpp
+++ b/lib/sched/src/moves.cpp
@@ -83,6 +83,7 @@
 movesIn(const std::vector<CellView> &Cells, std::size_t C,
         const WaitingJob &Gang, const Policy &Choices) {
   CellView View = Cells[C];
+  std::vector<std::size_t> Candidates;
   States Probe = makeStates(Cells, Choices);
   std::size_t Pool = poolOf(View, Gang.Spec_);
   if (Pool == NoOwner)
--- a/lib/sched/src/prefer.cpp
+++ b/lib/sched/src/prefer.cpp
@@ -34,16 +34,6 @@
   return Key(A) < Key(B);
 }
 
-/// Returns the cell in which jobs are being stopped for the job, if any.
-std::optional<std::size_t> servingCell(const std::vector<CellView> &Cells,
-                                       const core::JobId &Job) {
-  for (std::size_t C = 0; C < Cells.size(); ++C)
-    for (const RunningJob &Running : Cells[C].Running_)
-      if (Running.Stopping_ && Running.StoppingFor_ == Job)
-        return C;
-  return std::nullopt;
-}
-
 std::size_t chooseCell(std::vector<std::unique_ptr<CellState>> &States,
                        const WaitingJob &Job) {
   std::optional<Offer> Best;
@@ -83,12 +73,8 @@
   std::vector<std::unique_ptr<CellState>> States;
   for (const CellView &View : Cells)
     States.push_back(std::make_unique<CellState>(View, Choices));
-  for (const WaitingJob &Job : Cells[0].Waiting_) {
-    std::optional<std::size_t> Serving;
-    if (Choices.KeepPreferred_)
-      Serving = servingCell(Cells, Job.Id_);
-    Result.push_back(Serving ? *Serving : chooseCell(States, Job));
-  }
+  for (const WaitingJob &Job : Cells[0].Waiting_)
+    Result.push_back(chooseCell(States, Job));
   return Result;
 }
 
