--- a/lib/sched/src/moves.cpp
+++ b/lib/sched/src/moves.cpp
@@ -17,6 +17,9 @@
 /// A job is not moved before it has run this long.
 constexpr std::chrono::minutes ShortestStay{5};
 
+/// Jobs for which a place is sought in one call, which bounds its time.
+constexpr std::size_t MostSought = 3;
+
 States makeStates(const std::vector<CellView> &Cells, const Policy &Choices) {
   States Result;
   for (const CellView &View : Cells)
@@ -24,9 +27,6 @@
   return Result;
 }
 
-/// Jobs for which a place is sought in one call, which bounds its time.
-constexpr std::size_t MostSought = 3;
-
 /// Returns the few waiting jobs that have waited longest in all their attempts.
 std::vector<const WaitingJob *> longestWaiting(const CellView &View) {
   auto Wait = [](const WaitingJob *Job) {
@@ -77,17 +77,30 @@
   return false;
 }
 
+/// Keeps the claims of waiting jobs in their preferred cells, so that a job is
+/// not moved to where another is about to start.
+void keepWaitingClaims(States &All) {
+  for (const auto &State : All)
+    for (const WaitingJob &Job : State->View_.Waiting_) {
+      std::size_t Pool = poolOf(State->View_, Job.Spec_);
+      if (!Job.Preferred_ || !State->View_.MayStart_ || Pool == NoOwner)
+        continue;
+      if (auto Found = claimFor(*State, Job.Spec_, Pool))
+        keepClaim(*State, *Found, Job.Spec_, Pool);
+    }
+}
+
 /// Returns the jobs to move out of a cell so that \p Gang has a place there, or
 /// nothing when no set of jobs with places elsewhere was found.
 std::optional<std::pair<double, std::vector<std::size_t>>>
 movesIn(const std::vector<CellView> &Cells, std::size_t C,
         const WaitingJob &Gang, const Policy &Choices) {
   CellView View = Cells[C];
-  std::vector<std::size_t> Candidates;
-  States Probe = makeStates(Cells, Choices);
   std::size_t Pool = poolOf(View, Gang.Spec_);
   if (Pool == NoOwner)
     return std::nullopt;
+  States Probe = makeStates(Cells, Choices);
+  keepWaitingClaims(Probe);
   for (std::size_t J = 0; J < View.Running_.size(); ++J)
     if (Probe[C]->Guarantees_.Within_[J] &&
         View.Running_[J].RunTime_ >= ShortestStay &&
