Test moves of jobs and turns at an account's limit

Guards against a job within its guarantee that is stopped without a place in another cell, against one that takes back the place that it left, and against a gang that never takes its turn because its own account's jobs fill the limit. Both a move into a closed cell and one without a free guarantee make it fail when the rule is taken out.

--- a/lib/sched/tests/plantest.cpp
+++ b/lib/sched/tests/plantest.cpp
@@ -1,4 +1,5 @@
 #include "nutmegwell/sched/plan.h"
+#include "nutmegwell/sched/moves.h"
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace nutmegwell;
@@ -7,6 +8,8 @@
   CPPUNIT_TEST_SUITE(PlanTest);
   CPPUNIT_TEST(gangLiesWithinItsLevel);
   CPPUNIT_TEST(limitHoldsJobBack);
+  CPPUNIT_TEST(jobMovesOnlyToAFreeGuarantee);
+  CPPUNIT_TEST(gangTakesItsTurnAtItsAccountsLimit);
   CPPUNIT_TEST_SUITE_END();
 
   static sched::CellView view() {
@@ -51,6 +54,63 @@
     CPPUNIT_ASSERT(Plan.Starts_.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Plan.Waits_.size());
   }
+
+  /// Two domains of one worker of 8, in each of which account "other" has a
+  /// guarantee of 4; its job in the first stands in the way of a gang of 8.
+  static std::vector<sched::CellView> cellsWithGang() {
+    std::vector<sched::CellView> Cells;
+    for (const char *Domain : {"a", "b"}) {
+      sched::CellView View = view();
+      View.Domain_ = Domain;
+      View.Workers_ = {{std::string(Domain) + "1", "r1", 8, true}};
+      View.Pools_.push_back(View.Pools_[0]);
+      View.Pools_[1].Account_ = "other";
+      View.Pools_[1].Guaranteed_ = View.Pools_[1].Block_ = 4;
+      View.Waiting_ = {{{1, 1}, gang(2), std::chrono::hours(1), {}, true}};
+      View.Running_.resize(1);
+      View.Running_[0].Id_ = {1, 2};
+      View.Running_[0].Spec_ = gang(1);
+      View.Running_[0].Spec_.Account_ = "other";
+      View.Running_[0].Placement_ = {{View.Workers_[0].Name_, 15}};
+      View.Running_[0].RunTime_ = std::chrono::hours(1);
+      Cells.push_back(View);
+    }
+    return Cells;
+  }
+
+  /// Guards against a job within its guarantee that is stopped without a place
+  /// within the guarantee elsewhere, and against one that takes back the place
+  /// that it left for a gang.
+  void jobMovesOnlyToAFreeGuarantee() {
+    std::vector<sched::CellView> Cells = cellsWithGang();
+    sched::planMoves(Cells);
+    CPPUNIT_ASSERT(sched::decide(Cells[0]).Preemptions_.empty());
+    Cells[1].Running_.clear();
+    Cells[1].MayStart_ = false;
+    sched::planMoves(Cells);
+    CPPUNIT_ASSERT(sched::decide(Cells[0]).Preemptions_.empty());
+    Cells[1].MayStart_ = true;
+    Cells[1].Workers_[0].Accelerators_ = 4;
+    sched::planMoves(Cells);
+    sched::Plan Plan = sched::decide(Cells[0]);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Plan.Preemptions_.size());
+    CPPUNIT_ASSERT(Plan.Preemptions_[0].Move_);
+    Cells[0].Waiting_.push_back({{1, 2}, Cells[0].Running_[0].Spec_, {}, {}});
+    Cells[0].Waiting_[1].MovedFrom_ = "a";
+    Cells[0].Running_.clear();
+    Plan = sched::decide(Cells[0]);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Plan.Starts_.size());
+    CPPUNIT_ASSERT(Plan.Starts_[0].Job_ == Cells[0].Waiting_[0].Id_);
+  }
+
+  /// Guards against a gang that waits for ever behind its own account's jobs.
+  void gangTakesItsTurnAtItsAccountsLimit() {
+    sched::CellView View = cellsWithGang()[0];
+    View.Running_[0].Spec_.Account_ = "acc";
+    View.Pools_[0].Limit_ = 8;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         sched::decide(View).Preemptions_.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlanTest);
