Count long waits in proportion to a job's size

Large gangs need more to come free at once, so that among jobs that have waited long the smaller ones kept overtaking them. The order of these and the choice of gangs for which jobs are moved now go by wait times accelerators, which bounds how often a gang is overtaken by its size (highest response ratio next, Brinch Hansen 1971, with the size in place of the run time).

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -22,6 +22,7 @@
   Result.TurnsPastLimit_ = false;
   Result.TurnsByWait_ = false;
   Result.Moves_ = false;
+  Result.WaitBySize_ = false;
   return Result;
 }
 
--- a/lib/sched/include/nutmegwell/sched/policy.h
+++ b/lib/sched/include/nutmegwell/sched/policy.h
@@ -55,6 +55,8 @@
   /// Whether a job whose account is at its limit takes its turn from jobs of
   /// the same account.
   bool TurnsPastLimit_ = true;
+  /// Whether long waits count in proportion to a job's size.
+  bool WaitBySize_ = true;
   /// Whether jobs within a guarantee are moved to other cells for the gang that
   /// has waited longest.
   bool Moves_ = true;
--- a/lib/sched/src/moves.cpp
+++ b/lib/sched/src/moves.cpp
@@ -32,13 +32,16 @@
   auto Wait = [](const WaitingJob *Job) {
     return Job->Waited_ + Job->WaitedBefore_;
   };
+  auto Weighted = [&](const WaitingJob *Job) {
+    return Wait(Job) * Job->Spec_.accelerators();
+  };
   std::vector<const WaitingJob *> Result;
   for (const WaitingJob &Job : View.Waiting_)
     if (Wait(&Job) >= LongWait)
       Result.push_back(&Job);
   std::stable_sort(Result.begin(), Result.end(),
                    [&](const WaitingJob *A, const WaitingJob *B) {
-                     return Wait(A) > Wait(B);
+                     return Weighted(A) > Weighted(B);
                    });
   if (Result.size() > MostSought)
     Result.resize(MostSought);
--- a/lib/sched/src/queue.cpp
+++ b/lib/sched/src/queue.cpp
@@ -50,6 +50,9 @@
     return Choices.TotalWait_ ? Job->Waited_ + Job->WaitedBefore_
                               : Job->Waited_;
   };
+  auto Weighted = [&](const WaitingJob *Job) {
+    return Wait(Job) * (Choices.WaitBySize_ ? Job->Spec_.accelerators() : 1);
+  };
   std::stable_sort(Jobs.begin(), Jobs.end(),
                    [&](const WaitingJob *A, const WaitingJob *B) {
                      core::Duration WaitA = Wait(A);
@@ -57,7 +60,7 @@
                      bool LateA = WaitA >= LongestWait;
                      bool LateB = WaitB >= LongestWait;
                      if (LateA || LateB)
-                       return LateA && (!LateB || WaitA > WaitB);
+                       return LateA && (!LateB || Weighted(A) > Weighted(B));
                      return std::make_pair(A->Spec_.Class_, serviceLevel(*A)) <
                             std::make_pair(B->Spec_.Class_, serviceLevel(*B));
                    });
