--- a/lib/sched/src/aging.cpp
+++ b/lib/sched/src/aging.cpp
@@ -25,9 +25,7 @@
     return false;
   if (Running.Spec_.Class_ < Job.Spec_.Class_)
     return false;
-  if (State.TurnsByWait_ &&
-      Running.Waited_ * Running.Spec_.accelerators() >=
-          (Job.Waited_ + Job.WaitedBefore_) * Job.Spec_.accelerators())
+  if (State.TurnsByWait_ && Running.Waited_ >= Job.Waited_ + Job.WaitedBefore_)
     return false;
   return Running.RunTime_ >= ShortestTurn;
 }
