Let moved jobs claim before others

A trace of late cases showed a moved job whose place was claimed by jobs of its own account that were stopped for the same gang. Moved jobs now claim first.

The other late cases seen come from claims that change places when several jobs stop at once: a job stops being served when its victims have stopped, and an earlier job may claim the room.

--- a/lib/sched/src/prefer.cpp
+++ b/lib/sched/src/prefer.cpp
@@ -73,8 +73,13 @@
   std::vector<std::unique_ptr<CellState>> States;
   for (const CellView &View : Cells)
     States.push_back(std::make_unique<CellState>(View, Choices));
-  for (const WaitingJob &Job : Cells[0].Waiting_)
-    Result.push_back(chooseCell(States, Job));
+  const std::vector<WaitingJob> &Waiting = Cells[0].Waiting_;
+  Result.resize(Waiting.size());
+  // A moved job goes first: it gave up a place within its guarantee.
+  for (bool Moved : {true, false})
+    for (std::size_t J = 0; J < Waiting.size(); ++J)
+      if (Waiting[J].MovedFrom_.empty() != Moved)
+        Result[J] = chooseCell(States, Waiting[J]);
   return Result;
 }
 
--- a/lib/sched/src/queue.cpp
+++ b/lib/sched/src/queue.cpp
@@ -37,7 +37,7 @@
     if (Job.Stopping_ && Job.StoppingFor_.valid())
       Served.insert(Job.StoppingFor_);
   std::stable_partition(Order.begin(), Order.end(), [&](const WaitingJob *Job) {
-    return Served.count(Job->Id_) != 0;
+    return Served.count(Job->Id_) != 0 || !Job->MovedFrom_.empty();
   });
   return Order;
 }
--- a/lib/sched/src/queue.h
+++ b/lib/sched/src/queue.h
@@ -5,8 +5,8 @@
 namespace nutmegwell::sched {
 
 /// Returns the waiting jobs in the order in which they claim guarantees: first
-/// those for which running jobs are already being stopped, so that a later
-/// claim does not take what is freed for an earlier one.
+/// those for which running jobs are already being stopped and those that were
+/// moved, so that a later claim does not take what is kept for them.
 std::vector<const WaitingJob *> claimOrder(const CellView &View,
                                            const Policy &Choices);
 
