--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -1,6 +1,5 @@
 #include "simulation.h"
 
-#include "nutmegwell/sched/prefer.h"
 #include "probes.h"
 #include <algorithm>
 #include <queue>
@@ -39,12 +38,18 @@
   std::size_t Cell_ = 0;
   std::size_t Preferred_ = 0;
   core::JobId StoppingFor_;
+  core::JobId MovesFor_;
+  model::DomainName MovedFrom_;
   model::Placement Placement_;
   core::Duration WaitFrom_{};
   core::Duration StartAt_{};
   core::Duration Saved_{};
   core::Duration Attained_{};
   core::Duration LongestWait_{};
+  core::Duration Waited_{};
+  core::Duration FirstWait_{};
+  std::uint32_t Preemptions_ = 0;
+  bool Entitled_ = false;
 };
 
 enum class EventKind : std::uint8_t { Arrival, End, Stopped, Fault, Tick };
@@ -62,7 +67,7 @@
 
 class Simulation {
 public:
-  Simulation(const Workload &Load, const Decide &Policy)
+  Simulation(const Workload &Load, const NamedPolicy &Policy)
       : Load_(Load), Policy_(Policy), Cells_(Load.Cells_),
         Jobs_(Load.Jobs_.size()) {}
 
@@ -77,7 +82,7 @@
   void handle(const Event &Next);
   void handleFault(const Fault &Next);
   void start(std::size_t J, std::size_t Cell, model::Placement Tasks);
-  void preempt(std::size_t J, core::JobId For);
+  void preempt(const sched::PreemptDecision &Next);
   void putBack(std::size_t J);
   void kill(std::size_t J);
   void saveAs(std::size_t J, core::Duration Saved);
@@ -85,10 +90,11 @@
   void fillView(std::size_t Cell);
   void decideCell(std::size_t Cell);
   void decideAll();
+  void observeAbsence();
   void finishResult();
 
   const Workload &Load_;
-  const Decide &Policy_;
+  const NamedPolicy &Policy_;
   std::vector<sched::CellView> Cells_;
   std::vector<SimJob> Jobs_;
   std::set<std::size_t> Waiting_;
@@ -97,6 +103,7 @@
   core::Duration Now_{};
   double UsefulInAbsence_ = 0;
   FragmentationProbe Fragmentation_;
+  AbsenceProbe Absence_{Load_.AbsenceFrom_, Load_.AbsenceTo_};
   ReclaimProbe Reclaim_{CheckpointGrace + seconds(1)};
   RunResult Result_;
 };
@@ -145,6 +152,9 @@
                        model::Placement Tasks) {
   SimJob &Job = Jobs_[J];
   Job.LongestWait_ = std::max(Job.LongestWait_, Now_ - Job.WaitFrom_);
+  Job.Waited_ += Now_ - Job.WaitFrom_;
+  if (Job.Attempt_ == 0)
+    Job.FirstWait_ = Job.Waited_;
   Job.State_ = State::Running;
   Job.Cell_ = Cell;
   Job.Placement_ = std::move(Tasks);
@@ -154,14 +164,19 @@
   Active_.insert(J);
   push(Job.StartAt_ + input(J).RunTime_ - Job.Saved_, EventKind::End, J,
        Job.Attempt_);
-  Reclaim_.started(J, Now_);
+  bool HadGuarantee = Reclaim_.started(J, Now_);
+  Job.Entitled_ = Job.Entitled_ && (Job.Attempt_ > 1 || HadGuarantee);
 }
 
-void Simulation::preempt(std::size_t J, core::JobId For) {
-  Jobs_[J].StoppingFor_ = For;
+void Simulation::preempt(const sched::PreemptDecision &Next) {
+  std::size_t J = Next.Job_.Sequence_ - 1;
+  Jobs_[J].StoppingFor_ = Next.For_;
+  Jobs_[J].MovedFrom_ =
+      Next.Move_ ? Cells_[Jobs_[J].Cell_].Domain_ : model::DomainName();
   saveAs(J, input(J).SavesOnDemand_ ? workAt(J) : periodicSave(J));
   Jobs_[J].State_ = State::Stopping;
   ++Result_.Preemptions_;
+  ++Jobs_[J].Preemptions_;
   push(Now_ + CheckpointGrace, EventKind::Stopped, J, Jobs_[J].Attempt_);
 }
 
@@ -213,10 +228,11 @@
     saveAs(Next.Index_, input(Next.Index_).RunTime_);
     Job.State_ = State::Finished;
     Active_.erase(Next.Index_);
-    Result_.Jobs_.push_back({Now_ - input(Next.Index_).Arrival_,
-                             input(Next.Index_).RunTime_, Job.LongestWait_,
-                             input(Next.Index_).Spec_.Class_,
-                             input(Next.Index_).Spec_.accelerators()});
+    Result_.Jobs_.push_back(
+        {Now_ - input(Next.Index_).Arrival_, input(Next.Index_).RunTime_,
+         Job.LongestWait_, input(Next.Index_).Spec_.Class_,
+         input(Next.Index_).Spec_.accelerators(), Job.Preemptions_, Job.Waited_,
+         Job.FirstWait_, Job.Entitled_});
   } else if (Next.Kind_ == EventKind::Stopped &&
              Job.State_ == State::Stopping) {
     putBack(Next.Index_);
@@ -232,7 +248,9 @@
                              input(J).Spec_,
                              Now_ - Jobs_[J].WaitFrom_,
                              Jobs_[J].Attained_,
-                             Jobs_[J].Preferred_ == Cell});
+                             Jobs_[J].Preferred_ == Cell,
+                             Jobs_[J].Waited_,
+                             Jobs_[J].MovedFrom_});
   for (std::size_t J : Active_) {
     const SimJob &Job = Jobs_[J];
     if (Job.Cell_ != Cell)
@@ -247,14 +265,16 @@
          Job.Attained_ + Run * input(J).Spec_.accelerators(),
          Stopping,
          Job.StoppingFor_,
-         std::max(Now_ - Job.StartAt_, core::Duration(0))});
+         std::max(Now_ - Job.StartAt_, core::Duration(0)),
+         Job.MovesFor_,
+         Job.Waited_});
   }
 }
 
 void Simulation::decideCell(std::size_t Cell) {
   fillView(Cell);
   auto Before = std::chrono::steady_clock::now();
-  sched::Plan Plan = Policy_(Cells_[Cell]);
+  sched::Plan Plan = Policy_.Decide_(Cells_[Cell]);
   std::chrono::duration<double, std::micro> Spent =
       std::chrono::steady_clock::now() - Before;
   Result_.DecisionMicros_.push_back(Spent.count());
@@ -265,7 +285,7 @@
   }
   for (const sched::PreemptDecision &Next : Plan.Preemptions_)
     if (Jobs_[Next.Job_.Sequence_ - 1].State_ == State::Running)
-      preempt(Next.Job_.Sequence_ - 1, Next.For_);
+      preempt(Next);
   if (!Plan.Starts_.empty()) {
     fillView(Cell);
     Result_.Invalid_ += !placementsValid(Cells_[Cell]);
@@ -276,15 +296,46 @@
   for (std::size_t C = 0; C < Cells_.size(); ++C)
     fillView(C);
   Reclaim_.observe(Cells_, Now_);
-  std::vector<std::size_t> Preferred = sched::preferredCells(Cells_);
-  std::size_t Next = 0;
   for (std::size_t J : Waiting_)
-    Jobs_[J].Preferred_ = Preferred[Next++];
+    if (Jobs_[J].Attempt_ == 0 && Jobs_[J].WaitFrom_ == Now_)
+      Jobs_[J].Entitled_ = Reclaim_.isOpen(J);
+  if (Policy_.Arrange_) {
+    Policy_.Arrange_(Cells_);
+    for (std::size_t C = 0; C < Cells_.size(); ++C) {
+      for (const sched::WaitingJob &Job : Cells_[C].Waiting_)
+        if (Job.Preferred_)
+          Jobs_[Job.Id_.Sequence_ - 1].Preferred_ = C;
+      for (const sched::RunningJob &Job : Cells_[C].Running_)
+        Jobs_[Job.Id_.Sequence_ - 1].MovesFor_ = Job.MovesFor_;
+    }
+  }
   for (std::size_t C = 0; C < Cells_.size(); ++C)
     decideCell(C);
   for (std::size_t C = 0; C < Cells_.size(); ++C)
     fillView(C);
   Fragmentation_.observe(Cells_, Now_);
+  observeAbsence();
+}
+
+/// Takes what the remaining domains do from now until the next event.
+void Simulation::observeAbsence() {
+  if (Load_.AbsenceTo_ <= Load_.AbsenceFrom_)
+    return;
+  AbsenceProbe::Use Use;
+  for (std::size_t C = 1; C < Cells_.size(); ++C)
+    for (const sched::WorkerView &Worker : Cells_[C].Workers_)
+      Use.Idle_ += Worker.Usable_ ? Worker.Accelerators_ : 0;
+  for (std::size_t J : Active_) {
+    if (Jobs_[J].Cell_ == 0)
+      continue;
+    std::uint32_t Size = input(J).Spec_.accelerators();
+    Use.Idle_ -= Size;
+    if (Jobs_[J].State_ == State::Stopping || Jobs_[J].StartAt_ > Now_)
+      Use.Changing_ += Size;
+  }
+  if (Waiting_.empty())
+    Use.Idle_ = 0;
+  Absence_.observe(Use, Now_);
 }
 
 void Simulation::finishResult() {
@@ -295,11 +346,15 @@
   double Length =
       std::chrono::duration<double>(Load_.AbsenceTo_ - Load_.AbsenceFrom_)
           .count();
-  if (Length > 0)
+  if (Length > 0) {
     Result_.AbsenceShare_ = UsefulInAbsence_ / (Remaining * Length);
+    Result_.AbsenceIdle_ = Absence_.sum().Idle_ / (Remaining * Length);
+    Result_.AbsenceChanging_ = Absence_.sum().Changing_ / (Remaining * Length);
+  }
   Result_.Fragmentation_ = Fragmentation_.mean();
   Result_.ReclaimSeconds_ = Reclaim_.times();
   Result_.ReclaimLate_ = Reclaim_.late();
+  Result_.ReclaimLateToOwn_ = Reclaim_.lateToOwn();
   Result_.Unfinished_ = Jobs_.size() - Result_.Jobs_.size();
 }
 
@@ -329,7 +384,7 @@
 
 } // namespace
 
-RunResult simulate(const Workload &Load, const Decide &Policy) {
+RunResult simulate(const Workload &Load, const NamedPolicy &Policy) {
   return Simulation(Load, Policy).run();
 }
 
--- a/lib/entry/src/control.cpp
+++ b/lib/entry/src/control.cpp
@@ -59,12 +59,17 @@
     Jobs.erase(Id);
   if (Known && model::isRunning(Known->State_))
     State.Attempts_[Known->Domain_].insert(Id);
-  if (Known && Known->State_ == model::JobState::Waiting)
+  if (Known && Known->State_ == model::JobState::Waiting) {
     State.WaitingSince_.emplace(Id, Now);
-  else
-    State.WaitingSince_.erase(Id);
+  } else if (auto Began = State.WaitingSince_.find(Id);
+             Began != State.WaitingSince_.end()) {
+    State.WaitedBefore_[Id] += Now - Began->second;
+    State.WaitingSince_.erase(Began);
+  }
   if (Known && !model::isFinal(Known->State_))
     return;
+  State.WaitedBefore_.erase(Id);
+  State.MovedFrom_.erase(Id);
   State.WaitReasons_.erase(Id);
   State.LastAttempt_.erase(Id);
   State.Attained_.erase(Id);
@@ -79,6 +84,8 @@
   };
   AddFrom(State.Fold_.Jobs_);
   AddFrom(State.WaitingSince_);
+  AddFrom(State.WaitedBefore_);
+  AddFrom(State.MovedFrom_);
   AddFrom(State.WaitReasons_);
   AddFrom(State.LastAttempt_);
   AddFrom(State.Attained_);
--- a/lib/sched/include/nutmegwell/sched/plan.h
+++ b/lib/sched/include/nutmegwell/sched/plan.h
@@ -30,6 +30,11 @@
   /// False while another cell is to take the job (see preferredCells); then
   /// nothing is preempted for it here.
   bool Preferred_ = true;
+  /// How long the job waited for its earlier attempts.
+  core::Duration WaitedBefore_{};
+  /// The domain from which the job was moved for a waiting one (see planMoves);
+  /// it does not go back there at once.
+  model::DomainName MovedFrom_{};
 };
 
 struct RunningJob {
@@ -45,6 +50,11 @@
   core::JobId StoppingFor_;
   /// Time since this attempt started; one with 0 keeps its place.
   core::Duration RunTime_{};
+  /// The waiting job for which this one may be moved to another cell, if any
+  /// (see planMoves).
+  core::JobId MovesFor_{};
+  /// How long the job waited for all its attempts.
+  core::Duration Waited_{};
 };
 
 /// All that a decision for one cell depends on.
@@ -68,6 +78,9 @@
   /// The waiting job that takes the accelerators.
   core::JobId For_;
   std::string Reason_;
+  /// True when the job is moved: it is within its guarantee and has a place in
+  /// another cell (see planMoves).
+  bool Move_ = false;
 };
 
 /// Why a job waits and what would let it start, in one plain sentence.
--- a/lib/sched/include/nutmegwell/sched/policy.h
+++ b/lib/sched/include/nutmegwell/sched/policy.h
@@ -47,6 +47,19 @@
   /// Whether a job with a claim on borrowed accelerators starts in a free place
   /// outside all guaranteed blocks instead, when there is one.
   bool SpareUnowned_ = true;
+  /// Whether a job's wait counts from all its attempts, so that a preempted job
+  /// does not go back behind those that arrived after it.
+  bool TotalWait_ = true;
+  /// Whether a job takes its turn only from jobs that waited less than it.
+  bool TurnsByWait_ = true;
+  /// Whether a job whose account is at its limit takes its turn from jobs of
+  /// the same account.
+  bool TurnsPastLimit_ = true;
+  /// Whether long waits count in proportion to a job's size.
+  bool WaitBySize_ = true;
+  /// Whether jobs within a guarantee are moved to other cells for the gang that
+  /// has waited longest.
+  bool Moves_ = true;
 };
 
 } // namespace nutmegwell::sched
--- a/lib/sched/src/cellstate.cpp
+++ b/lib/sched/src/cellstate.cpp
@@ -1,6 +1,7 @@
 #include "cellstate.h"
 
 #include "place.h"
+#include <algorithm>
 
 namespace nutmegwell::sched {
 
@@ -10,6 +11,10 @@
 /// checkpoint grace and as much to read the checkpoint.
 constexpr std::chrono::seconds RestartTime{60};
 
+/// How long a job that was moved keeps away from the place that it left, so
+/// that the job for which it left starts first: twice the checkpoint grace.
+constexpr std::chrono::seconds StayAway{60};
+
 /// Returns what preempting a job costs, in accelerator-seconds for least lost.
 double costOf(const RunningJob &Job, Victims Order) {
   if (Job.Stopping_)
@@ -39,20 +44,38 @@
 } // namespace
 
 CellState::CellState(const CellView &View, const Policy &Choices)
-    : View_(View), Map_(makeTopology(View)), Free_(Map_),
-      Held_(View.Pools_.size()), Claimed_(View.Workers_.size()) {
+    : View_(View), TurnsByWait_(Choices.TurnsByWait_), Map_(makeTopology(View)),
+      Free_(Map_), Held_(View.Pools_.size()), Claimed_(View.Workers_.size()) {
   Running_.JobsOn_.resize(View.Workers_.size());
   for (std::size_t J = 0; J < View.Running_.size(); ++J)
     addRunning(*this, J, Choices.Victims_);
   Guarantees_ = bindGuarantees(View, Map_, Running_.Slices_);
 }
 
+bool justMovedOut(const CellView &View, const WaitingJob &Job) {
+  return Job.MovedFrom_ == View.Domain_ && Job.Waited_ < StayAway;
+}
+
 bool withinLimit(const CellState &State, const model::JobSpec &Spec,
                  std::size_t Pool) {
   return State.Held_[Pool] + Spec.accelerators() <=
          State.View_.Pools_[Pool].Limit_;
 }
 
+bool withinLimitAfter(const CellState &State, const WaitingJob &Job,
+                      std::size_t Pool,
+                      const std::vector<std::size_t> &Victims) {
+  std::uint32_t Held = State.Held_[Pool];
+  for (std::size_t J = 0; J < State.View_.Running_.size(); ++J) {
+    const RunningJob &Running = State.View_.Running_[J];
+    bool Leaves = (Running.Stopping_ && Running.StoppingFor_ == Job.Id_) ||
+                  std::find(Victims.begin(), Victims.end(), J) != Victims.end();
+    if (Leaves && poolOf(State.View_, Running.Spec_) == Pool)
+      Held -= Running.Spec_.accelerators();
+  }
+  return Held + Job.Spec_.accelerators() <= State.View_.Pools_[Pool].Limit_;
+}
+
 std::optional<Claim> claimFor(const CellState &State,
                               const model::JobSpec &Spec, std::size_t Pool) {
   if (Pool == NoOwner || !withinLimit(State, Spec, Pool))
--- a/lib/sched/src/cellstate.h
+++ b/lib/sched/src/cellstate.h
@@ -12,6 +12,7 @@
   CellState &operator=(const CellState &) = delete;
 
   const CellView &View_;
+  bool TurnsByWait_;
   Topology Map_;
   /// Accelerators that are free and not kept for a claim.
   FreeIndex Free_;
@@ -23,10 +24,19 @@
   std::vector<std::uint64_t> Claimed_;
 };
 
+/// Returns true for a job that was moved out of this cell a short time ago.
+bool justMovedOut(const CellView &View, const WaitingJob &Job);
+
 /// Returns true when the job keeps the limit of its pool row.
 bool withinLimit(const CellState &State, const model::JobSpec &Spec,
                  std::size_t Pool);
 
+/// Returns true when the job keeps its limit once the victims of a claim and
+/// the jobs that are being stopped for it are gone.
+bool withinLimitAfter(const CellState &State, const WaitingJob &Job,
+                      std::size_t Pool,
+                      const std::vector<std::size_t> &Victims);
+
 /// Returns the claim of a job on its account's guarantee, or nothing.
 std::optional<Claim> claimFor(const CellState &State,
                               const model::JobSpec &Spec, std::size_t Pool);
--- a/lib/sched/src/plan.cpp
+++ b/lib/sched/src/plan.cpp
@@ -45,9 +45,11 @@
 
 void preemptFor(Decision &State, const WaitingJob &Job, const Claim &Found,
                 const std::string &Reason) {
-  for (std::size_t J : Found.Victims_)
-    State.Plan_.Preemptions_.push_back(
-        {State.Cell_.View_.Running_[J].Id_, Job.Id_, Reason});
+  for (std::size_t J : Found.Victims_) {
+    const RunningJob &Victim = State.Cell_.View_.Running_[J];
+    bool Move = Victim.MovesFor_.valid() && Victim.MovesFor_ == Job.Id_;
+    State.Plan_.Preemptions_.push_back({Victim.Id_, Job.Id_, Reason, Move});
+  }
 }
 
 /// Starts a job within the free guarantee of its account, or preempts the
@@ -91,7 +93,8 @@
     return false;
   ++State.TurnsSought_;
   auto Found = agedPlace(State.Cell_, Job);
-  if (!Found || Found->Free_)
+  if (!Found || Found->Free_ ||
+      !withinLimitAfter(State.Cell_, Job, Pool, Found->Victims_))
     return false;
   for (std::size_t J : Found->Victims_)
     State.Cell_.Running_.Cost_[J] = 0;
@@ -123,8 +126,9 @@
       {Job.Id_, toPlacement(State.Cell_.View_, *Found)});
 }
 
-/// Returns the pool under which the job may start, or NoOwner after it noted
-/// why the job waits.
+/// Returns the pool under which the job may start at once, or NoOwner after it
+/// noted why the job waits. A job over the limit of its account may still take
+/// its turn from jobs of the account.
 std::size_t poolWithRoom(Decision &State, const WaitingJob &Job) {
   const CellView &View = State.Cell_.View_;
   std::size_t Pool = poolOf(View, Job.Spec_);
@@ -132,6 +136,8 @@
     wait(State, Job, noPoolReason(View, Job.Spec_));
   else if (withinLimit(State.Cell_, Job.Spec_, Pool))
     return Pool;
+  else if (State.Choices_.TurnsPastLimit_ && takeTurn(State, Job, Pool))
+    return NoOwner;
   else
     wait(State, Job,
          limitReason(View, Job.Spec_, State.Cell_.Held_[Pool],
@@ -145,8 +151,10 @@
   const CellView &View = State.Cell_.View_;
   std::vector<const WaitingJob *> Borrowers;
   for (const WaitingJob *Job : claimOrder(View, State.Choices_))
-    if (!State.Choices_.Guarantees_ ||
-        !useGuarantee(State, *Job, poolOf(View, Job->Spec_)))
+    if (justMovedOut(View, *Job))
+      wait(State, *Job, movedReason(View));
+    else if (!State.Choices_.Guarantees_ ||
+             !useGuarantee(State, *Job, poolOf(View, Job->Spec_)))
       Borrowers.push_back(Job);
   sortBorrowers(Borrowers, State.Choices_);
   for (const WaitingJob *Job : Borrowers) {
--- a/lib/sched/src/prefer.cpp
+++ b/lib/sched/src/prefer.cpp
@@ -45,7 +45,7 @@
     const CellState &State = *States[Next.Cell_];
     std::size_t Pool = poolOf(State.View_, Job.Spec_);
     if (!State.View_.MayStart_ || Pool == NoOwner ||
-        !withinLimit(State, Job.Spec_, Pool))
+        justMovedOut(State.View_, Job) || !withinLimit(State, Job.Spec_, Pool))
       continue;
     Next.Claim_ = claimFor(State, Job.Spec_, Pool);
     if (Next.Claim_)
@@ -73,8 +73,13 @@
   std::vector<std::unique_ptr<CellState>> States;
   for (const CellView &View : Cells)
     States.push_back(std::make_unique<CellState>(View, Choices));
-  for (const WaitingJob &Job : Cells[0].Waiting_)
-    Result.push_back(chooseCell(States, Job));
+  const std::vector<WaitingJob> &Waiting = Cells[0].Waiting_;
+  Result.resize(Waiting.size());
+  // A moved job goes first: it gave up a place within its guarantee.
+  for (bool Moved : {true, false})
+    for (std::size_t J = 0; J < Waiting.size(); ++J)
+      if (Waiting[J].MovedFrom_.empty() != Moved)
+        Result[J] = chooseCell(States, Waiting[J]);
   return Result;
 }
 
