--- a/tests/e2e/faulttest.cpp
+++ b/tests/e2e/faulttest.cpp
@@ -5,67 +5,28 @@
 
 using namespace std::chrono_literals;
 using namespace nutmegwell::history;
+using e2e::assertFinished;
 using e2e::Cluster;
+using e2e::DefaultTimes;
+using e2e::JobLoad;
 using e2e::Load;
+using e2e::pass;
 using e2e::Recorder;
+using e2e::start;
 
-namespace {
-
-/// Times of the daemons by default, for the rules whose bound is 3 s.
-const std::vector<std::string> DefaultTimes = {"--checkpoint-grace=1s"};
-
-/// Waits for a time that is itself the bound under test.
-void pass(std::chrono::milliseconds Time) {
-  std::mutex Mutex;
-  std::condition_variable Never;
-  std::unique_lock<std::mutex> Lock(Mutex);
-  Never.wait_for(Lock, Time);
-}
-
-/// Submits short gangs one after the other until it is told to stop.
-class JobLoad {
-public:
-  JobLoad(Cluster &All, int Entry)
-      : Thread_([this, &All, Entry] {
-          while (!Stopping_) {
-            std::string Job = All.submit(Entry, 2, 4, "rack", "run:300");
-            std::lock_guard<std::mutex> Lock(Mutex_);
-            if (!Job.empty())
-              Jobs_.push_back(Job);
-            if (Jobs_.size() >= 200)
-              return;
-          }
-        }) {}
-  ~JobLoad() { stop(); }
-
-  std::vector<std::string> stop() {
-    Stopping_ = true;
-    if (Thread_.joinable())
-      Thread_.join();
-    return Jobs_;
-  }
-
-private:
-  std::atomic<bool> Stopping_{false};
-  std::mutex Mutex_;
-  std::vector<std::string> Jobs_;
-  std::thread Thread_;
-};
-
-} // namespace
-
-/// Fault table: fault -> expected effect -> test.
-///   domain out under load       -> no start there after 3 s  -> domainOut
-///   holder stopped at that time -> the same                  ->
-///   domainOutHolderPaused entry host paused           -> no gang runs twice ->
-///   holderPaused agent killed                -> gang ends, runs elsewhere ->
-///   agentKilled log stopped, then back      -> true refusals, work goes on ->
-///   logOut entry host replaced, no log -> state from its peer       ->
-///   entryReplaced entry host and agent stop   -> nothing cut               ->
-///   gracefulStops upstream leaves             -> no new work after 3 s     ->
-///   upstreamLeaves operators race              -> one winner                ->
-///   operatorsRace entry host restarted        -> versions never go back    ->
-///   configAcrossRestarts
+// Fault table: fault; expected effect; test. The comment is not reflowed by the
+// formatter, since each line is an item of a list.
+//
+// - domain out under load; no start there after 3 s; domainOut
+// - holder stopped at that time; the same; domainOutHolderPaused
+// - entry host paused; no gang runs twice; holderPaused
+// - agent killed; gang ends, runs elsewhere; agentKilled
+// - log stopped, then back; true refusals, work goes on; logOut
+// - entry host replaced, no log; state from its peer; entryReplaced
+// - entry host and agent stop; nothing cut; gracefulStops
+// - upstream leaves; no new work after 3 s; upstreamLeaves
+// - operators race; one winner; operatorsRace
+// - entry host restarted; versions never go back; configAcrossRestarts
 class FaultTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FaultTest);
   CPPUNIT_TEST(domainOut);
@@ -80,28 +41,6 @@
   CPPUNIT_TEST(configAcrossRestarts);
   CPPUNIT_TEST_SUITE_END();
 
-  static void start(Cluster &All, int Workers, int Upstreams) {
-    All.startLog();
-    All.startEntry(1);
-    All.startEntry(2);
-    for (int I = 0; I < Workers; ++I)
-      All.startWorker("w" + std::to_string(I), I < 2 ? "a" : "b",
-                      I < 2 ? "ra" : "rb");
-    for (int I = 0; I < Upstreams; ++I)
-      All.startUpstream("u" + std::to_string(I), "a", "svc");
-    for (int Entry : {1, 2}) {
-      for (int I = 0; I < Workers; ++I)
-        CPPUNIT_ASSERT(All.waitStatus(Entry, "\"w" + std::to_string(I) + "\""));
-      for (int I = 0; I < Upstreams; ++I)
-        CPPUNIT_ASSERT(All.waitStatus(Entry, "\"u" + std::to_string(I) + "\""));
-      CPPUNIT_ASSERT(All.waitStatus(Entry, R"("log_available":true)"));
-    }
-    std::vector<std::string> Domains = {"a"};
-    if (Workers > 2)
-      Domains.push_back("b");
-    CPPUNIT_ASSERT(All.publishTables(1, Domains));
-  }
-
   /// Returns the number of the entry host that holds domain "a".
   static int holderOf(Cluster &All) {
     CPPUNIT_ASSERT(All.waitStatus(1, R"("holder":"e)"));
@@ -122,13 +61,6 @@
       Run.add("operator", DomainOut{"a"});
   }
 
-  static void assertFinished(Cluster &All, int Entry,
-                             const std::vector<std::string> &Jobs) {
-    for (const std::string &Job : Jobs)
-      CPPUNIT_ASSERT_EQUAL(std::string("finished"),
-                           All.waitJob(Entry, Job, 120s));
-  }
-
   /// Guards against starts in a domain that operators took out.
   void domainOut() {
     Cluster All(DefaultTimes);
--- a/tests/e2e/load.cpp
+++ b/tests/e2e/load.cpp
@@ -1,6 +1,5 @@
 #include "load.h"
 
-#include "nutmegwell/history/rules.h"
 #include "nutmegwell/logclient/httplog.h"
 #include "nutmegwell/wire/binary.h"
 #include <cppunit/TestAssert.h>
@@ -184,8 +183,63 @@
       Caller.join();
 }
 
-void assertRules(const history::History &Run) {
-  const auto Found = history::checkAll(Run, history::Bounds());
+const std::vector<std::string> DefaultTimes = {"--checkpoint-grace=1s"};
+
+JobLoad::JobLoad(Cluster &All, int Entry)
+    : Thread_([this, &All, Entry] {
+        while (!Stopping_ && Jobs_.size() < 200) {
+          std::string Job = All.submit(Entry, 2, 4, "rack", "run:300");
+          if (!Job.empty())
+            Jobs_.push_back(Job);
+        }
+      }) {}
+
+std::vector<std::string> JobLoad::stop() {
+  Stopping_ = true;
+  if (Thread_.joinable())
+    Thread_.join();
+  return Jobs_;
+}
+
+void start(Cluster &All, int Workers, int Upstreams, int InA,
+           const std::string &RouteFields) {
+  All.startLog();
+  All.startEntry(1);
+  All.startEntry(2);
+  for (int I = 0; I < Workers; ++I)
+    All.startWorker("w" + std::to_string(I), I < InA ? "a" : "b",
+                    I < 2 ? "ra" : "rb");
+  for (int I = 0; I < Upstreams; ++I)
+    All.startUpstream("u" + std::to_string(I), "a", "svc");
+  for (int Entry : {1, 2}) {
+    for (int I = 0; I < Workers; ++I)
+      CPPUNIT_ASSERT(All.waitStatus(Entry, "\"w" + std::to_string(I) + "\""));
+    for (int I = 0; I < Upstreams; ++I)
+      CPPUNIT_ASSERT(All.waitStatus(Entry, "\"u" + std::to_string(I) + "\""));
+    CPPUNIT_ASSERT(All.waitStatus(Entry, R"("log_available":true)"));
+  }
+  std::vector<std::string> Domains = {"a"};
+  if (Workers > InA)
+    Domains.push_back("b");
+  CPPUNIT_ASSERT(All.publishTables(1, Domains, RouteFields));
+}
+
+void pass(std::chrono::milliseconds Time) {
+  std::mutex Mutex;
+  std::condition_variable Never;
+  std::unique_lock<std::mutex> Lock(Mutex);
+  Never.wait_for(Lock, Time);
+}
+
+void assertFinished(Cluster &All, int Entry,
+                    const std::vector<std::string> &Jobs) {
+  for (const std::string &Job : Jobs)
+    CPPUNIT_ASSERT_EQUAL(std::string("finished"),
+                         All.waitJob(Entry, Job, std::chrono::seconds(120)));
+}
+
+void assertRules(const history::History &Run, const history::Bounds &Limits) {
+  const auto Found = history::checkAll(Run, Limits);
   CPPUNIT_ASSERT_MESSAGE(history::describe(Run, Found), Found.empty());
 }
 
--- a/tests/e2e/load.h
+++ b/tests/e2e/load.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cluster.h"
-#include "nutmegwell/history/event.h"
+#include "nutmegwell/history/rules.h"
 #include <array>
 #include <atomic>
 #include <mutex>
@@ -63,7 +63,38 @@
   std::vector<std::thread> Threads_;
 };
 
+/// Submits short gangs one after the other until it is told to stop.
+class JobLoad {
+public:
+  JobLoad(Cluster &All, int Entry);
+  ~JobLoad() { stop(); }
+
+  /// Returns the jobs that were accepted.
+  std::vector<std::string> stop();
+
+private:
+  std::atomic<bool> Stopping_{false};
+  std::vector<std::string> Jobs_;
+  std::thread Thread_;
+};
+
+/// Times of the daemons by default, for the rules whose bound is 3 s.
+extern const std::vector<std::string> DefaultTimes;
+
+/// Starts the log, both entry hosts, workers "w0" and up and upstreams "u0" and
+/// up of domain "a", and publishes the tables. Workers from \p InA on are in
+/// domain "b", and those from the third on in rack "rb".
+void start(Cluster &All, int Workers, int Upstreams, int InA = 2,
+           const std::string &RouteFields = "");
+
+/// Waits for a time that is itself the bound under test.
+void pass(std::chrono::milliseconds Time);
+
+void assertFinished(Cluster &All, int Entry,
+                    const std::vector<std::string> &Jobs);
+
 /// Fails the test with a description when a rule is broken.
-void assertRules(const nutmegwell::history::History &Run);
+void assertRules(const nutmegwell::history::History &Run,
+                 const nutmegwell::history::Bounds &Limits = {});
 
 } // namespace e2e
