Check the reclaim of a guarantee with real daemons

Two long gangs of one account borrow the whole of a domain, and an urgent job of an account with a guaranteed rack arrives. The history checker decides that the job has its whole shape within the grace of 3 s plus 1.5 s for decisions and messages (the sum in docs/CAPACITY.md less the grace), which is within the 5.7 s for urgent work. The test also asks that exactly one borrower is preempted and runs again from its checkpoint.

The checker could not tell whether the borrower had stopped whole before the job started. The new event guarantee_blocked names the attempt that stands in the place of a claim; histories by hand that keep and break the rule are in history-guarantee-reclaim.

--- a/lib/history/include/nutmegwell/history/event.h
+++ b/lib/history/include/nutmegwell/history/event.h
@@ -153,12 +153,22 @@
   std::string Claim_;
 };
 
-using EventBody = std::variant<
-    CallInvoked, CallAnswered, CallRefused, CallUnknown, ExecutionBegun,
-    ExecutionEnded, UpstreamLeaving, UpstreamReturned, StopBegun, StopEnded,
-    AttemptCommitted, AttemptEnded, TaskStarted, TaskStopped, PermitGranted,
-    PermitRevoked, DomainOut, DomainIn, ConfigAccepted, ConfigObserved,
-    GuaranteeRequested, GuaranteeObtained, GuaranteeWithdrawn>;
+/// A running attempt stands in the place of a claim, whose name is the id of
+/// the job that waits. It must have stopped whole before that job starts.
+struct GuaranteeBlocked {
+  std::string Claim_;
+  std::string Job_;
+  std::uint32_t Attempt_ = 0;
+};
+
+using EventBody =
+    std::variant<CallInvoked, CallAnswered, CallRefused, CallUnknown,
+                 ExecutionBegun, ExecutionEnded, UpstreamLeaving,
+                 UpstreamReturned, StopBegun, StopEnded, AttemptCommitted,
+                 AttemptEnded, TaskStarted, TaskStopped, PermitGranted,
+                 PermitRevoked, DomainOut, DomainIn, ConfigAccepted,
+                 ConfigObserved, GuaranteeRequested, GuaranteeObtained,
+                 GuaranteeWithdrawn, GuaranteeBlocked>;
 
 /// One event of a run. All times of a run are of one machine's clock.
 struct Event {
--- a/lib/history/src/eventfields.h
+++ b/lib/history/src/eventfields.h
@@ -6,14 +6,14 @@
 
 /// Names of the kinds of events in files, in the order of EventBody.
 constexpr const char *EventNames[] = {
-    "call_invoked",       "call_answered",      "call_refused",
-    "call_unknown",       "execution_begun",    "execution_ended",
-    "upstream_leaving",   "upstream_returned",  "stop_begun",
-    "stop_ended",         "attempt_committed",  "attempt_ended",
-    "task_started",       "task_stopped",       "permit_granted",
-    "permit_revoked",     "domain_out",         "domain_in",
-    "config_accepted",    "config_observed",    "guarantee_requested",
-    "guarantee_obtained", "guarantee_withdrawn"};
+    "call_invoked",       "call_answered",       "call_refused",
+    "call_unknown",       "execution_begun",     "execution_ended",
+    "upstream_leaving",   "upstream_returned",   "stop_begun",
+    "stop_ended",         "attempt_committed",   "attempt_ended",
+    "task_started",       "task_stopped",        "permit_granted",
+    "permit_revoked",     "domain_out",          "domain_in",
+    "config_accepted",    "config_observed",     "guarantee_requested",
+    "guarantee_obtained", "guarantee_withdrawn", "guarantee_blocked"};
 static_assert(sizeof(EventNames) / sizeof(*EventNames) ==
                   std::variant_size_v<EventBody>,
               "each kind of event needs a name");
@@ -144,4 +144,10 @@
   Visit("claim", E.Claim_);
 }
 
+template <typename V> void visitFields(V &Visit, GuaranteeBlocked &E) {
+  Visit("claim", E.Claim_);
+  Visit("job", E.Job_);
+  Visit("attempt", E.Attempt_);
+}
+
 } // namespace nutmegwell::history
--- a/lib/history/src/jobrules.cpp
+++ b/lib/history/src/jobrules.cpp
@@ -189,6 +189,32 @@
          Got.Block_ >= Asked.Block_ && Got.Level_ <= Asked.Level_;
 }
 
+/// Adds starts of jobs in whose place another attempt still ran.
+void checkStoppedFirst(const History &Run, Violations &Found) {
+  std::multimap<std::string, AttemptKey> Blocked;
+  /// Running tasks of each attempt with the indices of their starts.
+  std::map<AttemptKey, std::map<std::uint32_t, std::size_t>> Running;
+  for (std::size_t I = 0; I < Run.Events_.size(); ++I) {
+    const EventBody &Body = Run.Events_[I].Body_;
+    if (const auto *Block = std::get_if<GuaranteeBlocked>(&Body))
+      Blocked.emplace(Block->Claim_, AttemptKey{Block->Job_, Block->Attempt_});
+    else if (const auto *Stop = std::get_if<TaskStopped>(&Body))
+      Running[{Stop->Job_, Stop->Attempt_}].erase(Stop->Task_);
+    const auto *Start = std::get_if<TaskStarted>(&Body);
+    if (!Start)
+      continue;
+    Running[{Start->Job_, Start->Attempt_}][Start->Task_] = I;
+    auto [Block, Last] = Blocked.equal_range(Start->Job_);
+    for (; Block != Last; ++Block)
+      for (const auto &[Task, Since] : Running[Block->second])
+        Found.push_back({"guarantee-reclaim",
+                         "claim " + Start->Job_ + " started while " +
+                             GangWalk::name(Block->second) +
+                             " ran in its place",
+                         {Since, I}});
+  }
+}
+
 } // namespace
 
 Violations checkGuaranteeReclaim(const History &Run, const Bounds &Limits) {
@@ -241,6 +267,7 @@
   }
   for (const auto &[Id, Claim] : Open)
     CheckTime(Claim, Run.Events_.size() - 1);
+  checkStoppedFirst(Run, Found);
   return Found;
 }
 
--- a/lib/history/tests/rulestest.cpp
+++ b/lib/history/tests/rulestest.cpp
@@ -34,6 +34,7 @@
 class GuaranteeReclaimTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(GuaranteeReclaimTest);
   CPPUNIT_TEST(verdicts);
+  CPPUNIT_TEST(borrowerStopsFirst);
   CPPUNIT_TEST_SUITE_END();
 
   static Event asked() {
@@ -59,6 +60,18 @@
     reject("guarantee-reclaim",
            {asked(), at(5, DomainOut{"b"}), got(40000, {8, 4, 1})});
   }
+
+  void borrowerStopsFirst() {
+    const std::vector<Event> Blocked = {at(100, GuaranteeBlocked{"c", "j", 1})};
+    // The borrower's second attempt does not stand in the place.
+    accept(gang("j", 1, 0, 200) + gang("c", 1, 200, 400) + Blocked);
+    accept(gang("j", 1, 0, 200) + gang("j", 2, 200, 400) +
+           gang("c", 1, 210, 300) + Blocked);
+    accept(gang("k", 1, 0, 400) + gang("c", 1, 200, 400) + Blocked);
+    // The last task of the borrower stops at 199, the first of c starts at 198.
+    reject("guarantee-reclaim",
+           gang("j", 1, 0, 200) + gang("c", 1, 197, 400) + Blocked);
+  }
 };
 
 class GangAtomicTest : public CppUnit::TestFixture {
--- a/tests/e2e/cluster.cpp
+++ b/tests/e2e/cluster.cpp
@@ -150,6 +150,7 @@
 
 void Cluster::startWorker(const std::string &Name, const std::string &Domain,
                           const std::string &Rack) {
+  RackOf_[Name] = Rack;
   Address Runtime = Ports_.hold();
   Runtimes_[Name] =
       launch(RUNTIME_PROGRAM, {net::toString(Runtime)}, {Runtime}, "ready");
@@ -240,13 +241,15 @@
 std::string Cluster::submit(int Entry, int Tasks, int Accelerators,
                             const std::string &Level,
                             const std::string &Command,
-                            const std::string &Class) {
-  auto Response = call(
-      Entry, "POST", "/v1/jobs",
-      R"({"account":"acc","service":"svc","tasks":)" + std::to_string(Tasks) +
-          R"(,"accelerators_per_task":)" + std::to_string(Accelerators) +
-          R"(,"level":")" + Level + R"(","class":")" + Class +
-          R"(","declared_ms":1000,"command":")" + Command + R"("})");
+                            const std::string &Class,
+                            const std::string &Account) {
+  auto Response =
+      call(Entry, "POST", "/v1/jobs",
+           R"({"account":")" + Account + R"(","service":"svc","tasks":)" +
+               std::to_string(Tasks) + R"(,"accelerators_per_task":)" +
+               std::to_string(Accelerators) + R"(,"level":")" + Level +
+               R"(","class":")" + Class +
+               R"(","declared_ms":1000,"command":")" + Command + R"("})");
   return Response.Status_ == 202 ? member(Response.Body_, "id") : std::string();
 }
 
--- a/tests/e2e/cluster.h
+++ b/tests/e2e/cluster.h
@@ -69,7 +69,8 @@
   /// Submits a gang; returns its id, or an empty string for a refusal.
   std::string submit(int Entry, int Tasks, int Accelerators,
                      const std::string &Level, const std::string &Command,
-                     const std::string &Class = "normal");
+                     const std::string &Class = "normal",
+                     const std::string &Account = "acc");
   /// Waits for a job's end; returns its state.
   std::string waitJob(int Entry, const std::string &Id,
                       std::chrono::milliseconds Limit);
@@ -87,6 +88,7 @@
   std::map<std::string, std::unique_ptr<Process>> Runtimes_;
   std::map<std::string, std::unique_ptr<Process>> Upstreams_;
   std::map<std::string, std::string> DomainOf_;
+  std::map<std::string, std::string> RackOf_;
   Address LogAddress_;
 
 private:
--- a/tests/e2e/load.cpp
+++ b/tests/e2e/load.cpp
@@ -95,9 +95,10 @@
 
 } // namespace
 
-void Recorder::add(const std::string &Process, history::EventBody Body) {
+void Recorder::add(const std::string &Process, history::EventBody Body,
+                   core::TimePoint At) {
   std::lock_guard<std::mutex> Lock(Mutex_);
-  Events_.push_back({core::steadyClock().Now_(), Process, std::move(Body)});
+  Events_.push_back({At, Process, std::move(Body)});
 }
 
 history::History Recorder::finish(Cluster &All) {
--- a/tests/e2e/load.h
+++ b/tests/e2e/load.h
@@ -14,7 +14,9 @@
 /// Records the events of a run from several threads.
 class Recorder {
 public:
-  void add(const std::string &Process, nutmegwell::history::EventBody Body);
+  void
+  add(const std::string &Process, nutmegwell::history::EventBody Body,
+      nutmegwell::core::TimePoint At = nutmegwell::core::steadyClock().Now_());
 
   /// Returns the recorded events with those that the stand-ins of \p All
   /// printed, in order of time.
