Check silent connections with separate daemons

A relay stands between both entry hosts and each agent. It passes heartbeats on with its own address for requests and forwards the connections. On command it forwards nothing more on the open connections and keeps them open, while new ones work: first for one upstream, so that requests can go elsewhere, then for both. Each round begins while a keyed request runs. The history checker finds no key that ran twice, no false refusal and no foreign answer; keyed calls of unknown outcome end within the silence limit of 2 s plus the 1 s that a new connection may take; both upstreams answer afterwards.

--- a/tests/e2e/cluster.cpp
+++ b/tests/e2e/cluster.cpp
@@ -18,29 +18,44 @@
 
 namespace {
 
-/// Returns a socket bound to \p Port of the loopback address, or -1.
+sockaddr_in loopback(std::uint16_t Port) {
+  sockaddr_in Name{};
+  Name.sin_family = AF_INET;
+  Name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  Name.sin_port = htons(Port);
+  return Name;
+}
+
+std::string flag(const std::string &Name, const Address &Value) {
+  return "--" + Name + "=" + net::toString(Value);
+}
+
+} // namespace
+
 int boundSocket(int Type, std::uint16_t Port) {
   int Socket = socket(AF_INET, Type | SOCK_CLOEXEC, 0);
   // Lets a daemon listen on the TCP port while it is held here.
   const int On = 1;
   if (Type == SOCK_STREAM)
     setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
-  sockaddr_in Name{};
-  Name.sin_family = AF_INET;
-  Name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  Name.sin_port = htons(Port);
-  if (bind(Socket, reinterpret_cast<sockaddr *>(&Name), sizeof(Name)) == 0)
+  const sockaddr_in Name = loopback(Port);
+  if (bind(Socket, reinterpret_cast<const sockaddr *>(&Name), sizeof(Name)) ==
+      0)
     return Socket;
   close(Socket);
   return -1;
 }
 
-std::string flag(const std::string &Name, const Address &Value) {
-  return "--" + Name + "=" + net::toString(Value);
+int connectedSocket(std::uint16_t Port) {
+  int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in Name = loopback(Port);
+  if (connect(Socket, reinterpret_cast<const sockaddr *>(&Name),
+              sizeof(Name)) == 0)
+    return Socket;
+  close(Socket);
+  return -1;
 }
 
-} // namespace
-
 HeldPorts::~HeldPorts() {
   for (const auto &Held : Sockets_) {
     close(Held.second.first);
@@ -134,14 +149,22 @@
   return *EntryHosts_[Number];
 }
 
+std::vector<Address> Cluster::entryAddresses() const {
+  std::vector<Address> Result;
+  for (const auto &[Number, Known] : Addresses_)
+    Result.push_back(Known.Udp_);
+  return Result;
+}
+
 Process &Cluster::startAgent(const std::string &Name, const std::string &Domain,
-                             std::vector<std::string> Flags) {
+                             std::vector<std::string> Flags,
+                             const std::string &EntryList) {
   DomainOf_[Name] = Domain;
   const Address Udp = Ports_.hold(), Tcp = Ports_.hold();
   for (const std::string &Flag :
        {std::string("--role=agent"), "--node=" + Name, "--domain=" + Domain,
         flag("udp-listen", Udp), flag("tcp-listen", Tcp),
-        "--entries=" + entryList(0)})
+        "--entries=" + (EntryList.empty() ? entryList(0) : EntryList)})
     Flags.push_back(Flag);
   Flags.insert(Flags.end(), Times_.begin(), Times_.end());
   Agents_[Name] = launch(DAEMON_PROGRAM, Flags, {Udp, Tcp}, "event=started");
@@ -161,11 +184,12 @@
 
 void Cluster::startUpstream(const std::string &Name, const std::string &Domain,
                             const std::string &Service,
-                            std::vector<std::string> Flags) {
+                            std::vector<std::string> Flags,
+                            const std::string &Entries) {
   Address Announce = Ports_.hold();
   Ports_.releaseUdp(Announce);
   startAgent(Name, Domain,
-             {"--kind=upstream", flag("announce-listen", Announce)});
+             {"--kind=upstream", flag("announce-listen", Announce)}, Entries);
   for (const std::string &Flag :
        {std::string("--agent"), net::toString(Announce),
         std::string("--service"), Service})
--- a/tests/e2e/cluster.h
+++ b/tests/e2e/cluster.h
@@ -17,6 +17,11 @@
 /// ratio between them stays as it is by default.
 extern const std::vector<std::string> FastTimes;
 
+/// Returns a TCP or UDP socket that is bound to \p Port of the loopback
+/// address, or connected to it, or -1.
+int boundSocket(int Type, std::uint16_t Port);
+int connectedSocket(std::uint16_t Port);
+
 /// Ports of the loopback address that the kernel chose, so that tests side by
 /// side do not get the same one. Each is held for TCP until the end, also while
 /// its daemon is down, and for UDP until the process that uses it starts.
@@ -42,10 +47,15 @@
   /// Starts an agent and the runtime of a worker with 8 accelerators.
   void startWorker(const std::string &Name, const std::string &Domain,
                    const std::string &Rack);
-  /// Starts an agent and the upstream beside it.
+  /// Starts an agent and the upstream beside it. The agent sends its heartbeats
+  /// to \p Entries, or to the entry hosts when that is empty.
   void startUpstream(const std::string &Name, const std::string &Domain,
                      const std::string &Service,
-                     std::vector<std::string> Flags = {});
+                     std::vector<std::string> Flags = {},
+                     const std::string &Entries = "");
+
+  /// Returns the UDP addresses of all entry hosts.
+  std::vector<Address> entryAddresses() const;
 
   /// Waits until an entry host gives \p Text in its status. Returns false at
   /// the limit.
@@ -99,7 +109,8 @@
   };
   std::string entryList(int Except) const;
   Process &startAgent(const std::string &Name, const std::string &Domain,
-                      std::vector<std::string> Flags);
+                      std::vector<std::string> Flags,
+                      const std::string &EntryList = "");
   std::unique_ptr<Process> launch(const std::string &Program,
                                   const std::vector<std::string> &Flags,
                                   const std::vector<Address> &Listens,
--- a/tests/e2e/degradedtest.cpp
+++ b/tests/e2e/degradedtest.cpp
@@ -1,4 +1,6 @@
 #include "load.h"
+#include "nutmegwell/entry/transport.h"
+#include "relay.h"
 #include <cppunit/extensions/HelperMacros.h>
 #include <set>
 
@@ -7,7 +9,9 @@
 using namespace nutmegwell;
 using e2e::assertFinished;
 using e2e::Cluster;
+using e2e::Load;
 using e2e::Recorder;
+using e2e::Relay;
 
 namespace {
 
@@ -28,12 +32,35 @@
           GuaranteeObtained{Job, {Got, Racks.size() == 1 ? Got : 8, 1}}};
 }
 
+/// Returns the longest time that a keyed call with an unknown end took, counted
+/// from the first silence while it ran when there is one.
+core::Duration longestUnknown(const History &Run,
+                              const std::vector<core::TimePoint> &Silences) {
+  std::map<std::string, core::TimePoint> Since;
+  core::Duration Longest{};
+  for (const Event &Each : Run.Events_) {
+    if (auto *Call = std::get_if<CallInvoked>(&Each.Body_);
+        Call && !Call->Idempotent_)
+      Since[Call->Call_] = Each.At_;
+    auto *End = std::get_if<CallUnknown>(&Each.Body_);
+    if (!End || Since.count(End->Call_) == 0)
+      continue;
+    core::TimePoint From = Since[End->Call_];
+    auto Silence = std::lower_bound(Silences.begin(), Silences.end(), From);
+    if (Silence != Silences.end() && *Silence <= Each.At_)
+      From = *Silence;
+    Longest = std::max(Longest, Each.At_ - From);
+  }
+  return Longest;
+}
+
 } // namespace
 
 /// Runs daemons whose accelerators, connections or log serve them badly.
 class DegradedTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DegradedTest);
   CPPUNIT_TEST(guaranteeReclaimed);
+  CPPUNIT_TEST(silentConnections);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against a guarantee that borrowers keep, and against a start beside
@@ -82,6 +109,50 @@
     e2e::assertRules(makeHistory(Whole.Events_, true), Limits);
     CPPUNIT_ASSERT_EQUAL(1, Preempted);
   }
+
+  /// Guards against requests that wait for a connection which forwards nothing
+  /// any more, and against a key that runs again after such a loss.
+  void silentConnections() {
+    Cluster All;
+    Recorder Run;
+    Relay First(All), Second(All);
+    // Only the silence limit ends a silent attempt before the deadline.
+    start(All, 1, 0, 2, R"(,"timeout_ms":15000)");
+    All.startUpstream("u0", "a", "svc", {"--delay-ms", "1000"},
+                      net::toString(First.heartbeats()));
+    All.startUpstream("u1", "a", "svc", {"--delay-ms", "1000"},
+                      net::toString(Second.heartbeats()));
+    for (int Entry : {1, 2})
+      for (const char *Name : {"\"u0\"", "\"u1\""})
+        CPPUNIT_ASSERT(All.waitStatus(Entry, Name));
+    Load Calls(All, Run, 8);
+    CPPUNIT_ASSERT(Calls.waitAnswers(20));
+    std::vector<core::TimePoint> Silences;
+    // In the second round, requests cannot go elsewhere.
+    for (bool Both : {false, true}) {
+      e2e::Process &Upstream = *All.Upstreams_["u0"];
+      const int From = static_cast<int>(Upstream.lines().size());
+      // The request runs for 1 s, so that it is in flight at the silence.
+      CPPUNIT_ASSERT(Upstream.waitForLine("POST", From) >= 0);
+      Silences.push_back(core::steadyClock().Now_());
+      CPPUNIT_ASSERT(First.silence() > 0);
+      if (Both)
+        CPPUNIT_ASSERT(Second.silence() > 0);
+      const int Later = static_cast<int>(Upstream.lines().size());
+      CPPUNIT_ASSERT(Calls.waitAnswers(60));
+      CPPUNIT_ASSERT(Upstream.waitForLine("POST", Later) >= 0);
+    }
+    Calls.stop();
+    const History Whole = Run.finish(All);
+    e2e::assertRules(Whole);
+    CPPUNIT_ASSERT(Calls.unknown() >= 2);
+    // The margin is the time that a new connection may take.
+    const entry::TransportSettings Limits;
+    const core::Duration Longest = longestUnknown(Whole, Silences);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(Longest.count()) + " us",
+                           Longest <=
+                               Limits.SilenceLimit_ + Limits.ConnectTimeout_);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DegradedTest);
