--- a/tests/e2e/load.cpp
+++ b/tests/e2e/load.cpp
@@ -138,6 +138,7 @@
 bool Load::callOnce(int Entry, const std::string &Call,
                     const std::string &Key) {
   const std::string Process = "caller";
+  const core::TimePoint Began = core::steadyClock().Now_();
   Run_.add(Process, history::CallInvoked{Call, Key, "e" + std::to_string(Entry),
                                          Key.empty()});
   // A keyed request carries its call in the body, since a repeat gets the
@@ -165,6 +166,8 @@
   }
   // A caller that is refused waits before it asks again.
   std::unique_lock<std::mutex> Lock(Mutex_);
+  if (!Key.empty())
+    Longest_ = std::max(Longest_, core::steadyClock().Now_() - Began);
   Changed_.wait_for(Lock, std::chrono::milliseconds(50),
                     [this] { return Stopping_.load(); });
   return false;
--- a/tests/e2e/load.h
+++ b/tests/e2e/load.h
@@ -47,6 +47,9 @@
 
   int answered() const { return Answered_; }
   int unknown() const { return Unknown_; }
+  /// Returns the longest time of a keyed call that got no answer. Call
+  /// after stop.
+  nutmegwell::core::Duration longestUnknown() const { return Longest_; }
 
 private:
   void callLoop(int Caller);
@@ -57,6 +60,7 @@
   std::atomic<bool> Stopping_{false};
   std::atomic<int> Answered_{0};
   std::atomic<int> Unknown_{0};
+  nutmegwell::core::Duration Longest_{};
   /// Set for an entry host that said it is stopping; callers avoid it, as a
   /// load balancer does.
   std::array<std::atomic<bool>, Cluster::Entries + 1> Avoid_{};
