Check a slow and late log with separate daemons

Three times over, the log is slow by 300 ms, loses the answers of 8 appends, is slower (2.1 s) than the 2 s that a host waits, and is well again, while keyed and other requests, gangs and publications of the routes go on at both entry hosts. The history checker decides on the whole run; the test also asks that no refused publication came into force, that every job that ran was accepted or has an unknown outcome, that idempotent requests are answered in each phase and that all accepted jobs finish. The acceptance of a publication is taken from the log when its publisher did not record it.

--- a/tests/e2e/cluster.cpp
+++ b/tests/e2e/cluster.cpp
@@ -202,6 +202,16 @@
   return false;
 }
 
+void Cluster::setLogFaults(const std::string &Faults) {
+  net::HttpRequest Request;
+  Request.Method_ = "POST";
+  Request.Path_ = "/faults";
+  Request.Query_ = Faults;
+  auto Response = net::HttpClient(LogAddress_).call(Request, timeout());
+  if (!Response.ok() || Response->Status_ != 200)
+    throw std::runtime_error("the log takes no faults");
+}
+
 HttpResponse Cluster::call(int Entry, const std::string &Method,
                            const std::string &Path, const std::string &Body,
                            const std::string &Key) {
@@ -259,7 +269,11 @@
                std::to_string(Accelerators) + R"(,"level":")" + Level +
                R"(","class":")" + Class +
                R"(","declared_ms":1000,"command":")" + Command + R"("})");
-  return Response.Status_ == 202 ? member(Response.Body_, "id") : std::string();
+  if (Response.Status_ == 202)
+    return member(Response.Body_, "id");
+  if (member(Response.Body_, "outcome") != "not_run")
+    ++UnknownJobs_;
+  return std::string();
 }
 
 std::string Cluster::waitJob(int Entry, const std::string &Id,
--- a/tests/e2e/cluster.h
+++ b/tests/e2e/cluster.h
@@ -2,6 +2,7 @@
 
 #include "nutmegwell/net/http.h"
 #include "process.h"
+#include <atomic>
 #include <cxxtools/serializationinfo.h>
 #include <map>
 #include <memory>
@@ -61,6 +62,9 @@
     return std::chrono::seconds(20);
   }
 
+  /// Sets faults of the log, as in "outage=0&slow_ms=100".
+  void setLogFaults(const std::string &Faults);
+
   /// Sends one request to an entry host. Status 0 means no answer.
   HttpResponse call(int Entry, const std::string &Method,
                     const std::string &Path, const std::string &Body = "",
@@ -87,6 +91,9 @@
 
   static constexpr int Entries = 2;
 
+  /// Submissions whose outcome is unknown.
+  std::atomic<int> UnknownJobs_{0};
+
   std::unique_ptr<Process> Log_;
   std::map<int, std::unique_ptr<Process>> EntryHosts_;
   std::map<std::string, std::unique_ptr<Process>> Agents_;
--- a/tests/e2e/degradedtest.cpp
+++ b/tests/e2e/degradedtest.cpp
@@ -2,6 +2,7 @@
 #include "nutmegwell/entry/transport.h"
 #include "relay.h"
 #include <cppunit/extensions/HelperMacros.h>
+#include <list>
 #include <set>
 
 using namespace std::chrono_literals;
@@ -39,6 +40,7 @@
   CPPUNIT_TEST_SUITE(DegradedTest);
   CPPUNIT_TEST(guaranteeReclaimed);
   CPPUNIT_TEST(silentConnections);
+  CPPUNIT_TEST(logSlow);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against a guarantee that borrowers keep, and against a start beside
@@ -129,6 +131,80 @@
         Calls.longestUnknown() <=
             1s + Limits.SilenceLimit_ + Limits.ConnectTimeout_);
   }
+
+  /// Publishes routes that are told apart by \p Queue. Returns false for a
+  /// refusal that says "not run".
+  static bool publish(Cluster &All, int Entry, int Queue) {
+    const std::string Version = e2e::member(
+        All.call(Entry, "GET", "/v1/tables/routes").Body_, "version");
+    auto Response =
+        All.call(Entry, "PUT", "/v1/tables/routes?version=" + Version,
+                 R"({"routes":[{"path":"/svc","service":"svc","queue":)" +
+                     std::to_string(Queue) + "}]}");
+    return e2e::member(Response.Body_, "outcome") != "not_run";
+  }
+
+  /// Guards against work that runs twice, is lost or is refused falsely when
+  /// the log answers late or not at all although it has done its work.
+  void logSlow() {
+    Cluster All;
+    Recorder Run;
+    start(All, 5, 2, 2, "", {"--delay-ms", "50"});
+    e2e::ConfigWatch Watch(All, Run);
+    Load Calls(All, Run, 6);
+    // Submissions that wait behind a late append get an unknown outcome.
+    std::list<e2e::JobLoad> Jobs;
+    for (int I = 0; I < 8; ++I)
+      Jobs.emplace_back(All, 1 + I % 2, 500ms);
+    std::set<std::string> Refused;
+    int Queue = 100;
+    // Slow but available; answers lost; slower than the 2 s that a host waits,
+    // so that appends take effect when nobody listens any more; well again.
+    const std::vector<std::string> Phases = {
+        "slow_ms=300", "slow_ms=50&lose_answers=8", "slow_ms=2100",
+        "slow_ms=0&lose_answers=0"};
+    for (std::size_t Phase = 0; Phase < 3 * Phases.size(); ++Phase) {
+      const std::string &Faults = Phases[Phase % Phases.size()];
+      All.setLogFaults(Faults);
+      const core::TimePoint End =
+          core::steadyClock().Now_() + (Phase % 4 == 2 ? 5s : 2s);
+      while (core::steadyClock().Now_() < End) {
+        ++Queue;
+        if (!publish(All, 1 + Queue % 2, Queue))
+          Refused.insert(std::to_string(Queue));
+        e2e::pass(200ms);
+      }
+      // Idempotent requests need no log.
+      CPPUNIT_ASSERT(Calls.waitAnswers(40));
+    }
+    CPPUNIT_ASSERT(All.waitStatus(1, R"("log_available":true)"));
+    std::vector<std::string> Accepted;
+    for (e2e::JobLoad &Each : Jobs)
+      for (const std::string &Job : Each.stop())
+        Accepted.push_back(Job);
+    std::string Last;
+    for (int Try = 0; Try < 50 && Last.empty(); ++Try)
+      Last = All.submit(1, 2, 4, "rack", "run:300");
+    Calls.stop();
+    Watch.stop();
+    Accepted.push_back(Last);
+    assertFinished(All, 1, Accepted);
+    const History Whole = Run.finish(All);
+    e2e::assertRules(Whole);
+    std::set<std::string> Ran;
+    for (const Event &Each : Whole.Events_) {
+      if (auto *Commit = std::get_if<AttemptCommitted>(&Each.Body_))
+        Ran.insert(Commit->Job_);
+      if (auto *Config = std::get_if<ConfigAccepted>(&Each.Body_))
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("queue " + Config->Digest_, std::size_t{0},
+                                     Refused.count(Config->Digest_));
+    }
+    // Every job that ran was accepted or has an unknown outcome.
+    const int Unasked =
+        static_cast<int>(Ran.size()) - static_cast<int>(Accepted.size());
+    CPPUNIT_ASSERT(Unasked >= 0);
+    CPPUNIT_ASSERT(Unasked <= All.UnknownJobs_);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DegradedTest);
--- a/tests/e2e/faulttest.cpp
+++ b/tests/e2e/faulttest.cpp
@@ -247,20 +247,7 @@
     Recorder Run;
     start(All, 2, 0);
     Run.add("operator", ConfigAccepted{"routes", 1, ""});
-    std::atomic<bool> Stopping{false};
-    std::vector<std::thread> Watchers;
-    for (int Entry : {1, 2})
-      Watchers.emplace_back([&, Entry] {
-        while (!Stopping) {
-          auto Response = All.call(Entry, "GET", "/v1/tables/routes");
-          // A host that has not read the log yet shows version 0.
-          const std::string Version = e2e::member(Response.Body_, "version");
-          if (Response.Status_ == 200 && Version != "0")
-            Run.add("e" + std::to_string(Entry),
-                    ConfigObserved{"routes", std::stoull(Version), ""});
-          pass(20ms);
-        }
-      });
+    e2e::ConfigWatch Watch(All, Run);
     for (int Version = 1; Version <= 6; ++Version) {
       auto Response = All.call(
           1, "PUT", "/v1/tables/routes?version=" + std::to_string(Version),
@@ -274,9 +261,7 @@
       CPPUNIT_ASSERT(All.waitStatus(2, R"("log_available":true)"));
       pass(300ms);
     }
-    Stopping = true;
-    for (std::thread &Watcher : Watchers)
-      Watcher.join();
+    Watch.stop();
     e2e::assertRules(Run.finish(All));
   }
 };
--- a/tests/e2e/load.cpp
+++ b/tests/e2e/load.cpp
@@ -57,7 +57,21 @@
 
 std::string textOf(const core::JobId &Job) { return core::toString(Job); }
 
-/// Adds what an accepted record says of a gang.
+/// Adds the acceptance of a publication whose publisher did not record it.
+void addAccepted(const model::RoutesPublished &Change, core::TimePoint At,
+                 std::vector<history::Event> &Events) {
+  const auto Version = Change.Expected_ + 1;
+  for (const history::Event &Each : Events)
+    if (auto *Known = std::get_if<history::ConfigAccepted>(&Each.Body_);
+        Known && Known->Version_ == Version)
+      return;
+  Events.push_back({At, "log",
+                    history::ConfigAccepted{
+                        "routes", Version,
+                        std::to_string(Change.Table_.Rows_.front().Queue_)}});
+}
+
+/// Adds what an accepted record says of a gang or of the routes.
 void addRecord(const model::RecordBody &Body, core::TimePoint At,
                std::vector<history::Event> &Events) {
   if (auto *Commit = std::get_if<model::JobCommitted>(&Body))
@@ -72,6 +86,8 @@
   else if (auto *End = std::get_if<model::JobFinished>(&Body))
     Events.push_back(
         {At, "log", history::AttemptEnded{textOf(End->Job_), End->Attempt_}});
+  else if (auto *Routes = std::get_if<model::RoutesPublished>(&Body))
+    addAccepted(*Routes, At, Events);
 }
 
 /// Adds the accepted records of the log with the times of their appends.
@@ -189,12 +205,14 @@
 
 const std::vector<std::string> DefaultTimes = {"--checkpoint-grace=1s"};
 
-JobLoad::JobLoad(Cluster &All, int Entry)
-    : Thread_([this, &All, Entry] {
+JobLoad::JobLoad(Cluster &All, int Entry, std::chrono::milliseconds Pause)
+    : Thread_([this, &All, Entry, Pause] {
         while (!Stopping_ && Jobs_.size() < 200) {
           std::string Job = All.submit(Entry, 2, 4, "rack", "run:300");
           if (!Job.empty())
             Jobs_.push_back(Job);
+          if (Pause > Pause.zero())
+            pass(Pause);
         }
       }) {}
 
@@ -205,8 +223,31 @@
   return Jobs_;
 }
 
+ConfigWatch::ConfigWatch(Cluster &All, Recorder &Run) {
+  for (int Entry : {1, 2})
+    Threads_.emplace_back([this, &All, &Run, Entry] {
+      while (!Stopping_) {
+        auto Response = All.call(Entry, "GET", "/v1/tables/routes");
+        // A host that has not read the log yet shows version 0.
+        const std::string Version = member(Response.Body_, "version");
+        if (Response.Status_ == 200 && Version != "0")
+          Run.add("e" + std::to_string(Entry),
+                  history::ConfigObserved{"routes", std::stoull(Version), ""});
+        pass(std::chrono::milliseconds(20));
+      }
+    });
+}
+
+void ConfigWatch::stop() {
+  Stopping_ = true;
+  for (std::thread &Watcher : Threads_)
+    if (Watcher.joinable())
+      Watcher.join();
+}
+
 void start(Cluster &All, int Workers, int Upstreams, int InA,
-           const std::string &RouteFields) {
+           const std::string &RouteFields,
+           const std::vector<std::string> &UpstreamFlags) {
   All.startLog();
   All.startEntry(1);
   All.startEntry(2);
@@ -214,7 +255,7 @@
     All.startWorker("w" + std::to_string(I), I < InA ? "a" : "b",
                     I < 2 ? "ra" : "rb");
   for (int I = 0; I < Upstreams; ++I)
-    All.startUpstream("u" + std::to_string(I), "a", "svc");
+    All.startUpstream("u" + std::to_string(I), "a", "svc", UpstreamFlags);
   for (int Entry : {1, 2}) {
     for (int I = 0; I < Workers; ++I)
       CPPUNIT_ASSERT(All.waitStatus(Entry, "\"w" + std::to_string(I) + "\""));
--- a/tests/e2e/load.h
+++ b/tests/e2e/load.h
@@ -69,10 +69,11 @@
   std::vector<std::thread> Threads_;
 };
 
-/// Submits short gangs one after the other until it is told to stop.
+/// Submits short gangs one after the other, with a pause after each, until it
+/// is told to stop.
 class JobLoad {
 public:
-  JobLoad(Cluster &All, int Entry);
+  JobLoad(Cluster &All, int Entry, std::chrono::milliseconds Pause = {});
   ~JobLoad() { stop(); }
 
   /// Returns the jobs that were accepted.
@@ -84,6 +85,19 @@
   std::thread Thread_;
 };
 
+/// Records the versions of the routes that the entry hosts show, from the first
+/// publication on.
+class ConfigWatch {
+public:
+  ConfigWatch(Cluster &All, Recorder &Run);
+  ~ConfigWatch() { stop(); }
+  void stop();
+
+private:
+  std::atomic<bool> Stopping_{false};
+  std::vector<std::thread> Threads_;
+};
+
 /// Times of the daemons by default, for the rules whose bound is 3 s.
 extern const std::vector<std::string> DefaultTimes;
 
@@ -91,7 +105,8 @@
 /// up of domain "a", and publishes the tables. Workers from \p InA on are in
 /// domain "b", and those from the third on in rack "rb".
 void start(Cluster &All, int Workers, int Upstreams, int InA = 2,
-           const std::string &RouteFields = "");
+           const std::string &RouteFields = "",
+           const std::vector<std::string> &UpstreamFlags = {});
 
 /// Waits for a time that is itself the bound under test.
 void pass(std::chrono::milliseconds Time);
