--- a/tests/e2e/cluster.cpp
+++ b/tests/e2e/cluster.cpp
@@ -134,14 +134,22 @@
   return *EntryHosts_[Number];
 }
 
+std::vector<Address> Cluster::entryAddresses() const {
+  std::vector<Address> Result;
+  for (const auto &[Number, Known] : Addresses_)
+    Result.push_back(Known.Udp_);
+  return Result;
+}
+
 Process &Cluster::startAgent(const std::string &Name, const std::string &Domain,
-                             std::vector<std::string> Flags) {
+                             std::vector<std::string> Flags,
+                             const std::string &EntryList) {
   DomainOf_[Name] = Domain;
   const Address Udp = Ports_.hold(), Tcp = Ports_.hold();
   for (const std::string &Flag :
        {std::string("--role=agent"), "--node=" + Name, "--domain=" + Domain,
         flag("udp-listen", Udp), flag("tcp-listen", Tcp),
-        "--entries=" + entryList(0)})
+        "--entries=" + (EntryList.empty() ? entryList(0) : EntryList)})
     Flags.push_back(Flag);
   Flags.insert(Flags.end(), Times_.begin(), Times_.end());
   Agents_[Name] = launch(DAEMON_PROGRAM, Flags, {Udp, Tcp}, "event=started");
@@ -150,6 +158,7 @@
 
 void Cluster::startWorker(const std::string &Name, const std::string &Domain,
                           const std::string &Rack) {
+  RackOf_[Name] = Rack;
   Address Runtime = Ports_.hold();
   Runtimes_[Name] =
       launch(RUNTIME_PROGRAM, {net::toString(Runtime)}, {Runtime}, "ready");
@@ -160,11 +169,12 @@
 
 void Cluster::startUpstream(const std::string &Name, const std::string &Domain,
                             const std::string &Service,
-                            std::vector<std::string> Flags) {
+                            std::vector<std::string> Flags,
+                            const std::string &Entries) {
   Address Announce = Ports_.hold();
   Ports_.releaseUdp(Announce);
   startAgent(Name, Domain,
-             {"--kind=upstream", flag("announce-listen", Announce)});
+             {"--kind=upstream", flag("announce-listen", Announce)}, Entries);
   for (const std::string &Flag :
        {std::string("--agent"), net::toString(Announce),
         std::string("--service"), Service})
@@ -192,6 +202,16 @@
   return false;
 }
 
+void Cluster::setLogFaults(const std::string &Faults) {
+  net::HttpRequest Request;
+  Request.Method_ = "POST";
+  Request.Path_ = "/faults";
+  Request.Query_ = Faults;
+  auto Response = net::HttpClient(LogAddress_).call(Request, timeout());
+  if (!Response.ok() || Response->Status_ != 200)
+    throw std::runtime_error("the log takes no faults");
+}
+
 HttpResponse Cluster::call(int Entry, const std::string &Method,
                            const std::string &Path, const std::string &Body,
                            const std::string &Key) {
@@ -240,14 +260,20 @@
 std::string Cluster::submit(int Entry, int Tasks, int Accelerators,
                             const std::string &Level,
                             const std::string &Command,
-                            const std::string &Class) {
-  auto Response = call(
-      Entry, "POST", "/v1/jobs",
-      R"({"account":"acc","service":"svc","tasks":)" + std::to_string(Tasks) +
-          R"(,"accelerators_per_task":)" + std::to_string(Accelerators) +
-          R"(,"level":")" + Level + R"(","class":")" + Class +
-          R"(","declared_ms":1000,"command":")" + Command + R"("})");
-  return Response.Status_ == 202 ? member(Response.Body_, "id") : std::string();
+                            const std::string &Class,
+                            const std::string &Account) {
+  auto Response =
+      call(Entry, "POST", "/v1/jobs",
+           R"({"account":")" + Account + R"(","service":"svc","tasks":)" +
+               std::to_string(Tasks) + R"(,"accelerators_per_task":)" +
+               std::to_string(Accelerators) + R"(,"level":")" + Level +
+               R"(","class":")" + Class +
+               R"(","declared_ms":1000,"command":")" + Command + R"("})");
+  if (Response.Status_ == 202)
+    return member(Response.Body_, "id");
+  if (member(Response.Body_, "outcome") != "not_run")
+    ++UnknownJobs_;
+  return std::string();
 }
 
 std::string Cluster::waitJob(int Entry, const std::string &Id,
--- a/tests/e2e/cluster.h
+++ b/tests/e2e/cluster.h
@@ -2,6 +2,7 @@
 
 #include "nutmegwell/net/http.h"
 #include "process.h"
+#include <atomic>
 #include <cxxtools/serializationinfo.h>
 #include <map>
 #include <memory>
@@ -42,10 +43,15 @@
   /// Starts an agent and the runtime of a worker with 8 accelerators.
   void startWorker(const std::string &Name, const std::string &Domain,
                    const std::string &Rack);
-  /// Starts an agent and the upstream beside it.
+  /// Starts an agent and the upstream beside it. The agent sends its heartbeats
+  /// to \p Entries, or to the entry hosts when that is empty.
   void startUpstream(const std::string &Name, const std::string &Domain,
                      const std::string &Service,
-                     std::vector<std::string> Flags = {});
+                     std::vector<std::string> Flags = {},
+                     const std::string &Entries = "");
+
+  /// Returns the UDP addresses of all entry hosts.
+  std::vector<Address> entryAddresses() const;
 
   /// Waits until an entry host gives \p Text in its status. Returns false at
   /// the limit.
@@ -56,6 +62,9 @@
     return std::chrono::seconds(20);
   }
 
+  /// Sets faults of the log, as in "outage=0&slow_ms=100".
+  void setLogFaults(const std::string &Faults);
+
   /// Sends one request to an entry host. Status 0 means no answer.
   HttpResponse call(int Entry, const std::string &Method,
                     const std::string &Path, const std::string &Body = "",
@@ -69,7 +78,8 @@
   /// Submits a gang; returns its id, or an empty string for a refusal.
   std::string submit(int Entry, int Tasks, int Accelerators,
                      const std::string &Level, const std::string &Command,
-                     const std::string &Class = "normal");
+                     const std::string &Class = "normal",
+                     const std::string &Account = "acc");
   /// Waits for a job's end; returns its state.
   std::string waitJob(int Entry, const std::string &Id,
                       std::chrono::milliseconds Limit);
@@ -81,12 +91,16 @@
 
   static constexpr int Entries = 2;
 
+  /// Submissions whose outcome is unknown.
+  std::atomic<int> UnknownJobs_{0};
+
   std::unique_ptr<Process> Log_;
   std::map<int, std::unique_ptr<Process>> EntryHosts_;
   std::map<std::string, std::unique_ptr<Process>> Agents_;
   std::map<std::string, std::unique_ptr<Process>> Runtimes_;
   std::map<std::string, std::unique_ptr<Process>> Upstreams_;
   std::map<std::string, std::string> DomainOf_;
+  std::map<std::string, std::string> RackOf_;
   Address LogAddress_;
 
 private:
@@ -97,7 +111,8 @@
   };
   std::string entryList(int Except) const;
   Process &startAgent(const std::string &Name, const std::string &Domain,
-                      std::vector<std::string> Flags);
+                      std::vector<std::string> Flags,
+                      const std::string &EntryList = "");
   std::unique_ptr<Process> launch(const std::string &Program,
                                   const std::vector<std::string> &Flags,
                                   const std::vector<Address> &Listens,
--- a/tests/e2e/load.cpp
+++ b/tests/e2e/load.cpp
@@ -1,6 +1,5 @@
 #include "load.h"
 
-#include "nutmegwell/history/rules.h"
 #include "nutmegwell/logclient/httplog.h"
 #include "nutmegwell/wire/binary.h"
 #include <cppunit/TestAssert.h>
@@ -58,7 +57,21 @@
 
 std::string textOf(const core::JobId &Job) { return core::toString(Job); }
 
-/// Adds what an accepted record says of a gang.
+/// Adds the acceptance of a publication whose publisher did not record it.
+void addAccepted(const model::RoutesPublished &Change, core::TimePoint At,
+                 std::vector<history::Event> &Events) {
+  const auto Version = Change.Expected_ + 1;
+  for (const history::Event &Each : Events)
+    if (auto *Known = std::get_if<history::ConfigAccepted>(&Each.Body_);
+        Known && Known->Version_ == Version)
+      return;
+  Events.push_back({At, "log",
+                    history::ConfigAccepted{
+                        "routes", Version,
+                        std::to_string(Change.Table_.Rows_.front().Queue_)}});
+}
+
+/// Adds what an accepted record says of a gang or of the routes.
 void addRecord(const model::RecordBody &Body, core::TimePoint At,
                std::vector<history::Event> &Events) {
   if (auto *Commit = std::get_if<model::JobCommitted>(&Body))
@@ -73,6 +86,8 @@
   else if (auto *End = std::get_if<model::JobFinished>(&Body))
     Events.push_back(
         {At, "log", history::AttemptEnded{textOf(End->Job_), End->Attempt_}});
+  else if (auto *Routes = std::get_if<model::RoutesPublished>(&Body))
+    addAccepted(*Routes, At, Events);
 }
 
 /// Adds the accepted records of the log with the times of their appends.
@@ -96,9 +111,10 @@
 
 } // namespace
 
-void Recorder::add(const std::string &Process, history::EventBody Body) {
+void Recorder::add(const std::string &Process, history::EventBody Body,
+                   core::TimePoint At) {
   std::lock_guard<std::mutex> Lock(Mutex_);
-  Events_.push_back({core::steadyClock().Now_(), Process, std::move(Body)});
+  Events_.push_back({At, Process, std::move(Body)});
 }
 
 history::History Recorder::finish(Cluster &All) {
@@ -138,6 +154,7 @@
 bool Load::callOnce(int Entry, const std::string &Call,
                     const std::string &Key) {
   const std::string Process = "caller";
+  const core::TimePoint Began = core::steadyClock().Now_();
   Run_.add(Process, history::CallInvoked{Call, Key, "e" + std::to_string(Entry),
                                          Key.empty()});
   // A keyed request carries its call in the body, since a repeat gets the
@@ -165,6 +182,8 @@
   }
   // A caller that is refused waits before it asks again.
   std::unique_lock<std::mutex> Lock(Mutex_);
+  if (!Key.empty())
+    Longest_ = std::max(Longest_, core::steadyClock().Now_() - Began);
   Changed_.wait_for(Lock, std::chrono::milliseconds(50),
                     [this] { return Stopping_.load(); });
   return false;
@@ -184,8 +203,88 @@
       Caller.join();
 }
 
-void assertRules(const history::History &Run) {
-  const auto Found = history::checkAll(Run, history::Bounds());
+const std::vector<std::string> DefaultTimes = {"--checkpoint-grace=1s"};
+
+JobLoad::JobLoad(Cluster &All, int Entry, std::chrono::milliseconds Pause)
+    : Thread_([this, &All, Entry, Pause] {
+        while (!Stopping_ && Jobs_.size() < 200) {
+          std::string Job = All.submit(Entry, 2, 4, "rack", "run:300");
+          if (!Job.empty())
+            Jobs_.push_back(Job);
+          if (Pause > Pause.zero())
+            pass(Pause);
+        }
+      }) {}
+
+std::vector<std::string> JobLoad::stop() {
+  Stopping_ = true;
+  if (Thread_.joinable())
+    Thread_.join();
+  return Jobs_;
+}
+
+ConfigWatch::ConfigWatch(Cluster &All, Recorder &Run) {
+  for (int Entry : {1, 2})
+    Threads_.emplace_back([this, &All, &Run, Entry] {
+      while (!Stopping_) {
+        auto Response = All.call(Entry, "GET", "/v1/tables/routes");
+        // A host that has not read the log yet shows version 0.
+        const std::string Version = member(Response.Body_, "version");
+        if (Response.Status_ == 200 && Version != "0")
+          Run.add("e" + std::to_string(Entry),
+                  history::ConfigObserved{"routes", std::stoull(Version), ""});
+        pass(std::chrono::milliseconds(20));
+      }
+    });
+}
+
+void ConfigWatch::stop() {
+  Stopping_ = true;
+  for (std::thread &Watcher : Threads_)
+    if (Watcher.joinable())
+      Watcher.join();
+}
+
+void start(Cluster &All, int Workers, int Upstreams, int InA,
+           const std::string &RouteFields,
+           const std::vector<std::string> &UpstreamFlags) {
+  All.startLog();
+  All.startEntry(1);
+  All.startEntry(2);
+  for (int I = 0; I < Workers; ++I)
+    All.startWorker("w" + std::to_string(I), I < InA ? "a" : "b",
+                    I < 2 ? "ra" : "rb");
+  for (int I = 0; I < Upstreams; ++I)
+    All.startUpstream("u" + std::to_string(I), "a", "svc", UpstreamFlags);
+  for (int Entry : {1, 2}) {
+    for (int I = 0; I < Workers; ++I)
+      CPPUNIT_ASSERT(All.waitStatus(Entry, "\"w" + std::to_string(I) + "\""));
+    for (int I = 0; I < Upstreams; ++I)
+      CPPUNIT_ASSERT(All.waitStatus(Entry, "\"u" + std::to_string(I) + "\""));
+    CPPUNIT_ASSERT(All.waitStatus(Entry, R"("log_available":true)"));
+  }
+  std::vector<std::string> Domains = {"a"};
+  if (Workers > InA)
+    Domains.push_back("b");
+  CPPUNIT_ASSERT(All.publishTables(1, Domains, RouteFields));
+}
+
+void pass(std::chrono::milliseconds Time) {
+  std::mutex Mutex;
+  std::condition_variable Never;
+  std::unique_lock<std::mutex> Lock(Mutex);
+  Never.wait_for(Lock, Time);
+}
+
+void assertFinished(Cluster &All, int Entry,
+                    const std::vector<std::string> &Jobs) {
+  for (const std::string &Job : Jobs)
+    CPPUNIT_ASSERT_EQUAL(std::string("finished"),
+                         All.waitJob(Entry, Job, std::chrono::seconds(120)));
+}
+
+void assertRules(const history::History &Run, const history::Bounds &Limits) {
+  const auto Found = history::checkAll(Run, Limits);
   CPPUNIT_ASSERT_MESSAGE(history::describe(Run, Found), Found.empty());
 }
 
