--- a/lib/history/tests/rulestest.cpp
+++ b/lib/history/tests/rulestest.cpp
@@ -64,15 +64,16 @@
   }
 
   void borrowerStopsFirst() {
-    const std::vector<Event> Blocked = {at(100, GuaranteeBlocked{"c", "j", 1})};
+    const std::vector<Event> Blocked = {
+        at(100ms, GuaranteeBlocked{"c", "j", 1})};
     // The borrower's second attempt does not stand in the place.
-    accept(gang("j", 1, 0, 200) + gang("c", 1, 200, 400) + Blocked);
-    accept(gang("j", 1, 0, 200) + gang("j", 2, 200, 400) +
-           gang("c", 1, 210, 300) + Blocked);
-    accept(gang("k", 1, 0, 400) + gang("c", 1, 200, 400) + Blocked);
+    accept(gang("j", 1, 0ms, 200ms) + gang("c", 1, 200ms, 400ms) + Blocked);
+    accept(gang("j", 1, 0ms, 200ms) + gang("j", 2, 200ms, 400ms) +
+           gang("c", 1, 210ms, 300ms) + Blocked);
+    accept(gang("k", 1, 0ms, 400ms) + gang("c", 1, 200ms, 400ms) + Blocked);
     // The last task of the borrower stops at 199, the first of c starts at 198.
     reject("guarantee-reclaim",
-           gang("j", 1, 0, 200) + gang("c", 1, 197, 400) + Blocked);
+           gang("j", 1, 0ms, 200ms) + gang("c", 1, 197ms, 400ms) + Blocked);
   }
 };
 
