Let waits of 8 h go by arrival alone

Cause: since long waits count in proportion to a job's size, a small job starves while more of larger jobs arrive than the cell can run: their product of wait and accelerators grows faster than its own. The stated bound for patient work no longer held.

Change: from 8 h on jobs go first in the order of arrival. The new case smallPatientJobGetsItsTurn failed before (the job had not started after its bound of 8 h and one run for each job ahead) and passes now.

--- a/lib/sched/src/queue.cpp
+++ b/lib/sched/src/queue.cpp
@@ -8,9 +8,14 @@
 namespace {
 
 /// After this wait a job of any class goes before all that have not waited as
-/// long, in the order of arrival.
+/// long, those with the largest product of wait and accelerators first.
 constexpr std::chrono::hours LongestWait{2};
 
+/// After this wait jobs go first in the order of arrival alone. Without it
+/// larger jobs overtake a small one for good when more arrive than the cell can
+/// run.
+constexpr std::chrono::hours OvertakenWait{8};
+
 /// Width of the first level of attained service; each level is ten times as
 /// wide as the one before, so that jobs do not change places all the time.
 constexpr std::chrono::seconds FirstLevel{3600};
@@ -53,6 +58,11 @@
   auto Weighted = [&](const WaitingJob *Job) {
     return Wait(Job) * (Choices.WaitBySize_ ? Job->Spec_.accelerators() : 1);
   };
+  auto GoesBefore = [&](const WaitingJob *A, const WaitingJob *B) {
+    if (Wait(A) >= OvertakenWait || Wait(B) >= OvertakenWait)
+      return Wait(A) > Wait(B);
+    return Weighted(A) > Weighted(B);
+  };
   std::stable_sort(Jobs.begin(), Jobs.end(),
                    [&](const WaitingJob *A, const WaitingJob *B) {
                      core::Duration WaitA = Wait(A);
@@ -60,7 +70,7 @@
                      bool LateA = WaitA >= LongestWait;
                      bool LateB = WaitB >= LongestWait;
                      if (LateA || LateB)
-                       return LateA && (!LateB || Weighted(A) > Weighted(B));
+                       return LateA && (!LateB || GoesBefore(A, B));
                      return std::make_pair(A->Spec_.Class_, serviceLevel(*A)) <
                             std::make_pair(B->Spec_.Class_, serviceLevel(*B));
                    });
--- a/lib/sched/tests/waittest.cpp
+++ b/lib/sched/tests/waittest.cpp
@@ -6,11 +6,12 @@
 using namespace nutmegwell;
 using namespace std::chrono_literals;
 
-/// A full cell of 16 accelerators and urgent jobs without end. All jobs have
-/// one shape, so that none slips into a gap that the others cannot use.
+/// A full cell of 16 accelerators and urgent jobs without end. No job slips
+/// into a gap that the others cannot use.
 class WaitTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(WaitTest);
   CPPUNIT_TEST(patientWorkGetsItsTurn);
+  CPPUNIT_TEST(smallPatientJobGetsItsTurn);
   CPPUNIT_TEST_SUITE_END();
 
   /// Time between decisions, and time that a preempted job takes to stop.
@@ -21,8 +22,13 @@
   sched::CellView View_;
   std::map<core::JobId, core::Duration> Left_;
 
+  std::map<model::JobClass, std::uint32_t> Accelerators_ = {
+      {model::JobClass::Urgent, 4}, {model::JobClass::Patient, 4}};
+
   void add(const core::JobId &Id, model::JobClass Class, core::Duration Run) {
-    auto Spec = model::JobSpecBuilder().acceleratorsPerTask(4).jobClass(Class);
+    auto Spec = model::JobSpecBuilder()
+                    .acceleratorsPerTask(Accelerators_[Class])
+                    .jobClass(Class);
     View_.Waiting_.push_back({Id, Spec.build(), {}, {}, true});
     Left_[Id] = Run;
   }
@@ -76,6 +82,28 @@
       CPPUNIT_ASSERT(patient()->RunTime_ >= 10min);
     }
   }
+
+  /// Guards against a small patient job that every larger urgent job overtakes
+  /// when more of them arrive than the cell can run.
+  void smallPatientJobGetsItsTurn() {
+    Random_ = core::seededRandom(1);
+    Accelerators_ = {{model::JobClass::Urgent, 8},
+                     {model::JobClass::Patient, 1}};
+    View_.Workers_ = {{"w1", "r1", 8, true}, {"w2", "r1", 8, true}};
+    View_.Pools_.emplace_back().Limit_ = 1000;
+    const auto Next = [this](int Turn) {
+      if (Turn % 40 == 0)
+        add({3, Left_.size()}, model::JobClass::Urgent, LongestRun);
+      advance();
+    };
+    for (int I = 0; I < 6h / Step; ++I)
+      Next(I);
+    core::Duration Left = 8h + (View_.Waiting_.size() + 1) * LongestRun + Step;
+    add(Patient_, model::JobClass::Patient, 10h);
+    for (int I = 0; !patient() && Left > Step; ++I, Left -= Step)
+      Next(I);
+    CPPUNIT_ASSERT(patient());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WaitTest);
