Move what heartbeats tell of a gang into its own file

The latter decides gang-atomic and is now read on its own (gangreports.h). makeSpec of the control tests took its run time as an integer and now takes milliseconds.

--- a/lib/entry/src/gangs.cpp
+++ b/lib/entry/src/gangs.cpp
@@ -1,3 +1,4 @@
+#include "gangreports.h"
 #include "parts.h"
 
 #include <algorithm>
@@ -9,17 +10,6 @@
 
 using model::TaskState;
 
-const membership::Node *findNode(const EntryState &State,
-                                 const model::NodeName &Name) {
-  auto Known = State.Nodes_.Nodes_.find(Name);
-  return Known == State.Nodes_.Nodes_.end() ? nullptr : &Known->second;
-}
-
-bool ended(TaskState Value) {
-  return Value == TaskState::Done || Value == TaskState::Failed ||
-         Value == TaskState::Stopped;
-}
-
 void enter(Gang &Target, GangPhase Phase, core::TimePoint Now) {
   Target.Phase_ = Phase;
   Target.Since_ = Now;
@@ -82,53 +72,6 @@
   State.Dirty_ = true;
 }
 
-bool lost(const EntryState &State, const model::NodeName &Worker,
-          core::Incarnation Process) {
-  const membership::Node *Known = findNode(State, Worker);
-  return !Known || Known->State_ == membership::NodeState::Lapsed ||
-         (Process != 0 && Known->Last_.Incarnation_ != Process);
-}
-
-/// Notes which process of each member runs the attempt, from its first report.
-/// The process that was heard last may be one that was replaced before.
-void noteMembers(const EntryState &State, Gang &Target) {
-  for (const model::TaskPlacement &Task : Target.Placement_) {
-    core::Incarnation &Process = Target.Members_[Task.Worker_];
-    if (Process == 0 &&
-        findReport(State, Task.Worker_, Target.Job_, Target.Attempt_))
-      Process = findNode(State, Task.Worker_)->Last_.Incarnation_;
-  }
-}
-
-/// Returns true when no task of the attempt runs on the worker any more.
-bool stoppedOn(const EntryState &State, const Gang &Target,
-               const model::NodeName &Worker, core::Incarnation Process,
-               core::TimePoint Now) {
-  const membership::Node *Known = findNode(State, Worker);
-  const EntrySettings &Settings = State.Settings_;
-  // An agent that is cut off from this host may still have heard from an
-  // earlier holder.
-  const core::TimePoint Renewed =
-      std::max(Known ? Known->LastHeard_ : Target.Since_,
-               renewedByOthers(State, Target.Domain_));
-  const core::Duration Grace =
-      std::max<core::Duration>(Settings.CheckpointGrace_, model::LapseGrace);
-  const bool LeaseOver =
-      Now - Renewed >= Settings.TaskLease_ + Grace + Settings.StopMargin_;
-  if (!Known)
-    return LeaseOver;
-  // A new process of an agent stops what its predecessor left behind before it
-  // sends its first heartbeat. As long as no process has reported the attempt,
-  // the one that is heard now may be the one that runs it.
-  if (Process != 0 && Known->Last_.Incarnation_ != Process)
-    return true;
-  const model::TaskReport *Report =
-      findReport(State, Worker, Target.Job_, Target.Attempt_);
-  if (Report && ended(Report->State_))
-    return true;
-  return LeaseOver;
-}
-
 void advanceReserving(EntryState &State, Gang &Target, core::TimePoint Now,
                       Effects &Out) {
   if (Now - Target.Since_ >= State.Settings_.ReservationLease_) {
@@ -139,19 +82,6 @@
   sendReserves(State, Target, Now, Out);
 }
 
-/// Returns the joined checkpoint of all members, or nothing when one has none.
-std::string joinedCheckpoint(const EntryState &State, const Gang &Target) {
-  std::string Joined;
-  for (const auto &[Worker, Process] : Target.Members_) {
-    const model::TaskReport *Report =
-        findReport(State, Worker, Target.Job_, Target.Attempt_);
-    if (!Report || Report->Checkpoint_.empty())
-      return std::string();
-    Joined += (Joined.empty() ? "" : ";") + Report->Checkpoint_;
-  }
-  return Joined;
-}
-
 void advanceStopping(EntryState &State, Gang &Target, core::TimePoint Now,
                      Effects &Out) {
   noteMembers(State, Target);
@@ -173,45 +103,6 @@
          PendingRecord{0, {}, Target.Job_, Target.Attempt_, {}, {}});
 }
 
-/// What the members of a started gang report.
-struct GangReport {
-  std::size_t Started_ = 0;
-  std::size_t Done_ = 0;
-  std::string Fault_;
-  bool TaskFailed_ = false;
-};
-
-GangReport inspect(const EntryState &State, const Gang &Target) {
-  GangReport Result;
-  for (const auto &[Worker, Process] : Target.Members_) {
-    if (lost(State, Worker, Process)) {
-      Result.Fault_ = "worker " + Worker + " was lost";
-      continue;
-    }
-    const model::TaskReport *Report =
-        findReport(State, Worker, Target.Job_, Target.Attempt_);
-    bool Alive =
-        findNode(State, Worker)->State_ != membership::NodeState::Silent;
-    if (!Report) {
-      if (Alive && Target.Phase_ == GangPhase::Running)
-        Result.Fault_ = "worker " + Worker + " no longer runs the task";
-      continue;
-    }
-    if (Report->State_ == TaskState::Running ||
-        Report->State_ == TaskState::Done)
-      ++Result.Started_;
-    if (Report->State_ == TaskState::Done)
-      ++Result.Done_;
-    if (Report->State_ == TaskState::Failed) {
-      Result.Fault_ = "a task failed on worker " + Worker;
-      Result.TaskFailed_ = true;
-    }
-    if (Report->State_ == TaskState::Stopped)
-      Result.Fault_ = "worker " + Worker + " stopped the task";
-  }
-  return Result;
-}
-
 void finish(EntryState &State, Gang &Target, Effects &Out) {
   Target.RecordPending_ = true;
   append(State, Out,
@@ -336,19 +227,6 @@
 
 } // namespace
 
-const model::TaskReport *findReport(const EntryState &State,
-                                    const model::NodeName &Node,
-                                    const core::JobId &Job,
-                                    std::uint32_t Attempt) {
-  const membership::Node *Known = findNode(State, Node);
-  if (!Known)
-    return nullptr;
-  for (const model::TaskReport &Report : Known->Last_.Tasks_)
-    if (Report.Job_ == Job && Report.Attempt_ == Attempt)
-      return &Report;
-  return nullptr;
-}
-
 void reserveGang(EntryState &State, const model::DomainName &Domain,
                  const model::Job &Target, const model::Placement &Tasks,
                  core::TimePoint Now, Effects &Out) {
--- a/lib/entry/src/parts.h
+++ b/lib/entry/src/parts.h
@@ -60,10 +60,4 @@
 /// Decides starts and preemptions in every cell that this host holds.
 void schedule(EntryState &State, core::TimePoint Now, Effects &Out);
 
-/// Returns the node's report of an attempt, or null.
-const model::TaskReport *findReport(const EntryState &State,
-                                    const model::NodeName &Node,
-                                    const core::JobId &Job,
-                                    std::uint32_t Attempt);
-
 } // namespace nutmegwell::entry
--- a/tests/control/contracttest.cpp
+++ b/tests/control/contracttest.cpp
@@ -270,7 +270,7 @@
     Row.Domain_ = "a";
     Row.Limit_ = 8;
     readBody(model::PoolsPublished{0, {{Row}}}, milliseconds(1810));
-    readBody(model::JobSubmitted{Job, makeSpec(2, 2, 1000)},
+    readBody(model::JobSubmitted{Job, makeSpec(2, 2, milliseconds(1000))},
              milliseconds(1820));
     auto Out = step(entry::Tick(), milliseconds(1900));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent<model::Reserve>(Out).size());
@@ -305,7 +305,7 @@
       ++Decisions;
       return sched::Plan();
     };
-    model::JobSpec Spec = makeSpec(1, 1, 1000);
+    model::JobSpec Spec = makeSpec(1, 1, milliseconds(1000));
     Duration Since = milliseconds(1900);
     auto Submit = [&](std::uint64_t Number) {
       readBody(model::JobSubmitted{{77, Number}, Spec}, Since);
@@ -348,7 +348,7 @@
   void newHolderAdoptsGangs() {
     // The fold takes a holder's records from the process that claimed alone.
     readBody(model::CellClaimed{"a", 1, "e9", 1}, milliseconds(1500));
-    readBody(model::JobSubmitted{Job, makeSpec(1, 4, 1000)},
+    readBody(model::JobSubmitted{Job, makeSpec(1, 4, milliseconds(1000))},
              milliseconds(1510));
     readBody(model::JobCommitted{Job, 1, "a", 1, {{"w0", 15}}},
              milliseconds(1520));
@@ -415,7 +415,8 @@
 
   /// Guards against a lasting refusal by a host that knows no pools yet.
   void freshHostRefusesNothingForGood() {
-    entry::Command Submit{1, model::JobSubmitted{Job, makeSpec(1, 1, 1)}};
+    entry::Command Submit{
+        1, model::JobSubmitted{Job, makeSpec(1, 1, milliseconds(1))}};
     auto Out = step(Submit, milliseconds(1700));
     CPPUNIT_ASSERT_EQUAL(std::string("not_ready"), Out.Replies_.at(0).Code_);
     tail(seconds(7));
@@ -438,7 +439,7 @@
     readBody(model::DomainChanged{0, "b", false}, milliseconds(1820));
     for (std::uint64_t I = 1; I <= 8; ++I) {
       const core::JobId Id{77, I};
-      readBody(model::JobSubmitted{Id, makeSpec(2, 8, 1000)},
+      readBody(model::JobSubmitted{Id, makeSpec(2, 8, milliseconds(1000))},
                milliseconds(1830));
       const std::string Text =
           entry::explain(State_, Id, at(milliseconds(1840)));
--- a/tests/control/faulttest.cpp
+++ b/tests/control/faulttest.cpp
@@ -73,8 +73,11 @@
       for (EntryHost &Host : All.Entries_)
         Host.State_.Settings_.Decide_ = preemptForUrgent;
       publishPools(Run);
-      Run.Jobs_ = {{{77, 1}, makeSpec(4, 4, 20000), All.Now_ + seconds(4)},
-                   {{77, 2}, makeSpec(4, 4, 2000), All.Now_ + seconds(12)}};
+      Run.Jobs_ = {
+          {{77, 1}, makeSpec(4, 4, milliseconds(20000)), All.Now_ + seconds(4)},
+          {{77, 2},
+           makeSpec(4, 4, milliseconds(2000)),
+           All.Now_ + seconds(12)}};
       Run.Jobs_[1].Spec_.Class_ = model::JobClass::Urgent;
       drive(Run);
       runUntil(All, All.Now_ + seconds(90));
@@ -99,7 +102,8 @@
       World &All = Run.World_;
       build(All, 1, 2, 1);
       publishPools(Run);
-      Run.Jobs_ = {{{77, 1}, makeSpec(4, 4, 5000), All.Now_ + seconds(4)}};
+      Run.Jobs_ = {
+          {{77, 1}, makeSpec(4, 4, milliseconds(5000)), All.Now_ + seconds(4)}};
       EntryHost &Holder = All.Entries_[0];
       All.OnCommit_ = [&All, &Holder] {
         All.OnCommit_ = nullptr;
@@ -130,7 +134,7 @@
     All.Agents_[0].FailsEverything_ = true;
     for (std::uint64_t I = 1; I <= 6; ++I)
       Run.Jobs_.push_back(
-          {{77, I}, makeSpec(1, 4, 3000), All.Now_ + seconds(3)});
+          {{77, I}, makeSpec(1, 4, milliseconds(3000)), All.Now_ + seconds(3)});
     drive(Run);
     runUntil(All, All.Now_ + seconds(25));
     for (std::uint64_t I = 1; I <= 6; ++I)
@@ -139,7 +143,8 @@
     CPPUNIT_ASSERT(Failed >= 3 && Failed <= 6);
     All.Agents_[0].FailsEverything_ = false;
     runUntil(All, All.Now_ + seconds(60));
-    Run.Jobs_.push_back({{77, 7}, makeSpec(4, 4, 3000), All.Now_});
+    Run.Jobs_.push_back(
+        {{77, 7}, makeSpec(4, 4, milliseconds(3000)), All.Now_});
     runUntil(All, All.Now_ + seconds(20));
     CPPUNIT_ASSERT(jobOf(Run, 7).State_ == model::JobState::Finished);
     CPPUNIT_ASSERT(All.Violations_.empty());
@@ -155,7 +160,7 @@
     All.Agents_[0].FailsEverything_ = true;
     for (std::uint64_t I = 1; I <= 18; ++I)
       Run.Jobs_.push_back({{77, I},
-                           makeSpec(1, 2, 3000),
+                           makeSpec(1, 2, milliseconds(3000)),
                            All.Now_ + (I <= 6 ? seconds(3) : Later)});
     drive(Run);
     runUntil(All, All.Now_ + Wait);
--- a/tests/control/schedule.cpp
+++ b/tests/control/schedule.cpp
@@ -213,9 +213,9 @@
                                   std::min<std::uint32_t>(Least / PerTask, 6)));
     WantedJob Job;
     Job.Id_ = {77, I + 1};
-    Job.Spec_ = makeSpec(Tasks, PerTask,
-                         200 + static_cast<std::int64_t>(
-                                   All.pick(Target.FaultTime_.count() / 2000)));
+    Job.Spec_ = makeSpec(
+        Tasks, PerTask,
+        milliseconds(200 + All.pick(Target.FaultTime_.count() / 2000)));
     if (All.percent(25))
       Job.Spec_.Class_ = model::JobClass::Urgent;
     if (Tasks * PerTask <= 8 && All.percent(30))
@@ -349,13 +349,13 @@
 }
 
 model::JobSpec makeSpec(std::uint32_t Tasks, std::uint32_t PerTask,
-                        std::int64_t WorkMs) {
+                        milliseconds Work) {
   return model::JobSpecBuilder()
       .account("acc")
       .service("svc")
       .tasks(Tasks)
       .acceleratorsPerTask(PerTask)
-      .command(std::to_string(WorkMs))
+      .command(std::to_string(Work.count()))
       .build();
 }
 
--- a/tests/control/schedule.h
+++ b/tests/control/schedule.h
@@ -36,7 +36,7 @@
 void publishPools(Schedule &Target);
 
 model::JobSpec makeSpec(std::uint32_t Tasks, std::uint32_t PerTask,
-                        std::int64_t WorkMs);
+                        milliseconds Work);
 
 /// Submits and cancels jobs until the log holds what is wanted.
 void drive(Schedule &Target);
