--- a/tests/e2e/degradedtest.cpp
+++ b/tests/e2e/degradedtest.cpp
@@ -144,18 +144,9 @@
     return e2e::member(Response.Body_, "outcome") != "not_run";
   }
 
-  /// Guards against work that runs twice, is lost or is refused falsely when
-  /// the log answers late or not at all although it has done its work.
-  void logSlow() {
-    Cluster All;
-    Recorder Run;
-    start(All, 5, 2, 2, "", {"--delay-ms", "50"});
-    e2e::ConfigWatch Watch(All, Run);
-    Load Calls(All, Run, 6);
-    // Submissions that wait behind a late append get an unknown outcome.
-    std::list<e2e::JobLoad> Jobs;
-    for (int I = 0; I < 8; ++I)
-      Jobs.emplace_back(All, 1 + I % 2, 500ms);
+  /// Changes the faults of the log and publishes routes meanwhile. Returns the
+  /// queues of the publications that were refused as not run.
+  static std::set<std::string> publishWhileLogIsBad(Cluster &All, Load &Calls) {
     std::set<std::string> Refused;
     int Queue = 100;
     // Slow but available; answers lost; slower than the 2 s that a host waits,
@@ -177,6 +168,37 @@
       // Idempotent requests need no log.
       CPPUNIT_ASSERT(Calls.waitAnswers(40));
     }
+    return Refused;
+  }
+
+  /// Checks that no refused publication is in force. Returns the number of jobs
+  /// that were committed.
+  static int countJobs(const History &Whole,
+                       const std::set<std::string> &Refused) {
+    std::set<std::string> Ran;
+    for (const Event &Each : Whole.Events_) {
+      if (auto *Commit = std::get_if<AttemptCommitted>(&Each.Body_))
+        Ran.insert(Commit->Job_);
+      if (auto *Config = std::get_if<ConfigAccepted>(&Each.Body_))
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("queue " + Config->Digest_, std::size_t{0},
+                                     Refused.count(Config->Digest_));
+    }
+    return static_cast<int>(Ran.size());
+  }
+
+  /// Guards against work that runs twice, is lost or is refused falsely when
+  /// the log answers late or not at all although it has done its work.
+  void logSlow() {
+    Cluster All;
+    Recorder Run;
+    start(All, 5, 2, 2, "", {"--delay-ms", "50"});
+    e2e::ConfigWatch Watch(All, Run);
+    Load Calls(All, Run, 6);
+    // Submissions that wait behind a late append get an unknown outcome.
+    std::list<e2e::JobLoad> Jobs;
+    for (int I = 0; I < 8; ++I)
+      Jobs.emplace_back(All, 1 + I % 2, 500ms);
+    const std::set<std::string> Refused = publishWhileLogIsBad(All, Calls);
     CPPUNIT_ASSERT(All.waitStatus(1, R"("log_available":true)"));
     std::vector<std::string> Accepted;
     for (e2e::JobLoad &Each : Jobs)
@@ -191,17 +213,9 @@
     assertFinished(All, 1, Accepted);
     const History Whole = Run.finish(All);
     e2e::assertRules(Whole);
-    std::set<std::string> Ran;
-    for (const Event &Each : Whole.Events_) {
-      if (auto *Commit = std::get_if<AttemptCommitted>(&Each.Body_))
-        Ran.insert(Commit->Job_);
-      if (auto *Config = std::get_if<ConfigAccepted>(&Each.Body_))
-        CPPUNIT_ASSERT_EQUAL_MESSAGE("queue " + Config->Digest_, std::size_t{0},
-                                     Refused.count(Config->Digest_));
-    }
+    const int Ran = countJobs(Whole, Refused);
     // Every job that ran was accepted or has an unknown outcome.
-    const int Unasked =
-        static_cast<int>(Ran.size()) - static_cast<int>(Accepted.size());
+    const int Unasked = Ran - static_cast<int>(Accepted.size());
     CPPUNIT_ASSERT(Unasked >= 0);
     CPPUNIT_ASSERT(Unasked <= All.UnknownJobs_);
   }
