--- a/tests/control/fakeruntime.cpp
+++ b/tests/control/fakeruntime.cpp
@@ -21,14 +21,14 @@
   Task.Attempt_ = static_cast<std::uint32_t>(
       std::strtoul(Call.Id_.c_str() + Dot + 1, nullptr, 10));
   Task.Accelerators_ = Call.Accelerators_;
-  Task.ProgressMs_ = std::strtoll(Call.Checkpoint_.c_str(), nullptr, 10);
+  Task.Progress_ =
+      milliseconds(std::strtoll(Call.Checkpoint_.c_str(), nullptr, 10));
   Task.StartedAt_ = All.Now_;
   Task.LeaseEnd_ = All.Now_ + Call.Lease_;
   noteStart(All, Call.Id_, Task, AskedAt, Call.Checkpoint_);
   Host.Tasks_[Call.Id_] = Task;
-  std::int64_t Total = std::strtoll(Call.Command_.c_str(), nullptr, 10);
-  auto Left =
-      milliseconds(std::max<std::int64_t>(Total - Task.ProgressMs_, 10));
+  const milliseconds Total(std::strtoll(Call.Command_.c_str(), nullptr, 10));
+  auto Left = std::max(Total - Task.Progress_, milliseconds(10));
   const std::string Id = Call.Id_;
   if (Host.FailsEverything_)
     All.after(milliseconds(50), [&All, &Host, Id] {
--- a/tests/control/world.h
+++ b/tests/control/world.h
@@ -30,7 +30,7 @@
   std::uint64_t Accelerators_ = 0;
   model::TaskState State_ = model::TaskState::Running;
   std::string Checkpoint_;
-  std::int64_t ProgressMs_ = 0;
+  milliseconds Progress_{};
   TimePoint StartedAt_{};
   TimePoint LeaseEnd_{};
   bool Stopping_ = false;
--- a/tests/control/worldchecks.cpp
+++ b/tests/control/worldchecks.cpp
@@ -72,8 +72,8 @@
     return;
   auto Ran =
       std::chrono::duration_cast<milliseconds>(All.Now_ - Task.StartedAt_);
-  Task.ProgressMs_ += Ran.count();
-  Task.Checkpoint_ = std::to_string(Task.ProgressMs_);
+  Task.Progress_ += Ran;
+  Task.Checkpoint_ = std::to_string(Task.Progress_.count());
   Task.State_ = Final;
   ++All.Counts_[std::string("tasks ") + toString(Final)];
   auto Known = All.Attempts_.find({Task.Job_, Task.Attempt_});
