--- a/lib/entry/include/nutmegwell/entry/control.h
+++ b/lib/entry/include/nutmegwell/entry/control.h
@@ -36,9 +36,8 @@
   core::Duration DoubtTime_ = std::chrono::seconds(2);
   core::Duration TaskLease_ = std::chrono::seconds(15);
   /// Time beyond a task lease and the longer of the checkpoint grace and
-  /// model::LapseGrace after which an agent
-  /// that is not heard certainly runs nothing: 2 s for a call to its runtime, 1
-  /// s for timers.
+  /// model::LapseGrace after which an agent that is not heard certainly runs
+  /// nothing: 2 s for a call to its runtime, 1 s for timers.
   core::Duration StopMargin_ = std::chrono::seconds(3);
   /// Time since its last read at the log's tail for which a holder renews task
   /// leases. Longer than the log's outages, since gangs end with it.
