--- a/apps/nutmegwelld/main.cpp
+++ b/apps/nutmegwelld/main.cpp
@@ -1,26 +1,75 @@
 #include "nutmegwell/daemon/roles.h"
+#include "nutmegwell/platform/ports.h"
 #include "nutmegwell/settings/daemon.h"
 #include "nutmegwell/settings/logging.h"
 #include "nutmegwell/settings/settings.h"
+#include "nutmegwell/sitehost/roles.h"
 #include <iostream>
 
 using namespace nutmegwell;
 
-int main(int Argc, char **Argv) {
+namespace {
+
+void configureLogging(const settings::Settings &Values) {
+  settings::LogFormat Format = settings::LogFormat::Text;
+  settings::LogLevel Level = settings::LogLevel::Info;
+  settings::parseLogFormat(Values.text("log-format"), Format);
+  settings::parseLogLevel(Values.text("log-level"), Level);
+  settings::configureLogging(Format, Level);
+}
+
+/// Reads the flags of the command line, then those of the settings file.
+absl::StatusOr<settings::Settings>
+readSiteSettings(const settings::SettingsSpec &Spec,
+                 std::vector<std::string> Arguments, const std::string &Path) {
+  absl::StatusOr<std::vector<std::string>> Flags = platform::readFlags(Path);
+  if (!Flags.ok())
+    return Flags.status();
+  Arguments.insert(Arguments.end(), Flags->begin(), Flags->end());
+  std::vector<const char *> Texts;
+  for (const std::string &Argument : Arguments)
+    Texts.push_back(Argument.c_str());
+  return settings::parse(Spec, static_cast<int>(Texts.size()), Texts.data(),
+                         settings::processEnvironment());
+}
+
+int runSite(int Argc, char **Argv, const std::string &Path) {
+  const settings::SettingsSpec Spec = sitehost::siteSettings();
+  const std::vector<std::string> Arguments(Argv, Argv + Argc);
+  auto Reread = [&] { return readSiteSettings(Spec, Arguments, Path); };
+  auto Values = Reread();
+  if (auto Code = settings::exitCode(Spec, Values, std::cout, std::cerr))
+    return *Code;
+  configureLogging(*Values);
+  if (Values->text("role") == "site-entry")
+    return sitehost::runEntry(*Values, Reread, [&](aio::Loop &Owner) {
+      return platform::entryPorts(Owner, *Values);
+    });
+  return sitehost::runAgent(*Values, Reread, [&](aio::Loop &Owner) {
+    return platform::agentPorts(Owner, *Values);
+  });
+}
+
+int runRole(int Argc, char **Argv) {
   const settings::SettingsSpec Spec = settings::daemonSettings();
   auto Values =
       settings::parse(Spec, Argc, Argv, settings::processEnvironment());
   if (auto Code = settings::exitCode(Spec, Values, std::cout, std::cerr))
     return *Code;
-  settings::LogFormat Format = settings::LogFormat::Text;
-  settings::LogLevel Level = settings::LogLevel::Info;
-  settings::parseLogFormat(Values->text("log-format"), Format);
-  settings::parseLogLevel(Values->text("log-level"), Level);
-  settings::configureLogging(Format, Level);
+  configureLogging(*Values);
   daemon::blockStopSignals();
+  return Values->text("role") == "entry" ? daemon::runEntry(*Values)
+                                         : daemon::runAgent(*Values);
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
   try {
-    return Values->text("role") == "entry" ? daemon::runEntry(*Values)
-                                           : daemon::runAgent(*Values);
+    // On the users' platform the settings come from a file.
+    if (auto Path = platform::settingsPath(settings::processEnvironment()))
+      return runSite(Argc, Argv, *Path);
+    return runRole(Argc, Argv);
   } catch (const std::exception &Error) {
     std::cerr << "nutmegwelld: " << Error.what() << "\n";
     return 1;
--- /dev/null
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -0,0 +1,194 @@
+#pragma once
+
+#include "nutmegwell/cell/messages.h"
+#include "nutmegwell/cell/trust.h"
+#include "nutmegwell/core/decision.h"
+#include "nutmegwell/jobs/tables.h"
+#include "nutmegwell/jobs/view.h"
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace nutmegwell::cell {
+
+/// Times and weights of a cell's holder.
+struct HolderPolicy {
+  /// Longest lease that a worker accepts.
+  core::Duration MaxHold_ = std::chrono::seconds(6);
+  /// Time for which a store call confirms that no other host holds the cell.
+  /// Longer than the store's outages, which last up to 9 s in the site files.
+  core::Duration TenureValidity_ = std::chrono::seconds(12);
+  /// Rate of the slowest worker clock; the platform allows 2%.
+  double SlowestClock_ = 0.98;
+  /// Added to bounds that compare two hosts' clocks: a round trip and a late
+  /// timer.
+  core::Duration ClockMargin_ = std::chrono::milliseconds(200);
+  /// Time from an order until the worker refuses it as late.
+  core::Duration StartPermit_ = std::chrono::milliseconds(1500);
+  /// A worker without a report for this long gets no new work. Twice the
+  /// interval of reports and a lost one.
+  core::Duration SilentAfter_ = std::chrono::milliseconds(1500);
+  /// A stop is sent again while the run is still listed after this.
+  core::Duration StopRepeat_ = std::chrono::milliseconds(500);
+  /// Time without progress after which a run is given up, when its pace is
+  /// not known.
+  core::Duration NoProgress_ = std::chrono::milliseconds(3000);
+  /// A failed task waits this long before its next attempt, so that the news of
+  /// a failing worker can spread.
+  core::Duration RetryPause_ = std::chrono::milliseconds(100);
+  /// How many times as long a task takes away from its data or across racks.
+  double RemotePenalty_ = 3;
+  /// A due occurrence starts this much after its time, because clocks of hosts
+  /// differ.
+  core::Duration DueMargin_ = std::chrono::milliseconds(20);
+  TrustPolicy Trust_;
+};
+
+enum class AttemptState : std::uint8_t {
+  /// The start was sent; the worker has not listed the run.
+  Ordered,
+  Running,
+  /// A stop was sent; the run still takes its room.
+  Stopping
+};
+
+/// A run that exists or may exist on a worker.
+struct Attempt {
+  RunId Id_;
+  std::string Host_;
+  /// What it takes of the worker; no processors for a filling task.
+  jobs::Resources Uses_;
+  int Priority_ = 0;
+  bool Gang_ = false;
+  bool Lasting_ = false;
+  AttemptState State_ = AttemptState::Ordered;
+  /// Number of the orders message that carried the start.
+  std::uint64_t OrderSequence_ = 0;
+  core::TimePoint OrderedAt_{};
+  /// When the percentage changed last.
+  core::TimePoint ChangedAt_{};
+  core::TimePoint StopSentAt_{};
+  double Percent_ = 0;
+  std::string Checkpoint_;
+  /// Percentage of the work that Checkpoint_ covers.
+  double SavedPercent_ = 0;
+};
+
+/// A worker as its holder sees it.
+struct Worker {
+  std::string Host_;
+  bool Connected_ = false;
+  /// The worker obeys this term, so its lists are complete.
+  bool Synced_ = false;
+  /// The record that tasks may run here is durable.
+  bool Listed_ = false;
+  core::Incarnation Process_ = 0;
+  std::optional<WorkerInfo> Info_;
+  core::TimePoint LastReport_{};
+  std::uint64_t LastReportSequence_ = 0;
+  /// Nothing that was started here runs after this time unless a lease is
+  /// extended again.
+  core::TimePoint LeaseEnds_{};
+  std::uint64_t NextOrder_ = 1;
+  std::uint64_t Processed_ = 0;
+  std::uint64_t EndsHandled_ = 0;
+  std::uint64_t EndsDurable_ = 0;
+  /// Unlisted runs may still start until then, since an agent's process that
+  /// ended took its pending starts with it.
+  core::TimePoint UncertainUntil_{};
+  Trust Trust_;
+  /// A run that no job explains is present; nothing is known of its size.
+  bool Stray_ = false;
+
+  /// Orders that the next message carries.
+  std::vector<StartOrder> Starts_;
+  std::vector<RunId> Stops_;
+  bool OrdersDue_ = false;
+};
+
+/// A job's work as the holder knows it, ahead of the durable records.
+struct LiveJob {
+  jobs::JobProgress Progress_;
+  /// No attempt of a task before this time.
+  core::TimePoint NotBefore_{};
+  /// When the job was first seen waiting.
+  core::TimePoint Since_{};
+};
+
+/// Attempts by task and run.
+using AttemptMap = std::map<RunId, Attempt>;
+
+/// Control state of a cell's holder. Exists only while the host holds the cell.
+struct Holder {
+  HolderPolicy Policy_;
+  core::Term Term_ = 0;
+  core::Offset ClaimedAt_ = 0;
+  core::TimePoint TenureConfirmed_{};
+  std::uint64_t RunCounter_ = 0;
+
+  AttemptMap Attempts_;
+  std::map<std::string, Worker> Workers_;
+  std::map<std::string, LiveJob> Jobs_;
+  /// Workers that may run tasks of an earlier holder, and until when.
+  std::map<std::string, core::TimePoint> Unheard_;
+
+  /// Jobs whose progress has to be recorded.
+  std::set<std::string> Dirty_;
+  /// Workers to list (true) or to unlist (false).
+  std::map<std::string, bool> Listing_;
+  bool AppendInFlight_ = false;
+  /// Ends that the append in flight makes durable, by host.
+  std::map<std::string, std::uint64_t> EndsInFlight_;
+  std::map<std::string, bool> ListingInFlight_;
+};
+
+/// What the control thread may see besides the holder's own state.
+struct Surroundings {
+  const jobs::View &View_;
+  const jobs::ServiceTables &Tables_;
+  const std::set<std::string> &DomainsOut_;
+  core::TimePoint Now_;
+  jobs::WallTime Wall_;
+};
+
+/// What a step asks its driver to do.
+struct Effects {
+  std::vector<std::pair<std::string, HolderOrders>> Orders_;
+  /// Records for one append under the holder's term; empty for none.
+  std::vector<jobs::Record> Append_;
+  std::vector<core::Decision> Decisions_;
+  /// Time at which to call tick again.
+  core::TimePoint Wake_ = core::TimePoint::max();
+};
+
+/// Starts a tenure with the claim at \p ClaimedAt. \p Earlier is the state of
+/// the claim that it replaces: its term is 0 for none, and its holder gave no
+/// grants after \p EarlierEnded when that is known.
+Holder beginTenure(const HolderPolicy &Policy, core::Offset ClaimedAt,
+                   core::Term Earlier, bool EarlierReleased,
+                   const Surroundings &Around);
+
+/// Notes that the process that held the cell before has ended at \p Now.
+void onEarlierHolderEnded(Holder &State, core::TimePoint Now);
+
+/// Takes a report of an agent.
+void onReport(Holder &State, const AgentReport &Report,
+              const Surroundings &Around, Effects &Out);
+
+/// Notes that the connection to an agent has ended.
+void onAgentDisconnected(Holder &State, const std::string &Host);
+
+/// Notes that a store call sent at \p SentAt succeeded and showed no higher
+/// claim.
+void onTenureConfirmed(Holder &State, core::TimePoint SentAt);
+
+/// Notes that the append in flight is durable.
+void onAppended(Holder &State, const Surroundings &Around);
+
+/// Applies what time and records have changed, places work, and collects the
+/// orders and records that are due.
+void tick(Holder &State, const Surroundings &Around, Effects &Out);
+
+} // namespace nutmegwell::cell
--- /dev/null
+++ b/lib/cell/include/nutmegwell/cell/messages.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "nutmegwell/core/ids.h"
+#include "nutmegwell/jobs/progress.h"
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace nutmegwell::cell {
+
+using jobs::RunNumber;
+using jobs::TaskId;
+
+/// One run of a task.
+struct RunId {
+  TaskId Task_;
+  RunNumber Run_ = 0;
+
+  friend bool operator<(const RunId &A, const RunId &B) {
+    return std::tie(A.Task_, A.Run_) < std::tie(B.Task_, B.Run_);
+  }
+  friend bool operator==(const RunId &A, const RunId &B) {
+    return A.Task_ == B.Task_ && A.Run_ == B.Run_;
+  }
+};
+
+/// What a worker says of itself.
+struct WorkerInfo {
+  std::string Id_;
+  /// Start of this incarnation; a new value means that nothing of before runs.
+  std::int64_t Born_ = 0;
+  std::string Service_;
+  std::string FailureDomain_;
+  bool Draining_ = false;
+  /// Least time that a draining worker stays.
+  core::Duration DrainRemaining_{0};
+  jobs::Resources Capacity_;
+  /// Kind and rack, as the worker announces them.
+  std::vector<std::string> Labels_;
+  std::string Rack_;
+};
+
+/// A run that a worker lists as present.
+struct RunningTask {
+  RunId Id_;
+  std::string Checkpoint_;
+  /// Part of the work that is done, 0 to 100.
+  double Percent_ = 0;
+  /// Tail latency in ms of a serving task, thousandths of a core otherwise.
+  double Usage_ = 0;
+};
+
+enum class EndKind : std::uint8_t {
+  Done,
+  Failed,
+  Stopped,
+  Lapsed,
+  /// Another member of the gang ended.
+  Broken,
+  /// The other members of the gang did not come.
+  Alone
+};
+
+const char *name(EndKind Kind);
+
+/// An end that a worker lists until it is acknowledged.
+struct EndedTask {
+  std::uint64_t Number_ = 0;
+  RunId Id_;
+  EndKind Kind_ = EndKind::Failed;
+  std::string Checkpoint_;
+};
+
+/// Why a worker did not start a run.
+enum class RefusalKind : std::uint8_t {
+  Fenced,
+  Old,
+  Late,
+  Room,
+  NoTicket,
+  Unhealthy,
+  Invalid,
+  Draining,
+  OtherIncarnation
+};
+
+const char *name(RefusalKind Kind);
+
+struct RefusedStart {
+  RunId Id_;
+  RefusalKind Kind_ = RefusalKind::Invalid;
+};
+
+/// State of a worker as its agent knows it; each report is complete.
+struct AgentReport {
+  std::string Host_;
+  /// Process of the agent.
+  core::Incarnation Process_ = 0;
+  std::uint64_t Sequence_ = 0;
+  /// Term that the worker obeys and under which the lists were made; 0 before
+  /// the first adoption.
+  core::Term Term_ = 0;
+  /// Absent while no worker has announced itself.
+  std::optional<WorkerInfo> Worker_;
+  /// Orders up to this number have been carried out or are in Pending_.
+  std::uint64_t Processed_ = 0;
+  std::vector<RunningTask> Running_;
+  std::vector<EndedTask> Ended_;
+  /// Starts whose outcome is not known yet.
+  std::vector<RunId> Pending_;
+  std::vector<RefusedStart> Refused_;
+};
+
+struct StartOrder {
+  RunId Id_;
+  std::string Command_;
+  std::string Checkpoint_;
+  std::string Ticket_;
+};
+
+struct PaceOrder {
+  RunId Id_;
+  unsigned Percent_ = 100;
+};
+
+/// What the holder tells an agent; every message also renews the task leases.
+struct HolderOrders {
+  core::Term Term_ = 0;
+  std::uint64_t Sequence_ = 0;
+  /// Newest report that the holder has seen; the grant counts from the time at
+  /// which the agent sent it.
+  std::uint64_t Answers_ = 0;
+  /// False while the holder's tenure is not confirmed.
+  bool Grant_ = false;
+  /// Incarnation of the worker that the orders are for.
+  std::int64_t Born_ = 0;
+  /// Ends up to this number are durable.
+  std::uint64_t SeenUpTo_ = 0;
+  std::vector<StartOrder> Starts_;
+  std::vector<RunId> Stops_;
+  std::vector<PaceOrder> Paces_;
+};
+
+} // namespace nutmegwell::cell
--- /dev/null
+++ b/lib/cell/include/nutmegwell/cell/place.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "nutmegwell/jobs/spec.h"
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace nutmegwell::cell {
+
+/// Room on one worker.
+struct Room {
+  std::string Host_;
+  std::string Rack_;
+  std::vector<std::string> Labels_;
+  jobs::Resources Free_;
+  /// 0 for a worker without recent bad ends.
+  unsigned Doubt_ = 0;
+  /// Tasks of the step at hand that run here; set by the caller.
+  std::uint32_t SameStep_ = 0;
+
+  bool hasLabel(const std::string &Label) const;
+};
+
+/// What is to be placed together.
+struct PlaceRequest {
+  const jobs::StepSpec *Step_ = nullptr;
+  std::uint32_t Count_ = 1;
+  /// Rack that the tasks should share with those already running; empty for
+  /// none.
+  std::string PreferredRack_;
+  /// Allows workers that are far from the data, or more than one rack.
+  bool AllowRemote_ = false;
+};
+
+/// Chooses a worker for each task by best fit, or nothing when not all of them
+/// fit. Takes the room of the chosen ones out of \p Rooms. Linear in workers
+/// times tasks.
+std::optional<std::vector<std::size_t>> place(const PlaceRequest &Request,
+                                              std::vector<Room> &Rooms);
+
+/// Returns true when some worker of \p Rooms, were it empty of other work,
+/// would be near the data of the step.
+bool rackExists(const std::vector<Room> &Rooms, const std::string &Rack);
+
+} // namespace nutmegwell::cell
--- /dev/null
+++ b/lib/cell/include/nutmegwell/cell/preempt.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "nutmegwell/cell/place.h"
+#include <vector>
+
+namespace nutmegwell::cell {
+
+/// Work that stops together: a gang, or one run.
+struct Victim {
+  /// Larger numbers give way first.
+  int Priority_ = 0;
+  /// Core-seconds of work that a stop throws away.
+  double Loss_ = 0;
+  /// Room that a stop frees, by index of the worker.
+  std::vector<std::pair<std::size_t, jobs::Resources>> Frees_;
+};
+
+/// Returns the indices of the victims whose stop lets \p Request be placed,
+/// with little loss, or an empty list when no set of them does. \p Rooms is the
+/// room that is free or is being freed.
+std::vector<std::size_t> chooseVictims(const PlaceRequest &Request,
+                                       const std::vector<Room> &Rooms,
+                                       const std::vector<Victim> &Candidates);
+
+} // namespace nutmegwell::cell
--- /dev/null
+++ b/lib/cell/src/ends.cpp
@@ -0,0 +1,196 @@
+#include "steps.h"
+#include <algorithm>
+
+namespace nutmegwell::cell {
+
+using jobs::JobState;
+
+const char *name(EndKind Kind) {
+  switch (Kind) {
+  case EndKind::Done:
+    return "done";
+  case EndKind::Failed:
+    return "failed";
+  case EndKind::Stopped:
+    return "stopped";
+  case EndKind::Lapsed:
+    return "lapsed";
+  case EndKind::Broken:
+    return "broken";
+  case EndKind::Alone:
+    return "alone";
+  }
+  return "unknown";
+}
+
+const char *name(RefusalKind Kind) {
+  switch (Kind) {
+  case RefusalKind::Fenced:
+    return "fenced";
+  case RefusalKind::Old:
+    return "old";
+  case RefusalKind::Late:
+    return "late";
+  case RefusalKind::Room:
+    return "room";
+  case RefusalKind::NoTicket:
+    return "no ticket";
+  case RefusalKind::Unhealthy:
+    return "unhealthy";
+  case RefusalKind::Invalid:
+    return "invalid";
+  case RefusalKind::Draining:
+    return "draining";
+  case RefusalKind::OtherIncarnation:
+    return "other incarnation";
+  }
+  return "unknown";
+}
+
+namespace {
+
+/// The parts of a job that an end touches.
+struct EndTarget {
+  const jobs::JobEntry &Job_;
+  LiveJob &Live_;
+  const jobs::StepSpec &Step_;
+  jobs::StepProgress &Progress_;
+};
+
+bool known(const jobs::JobSpec &Spec, const TaskId &Task) {
+  return Task.Step_ < Spec.Steps_.size() &&
+         Task.Index_ < Spec.Steps_[Task.Step_].Count_ &&
+         Task.Occurrence_ < Spec.occurrences();
+}
+
+void finishIfDone(Holder &State, const EndTarget &Target, Effects &Out) {
+  if (!Target.Live_.Progress_.allDone(Target.Job_.Accepted_.Spec_))
+    return;
+  Target.Live_.Progress_.State_ = JobState::Completed;
+  State.Dirty_.insert(Target.Job_.Accepted_.Job_);
+  Out.Decisions_.push_back(
+      {"job_completed", {{"job", Target.Job_.Accepted_.Job_}}});
+}
+
+/// Stops the other copies of a task that is done.
+void stopCopies(Holder &State, const TaskId &Task, core::TimePoint Now,
+                Effects &Out) {
+  for (auto It = findAttempt(State.Attempts_, Task);
+       It != State.Attempts_.end() && It->first.Task_ == Task; ++It)
+    stopAttempt(State, It->second, "another run is done", Now, Out);
+}
+
+void noteDone(Holder &State, const EndTarget &Target, const RunId &Id,
+              core::TimePoint Now, Effects &Out) {
+  if (Target.Step_.Lasting_)
+    return;
+  if (Target.Step_.Gang_) {
+    // One member's end stands for the whole gang.
+    for (jobs::TaskProgress &Task : Target.Progress_.Tasks_)
+      Task.Done_ = true;
+  } else {
+    Target.Progress_.Tasks_[Id.Task_.Index_].Done_ = true;
+    stopCopies(State, Id.Task_, Now, Out);
+  }
+  State.Dirty_.insert(Id.Task_.Job_);
+  finishIfDone(State, Target, Out);
+}
+
+void noteFailed(Holder &State, const EndTarget &Target, const RunId &Id,
+                core::TimePoint Now, Effects &Out) {
+  if (Target.Step_.Lasting_)
+    return;
+  jobs::TaskProgress &Task =
+      Target.Progress_.Tasks_[Target.Step_.Gang_ ? 0 : Id.Task_.Index_];
+  if (Task.Done_ || Task.FailedRun_ == Id.Run_)
+    return;
+  ++Task.Failures_;
+  Task.FailedRun_ = Id.Run_;
+  State.Dirty_.insert(Id.Task_.Job_);
+  Target.Live_.NotBefore_ = Now + State.Policy_.RetryPause_;
+  if (Task.Failures_ < Target.Job_.Accepted_.MaxAttempts_)
+    return;
+  Target.Live_.Progress_.State_ = JobState::Failed;
+  Out.Decisions_.push_back(
+      {"job_failed",
+       {{"job", Id.Task_.Job_},
+        {"task", toString(Id.Task_)},
+        {"failures", std::to_string(Task.Failures_)},
+        {"attempts", std::to_string(Target.Job_.Accepted_.MaxAttempts_)}}});
+  stopJob(State, Id.Task_.Job_, "the job has failed", Now, Out);
+}
+
+void noteCheckpoint(Holder &State, const EndTarget &Target,
+                    const EndedTask &End) {
+  if (End.Checkpoint_.empty() || !Target.Step_.Checkpoints_)
+    return;
+  const TaskId &Task = End.Id_.Task_;
+  if (Target.Step_.Gang_)
+    for (jobs::TaskProgress &Member : Target.Progress_.Tasks_)
+      Member.Checkpoint_ = End.Checkpoint_;
+  else
+    Target.Progress_.Tasks_[Task.Index_].Checkpoint_ = End.Checkpoint_;
+  State.Dirty_.insert(Task.Job_);
+}
+
+void applyEnd(Holder &State, const EndedTask &End, const Surroundings &Around,
+              Effects &Out) {
+  const TaskId &Task = End.Id_.Task_;
+  auto Entry = Around.View_.Jobs_.find(Task.Job_);
+  if (Entry == Around.View_.Jobs_.end() ||
+      !known(Entry->second.Accepted_.Spec_, Task))
+    return;
+  const jobs::JobEntry &Job = Entry->second;
+  LiveJob &Live = liveJob(State, Job, Around.Now_);
+  if (jobs::ended(Live.Progress_.State_))
+    return;
+  const EndTarget Target{
+      Job, Live, Job.Accepted_.Spec_.Steps_[Task.Step_],
+      Live.Progress_.step(Job.Accepted_.Spec_, Task.Occurrence_, Task.Step_)};
+  noteCheckpoint(State, Target, End);
+  if (End.Kind_ == EndKind::Done)
+    noteDone(State, Target, End.Id_, Around.Now_, Out);
+  else if (End.Kind_ == EndKind::Failed)
+    noteFailed(State, Target, End.Id_, Around.Now_, Out);
+}
+
+void judgeWorker(Holder &State, Worker &Host, const EndedTask &End,
+                 core::TimePoint Now, Effects &Out) {
+  if (End.Kind_ == EndKind::Done)
+    noteGoodEnd(Host.Trust_);
+  else if (End.Kind_ == EndKind::Failed &&
+           noteBadEnd(Host.Trust_, State.Policy_.Trust_, Now))
+    Out.Decisions_.push_back(
+        {"worker_rests",
+         {{"host", Host.Host_},
+          {"bad_ends", std::to_string(Host.Trust_.BadInRow_)}}});
+}
+
+} // namespace
+
+void handleEnds(Holder &State, Worker &Host, const AgentReport &Report,
+                const Surroundings &Around, Effects &Out) {
+  for (const EndedTask &End : Report.Ended_) {
+    if (End.Number_ <= Host.EndsHandled_)
+      continue;
+    Host.EndsHandled_ = End.Number_;
+    auto It = State.Attempts_.find(End.Id_);
+    const bool Known = It != State.Attempts_.end();
+    Out.Decisions_.push_back({"task_ended",
+                              {{"task", toString(End.Id_.Task_)},
+                               {"run", std::to_string(End.Id_.Run_)},
+                               {"host", Host.Host_},
+                               {"end", name(End.Kind_)},
+                               {"number", std::to_string(End.Number_)},
+                               {"expected", Known ? "yes" : "no"}}});
+    const bool Gang = Known && It->second.Gang_;
+    if (Known)
+      State.Attempts_.erase(It);
+    judgeWorker(State, Host, End, Around.Now_, Out);
+    applyEnd(State, End, Around, Out);
+    if (Gang && End.Kind_ != EndKind::Done)
+      stopGang(State, End.Id_, "a member of the gang ended", Around.Now_, Out);
+  }
+}
+
+} // namespace nutmegwell::cell
--- /dev/null
+++ b/lib/cell/src/holder.cpp
@@ -0,0 +1,285 @@
+#include "steps.h"
+#include <algorithm>
+
+namespace nutmegwell::cell {
+
+namespace {
+
+/// Runs that a report accounts for.
+std::set<RunId> reportedRuns(const AgentReport &Report) {
+  std::set<RunId> Runs(Report.Pending_.begin(), Report.Pending_.end());
+  for (const RunningTask &Task : Report.Running_)
+    Runs.insert(Task.Id_);
+  for (const EndedTask &End : Report.Ended_)
+    Runs.insert(End.Id_);
+  return Runs;
+}
+
+void dropAllOf(Holder &State, const std::string &Host,
+               const std::string &Reason, Effects &Out) {
+  for (auto It = State.Attempts_.begin(); It != State.Attempts_.end();) {
+    auto Current = It++;
+    if (Current->second.Host_ == Host)
+      dropAttempt(State, Current, Reason, Out);
+  }
+}
+
+/// Returns true when the report comes from another life of the worker or of its
+/// agent than the one before, and resets what ended with that life.
+void noteLives(Holder &State, Worker &Host, const AgentReport &Report,
+               core::TimePoint Now, Effects &Out) {
+  if (Host.Process_ != Report.Process_) {
+    if (Host.Process_ != 0)
+      Host.UncertainUntil_ =
+          Now + State.Policy_.StartPermit_ + State.Policy_.ClockMargin_;
+    Host.Process_ = Report.Process_;
+    Host.NextOrder_ = 1;
+    Host.Processed_ = 0;
+    // Orders to the earlier process count as handled: it cannot take them now.
+    for (auto &[Id, Run] : State.Attempts_)
+      if (Run.Host_ == Host.Host_)
+        Run.OrderSequence_ = 0;
+  }
+  const std::int64_t Before = Host.Info_ ? Host.Info_->Born_ : 0;
+  const std::int64_t Born = Report.Worker_ ? Report.Worker_->Born_ : 0;
+  if (Born != 0 && Born != Before) {
+    if (Before != 0)
+      dropAllOf(State, Host.Host_, "the worker started anew", Out);
+    Host.EndsHandled_ = 0;
+    Host.EndsDurable_ = 0;
+    Host.Trust_ = {};
+    Out.Decisions_.push_back({"worker_seen",
+                              {{"host", Host.Host_},
+                               {"worker", Report.Worker_->Id_},
+                               {"born", std::to_string(Born)},
+                               {"domain", Report.Worker_->FailureDomain_}}});
+  }
+  if (Report.Worker_) {
+    if (Report.Worker_->Draining_ && (!Host.Info_ || !Host.Info_->Draining_))
+      Out.Decisions_.push_back({"worker_draining", {{"host", Host.Host_}}});
+    Host.Info_ = Report.Worker_;
+  }
+}
+
+/// Takes over a run that an earlier holder started, or stops one that nothing
+/// explains.
+void adoptRun(Holder &State, Worker &Host, const RunningTask &Task,
+              const Surroundings &Around, Effects &Out) {
+  Attempt Run;
+  Run.Id_ = Task.Id_;
+  Run.Host_ = Host.Host_;
+  Run.State_ = AttemptState::Running;
+  Run.OrderedAt_ = Around.Now_;
+  Run.ChangedAt_ = Around.Now_;
+  Run.Percent_ = Task.Percent_;
+  Run.Checkpoint_ = Task.Checkpoint_;
+  Run.SavedPercent_ = Task.Percent_;
+  auto Entry = Around.View_.Jobs_.find(Task.Id_.Task_.Job_);
+  const bool Explained =
+      Entry != Around.View_.Jobs_.end() &&
+      Task.Id_.Task_.Step_ < Entry->second.Accepted_.Spec_.Steps_.size();
+  bool Wanted = false;
+  if (Explained) {
+    const jobs::JobEntry &Job = Entry->second;
+    const jobs::StepSpec &Step =
+        Job.Accepted_.Spec_.Steps_[Task.Id_.Task_.Step_];
+    Run.Uses_ = usesOf(Step);
+    Run.Priority_ = Job.Accepted_.Priority_;
+    Run.Gang_ = Step.Gang_;
+    Run.Lasting_ = Step.Lasting_;
+    LiveJob &Live = liveJob(State, Job, Around.Now_);
+    const jobs::StepProgress *Progress =
+        Live.Progress_.find(Task.Id_.Task_.Occurrence_, Task.Id_.Task_.Step_);
+    const bool Done = Progress &&
+                      Task.Id_.Task_.Index_ < Progress->Tasks_.size() &&
+                      Progress->Tasks_[Task.Id_.Task_.Index_].Done_;
+    const bool Twin =
+        findAttempt(State.Attempts_, Task.Id_.Task_) != State.Attempts_.end();
+    Wanted = !jobs::ended(Live.Progress_.State_) && !Done && !Twin;
+  }
+  Host.Stray_ |= !Explained;
+  Out.Decisions_.push_back({"run_adopted",
+                            {{"task", toString(Task.Id_.Task_)},
+                             {"run", std::to_string(Task.Id_.Run_)},
+                             {"host", Host.Host_},
+                             {"wanted", Wanted ? "yes" : "no"}}});
+  auto It = State.Attempts_.emplace(Run.Id_, std::move(Run)).first;
+  if (!Wanted)
+    stopAttempt(State, It->second, "no task of a known job needs it",
+                Around.Now_, Out);
+}
+
+void noteRunning(Holder &State, Worker &Host, const AgentReport &Report,
+                 const Surroundings &Around, Effects &Out) {
+  Host.Stray_ = false;
+  for (const RunningTask &Task : Report.Running_) {
+    auto It = State.Attempts_.find(Task.Id_);
+    if (It == State.Attempts_.end()) {
+      adoptRun(State, Host, Task, Around, Out);
+      continue;
+    }
+    Attempt &Run = It->second;
+    if (Run.State_ == AttemptState::Ordered) {
+      Run.State_ = AttemptState::Running;
+      Run.ChangedAt_ = Around.Now_;
+    }
+    if (Run.Percent_ != Task.Percent_) {
+      Run.Percent_ = Task.Percent_;
+      Run.ChangedAt_ = Around.Now_;
+    }
+    if (Run.Checkpoint_ != Task.Checkpoint_) {
+      Run.Checkpoint_ = Task.Checkpoint_;
+      Run.SavedPercent_ = Task.Percent_;
+    }
+  }
+}
+
+void noteRefusals(Holder &State, Worker &Host, const AgentReport &Report,
+                  core::TimePoint Now, Effects &Out) {
+  for (const RefusedStart &Refusal : Report.Refused_) {
+    auto It = State.Attempts_.find(Refusal.Id_);
+    if (It == State.Attempts_.end())
+      continue;
+    Out.Decisions_.push_back({"start_refused",
+                              {{"task", toString(Refusal.Id_.Task_)},
+                               {"run", std::to_string(Refusal.Id_.Run_)},
+                               {"host", Host.Host_},
+                               {"reason", name(Refusal.Kind_)}}});
+    if (Refusal.Kind_ == RefusalKind::Unhealthy)
+      noteBadEnd(Host.Trust_, State.Policy_.Trust_, Now);
+  }
+}
+
+/// Drops the runs that the worker certainly does not have.
+void dropMissing(Holder &State, const Worker &Host, const AgentReport &Report,
+                 core::TimePoint Now, Effects &Out) {
+  if (Now < Host.UncertainUntil_)
+    return;
+  const std::set<RunId> Reported = reportedRuns(Report);
+  std::vector<RunId> Missing;
+  for (const auto &[Id, Run] : State.Attempts_)
+    if (Run.Host_ == Host.Host_ && Run.OrderSequence_ <= Report.Processed_ &&
+        !Reported.count(Id))
+      Missing.push_back(Id);
+  for (const RunId &Id : Missing) {
+    auto It = State.Attempts_.find(Id);
+    if (It != State.Attempts_.end())
+      dropAttempt(State, It, "the worker does not list it", Out);
+    stopGang(State, Id, "a member of the gang is missing", Now, Out);
+  }
+}
+
+} // namespace
+
+jobs::Resources usesOf(const jobs::StepSpec &Step) {
+  jobs::Resources Uses = Step.Each_;
+  if (Step.Filling_)
+    Uses.Cpu_ = 0;
+  return Uses;
+}
+
+LiveJob &liveJob(Holder &State, const jobs::JobEntry &Job,
+                 core::TimePoint Now) {
+  auto [It, Added] = State.Jobs_.try_emplace(Job.Accepted_.Job_);
+  if (Added) {
+    It->second.Progress_ = Job.Progress_;
+    It->second.Since_ = Now;
+  }
+  return It->second;
+}
+
+void dropAttempt(Holder &State, AttemptMap::iterator It,
+                 const std::string &Reason, Effects &Out) {
+  const Attempt &Run = It->second;
+  Out.Decisions_.push_back({"run_given_up",
+                            {{"task", toString(Run.Id_.Task_)},
+                             {"run", std::to_string(Run.Id_.Run_)},
+                             {"host", Run.Host_},
+                             {"reason", Reason}}});
+  if (!Run.Checkpoint_.empty()) {
+    auto Job = State.Jobs_.find(Run.Id_.Task_.Job_);
+    if (Job != State.Jobs_.end()) {
+      auto Steps =
+          Job->second.Progress_.Occurrences_.find(Run.Id_.Task_.Occurrence_);
+      if (Steps != Job->second.Progress_.Occurrences_.end() &&
+          Run.Id_.Task_.Step_ < Steps->second.size())
+        for (std::size_t I = 0;
+             I < Steps->second[Run.Id_.Task_.Step_].Tasks_.size(); ++I)
+          if (Run.Gang_ || I == Run.Id_.Task_.Index_)
+            Steps->second[Run.Id_.Task_.Step_].Tasks_[I].Checkpoint_ =
+                Run.Checkpoint_;
+    }
+  }
+  State.Attempts_.erase(It);
+}
+
+Holder beginTenure(const HolderPolicy &Policy, core::Offset ClaimedAt,
+                   core::Term Earlier, bool EarlierReleased,
+                   const Surroundings &Around) {
+  Holder State;
+  State.Policy_ = Policy;
+  State.Term_ = ClaimedAt + 1;
+  State.ClaimedAt_ = ClaimedAt;
+  State.TenureConfirmed_ = Around.Now_;
+  if (Earlier == 0)
+    return State;
+  const core::TimePoint GrantsEnd =
+      EarlierReleased ? Around.Now_ : Around.Now_ + Policy.TenureValidity_;
+  for (const auto &[Name, Row] : Around.View_.Workers_)
+    State.Unheard_[Name] = leaseBound(Policy, GrantsEnd);
+  return State;
+}
+
+void onEarlierHolderEnded(Holder &State, core::TimePoint Now) {
+  const core::TimePoint Bound = leaseBound(State.Policy_, Now);
+  for (auto &[Name, Until] : State.Unheard_)
+    Until = std::min(Until, Bound);
+}
+
+void onReport(Holder &State, const AgentReport &Report,
+              const Surroundings &Around, Effects &Out) {
+  Worker &Host = State.Workers_[Report.Host_];
+  Host.Host_ = Report.Host_;
+  if (!Host.Connected_)
+    Out.Decisions_.push_back(
+        {"agent_connected",
+         {{"host", Host.Host_}, {"term", std::to_string(Report.Term_)}}});
+  Host.Connected_ = true;
+  Host.LastReport_ = Around.Now_;
+  Host.OrdersDue_ = true;
+  noteLives(State, Host, Report, Around.Now_, Out);
+  Host.LastReportSequence_ = Report.Sequence_;
+  if (Report.Term_ != State.Term_ || !Report.Worker_)
+    return;
+  if (!Host.Synced_) {
+    Host.Synced_ = true;
+    // An earlier holder may have granted up to a moment ago.
+    Host.LeaseEnds_ = leaseBound(State.Policy_, Around.Now_);
+    State.Unheard_.erase(Host.Host_);
+    Host.Listed_ = Around.View_.Workers_.count(Host.Host_) > 0;
+    if (!Host.Listed_)
+      State.Listing_[Host.Host_] = true;
+  }
+  Host.Processed_ = Report.Processed_;
+  noteRefusals(State, Host, Report, Around.Now_, Out);
+  noteRunning(State, Host, Report, Around, Out);
+  handleEnds(State, Host, Report, Around, Out);
+  dropMissing(State, Host, Report, Around.Now_, Out);
+}
+
+void onAgentDisconnected(Holder &State, const std::string &Host) {
+  auto It = State.Workers_.find(Host);
+  if (It == State.Workers_.end())
+    return;
+  It->second.Connected_ = false;
+  // Orders that were not sent are lost with the connection; the next report
+  // tells which runs exist.
+  It->second.Starts_.clear();
+  It->second.Stops_.clear();
+}
+
+void onTenureConfirmed(Holder &State, core::TimePoint SentAt) {
+  State.TenureConfirmed_ = std::max(State.TenureConfirmed_, SentAt);
+}
+
+} // namespace nutmegwell::cell
--- /dev/null
+++ b/lib/cell/src/holderloop.cpp
@@ -0,0 +1,25 @@
+#include "steps.h"
+#include <algorithm>
+
+namespace nutmegwell::cell {
+
+namespace {
+
+/// Longest time between two looks at the state; bounds the effect of a missed
+/// wake-up time. Half of the shortest time in HolderPolicy that is looked at.
+constexpr core::Duration LongestSleep = std::chrono::milliseconds(250);
+
+} // namespace
+
+void tick(Holder &State, const Surroundings &Around, Effects &Out) {
+  Out.Wake_ = std::min(Out.Wake_, Around.Now_ + LongestSleep);
+  expireLeases(State, Around, Out);
+  applyCancels(State, Around, Out);
+  stopStalled(State, Around, Out);
+  repeatStops(State, Around.Now_);
+  schedule(State, Around, Out);
+  collectRecords(State, Around, Out);
+  collectOrders(State, Around.Now_, Out);
+}
+
+} // namespace nutmegwell::cell
--- /dev/null
+++ b/lib/cell/src/orders.cpp
@@ -0,0 +1,156 @@
+#include "steps.h"
+
+namespace nutmegwell::cell {
+
+AttemptMap::iterator findAttempt(AttemptMap &Attempts, const TaskId &Task) {
+  auto It = Attempts.lower_bound({Task, 0});
+  return It != Attempts.end() && It->first.Task_ == Task ? It : Attempts.end();
+}
+
+void stopAttempt(Holder &State, Attempt &Run, const std::string &Reason,
+                 core::TimePoint Now, Effects &Out) {
+  if (Run.State_ == AttemptState::Stopping)
+    return;
+  Run.State_ = AttemptState::Stopping;
+  Run.StopSentAt_ = Now;
+  Worker &Host = State.Workers_[Run.Host_];
+  Host.Stops_.push_back(Run.Id_);
+  Host.OrdersDue_ = true;
+  Out.Decisions_.push_back({"task_stopping",
+                            {{"task", toString(Run.Id_.Task_)},
+                             {"run", std::to_string(Run.Id_.Run_)},
+                             {"host", Run.Host_},
+                             {"reason", Reason}}});
+}
+
+void stopJob(Holder &State, const std::string &Job, const std::string &Reason,
+             core::TimePoint Now, Effects &Out) {
+  for (auto It = State.Attempts_.lower_bound({{Job, 0, 0, 0}, 0});
+       It != State.Attempts_.end() && It->first.Task_.Job_ == Job; ++It)
+    stopAttempt(State, It->second, Reason, Now, Out);
+}
+
+void stopGang(Holder &State, const RunId &Member, const std::string &Reason,
+              core::TimePoint Now, Effects &Out) {
+  const TaskId &Task = Member.Task_;
+  auto It = State.Attempts_.lower_bound(
+      {{Task.Job_, Task.Occurrence_, Task.Step_, 0}, 0});
+  for (; It != State.Attempts_.end() && It->first.Task_.Job_ == Task.Job_ &&
+         It->first.Task_.Occurrence_ == Task.Occurrence_ &&
+         It->first.Task_.Step_ == Task.Step_;
+       ++It)
+    if (It->first.Run_ == Member.Run_)
+      stopAttempt(State, It->second, Reason, Now, Out);
+}
+
+void repeatStops(Holder &State, core::TimePoint Now) {
+  for (auto &[Id, Run] : State.Attempts_) {
+    if (Run.State_ != AttemptState::Stopping ||
+        Now - Run.StopSentAt_ < State.Policy_.StopRepeat_)
+      continue;
+    Run.StopSentAt_ = Now;
+    Worker &Host = State.Workers_[Run.Host_];
+    Host.Stops_.push_back(Id);
+    Host.OrdersDue_ = true;
+  }
+}
+
+core::TimePoint leaseBound(const HolderPolicy &Policy, core::TimePoint Now) {
+  const auto Longest = std::chrono::duration_cast<core::Duration>(
+      std::chrono::duration<double, std::micro>(
+          static_cast<double>(Policy.MaxHold_.count()) / Policy.SlowestClock_));
+  return Now + Longest + Policy.ClockMargin_;
+}
+
+void collectOrders(Holder &State, core::TimePoint Now, Effects &Out) {
+  const bool Grant =
+      Now < State.TenureConfirmed_ + State.Policy_.TenureValidity_;
+  for (auto &[Name, Host] : State.Workers_) {
+    if (!Host.Connected_ || !Host.OrdersDue_)
+      continue;
+    HolderOrders Orders;
+    Orders.Term_ = State.Term_;
+    Orders.Sequence_ = Host.NextOrder_++;
+    Orders.Answers_ = Host.LastReportSequence_;
+    Orders.Grant_ = Grant;
+    Orders.Born_ = Host.Info_ ? Host.Info_->Born_ : 0;
+    Orders.SeenUpTo_ = Host.EndsDurable_;
+    Orders.Starts_ = std::move(Host.Starts_);
+    Orders.Stops_ = std::move(Host.Stops_);
+    Host.Starts_.clear();
+    Host.Stops_.clear();
+    Host.OrdersDue_ = false;
+    if (Grant)
+      Host.LeaseEnds_ = leaseBound(State.Policy_, Now);
+    Out.Orders_.emplace_back(Name, std::move(Orders));
+  }
+}
+
+namespace {
+
+void addListings(Holder &State, const Surroundings &Around, Effects &Out) {
+  for (const auto &[Name, Wanted] : State.Listing_) {
+    jobs::WorkerListed Row;
+    Row.Host_ = Name;
+    Row.Listed_ = Wanted;
+    auto It = State.Workers_.find(Name);
+    if (It != State.Workers_.end() && It->second.Info_)
+      Row.FailureDomain_ = It->second.Info_->FailureDomain_;
+    Out.Append_.push_back(Row);
+    Out.Decisions_.push_back({Wanted ? "worker_listed" : "worker_unlisted",
+                              {{"host", Name},
+                               {"domain", Row.FailureDomain_},
+                               {"view", std::to_string(Around.View_.Next_)}}});
+  }
+  State.ListingInFlight_ = std::move(State.Listing_);
+  State.Listing_.clear();
+}
+
+void acknowledgeEnds(Worker &Host, std::uint64_t UpTo) {
+  if (UpTo <= Host.EndsDurable_)
+    return;
+  Host.EndsDurable_ = UpTo;
+  Host.OrdersDue_ = true;
+}
+
+} // namespace
+
+void collectRecords(Holder &State, const Surroundings &Around, Effects &Out) {
+  if (State.AppendInFlight_)
+    return;
+  addListings(State, Around, Out);
+  for (const std::string &Job : State.Dirty_) {
+    auto It = State.Jobs_.find(Job);
+    if (It != State.Jobs_.end())
+      Out.Append_.push_back(jobs::JobProgressed{Job, It->second.Progress_});
+  }
+  State.Dirty_.clear();
+  if (Out.Append_.empty()) {
+    for (auto &[Name, Host] : State.Workers_)
+      acknowledgeEnds(Host, Host.EndsHandled_);
+    return;
+  }
+  State.AppendInFlight_ = true;
+  State.EndsInFlight_.clear();
+  for (auto &[Name, Host] : State.Workers_)
+    State.EndsInFlight_[Name] = Host.EndsHandled_;
+}
+
+void onAppended(Holder &State, const Surroundings &Around) {
+  State.AppendInFlight_ = false;
+  for (const auto &[Name, UpTo] : State.EndsInFlight_) {
+    auto It = State.Workers_.find(Name);
+    if (It != State.Workers_.end())
+      acknowledgeEnds(It->second, UpTo);
+  }
+  State.EndsInFlight_.clear();
+  for (const auto &[Name, Wanted] : State.ListingInFlight_) {
+    auto It = State.Workers_.find(Name);
+    if (It != State.Workers_.end())
+      It->second.Listed_ = Wanted;
+  }
+  State.ListingInFlight_.clear();
+  (void)Around;
+}
+
+} // namespace nutmegwell::cell
--- /dev/null
+++ b/lib/cell/src/place.cpp
@@ -0,0 +1,129 @@
+#include "nutmegwell/cell/place.h"
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <set>
+
+namespace nutmegwell::cell {
+
+namespace {
+
+/// Weights of the score; a lower score is a better fit. Doubt about a worker
+/// outweighs any fit. Accelerators are the scarcest resource, so what is left
+/// of them counts more than all processors of a worker.
+constexpr std::int64_t DoubtWeight = 1'000'000'000;
+constexpr std::int64_t AcceleratorWeight = 1'000'000;
+
+std::int64_t scoreOf(const Room &Worker, const jobs::Resources &Each) {
+  return DoubtWeight * Worker.Doubt_ +
+         AcceleratorWeight * (Worker.Free_.Accelerators_ - Each.Accelerators_) +
+         (Worker.Free_.Cpu_ - Each.Cpu_);
+}
+
+bool fits(const Room &Worker, const jobs::StepSpec &Step,
+          const jobs::Resources &Each) {
+  if (!Step.RequiredLabel_.empty() && !Worker.hasLabel(Step.RequiredLabel_))
+    return false;
+  if (Step.SpreadLimit_ != 0 && Worker.SameStep_ >= Step.SpreadLimit_)
+    return false;
+  return Worker.Free_.covers(Each);
+}
+
+using Choice = std::vector<std::size_t>;
+
+/// Places all tasks on the workers of \p Rack, or of any rack when it is empty.
+std::optional<Choice> placeWithin(const PlaceRequest &Request,
+                                  std::vector<Room> &Rooms,
+                                  const std::string &Rack) {
+  const jobs::StepSpec &Step = *Request.Step_;
+  jobs::Resources Each = Step.Each_;
+  if (Step.Filling_)
+    Each.Cpu_ = 0;
+  Choice Chosen;
+  auto Undo = [&] {
+    for (std::size_t I : Chosen) {
+      Rooms[I].Free_ += Each;
+      --Rooms[I].SameStep_;
+    }
+  };
+  for (std::uint32_t Task = 0; Task < Request.Count_; ++Task) {
+    std::size_t Best = Rooms.size();
+    std::int64_t BestScore = std::numeric_limits<std::int64_t>::max();
+    for (std::size_t I = 0; I < Rooms.size(); ++I) {
+      if (!Rack.empty() && Rooms[I].Rack_ != Rack)
+        continue;
+      if (!fits(Rooms[I], Step, Each))
+        continue;
+      const std::int64_t Score = scoreOf(Rooms[I], Each);
+      if (Score < BestScore) {
+        Best = I;
+        BestScore = Score;
+      }
+    }
+    if (Best == Rooms.size()) {
+      Undo();
+      return std::nullopt;
+    }
+    Rooms[Best].Free_ -= Each;
+    ++Rooms[Best].SameStep_;
+    Chosen.push_back(Best);
+  }
+  return Chosen;
+}
+
+/// Returns the accelerators that are free in each rack.
+std::map<std::string, std::int64_t> freeByRack(const std::vector<Room> &Rooms) {
+  std::map<std::string, std::int64_t> Free;
+  for (const Room &Worker : Rooms)
+    Free[Worker.Rack_] += Worker.Free_.Accelerators_;
+  return Free;
+}
+
+/// Returns the racks to try, the first one first.
+std::vector<std::string> racksToTry(const PlaceRequest &Request,
+                                    const std::vector<Room> &Rooms) {
+  const std::string &Data = Request.Step_->DataRack_;
+  std::vector<std::string> Racks;
+  if (!Request.PreferredRack_.empty())
+    Racks.push_back(Request.PreferredRack_);
+  if (!Data.empty() && Data != Request.PreferredRack_)
+    Racks.push_back(Data);
+  if (!Request.Step_->SameRack_ || (!Data.empty() && rackExists(Rooms, Data)))
+    return Racks;
+  const auto Free = freeByRack(Rooms);
+  std::vector<std::pair<std::int64_t, std::string>> Rest;
+  for (const auto &[Rack, Accelerators] : Free)
+    if (std::find(Racks.begin(), Racks.end(), Rack) == Racks.end())
+      Rest.emplace_back(Accelerators, Rack);
+  std::sort(Rest.begin(), Rest.end());
+  for (const auto &[Accelerators, Rack] : Rest)
+    Racks.push_back(Rack);
+  return Racks;
+}
+
+} // namespace
+
+bool Room::hasLabel(const std::string &Label) const {
+  return std::find(Labels_.begin(), Labels_.end(), Label) != Labels_.end();
+}
+
+bool rackExists(const std::vector<Room> &Rooms, const std::string &Rack) {
+  return std::any_of(Rooms.begin(), Rooms.end(),
+                     [&](const Room &Worker) { return Worker.Rack_ == Rack; });
+}
+
+std::optional<std::vector<std::size_t>> place(const PlaceRequest &Request,
+                                              std::vector<Room> &Rooms) {
+  for (const std::string &Rack : racksToTry(Request, Rooms))
+    if (auto Chosen = placeWithin(Request, Rooms, Rack))
+      return Chosen;
+  const jobs::StepSpec &Step = *Request.Step_;
+  const bool Near = !Step.DataRack_.empty() ||
+                    (Step.SameRack_ && Request.Count_ > 1) ||
+                    !Request.PreferredRack_.empty();
+  if (Near && !Request.AllowRemote_)
+    return std::nullopt;
+  return placeWithin(Request, Rooms, "");
+}
+
+} // namespace nutmegwell::cell
--- /dev/null
+++ b/lib/cell/src/queue.cpp
@@ -0,0 +1,199 @@
+#include "steps.h"
+#include <algorithm>
+
+namespace nutmegwell::cell {
+
+namespace {
+
+using jobs::JobEntry;
+
+/// Accelerators that all unfinished priority 0 jobs of each account need.
+std::map<std::string, std::int64_t>
+guaranteedNeeds(const Holder &State, const Surroundings &Around) {
+  std::map<std::string, std::int64_t> Needs;
+  for (const auto &[Name, Job] : Around.View_.Jobs_) {
+    if (Job.Accepted_.Job_.empty() || Job.Accepted_.Priority_ != 0)
+      continue;
+    auto Live = State.Jobs_.find(Name);
+    const jobs::JobState Now = Live != State.Jobs_.end()
+                                   ? Live->second.Progress_.State_
+                                   : Job.shownState();
+    if (jobs::ended(Now))
+      continue;
+    for (const jobs::StepSpec &Step : Job.Accepted_.Spec_.Steps_)
+      Needs[Job.Accepted_.Account_] += Step.Each_.Accelerators_ * Step.Count_;
+  }
+  return Needs;
+}
+
+/// Returns the longest chain of declared work from each step to the job's end.
+std::vector<core::Duration> chains(const jobs::JobSpec &Spec) {
+  std::vector<core::Duration> Chain(Spec.Steps_.size());
+  for (std::size_t I = Spec.Steps_.size(); I-- > 0;) {
+    Chain[I] += Spec.Steps_[I].Estimate_;
+    for (std::uint32_t Before : Spec.Steps_[I].After_)
+      Chain[Before] = std::max(Chain[Before], Chain[I]);
+  }
+  return Chain;
+}
+
+/// Returns how much time is left until \p Job can no longer meet its objective
+/// when the work from \p Step on starts now.
+core::Duration slackOf(const JobEntry &Job, const jobs::Queue *Queue,
+                       const std::vector<core::Duration> &Chains,
+                       std::uint32_t Occurrence, std::uint32_t Step,
+                       jobs::WallTime Wall) {
+  const jobs::JobSpec &Spec = Job.Accepted_.Spec_;
+  core::Duration Longest(0);
+  for (core::Duration Chain : Chains)
+    Longest = std::max(Longest, Chain);
+  const double Stretch = Queue ? Queue->Stretch_ : 1;
+  const core::Duration Allowance =
+      Queue ? Queue->StartAllowance_ : core::Duration(0);
+  const jobs::WallTime Begin =
+      Spec.timed() ? Spec.dueAt(Occurrence) : Job.Accepted_.Submitted_;
+  const jobs::WallTime Objective =
+      Begin + Allowance +
+      core::Duration(static_cast<std::int64_t>(
+          static_cast<double>(Longest.count()) * Stretch));
+  return Objective - Wall - Chains[Step];
+}
+
+bool stepReady(const jobs::JobSpec &Spec, const jobs::JobProgress &Progress,
+               std::uint32_t Occurrence, std::uint32_t Step) {
+  for (std::uint32_t Before : Spec.Steps_[Step].After_)
+    if (!Progress.stepDone(Occurrence, Before))
+      return false;
+  return !Progress.stepDone(Occurrence, Step);
+}
+
+/// Adds the units of a step whose tasks have no run.
+void addUnits(Holder &State, const Unit &Common, LiveJob &Live,
+              std::vector<Unit> &Units) {
+  const std::string &Job = Common.Job_->Accepted_.Job_;
+  const jobs::StepSpec &Step = Common.spec();
+  auto Free = [&](std::uint32_t Index) {
+    return findAttempt(State.Attempts_, {Job, Common.Occurrence_, Common.Step_,
+                                         Index}) == State.Attempts_.end();
+  };
+  if (Step.Gang_) {
+    for (std::uint32_t I = 0; I < Step.Count_; ++I)
+      if (!Free(I))
+        return;
+    Unit Whole = Common;
+    Whole.Count_ = Step.Count_;
+    Units.push_back(Whole);
+    return;
+  }
+  const jobs::StepProgress &Progress = Live.Progress_.step(
+      Common.Job_->Accepted_.Spec_, Common.Occurrence_, Common.Step_);
+  for (std::uint32_t I = 0; I < Step.Count_; ++I) {
+    if (Progress.Tasks_[I].Done_ || !Free(I))
+      continue;
+    Unit One = Common;
+    One.Index_ = I;
+    Units.push_back(One);
+  }
+}
+
+/// Later classes wait for earlier ones: work that can still meet its objective,
+/// then work that is late, then work that earns nothing more.
+int lateness(const Unit &Work) {
+  if (Work.Slack_ >= core::Duration(0))
+    return 0;
+  return 1;
+}
+
+bool before(const Unit &A, const Unit &B) {
+  if (A.Guaranteed_ != B.Guaranteed_)
+    return A.Guaranteed_;
+  if (A.Priority_ != B.Priority_)
+    return A.Priority_ < B.Priority_;
+  if (lateness(A) != lateness(B))
+    return lateness(A) < lateness(B);
+  if (A.Slack_ != B.Slack_)
+    return A.Slack_ < B.Slack_;
+  return A.Job_->Accepted_.Job_ < B.Job_->Accepted_.Job_;
+}
+
+/// Collects the units of one job and the time of its next occurrence.
+class JobScan {
+public:
+  JobScan(Holder &State, const Surroundings &Around, const JobEntry &Job,
+          bool Guaranteed)
+      : State_(State), Around_(Around), Job_(Job), Guaranteed_(Guaranteed),
+        Chains_(chains(Job.Accepted_.Spec_)),
+        Queue_(Around.Tables_.queue(Job.Accepted_.Queue_)) {}
+
+  void run(LiveJob &Live, std::vector<Unit> &Units, core::TimePoint &Wake) {
+    const jobs::JobSpec &Spec = Job_.Accepted_.Spec_;
+    for (std::uint32_t K = 0; K < Spec.occurrences(); ++K) {
+      if (Spec.timed()) {
+        const jobs::WallTime Start = Spec.dueAt(K) + State_.Policy_.DueMargin_;
+        if (Around_.Wall_ < Start) {
+          Wake = std::min(Wake, Around_.Now_ + (Start - Around_.Wall_));
+          break;
+        }
+      }
+      for (std::uint32_t Step = 0; Step < Spec.Steps_.size(); ++Step)
+        if (stepReady(Spec, Live.Progress_, K, Step))
+          addUnits(State_, common(K, Step), Live, Units);
+    }
+  }
+
+private:
+  Unit common(std::uint32_t Occurrence, std::uint32_t Step) const {
+    Unit Work;
+    Work.Job_ = &Job_;
+    Work.Occurrence_ = Occurrence;
+    Work.Step_ = Step;
+    Work.Priority_ = Job_.Accepted_.Priority_;
+    Work.Guaranteed_ = Guaranteed_;
+    Work.Slack_ =
+        slackOf(Job_, Queue_, Chains_, Occurrence, Step, Around_.Wall_);
+    return Work;
+  }
+
+  Holder &State_;
+  const Surroundings &Around_;
+  const JobEntry &Job_;
+  bool Guaranteed_;
+  std::vector<core::Duration> Chains_;
+  const jobs::Queue *Queue_;
+};
+
+} // namespace
+
+std::vector<Unit> readyUnits(Holder &State, const Surroundings &Around,
+                             core::TimePoint &Wake) {
+  std::vector<Unit> Units;
+  const auto Needs = guaranteedNeeds(State, Around);
+  for (const auto &[Name, Job] : Around.View_.Jobs_) {
+    if (Job.Accepted_.Job_.empty() || jobs::ended(Job.shownState()))
+      continue;
+    // A worker that was not heard may run any task that an earlier holder could
+    // see.
+    if (!State.Unheard_.empty() && Job.AcceptedAt_ < State.ClaimedAt_)
+      continue;
+    LiveJob &Live = liveJob(State, Job, Around.Now_);
+    if (jobs::ended(Live.Progress_.State_))
+      continue;
+    if (Around.Now_ < Live.NotBefore_) {
+      Wake = std::min(Wake, Live.NotBefore_);
+      continue;
+    }
+    bool Guaranteed = false;
+    if (Job.Accepted_.Priority_ == 0) {
+      const jobs::Account *Account =
+          Around.Tables_.account(Job.Accepted_.Account_);
+      auto Need = Needs.find(Job.Accepted_.Account_);
+      Guaranteed = Account && Need != Needs.end() &&
+                   Need->second <= Account->GuaranteedAccelerators_;
+    }
+    JobScan(State, Around, Job, Guaranteed).run(Live, Units, Wake);
+  }
+  std::sort(Units.begin(), Units.end(), before);
+  return Units;
+}
+
+} // namespace nutmegwell::cell
--- /dev/null
+++ b/lib/cell/src/schedule.cpp
@@ -0,0 +1,292 @@
+#include "nutmegwell/cell/preempt.h"
+#include "steps.h"
+#include <algorithm>
+
+namespace nutmegwell::cell {
+
+namespace {
+
+/// Cores that an accelerator counts as when work is compared; the users' price
+/// of wasted work counts it so.
+constexpr double CoresPerAccelerator = 8;
+
+/// Builds the rooms of a service's workers and places its units.
+class Placer {
+public:
+  Placer(Holder &State, const Surroundings &Around, Effects &Out)
+      : State_(State), Around_(Around), Out_(Out) {
+    for (auto &[Name, Host] : State_.Workers_)
+      if (usable(Host))
+        addRoom(Host);
+    for (const auto &[Id, Run] : State_.Attempts_)
+      takeRoom(Run);
+  }
+
+  void place(const Unit &Work) {
+    std::vector<Room> &Rooms = roomsOf(Work);
+    PlaceRequest Request = requestFor(Work);
+    countSameStep(Work, Rooms);
+    Request.AllowRemote_ = allowRemote(Work, Rooms);
+    if (auto Chosen = cell::place(Request, Rooms)) {
+      start(Work, Rooms, *Chosen);
+      return;
+    }
+    if (Work.Priority_ == 0)
+      preempt(Work, Request);
+  }
+
+private:
+  bool usable(const Worker &Host) const {
+    if (!Host.Connected_ || !Host.Synced_ || !Host.Listed_ || !Host.Info_ ||
+        Host.Stray_ || Host.Info_->Draining_)
+      return false;
+    if (Around_.Now_ - Host.LastReport_ > State_.Policy_.SilentAfter_)
+      return false;
+    if (Around_.DomainsOut_.count(Host.Info_->FailureDomain_))
+      return false;
+    return mayGetWork(Host.Trust_, State_.Policy_.Trust_, runsOn(Host.Host_),
+                      Around_.Now_);
+  }
+
+  std::size_t runsOn(const std::string &Host) const {
+    return static_cast<std::size_t>(std::count_if(
+        State_.Attempts_.begin(), State_.Attempts_.end(),
+        [&](const auto &Row) { return Row.second.Host_ == Host; }));
+  }
+
+  void addRoom(const Worker &Host) {
+    Room Space;
+    Space.Host_ = Host.Host_;
+    Space.Rack_ = Host.Info_->Rack_;
+    Space.Labels_ = Host.Info_->Labels_;
+    Space.Free_ = Host.Info_->Capacity_;
+    Space.Doubt_ = doubtOf(Host.Trust_, State_.Policy_.Trust_, Around_.Now_);
+    std::vector<Room> &Rooms = Rooms_[Host.Info_->Service_];
+    Index_[Host.Host_] = {&Rooms, Rooms.size()};
+    Rooms.push_back(Space);
+  }
+
+  void takeRoom(const Attempt &Run) {
+    auto It = Index_.find(Run.Host_);
+    if (It != Index_.end())
+      (*It->second.first)[It->second.second].Free_ -= Run.Uses_;
+  }
+
+  std::vector<Room> &roomsOf(const Unit &Work) {
+    return Rooms_[Work.Job_->Accepted_.Service_];
+  }
+
+  PlaceRequest requestFor(const Unit &Work) const {
+    PlaceRequest Request;
+    Request.Step_ = &Work.spec();
+    Request.Count_ = Work.Count_;
+    if (Work.spec().SameRack_ && Work.Count_ == 1)
+      Request.PreferredRack_ = rackOfSiblings(Work);
+    return Request;
+  }
+
+  /// Returns the rack on which other tasks of the step run, or an empty text.
+  std::string rackOfSiblings(const Unit &Work) const {
+    for (auto It = firstOfStep(Work); sameStep(It, Work); ++It) {
+      auto Host = State_.Workers_.find(It->second.Host_);
+      if (Host != State_.Workers_.end() && Host->second.Info_)
+        return Host->second.Info_->Rack_;
+    }
+    return {};
+  }
+
+  AttemptMap::const_iterator firstOfStep(const Unit &Work) const {
+    return State_.Attempts_.lower_bound(
+        {{Work.Job_->Accepted_.Job_, Work.Occurrence_, Work.Step_, 0}, 0});
+  }
+
+  bool sameStep(AttemptMap::const_iterator It, const Unit &Work) const {
+    return It != State_.Attempts_.end() &&
+           It->first.Task_.Job_ == Work.Job_->Accepted_.Job_ &&
+           It->first.Task_.Occurrence_ == Work.Occurrence_ &&
+           It->first.Task_.Step_ == Work.Step_;
+  }
+
+  void countSameStep(const Unit &Work, std::vector<Room> &Rooms) const {
+    for (Room &Space : Rooms)
+      Space.SameStep_ = 0;
+    if (Work.spec().SpreadLimit_ == 0)
+      return;
+    for (auto It = firstOfStep(Work); sameStep(It, Work); ++It)
+      for (Room &Space : Rooms)
+        Space.SameStep_ += Space.Host_ == It->second.Host_;
+  }
+
+  /// Waiting for a near place pays as long as it costs less than the time that
+  /// distance adds. A rack without any usable worker is not waited for.
+  bool allowRemote(const Unit &Work, const std::vector<Room> &Rooms) const {
+    const std::string &Data = Work.spec().DataRack_;
+    if (!Data.empty() && !rackExists(Rooms, Data))
+      return true;
+    const LiveJob &Live = State_.Jobs_.at(Work.Job_->Accepted_.Job_);
+    const auto Added = std::chrono::duration_cast<core::Duration>(
+        std::chrono::duration<double, std::micro>(
+            static_cast<double>(Work.spec().Estimate_.count()) *
+            (State_.Policy_.RemotePenalty_ - 1)));
+    return Around_.Now_ - Live.Since_ >= Added;
+  }
+
+  void start(const Unit &Work, const std::vector<Room> &Rooms,
+             const std::vector<std::size_t> &Chosen) {
+    const RunNumber Run = nextRun();
+    LiveJob &Live = State_.Jobs_.at(Work.Job_->Accepted_.Job_);
+    for (std::uint32_t I = 0; I < Work.Count_; ++I)
+      order(Work, Work.Index_ + I, Run, Rooms[Chosen[I]].Host_, Live);
+    if (Live.Progress_.State_ == jobs::JobState::Queued) {
+      Live.Progress_.State_ = jobs::JobState::Running;
+      State_.Dirty_.insert(Work.Job_->Accepted_.Job_);
+    }
+  }
+
+  RunNumber nextRun() {
+    /// Runs of one tenure; 300,000 running tasks that end each second are far
+    /// below it in a day's tenure.
+    constexpr RunNumber RunsOfTerm = 1'000'000;
+    return State_.Term_ * RunsOfTerm + ++State_.RunCounter_;
+  }
+
+  void order(const Unit &Work, std::uint32_t Index, RunNumber Run,
+             const std::string &HostName, LiveJob &Live) {
+    Worker &Host = State_.Workers_.at(HostName);
+    const jobs::StepSpec &Step = Work.spec();
+    const std::string &Job = Work.Job_->Accepted_.Job_;
+    Attempt New;
+    New.Id_ = {{Job, Work.Occurrence_, Work.Step_, Index}, Run};
+    New.Host_ = HostName;
+    New.Uses_ = usesOf(Step);
+    New.Priority_ = Work.Priority_;
+    New.Gang_ = Step.Gang_;
+    New.Lasting_ = Step.Lasting_;
+    New.OrderSequence_ = Host.NextOrder_;
+    New.OrderedAt_ = Around_.Now_;
+    New.ChangedAt_ = Around_.Now_;
+    New.Checkpoint_ =
+        Live.Progress_
+            .step(Work.Job_->Accepted_.Spec_, Work.Occurrence_, Work.Step_)
+            .Tasks_[Step.Gang_ ? 0 : Index]
+            .Checkpoint_;
+    Host.Starts_.push_back(
+        {New.Id_, Work.Job_->Accepted_.Spec_.Command_, New.Checkpoint_, ""});
+    Host.OrdersDue_ = true;
+    Out_.Decisions_.push_back(
+        {"task_starting",
+         {{"task", toString(New.Id_.Task_)},
+          {"run", std::to_string(Run)},
+          {"host", HostName},
+          {"slack_ms",
+           std::to_string(Work.Slack_ / std::chrono::milliseconds(1))},
+          {"view", std::to_string(Around_.View_.Next_)},
+          {"tables", std::to_string(Around_.Tables_.Version_)}}});
+    State_.Attempts_.emplace(New.Id_, std::move(New));
+  }
+
+  void preempt(const Unit &Work, const PlaceRequest &Request) {
+    std::vector<Room> Rooms = roomsOf(Work);
+    for (const auto &[Id, Run] : State_.Attempts_)
+      if (Run.State_ == AttemptState::Stopping)
+        giveBack(Run, Work, Rooms);
+    if (reserve(Work, Request, Rooms))
+      return;
+    std::vector<std::vector<RunId>> Groups;
+    const std::vector<Victim> Candidates = candidatesFor(Work, Groups);
+    const std::vector<std::size_t> Chosen =
+        chooseVictims(Request, Rooms, Candidates);
+    for (std::size_t I : Chosen) {
+      for (const RunId &Id : Groups[I])
+        stopAttempt(State_, State_.Attempts_.at(Id),
+                    "gives way to " + Work.Job_->Accepted_.Job_, Around_.Now_,
+                    Out_);
+      for (const auto &[Worker, Freed] : Candidates[I].Frees_)
+        Rooms[Worker].Free_ += Freed;
+    }
+    if (!Chosen.empty())
+      reserve(Work, Request, Rooms);
+  }
+
+  void giveBack(const Attempt &Run, const Unit &Work,
+                std::vector<Room> &Rooms) {
+    auto It = Index_.find(Run.Host_);
+    if (It != Index_.end() && It->second.first == &roomsOf(Work))
+      Rooms[It->second.second].Free_ += Run.Uses_;
+  }
+
+  /// Keeps the room that is being freed for \p Work from later units. Returns
+  /// false when the work does not fit into it.
+  bool reserve(const Unit &Work, const PlaceRequest &Request,
+               std::vector<Room> Rooms) {
+    auto Chosen = cell::place(Request, Rooms);
+    if (!Chosen)
+      return false;
+    jobs::Resources Each = usesOf(Work.spec());
+    for (std::size_t I : *Chosen)
+      roomsOf(Work)[I].Free_ -= Each;
+    return true;
+  }
+
+  /// Returns runs that may give way to \p Work, those of a gang together.
+  std::vector<Victim> candidatesFor(const Unit &Work,
+                                    std::vector<std::vector<RunId>> &Groups) {
+    std::map<std::pair<TaskId, RunNumber>, std::size_t> GangIndex;
+    std::vector<Victim> Candidates;
+    for (const auto &[Id, Run] : State_.Attempts_) {
+      auto It = Index_.find(Run.Host_);
+      if (Run.State_ == AttemptState::Stopping ||
+          Run.Priority_ <= Work.Priority_ || Run.Lasting_ ||
+          It == Index_.end() || It->second.first != &roomsOf(Work))
+        continue;
+      std::size_t At = Candidates.size();
+      if (Run.Gang_) {
+        TaskId First = Id.Task_;
+        First.Index_ = 0;
+        At = GangIndex.try_emplace({First, Id.Run_}, At).first->second;
+      }
+      if (At == Candidates.size()) {
+        Candidates.emplace_back();
+        Groups.emplace_back();
+        Candidates[At].Priority_ = Run.Priority_;
+      }
+      Groups[At].push_back(Id);
+      Candidates[At].Loss_ += lossOf(Run);
+      Candidates[At].Frees_.emplace_back(It->second.second, Run.Uses_);
+    }
+    return Candidates;
+  }
+
+  /// Returns the core-seconds that a stop of \p Run throws away.
+  double lossOf(const Attempt &Run) const {
+    const double Seconds =
+        std::chrono::duration<double>(Around_.Now_ - Run.OrderedAt_).count();
+    const double Unsaved =
+        Run.Percent_ > 0 ? (Run.Percent_ - Run.SavedPercent_) / Run.Percent_
+                         : 1;
+    return Seconds * Unsaved *
+           (static_cast<double>(Run.Uses_.Cpu_) / 1000 +
+            CoresPerAccelerator * static_cast<double>(Run.Uses_.Accelerators_));
+  }
+
+  Holder &State_;
+  const Surroundings &Around_;
+  Effects &Out_;
+  std::map<std::string, std::vector<Room>> Rooms_;
+  std::map<std::string, std::pair<std::vector<Room> *, std::size_t>> Index_;
+};
+
+} // namespace
+
+void schedule(Holder &State, const Surroundings &Around, Effects &Out) {
+  if (Around.Now_ >= State.TenureConfirmed_ + State.Policy_.TenureValidity_)
+    return;
+  const std::vector<Unit> Units = readyUnits(State, Around, Out.Wake_);
+  if (Units.empty())
+    return;
+  Placer Places(State, Around, Out);
+  for (const Unit &Work : Units)
+    Places.place(Work);
+}
+
+} // namespace nutmegwell::cell
--- /dev/null
+++ b/lib/cell/src/steps.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "nutmegwell/cell/holder.h"
+
+namespace nutmegwell::cell {
+
+/// One run of a step that is looked at together: a whole gang, or one task.
+struct Unit {
+  const jobs::JobEntry *Job_ = nullptr;
+  std::uint32_t Occurrence_ = 0;
+  std::uint32_t Step_ = 0;
+  /// First task and number of tasks.
+  std::uint32_t Index_ = 0;
+  std::uint32_t Count_ = 1;
+  /// Time left until the job's objective is missed; negative when it is.
+  core::Duration Slack_{0};
+  int Priority_ = 0;
+  /// The account's guarantee covers this job.
+  bool Guaranteed_ = false;
+
+  const jobs::StepSpec &spec() const {
+    return Job_->Accepted_.Spec_.Steps_[Step_];
+  }
+};
+
+/// Returns the first attempt of \p Task, or the map's end.
+AttemptMap::iterator findAttempt(AttemptMap &Attempts, const TaskId &Task);
+
+/// Returns the live work of a job, copied from the durable records when it is
+/// new.
+LiveJob &liveJob(Holder &State, const jobs::JobEntry &Job, core::TimePoint Now);
+
+/// Takes the ends that a report lists and the holder has not handled.
+void handleEnds(Holder &State, Worker &Host, const AgentReport &Report,
+                const Surroundings &Around, Effects &Out);
+
+/// Gives up a run that did not start or whose worker is gone; the task can be
+/// started again.
+void dropAttempt(Holder &State, AttemptMap::iterator It,
+                 const std::string &Reason, Effects &Out);
+
+/// Orders a stop of a run; repeated by repeatStops.
+void stopAttempt(Holder &State, Attempt &Run, const std::string &Reason,
+                 core::TimePoint Now, Effects &Out);
+
+/// Stops every run of \p Job, or of one step of it.
+void stopJob(Holder &State, const std::string &Job, const std::string &Reason,
+             core::TimePoint Now, Effects &Out);
+
+/// Stops the other members of a gang that has lost one.
+void stopGang(Holder &State, const RunId &Member, const std::string &Reason,
+              core::TimePoint Now, Effects &Out);
+
+/// Sends stops again for runs that are still listed.
+void repeatStops(Holder &State, core::TimePoint Now);
+
+/// Forgets the runs of workers whose leases have ended.
+void expireLeases(Holder &State, const Surroundings &Around, Effects &Out);
+
+/// Gives up runs that make no progress.
+void stopStalled(Holder &State, const Surroundings &Around, Effects &Out);
+
+/// Ends the work of cancelled jobs.
+void applyCancels(Holder &State, const Surroundings &Around, Effects &Out);
+
+/// Returns what may start now, the first to be placed first.
+std::vector<Unit> readyUnits(Holder &State, const Surroundings &Around,
+                             core::TimePoint &Wake);
+
+/// Places ready work and orders its starts.
+void schedule(Holder &State, const Surroundings &Around, Effects &Out);
+
+/// Collects messages to agents.
+void collectOrders(Holder &State, core::TimePoint Now, Effects &Out);
+
+/// Collects the records of one append, unless one is in flight.
+void collectRecords(Holder &State, const Surroundings &Around, Effects &Out);
+
+/// Returns the resources that a run of \p Step takes of its worker.
+jobs::Resources usesOf(const jobs::StepSpec &Step);
+
+/// Returns until when a worker can run what a grant given at \p Now allows.
+core::TimePoint leaseBound(const HolderPolicy &Policy, core::TimePoint Now);
+
+} // namespace nutmegwell::cell
--- a/lib/core/include/nutmegwell/core/time.h
+++ b/lib/core/include/nutmegwell/core/time.h
@@ -23,4 +23,8 @@
   }};
 }
 
+/// Returns a monotonic clock that also counts the time while the host is
+/// suspended, so that leases end on time after a resume.
+Clock bootClock();
+
 } // namespace nutmegwell::core
--- /dev/null
+++ b/lib/jobs/include/nutmegwell/jobs/progress.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "nutmegwell/jobs/spec.h"
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace nutmegwell::jobs {
+
+/// Name of one task of a job.
+struct TaskId {
+  std::string Job_;
+  std::uint32_t Occurrence_ = 0;
+  std::uint32_t Step_ = 0;
+  std::uint32_t Index_ = 0;
+
+  friend bool operator==(const TaskId &A, const TaskId &B) {
+    return A.Job_ == B.Job_ && A.Occurrence_ == B.Occurrence_ &&
+           A.Step_ == B.Step_ && A.Index_ == B.Index_;
+  }
+  friend bool operator<(const TaskId &A, const TaskId &B) {
+    return std::tie(A.Job_, A.Occurrence_, A.Step_, A.Index_) <
+           std::tie(B.Job_, B.Occurrence_, B.Step_, B.Index_);
+  }
+};
+
+/// Number of one start of a task; rises from start to start.
+using RunNumber = std::uint64_t;
+
+/// Returns "JOB.OCCURRENCE.STEP.INDEX".
+std::string toString(const TaskId &Id);
+
+/// Parses the form of toString. Returns false for another form.
+bool parseTaskId(const std::string &Text, TaskId &Id);
+
+enum class JobState : std::uint8_t {
+  Queued,
+  Running,
+  Completed,
+  Failed,
+  Cancelled
+};
+
+const char *name(JobState State);
+
+/// Returns true when no task of a job in \p State may start any more.
+inline bool ended(JobState State) { return State >= JobState::Completed; }
+
+struct TaskProgress {
+  bool Done_ = false;
+  /// Attempts that ended as failed.
+  std::uint32_t Failures_ = 0;
+  /// Newest run that was counted as failed. The members of a gang share a run,
+  /// which counts once, with the first task.
+  RunNumber FailedRun_ = 0;
+  /// Newest checkpoint; empty for none.
+  std::string Checkpoint_;
+};
+
+/// Tasks of one step of one occurrence.
+struct StepProgress {
+  std::vector<TaskProgress> Tasks_;
+
+  bool done() const;
+};
+
+/// What is known for good about a job's work.
+struct JobProgress {
+  JobState State_ = JobState::Queued;
+  /// By occurrence, then by step; an occurrence without an entry has done
+  /// nothing.
+  std::map<std::uint32_t, std::vector<StepProgress>> Occurrences_;
+
+  /// Returns the progress of a step, adding an empty one.
+  StepProgress &step(const JobSpec &Spec, std::uint32_t Occurrence,
+                     std::uint32_t Step);
+  /// Returns the progress of a step, or nullptr when it has none.
+  const StepProgress *find(std::uint32_t Occurrence, std::uint32_t Step) const;
+  bool stepDone(std::uint32_t Occurrence, std::uint32_t Step) const;
+  bool occurrenceDone(const JobSpec &Spec, std::uint32_t Occurrence) const;
+  bool allDone(const JobSpec &Spec) const;
+};
+
+} // namespace nutmegwell::jobs
--- /dev/null
+++ b/lib/jobs/src/records.cpp
@@ -0,0 +1,30 @@
+#include "nutmegwell/jobs/records.h"
+
+namespace nutmegwell::jobs {
+
+namespace {
+
+struct KeyOf {
+  std::string operator()(const JobAccepted &Value) const {
+    return "j/" + Value.Job_;
+  }
+  std::string operator()(const JobCancelled &Value) const {
+    return "c/" + Value.Job_;
+  }
+  std::string operator()(const JobProgressed &Value) const {
+    return "p/" + Value.Job_;
+  }
+  std::string operator()(const CellClaimed &) const { return "h"; }
+  std::string operator()(const WorkerListed &Value) const {
+    return "w/" + Value.Host_;
+  }
+  std::string operator()(const EntryHostListed &Value) const {
+    return "e/" + Value.Host_;
+  }
+};
+
+} // namespace
+
+std::string keyOf(const Record &Value) { return std::visit(KeyOf(), Value); }
+
+} // namespace nutmegwell::jobs
--- /dev/null
+++ b/lib/jobs/src/view.cpp
@@ -0,0 +1,89 @@
+#include "nutmegwell/jobs/view.h"
+#include <algorithm>
+
+namespace nutmegwell::jobs {
+
+namespace {
+
+struct Applier {
+  View &State_;
+  core::Offset Offset_;
+
+  void operator()(const JobAccepted &Value) const {
+    auto [It, Added] = State_.Jobs_.try_emplace(Value.Job_);
+    JobEntry &Job = It->second;
+    // The same job can arrive at two entry hosts at once; the first record of
+    // an id is the job.
+    if (!Added && !Job.Accepted_.Job_.empty())
+      return;
+    Job.Accepted_ = Value;
+    Job.AcceptedAt_ = Offset_;
+    Job.CancelAsked_ |= State_.EarlyCancels_.erase(Value.Job_) > 0;
+  }
+
+  void operator()(const JobCancelled &Value) const {
+    auto It = State_.Jobs_.find(Value.Job_);
+    if (It == State_.Jobs_.end())
+      State_.EarlyCancels_.insert(Value.Job_);
+    else
+      It->second.CancelAsked_ = true;
+  }
+
+  void operator()(const JobProgressed &Value) const {
+    // Pages of newest records can bring progress before the job itself.
+    State_.Jobs_[Value.Job_].Progress_ = Value.Progress_;
+  }
+
+  void operator()(const CellClaimed &Value) const {
+    if (Offset_ + 1 <= State_.Term_)
+      return;
+    State_.Term_ = Offset_ + 1;
+    State_.Claim_ = Value;
+  }
+
+  void operator()(const WorkerListed &Value) const {
+    if (Value.Listed_)
+      State_.Workers_[Value.Host_] = Value;
+    else
+      State_.Workers_.erase(Value.Host_);
+  }
+
+  void operator()(const EntryHostListed &Value) const {
+    State_.EntryHosts_[Value.Host_] = Value.Address_;
+  }
+};
+
+} // namespace
+
+JobState JobEntry::shownState() const {
+  if (ended(Progress_.State_))
+    return Progress_.State_;
+  return CancelAsked_ ? JobState::Cancelled : Progress_.State_;
+}
+
+bool apply(View &State, const StoredRecord &Entry) {
+  if (Entry.Offset_ < State.Next_)
+    return false;
+  std::visit(Applier{State, Entry.Offset_}, Entry.Value_);
+  State.Next_ = Entry.Offset_ + 1;
+  return true;
+}
+
+void applyNewest(View &State, const StoredRecord &Entry) {
+  std::visit(Applier{State, Entry.Offset_}, Entry.Value_);
+  // The newest record of an id may repeat an acceptance that an older holder
+  // has already seen, so its place proves nothing.
+  if (const auto *Accepted = std::get_if<JobAccepted>(&Entry.Value_))
+    State.Jobs_[Accepted->Job_].AcceptedAt_ = 0;
+}
+
+std::size_t waitingCount(const View &State, const std::string &Queue) {
+  return static_cast<std::size_t>(std::count_if(
+      State.Jobs_.begin(), State.Jobs_.end(), [&](const auto &Row) {
+        const JobEntry &Job = Row.second;
+        return Job.Accepted_.Queue_ == Queue &&
+               Job.shownState() == JobState::Queued;
+      }));
+}
+
+} // namespace nutmegwell::jobs
--- a/lib/net/include/nutmegwell/net/http.h
+++ b/lib/net/include/nutmegwell/net/http.h
@@ -31,6 +31,11 @@
   unsigned Status_ = 200;
   std::string ContentType_ = "application/json";
   std::string Body_;
+  /// Further headers.
+  std::vector<std::pair<std::string, std::string>> Headers_ = {};
+
+  /// Returns the header \p Name, compared without case, or an empty string.
+  std::string header(const std::string &Name) const;
 };
 
 /// Bounds of a server.
--- a/lib/net/src/httpserver.cpp
+++ b/lib/net/src/httpserver.cpp
@@ -133,18 +133,34 @@
   }
   Reply.httpReturn(Response.Status_, Response.Status_ < 400 ? "OK" : "Error");
   Reply.setHeader("Content-Type", Response.ContentType_.c_str());
+  for (const auto &[Name, Value] : Response.Headers_)
+    Reply.setHeader(Name.c_str(), Value.c_str());
   Out << Response.Body_;
 }
 
 } // namespace
 
-std::string HttpRequest::header(const std::string &Name) const {
-  for (const auto &Header : Headers_)
+namespace {
+
+std::string
+findHeader(const std::vector<std::pair<std::string, std::string>> &Headers,
+           const std::string &Name) {
+  for (const auto &Header : Headers)
     if (strcasecmp(Header.first.c_str(), Name.c_str()) == 0)
       return Header.second;
   return std::string();
 }
 
+} // namespace
+
+std::string HttpRequest::header(const std::string &Name) const {
+  return findHeader(Headers_, Name);
+}
+
+std::string HttpResponse::header(const std::string &Name) const {
+  return findHeader(Headers_, Name);
+}
+
 std::string HttpRequest::parameter(const std::string &Name) const {
   cxxtools::QueryParams Parameters(Query_);
   return Parameters.has(Name) ? Parameters.param(Name) : std::string();
--- /dev/null
+++ b/lib/site/src/agent.cpp
@@ -0,0 +1,154 @@
+#include "nutmegwell/site/agent.h"
+#include "agentparts.h"
+#include <algorithm>
+
+namespace nutmegwell::site {
+
+namespace {
+
+/// Reports whose time of sending is kept; an answer to an older one grants
+/// nothing that still counts.
+constexpr std::size_t KeptReports = 64;
+
+/// Returns the addresses of entry hosts to try, the holder's first.
+std::vector<std::string> candidates(const AgentState &State) {
+  std::vector<std::string> Addresses;
+  auto Add = [&](const std::string &Address) {
+    if (!Address.empty() && std::find(Addresses.begin(), Addresses.end(),
+                                      Address) == Addresses.end())
+      Addresses.push_back(Address);
+  };
+  Add(State.HolderAddress_);
+  for (const auto &[Host, Address] : State.Hosts_)
+    Add(Address);
+  for (const std::string &Address : State.Settings_.Seeds_)
+    Add(Address);
+  return Addresses;
+}
+
+void dial(AgentState &State, const std::string &Address, core::TimePoint Now,
+          AgentEffects &Out) {
+  State.LinkAddress_ = Address;
+  State.LinkOpen_ = false;
+  State.Link_ = 0;
+  State.LinkHeard_ = Now;
+  State.NextDial_ = Now + State.Settings_.Policy_.EntrySilence_;
+  Out.Dial_ = Address;
+}
+
+void dialNext(AgentState &State, core::TimePoint Now, AgentEffects &Out) {
+  const std::vector<std::string> Addresses = candidates(State);
+  if (Addresses.empty())
+    return;
+  dial(State, Addresses[State.NextCandidate_++ % Addresses.size()], Now, Out);
+}
+
+void onInfo(AgentState &State, const cell::EntryInfo &Info, core::TimePoint Now,
+            AgentEffects &Out) {
+  for (const auto &[Host, Address] : Info.Hosts_)
+    State.Hosts_[Host] = Address;
+  if (Info.Term_ < State.Term_ || Info.HolderAddress_.empty())
+    return;
+  State.HolderAddress_ = Info.HolderAddress_;
+  if (Info.HolderAddress_ == State.LinkAddress_)
+    return;
+  State.NextCandidate_ = 1;
+  dial(State, Info.HolderAddress_, Now, Out);
+}
+
+void report(AgentState &State, core::TimePoint Now, AgentEffects &Out) {
+  cell::AgentReport Report;
+  Report.Host_ = State.Settings_.Host_;
+  Report.Process_ = State.Settings_.Process_;
+  Report.Sequence_ = State.NextReport_++;
+  Report.Term_ = State.SyncedTerm_;
+  Report.Worker_ = State.Worker_;
+  Report.Processed_ = State.Processed_;
+  Report.Running_ = State.Running_;
+  for (const cell::EndedTask &End : State.Ended_)
+    if (End.Number_ > State.SeenUpTo_)
+      Report.Ended_.push_back(End);
+  for (const auto &[Id, Start] : State.Pending_)
+    Report.Pending_.push_back(Id);
+  Report.Refused_ = std::move(State.Refused_);
+  State.Refused_.clear();
+  State.SentAt_[Report.Sequence_] = Now;
+  if (State.SentAt_.size() > KeptReports)
+    State.SentAt_.erase(State.SentAt_.begin());
+  State.News_ = false;
+  State.NextReportAt_ = Now + State.Settings_.Policy_.ReportInterval_;
+  Out.Sends_.push_back(std::move(Report));
+}
+
+void keepLink(AgentState &State, core::TimePoint Now, AgentEffects &Out) {
+  if (State.LinkOpen_ &&
+      Now - State.LinkHeard_ > State.Settings_.Policy_.EntrySilence_) {
+    Out.Decisions_.push_back(
+        {"entry_silent", {{"address", State.LinkAddress_}}});
+    State.LinkOpen_ = false;
+    State.NextDial_ = Now;
+  }
+  if (State.LinkOpen_) {
+    Out.Wake_ = std::min(Out.Wake_, State.LinkHeard_ +
+                                        State.Settings_.Policy_.EntrySilence_ +
+                                        std::chrono::microseconds(1));
+    return;
+  }
+  if (Now >= State.NextDial_)
+    dialNext(State, Now, Out);
+  Out.Wake_ = std::min(Out.Wake_, State.NextDial_);
+}
+
+} // namespace
+
+AgentState makeAgent(AgentSettings Settings, core::TimePoint Now) {
+  AgentState State;
+  State.Settings_ = std::move(Settings);
+  State.NextDial_ = Now;
+  return State;
+}
+
+void onLinkOpened(AgentState &State, std::uint64_t Link, core::TimePoint Now,
+                  AgentEffects &Out) {
+  State.Link_ = Link;
+  State.LinkOpen_ = true;
+  State.LinkHeard_ = Now;
+  State.News_ = true;
+  Out.Decisions_.push_back(
+      {"entry_connected", {{"address", State.LinkAddress_}}});
+}
+
+void onAgentLinkClosed(AgentState &State, std::uint64_t Link,
+                       core::TimePoint Now, AgentEffects &Out) {
+  if (State.LinkOpen_ && Link != State.Link_)
+    return;
+  if (State.LinkOpen_)
+    Out.Decisions_.push_back({"entry_lost", {{"address", State.LinkAddress_}}});
+  State.LinkOpen_ = false;
+  State.Link_ = 0;
+  State.NextDial_ = Now + State.Settings_.Policy_.DialPause_;
+}
+
+void onAgentMessage(AgentState &State, std::uint64_t Link,
+                    const cell::PeerMessage &Message, core::TimePoint Now,
+                    AgentEffects &Out) {
+  if (!State.LinkOpen_ || Link != State.Link_)
+    return;
+  State.LinkHeard_ = Now;
+  if (const auto *Info = std::get_if<cell::EntryInfo>(&Message))
+    onInfo(State, *Info, Now, Out);
+  else if (const auto *Orders = std::get_if<cell::HolderOrders>(&Message))
+    takeOrders(State, *Orders, Now, Out);
+}
+
+void settle(AgentState &State, core::TimePoint Now, AgentEffects &Out) {
+  keepLink(State, Now, Out);
+  lookAtWorker(State, Now, Out);
+  if (!State.LinkOpen_)
+    return;
+  if (State.News_ || Now >= State.NextReportAt_)
+    report(State, Now, Out);
+  Out.Wake_ = std::min(Out.Wake_, State.NextReportAt_);
+}
+
+} // namespace nutmegwell::site
--- /dev/null
+++ b/lib/site/src/agentorders.cpp
@@ -0,0 +1,97 @@
+#include "agentparts.h"
+#include <algorithm>
+
+namespace nutmegwell::site {
+
+namespace {
+
+void refuseStart(AgentState &State, const cell::RunId &Id,
+                 cell::RefusalKind Kind, AgentEffects &Out) {
+  State.Refused_.push_back({Id, Kind});
+  State.News_ = true;
+  Out.Decisions_.push_back({"start_refused",
+                            {{"task", toString(Id.Task_)},
+                             {"run", std::to_string(Id.Run_)},
+                             {"reason", cell::name(Kind)}}});
+}
+
+/// Returns why a start must not be sent to the worker, or nothing.
+std::optional<cell::RefusalKind> refusalOf(const AgentState &State,
+                                           const cell::HolderOrders &Orders,
+                                           core::TimePoint Now) {
+  if (!State.Worker_ || Orders.Born_ != State.Worker_->Born_)
+    return cell::RefusalKind::OtherIncarnation;
+  if (State.Worker_->Draining_)
+    return cell::RefusalKind::Draining;
+  auto Sent = State.SentAt_.find(Orders.Answers_);
+  const AgentPolicy &Policy = State.Settings_.Policy_;
+  if (Sent == State.SentAt_.end() || Now - Sent->second > Policy.StartPermit_ ||
+      !State.Granted_ || Now >= State.GrantEnds_ || !State.Clock_)
+    return cell::RefusalKind::Late;
+  return std::nullopt;
+}
+
+void start(AgentState &State, const cell::StartOrder &Order,
+           core::TimePoint Now, AgentEffects &Out) {
+  const AgentPolicy &Policy = State.Settings_.Policy_;
+  StartCall Call;
+  Call.Order_ = Order;
+  Call.Term_ = State.Term_;
+  Call.Deadline_ = *workerClockAt(State, Now + Policy.StartPermit_);
+  State.Pending_[Order.Id_].Deadline_ = Call.Deadline_;
+  callWorker(State, std::move(Call), Policy.OrderTimeout_, Out);
+}
+
+void takeGrant(AgentState &State, const cell::HolderOrders &Orders) {
+  auto Sent = State.SentAt_.find(Orders.Answers_);
+  if (!Orders.Grant_ || Sent == State.SentAt_.end())
+    return;
+  State.Granted_ = true;
+  State.GrantEnds_ = std::max(State.GrantEnds_,
+                              Sent->second + State.Settings_.Policy_.MaxHold_);
+}
+
+} // namespace
+
+void takeOrders(AgentState &State, const cell::HolderOrders &Orders,
+                core::TimePoint Now, AgentEffects &Out) {
+  if (Orders.Term_ < State.Term_) {
+    Out.Decisions_.push_back({"orders_of_old_term",
+                              {{"term", std::to_string(Orders.Term_)},
+                               {"newest", std::to_string(State.Term_)}}});
+    return;
+  }
+  if (Orders.Term_ > State.Term_) {
+    Out.Decisions_.push_back({"term_adopted",
+                              {{"term", std::to_string(Orders.Term_)},
+                               {"earlier", std::to_string(State.Term_)}}});
+    State.Term_ = Orders.Term_;
+    State.Granted_ = false;
+    State.GrantEnds_ = {};
+    // A look under the new term does not wait for the one in flight.
+    State.OpenLook_ = 0;
+    State.NextLook_ = Now;
+  }
+  const bool SameWorker = State.Worker_ && Orders.Born_ == State.Worker_->Born_;
+  const std::uint64_t SeenBefore = State.SeenUpTo_;
+  if (SameWorker)
+    State.SeenUpTo_ = std::max(State.SeenUpTo_, Orders.SeenUpTo_);
+  if (State.SeenUpTo_ > SeenBefore)
+    State.NextLook_ = Now;
+  takeGrant(State, Orders);
+  State.Processed_ = Orders.Sequence_;
+  for (const cell::StartOrder &Order : Orders.Starts_) {
+    if (auto Refusal = refusalOf(State, Orders, Now))
+      refuseStart(State, Order.Id_, *Refusal, Out);
+    else
+      start(State, Order, Now, Out);
+  }
+  for (const cell::RunId &Id : Orders.Stops_)
+    callWorker(State, StopCall{Id, State.Term_},
+               State.Settings_.Policy_.OrderTimeout_, Out);
+  for (const cell::PaceOrder &Order : Orders.Paces_)
+    callWorker(State, PaceCall{Order, State.Term_},
+               State.Settings_.Policy_.OrderTimeout_, Out);
+}
+
+} // namespace nutmegwell::site
--- /dev/null
+++ b/lib/site/src/agentworker.cpp
@@ -0,0 +1,220 @@
+#include "agentparts.h"
+#include <algorithm>
+
+namespace nutmegwell::site {
+
+namespace {
+
+std::optional<std::int64_t> bornOf(const AgentState &State) {
+  if (!State.Worker_)
+    return std::nullopt;
+  return State.Worker_->Born_;
+}
+
+/// Drops the starts whose outcome the lists now tell.
+void settlePending(AgentState &State, const AgentPolicy &Policy) {
+  const auto Margin =
+      std::chrono::duration_cast<WorkerTime>(Policy.LateMargin_);
+  for (auto It = State.Pending_.begin(); It != State.Pending_.end();) {
+    const AgentState::Pending &Start = It->second;
+    const bool Shown = Start.Answered_ && State.ListedAt_ >= Start.ShownFrom_;
+    const bool Over = State.ListedAt_ > Start.Deadline_ + Margin;
+    const bool Listed =
+        std::any_of(State.Running_.begin(), State.Running_.end(),
+                    [&](const auto &Task) { return Task.Id_ == It->first; }) ||
+        std::any_of(State.Ended_.begin(), State.Ended_.end(),
+                    [&](const auto &End) { return End.Id_ == It->first; });
+    if (!Shown && !Over && !Listed) {
+      ++It;
+      continue;
+    }
+    It = State.Pending_.erase(It);
+    State.News_ = true;
+  }
+}
+
+bool sameRuns(const std::vector<cell::RunningTask> &A,
+              const std::vector<cell::RunningTask> &B) {
+  return A.size() == B.size() && std::equal(A.begin(), A.end(), B.begin(),
+                                            [](const auto &X, const auto &Y) {
+                                              return X.Id_ == Y.Id_;
+                                            });
+}
+
+void takeLists(AgentState &State, const LookCall &Look,
+               const WorkerAnswer &Answer) {
+  // Answers on different connections can overtake each other.
+  if (!Answer.Clock_ || *Answer.Clock_ < State.ListedAt_)
+    return;
+  const std::uint64_t LastEnd =
+      State.Ended_.empty() ? 0 : State.Ended_.back().Number_;
+  State.ListedAt_ = *Answer.Clock_;
+  State.News_ |= !sameRuns(State.Running_, Answer.Lists_->Running_);
+  State.Running_ = Answer.Lists_->Running_;
+  State.Ended_ = Answer.Lists_->Ended_;
+  if (!State.Ended_.empty() && State.Ended_.back().Number_ > LastEnd)
+    State.News_ = true;
+  if (Look.Term_ == State.Term_ && State.SyncedTerm_ != Look.Term_) {
+    State.SyncedTerm_ = Look.Term_;
+    State.News_ = true;
+  }
+  settlePending(State, State.Settings_.Policy_);
+}
+
+void noteStart(AgentState &State, const StartCall &Call,
+               const WorkerAnswer &Answer, core::TimePoint Now,
+               AgentEffects &Out) {
+  auto It = State.Pending_.find(Call.Order_.Id_);
+  if (It == State.Pending_.end())
+    return;
+  if (!Answer.Answered_) {
+    Out.Decisions_.push_back(
+        {"start_unanswered",
+         {{"task", toString(Call.Order_.Id_.Task_)},
+          {"run", std::to_string(Call.Order_.Id_.Run_)},
+          {"deadline_worker_ms", std::to_string(Call.Deadline_.count())},
+          {"error", Answer.Error_}}});
+    return;
+  }
+  State.News_ = true;
+  if (Answer.Refusal_) {
+    State.Refused_.push_back({Call.Order_.Id_, *Answer.Refusal_});
+    State.Pending_.erase(It);
+    Out.Decisions_.push_back({"start_refused",
+                              {{"task", toString(Call.Order_.Id_.Task_)},
+                               {"run", std::to_string(Call.Order_.Id_.Run_)},
+                               {"reason", cell::name(*Answer.Refusal_)}}});
+    return;
+  }
+  It->second.Answered_ = true;
+  State.NextLook_ = Now;
+  It->second.ShownFrom_ = Answer.Clock_.value_or(It->second.Deadline_);
+}
+
+} // namespace
+
+void callWorker(AgentState &State, decltype(WorkerCall::Body_) Body,
+                core::Duration Timeout, AgentEffects &Out) {
+  WorkerCall Call;
+  Call.Id_ = State.NextCall_++;
+  Call.Worker_ = State.Worker_ ? State.Worker_->Id_ : "";
+  Call.Body_ = std::move(Body);
+  Call.Timeout_ = Timeout;
+  State.Calls_[Call.Id_] = Call;
+  Out.Calls_.push_back(std::move(Call));
+}
+
+std::optional<WorkerTime> workerClockAt(const AgentState &State,
+                                        core::TimePoint When) {
+  if (!State.Clock_)
+    return std::nullopt;
+  return State.Clock_->first +
+         std::chrono::duration_cast<WorkerTime>(When - State.Clock_->second);
+}
+
+void forgetWorker(AgentState &State) {
+  State.Clock_.reset();
+  State.ListedAt_ = WorkerTime(0);
+  State.Running_.clear();
+  State.Ended_.clear();
+  State.Pending_.clear();
+  State.Refused_.clear();
+  State.SeenUpTo_ = 0;
+  State.SyncedTerm_ = 0;
+  State.Calls_.clear();
+  State.OpenLook_ = 0;
+}
+
+void onAnnounced(AgentState &State, const Announcement &Value,
+                 core::TimePoint Now, AgentEffects &Out) {
+  const bool NewLife =
+      !State.Worker_ || State.Worker_->Born_ != Value.Info_.Born_;
+  if (NewLife && State.Worker_ && Value.Info_.Born_ < State.Worker_->Born_)
+    return;
+  if (!NewLife && Value.Sequence_ <= State.AnnouncedSequence_)
+    return;
+  if (NewLife) {
+    forgetWorker(State);
+    Out.Decisions_.push_back({"worker_announced",
+                              {{"worker", Value.Info_.Id_},
+                               {"born", std::to_string(Value.Info_.Born_)},
+                               {"sequence", std::to_string(Value.Sequence_)}}});
+  } else if (Value.Info_.Draining_ && !State.Worker_->Draining_) {
+    Out.Decisions_.push_back({"worker_draining",
+                              {{"worker", Value.Info_.Id_},
+                               {"sequence", std::to_string(Value.Sequence_)}}});
+    State.News_ = true;
+  }
+  State.News_ |= NewLife;
+  State.AnnouncedSequence_ = Value.Sequence_;
+  State.Worker_ = Value.Info_;
+  State.Clock_ = {Value.Clock_, Now};
+}
+
+void onWorkerLeft(AgentState &State, const std::string &Worker,
+                  AgentEffects &Out) {
+  if (!State.Worker_ || State.Worker_->Id_ != Worker)
+    return;
+  Out.Decisions_.push_back({"worker_left", {{"worker", Worker}}});
+  State.Worker_->Draining_ = true;
+  State.News_ = true;
+}
+
+void onWorkerAnswer(AgentState &State, const WorkerAnswer &Answer,
+                    core::TimePoint Now, AgentEffects &Out) {
+  auto It = State.Calls_.find(Answer.Id_);
+  if (It == State.Calls_.end())
+    return;
+  const WorkerCall Call = std::move(It->second);
+  State.Calls_.erase(It);
+  const auto *Look = std::get_if<LookCall>(&Call.Body_);
+  if (Look && Call.Id_ == State.OpenLook_) {
+    State.OpenLook_ = 0;
+    State.NextLook_ = Answer.Answered_ && Look->Wait_ > core::Duration(0)
+                          ? Now
+                          : Now + State.Settings_.Policy_.LookPause_;
+  }
+  if (Look && Answer.Answered_ == State.WorkerFailing_) {
+    State.WorkerFailing_ = !Answer.Answered_;
+    Out.Decisions_.push_back(
+        {Answer.Answered_ ? "worker_regained" : "worker_lost",
+         {{"worker", Call.Worker_}, {"error", Answer.Error_}}});
+  }
+  // An answer of an incarnation that has not announced itself says nothing
+  // about the one that has.
+  const bool Foreign =
+      Answer.Born_ != 0 && bornOf(State) && Answer.Born_ != *bornOf(State);
+  if (Foreign)
+    return;
+  if (Answer.Clock_ && (!State.Clock_ || *Answer.Clock_ >= State.Clock_->first))
+    State.Clock_ = {*Answer.Clock_, Now};
+  if (Look && Answer.Lists_)
+    takeLists(State, *Look, Answer);
+  if (const auto *Start = std::get_if<StartCall>(&Call.Body_))
+    noteStart(State, *Start, Answer, Now, Out);
+}
+
+void lookAtWorker(AgentState &State, core::TimePoint Now, AgentEffects &Out) {
+  const AgentPolicy &Policy = State.Settings_.Policy_;
+  if (!State.Worker_ || State.OpenLook_ != 0)
+    return;
+  if (Now < State.NextLook_) {
+    Out.Wake_ = std::min(Out.Wake_, State.NextLook_);
+    return;
+  }
+  LookCall Look;
+  Look.Term_ = State.Term_;
+  Look.SeenUpTo_ = State.SeenUpTo_;
+  if (State.Granted_ && State.GrantEnds_ > Now)
+    Look.LeaseUntil_ = workerClockAt(State, State.GrantEnds_);
+  // The worker answers at once while it lists ends that are not acknowledged.
+  const bool Unacknowledged =
+      !State.Ended_.empty() && State.Ended_.back().Number_ > State.SeenUpTo_;
+  const bool Settled = !Unacknowledged && State.Pending_.empty() &&
+                       State.SyncedTerm_ == State.Term_;
+  Look.Wait_ = Settled ? Policy.LookWait_ : core::Duration(0);
+  State.OpenLook_ = State.NextCall_;
+  callWorker(State, Look, Policy.LookTimeout_, Out);
+}
+
+} // namespace nutmegwell::site
--- /dev/null
+++ b/lib/site/src/callers.cpp
@@ -0,0 +1,271 @@
+#include "parts.h"
+#include <algorithm>
+
+namespace nutmegwell::site {
+
+const char *name(ReplyKind Kind) {
+  switch (Kind) {
+  case ReplyKind::Accepted:
+    return "accepted";
+  case ReplyKind::State:
+    return "state";
+  case ReplyKind::Waiting:
+    return "waiting";
+  case ReplyKind::Cancelled:
+    return "cancelled";
+  case ReplyKind::UnknownQueue:
+    return "unknown queue";
+  case ReplyKind::UnknownJob:
+    return "unknown job";
+  case ReplyKind::UnknownKey:
+    return "unknown key";
+  case ReplyKind::Invalid:
+    return "invalid";
+  case ReplyKind::Refused:
+    return "refused";
+  case ReplyKind::OutcomeUnknown:
+    return "outcome unknown";
+  }
+  return "unknown";
+}
+
+namespace {
+
+const char *nameOf(CallKind Kind) {
+  switch (Kind) {
+  case CallKind::Submit:
+    return "submit";
+  case CallKind::Query:
+    return "query";
+  case CallKind::Cancel:
+    return "cancel";
+  }
+  return "unknown";
+}
+
+/// One request on its way to an answer.
+struct Step {
+  EntryState &State_;
+  core::TimePoint Now_;
+  EntryEffects &Out_;
+
+  void reply(const CallerRequest &Request, const std::string &Job,
+             CallerReply Reply) const {
+    Reply.Token_ = Request.Token_;
+    // Queries change nothing and are counted, not logged.
+    if (Request.Kind_ != CallKind::Query ||
+        Reply.Kind_ == ReplyKind::UnknownKey)
+      Out_.Decisions_.push_back(
+          {"call_answered",
+           {{"call", nameOf(Request.Kind_)},
+            {"job", Job},
+            {"outcome", name(Reply.Kind_)},
+            {"reason", Reply.Message_},
+            {"tables", State_.Tables_ ? std::to_string(State_.Tables_->Version_)
+                                      : "none"},
+            {"view", std::to_string(State_.View_.Next_)}}});
+    Out_.Replies_.push_back(std::move(Reply));
+  }
+
+  void refuse(const CallerRequest &Request, const std::string &Job,
+              std::string Reason) const {
+    CallerReply Reply;
+    Reply.Kind_ = ReplyKind::Refused;
+    Reply.RetryAfter_ = State_.Settings_.Policy_.StoreRetryAfter_;
+    Reply.Message_ = std::move(Reason);
+    reply(Request, Job, std::move(Reply));
+  }
+
+  void simple(const CallerRequest &Request, const std::string &Job,
+              ReplyKind Kind, std::string Message = {}) const {
+    CallerReply Reply;
+    Reply.Kind_ = Kind;
+    Reply.Message_ = std::move(Message);
+    reply(Request, Job, std::move(Reply));
+  }
+
+  void state(const CallerRequest &Request, const std::string &Job,
+             jobs::JobState Shown) const {
+    CallerReply Reply;
+    Reply.Kind_ = ReplyKind::State;
+    Reply.State_ = Shown;
+    reply(Request, Job, std::move(Reply));
+  }
+
+  WaitingCall &wait(CallerRequest Request, const std::string &Job) const {
+    WaitingCall Call;
+    Call.Job_ = Job;
+    Call.ArrivedAt_ = Now_;
+    Call.AnswerBy_ = Now_ + std::max(Request.Patience_ -
+                                         State_.Settings_.Policy_.AnswerMargin_,
+                                     State_.Settings_.Policy_.AnswerMargin_);
+    Call.Request_ = std::move(Request);
+    const CallToken Token = Call.Request_.Token_;
+    return State_.Calls_[Token] = std::move(Call);
+  }
+};
+
+const jobs::JobEntry *findJob(const EntryState &State, const std::string &Job) {
+  auto It = State.View_.Jobs_.find(Job);
+  if (It == State.View_.Jobs_.end() || It->second.Accepted_.Job_.empty())
+    return nullptr;
+  return &It->second;
+}
+
+bool storeIsStuck(const EntryState &State, core::TimePoint Now) {
+  return store::stuckFor(State.Own_, Now) > State.Settings_.Policy_.StoreStuck_;
+}
+
+void query(const Step &At, const CallerRequest &Request,
+           const std::string &Job) {
+  if (const jobs::JobEntry *Entry = findJob(At.State_, Job))
+    return At.state(Request, Job, Entry->shownState());
+  if (At.State_.Accepted_.count(Job))
+    return At.state(Request, Job, jobs::JobState::Queued);
+  At.simple(Request, Job, ReplyKind::UnknownJob);
+}
+
+void cancel(const Step &At, CallerRequest Request, const std::string &Job) {
+  EntryState &State = At.State_;
+  const jobs::JobEntry *Entry = findJob(State, Job);
+  if (!Entry && !State.Accepted_.count(Job)) {
+    WaitingCall &Call = At.wait(std::move(Request), Job);
+    Call.AnswerBy_ = std::min(
+        Call.AnswerBy_, At.Now_ + State.Settings_.Policy_.UnknownJobWait_);
+    return;
+  }
+  if (Entry && (Entry->CancelAsked_ || jobs::ended(Entry->shownState())))
+    return At.simple(Request, Job, ReplyKind::Cancelled);
+  WaitingCall &Call = At.wait(std::move(Request), Job);
+  Call.Append_ = append(State, Writer::Own, {jobs::JobCancelled{Job}});
+}
+
+void submit(const Step &At, CallerRequest Request, const std::string &Job,
+            const jobs::Queue &Queue, const std::string &Account,
+            jobs::WallTime Wall) {
+  EntryState &State = At.State_;
+  if (findJob(State, Job) || State.Accepted_.count(Job))
+    return At.simple(Request, Job, ReplyKind::Accepted, "already accepted");
+  if (!Request.Spec_)
+    return At.simple(Request, Job, ReplyKind::Invalid, Request.Finding_);
+  for (const auto &[Token, Other] : State.Calls_)
+    if (Other.Job_ == Job && Other.Request_.Kind_ == CallKind::Submit) {
+      const store::AppendToken Shared = Other.Append_;
+      At.wait(std::move(Request), Job).Append_ = Shared;
+      return;
+    }
+  if (storeIsStuck(State, At.Now_))
+    return At.refuse(Request, Job, "the store does not answer");
+  jobs::JobAccepted Record;
+  Record.Job_ = Job;
+  Record.Queue_ = Queue.Name_;
+  Record.Service_ = Queue.Service_;
+  Record.Account_ = Account;
+  Record.Priority_ = Queue.Priority_;
+  Record.MaxAttempts_ = Queue.MaxAttempts_;
+  Record.Submitted_ = Wall;
+  Record.Spec_ = *std::move(Request.Spec_);
+  Request.Spec_.reset();
+  WaitingCall &Call = At.wait(std::move(Request), Job);
+  Call.Append_ = append(State, Writer::Own, {Record});
+}
+
+/// Refuses the calls whose appends wait behind one without a certain end.
+void refuseUnsent(const Step &At) {
+  std::map<CallToken, WaitingCall> &Calls = At.State_.Calls_;
+  for (auto It = Calls.begin(); It != Calls.end();) {
+    const bool Back = store::takeBack(At.State_.Own_, It->second.Append_);
+    if (Back)
+      At.refuse(It->second.Request_, It->second.Job_,
+                "the store does not answer");
+    It = Back ? Calls.erase(It) : std::next(It);
+  }
+}
+
+} // namespace
+
+void onCaller(EntryState &State, CallerRequest Request, core::TimePoint Now,
+              jobs::WallTime Wall, EntryEffects &Out) {
+  const Step At{State, Now, Out};
+  if (!State.Tables_ || !State.Cell_.Synced_)
+    return At.refuse(Request, "", "this host has no tables yet");
+  const jobs::Queue *Queue = State.Tables_->route(Request.Host_, Request.Path_);
+  if (!Queue)
+    return At.simple(Request, "", ReplyKind::UnknownQueue);
+  const jobs::Account *Account = State.Tables_->accountOf(Request.Key_);
+  if (!Account && !Queue->Anonymous_)
+    return At.simple(Request, "", ReplyKind::UnknownKey);
+  const std::string Job = Request.Path_.substr(Queue->PathPrefix_.size());
+  if (Job.empty() && Request.Kind_ == CallKind::Query) {
+    CallerReply Reply;
+    Reply.Kind_ = ReplyKind::Waiting;
+    Reply.Count_ = jobs::waitingCount(State.View_, Queue->Name_);
+    return At.reply(Request, "", std::move(Reply));
+  }
+  switch (Request.Kind_) {
+  case CallKind::Submit:
+    return submit(At, std::move(Request), Job, *Queue,
+                  Account ? Account->Name_ : "", Wall);
+  case CallKind::Query:
+    return query(At, Request, Job);
+  case CallKind::Cancel:
+    return cancel(At, std::move(Request), Job);
+  }
+}
+
+void endCalls(EntryState &State, const store::AppendResult &Result,
+              core::TimePoint Now, EntryEffects &Out) {
+  const Step At{State, Now, Out};
+  const bool Done = Result.Outcome_.Status_ == store::AppendStatus::Done;
+  for (auto It = State.Calls_.begin(); It != State.Calls_.end();) {
+    WaitingCall &Call = It->second;
+    if (Call.Append_ != Result.Token_) {
+      ++It;
+      continue;
+    }
+    const bool Submit = Call.Request_.Kind_ == CallKind::Submit;
+    if (Done && Submit && !findJob(State, Call.Job_))
+      State.Accepted_[Call.Job_].Job_ = Call.Job_;
+    if (Done)
+      At.simple(Call.Request_, Call.Job_,
+                Submit ? ReplyKind::Accepted : ReplyKind::Cancelled);
+    else
+      At.simple(Call.Request_, Call.Job_, ReplyKind::OutcomeUnknown,
+                Result.Outcome_.Reason_);
+    It = State.Calls_.erase(It);
+  }
+}
+
+void expireCalls(EntryState &State, core::TimePoint Now, EntryEffects &Out) {
+  const Step At{State, Now, Out};
+  if (storeIsStuck(State, Now))
+    refuseUnsent(At);
+  for (auto It = State.Calls_.begin(); It != State.Calls_.end();) {
+    WaitingCall &Call = It->second;
+    if (Now < Call.AnswerBy_) {
+      Out.Wake_ = std::min(Out.Wake_, Call.AnswerBy_);
+      ++It;
+      continue;
+    }
+    if (Call.Append_ == 0)
+      At.simple(Call.Request_, Call.Job_, ReplyKind::UnknownJob);
+    else if (store::takeBack(State.Own_, Call.Append_))
+      At.refuse(Call.Request_, Call.Job_, "the append was not sent in time");
+    else
+      At.simple(Call.Request_, Call.Job_, ReplyKind::OutcomeUnknown,
+                "the append has no certain end yet");
+    It = State.Calls_.erase(It);
+  }
+}
+
+void onJobRecord(EntryState &State, const std::string &Job) {
+  for (auto &[Token, Call] : State.Calls_)
+    if (Call.Job_ == Job && Call.Append_ == 0 &&
+        Call.Request_.Kind_ == CallKind::Cancel) {
+      Call.AnswerBy_ = Call.ArrivedAt_ + Call.Request_.Patience_ -
+                       State.Settings_.Policy_.AnswerMargin_;
+      Call.Append_ = append(State, Writer::Own, {jobs::JobCancelled{Job}});
+    }
+}
+
+} // namespace nutmegwell::site
--- /dev/null
+++ b/lib/site/src/entry.cpp
@@ -0,0 +1,136 @@
+#include "parts.h"
+#include <algorithm>
+
+namespace nutmegwell::site {
+
+namespace {
+
+/// Carries a message of an agent to the holder, or tells the agent who it is.
+void onAgent(EntryState &State, LinkId Link, const cell::AgentReport &Report,
+             core::TimePoint Now, jobs::WallTime Wall, EntryEffects &Out) {
+  if (State.Holder_) {
+    State.Agents_[Report.Host_] = Link;
+    cell::Effects Effects;
+    cell::onReport(*State.Holder_, Report, surroundingsOf(State, Now, Wall),
+                   Effects);
+    std::move(Effects.Decisions_.begin(), Effects.Decisions_.end(),
+              std::back_inserter(Out.Decisions_));
+    return;
+  }
+  cell::EntryInfo Info;
+  Info.Hosts_ = State.Hosts_;
+  Info.Term_ = State.View_.Term_;
+  auto Address = State.Hosts_.find(State.View_.Claim_.Host_);
+  if (State.View_.Claim_.Held_ && Address != State.Hosts_.end() &&
+      State.View_.Claim_.Host_ != State.Settings_.Host_)
+    Info.HolderAddress_ = Address->second;
+  Out.Sends_.emplace_back(Link, std::move(Info));
+}
+
+void runHolder(EntryState &State, core::TimePoint Now, jobs::WallTime Wall,
+               EntryEffects &Out) {
+  if (!State.Holder_)
+    return;
+  cell::Effects Effects;
+  cell::tick(*State.Holder_, surroundingsOf(State, Now, Wall), Effects);
+  Out.Wake_ = std::min(Out.Wake_, Effects.Wake_);
+  std::move(Effects.Decisions_.begin(), Effects.Decisions_.end(),
+            std::back_inserter(Out.Decisions_));
+  for (auto &[Host, Orders] : Effects.Orders_) {
+    auto Link = State.Agents_.find(Host);
+    if (Link != State.Agents_.end())
+      Out.Sends_.emplace_back(Link->second, std::move(Orders));
+  }
+  if (!Effects.Append_.empty())
+    State.HolderToken_ = append(State, Writer::Holder, Effects.Append_);
+}
+
+/// Records this host's address, so that others find it.
+void listSelf(EntryState &State) {
+  auto It = State.View_.EntryHosts_.find(State.Settings_.Host_);
+  const bool Known = It != State.View_.EntryHosts_.end() &&
+                     It->second == State.Settings_.Address_;
+  if (State.Listed_ || Known || !State.Cell_.Synced_)
+    return;
+  State.Listed_ = true;
+  append(
+      State, Writer::Own,
+      {jobs::EntryHostListed{State.Settings_.Host_, State.Settings_.Address_}});
+}
+
+} // namespace
+
+EntryState makeEntry(EntrySettings Settings, EntryCodec Codec,
+                     core::TimePoint Now) {
+  EntryState State;
+  State.Own_ = store::makeAppender(
+      Settings.Policy_.Append_,
+      Settings.Host_ + "-" + std::to_string(Settings.Process_), 0);
+  State.Hosts_[Settings.Host_] = Settings.Address_;
+  State.Settings_ = std::move(Settings);
+  State.Codec_ = std::move(Codec);
+  State.StartedAt_ = Now;
+  State.HolderHeard_ = Now;
+  State.NextBeat_ = Now;
+  return State;
+}
+
+cell::Surroundings surroundingsOf(const EntryState &State, core::TimePoint Now,
+                                  jobs::WallTime Wall) {
+  static const jobs::ServiceTables NoTables;
+  return {State.View_, State.Tables_ ? *State.Tables_ : NoTables,
+          State.DomainsOut_, Now, Wall};
+}
+
+void onMessage(EntryState &State, LinkId Link, const cell::PeerMessage &Message,
+               core::TimePoint Now, jobs::WallTime Wall, EntryEffects &Out) {
+  if (const auto *Beat = std::get_if<cell::EntryBeat>(&Message))
+    onBeat(State, Link, *Beat, Now, Out);
+  else if (const auto *Relay = std::get_if<cell::RelayedRecords>(&Message))
+    onRelay(State, *Relay, Now, Out);
+  else if (const auto *Ask = std::get_if<cell::AppendAsked>(&Message))
+    onAsk(State, Link, *Ask, Out);
+  else if (const auto *Answer = std::get_if<cell::AppendAnswered>(&Message))
+    onAnswer(State, *Answer, Now, Out);
+  else if (const auto *Report = std::get_if<cell::AgentReport>(&Message))
+    onAgent(State, Link, *Report, Now, Wall, Out);
+}
+
+void onLinkClosed(EntryState &State, LinkId Link) {
+  for (auto It = State.Agents_.begin(); It != State.Agents_.end(); ++It)
+    if (It->second == Link) {
+      if (State.Holder_)
+        cell::onAgentDisconnected(*State.Holder_, It->first);
+      State.Agents_.erase(It);
+      return;
+    }
+}
+
+void onStopAsked(EntryState &State, EntryEffects &Out) {
+  if (State.Stopping_)
+    return;
+  State.Stopping_ = true;
+  Out.Decisions_.push_back(
+      {"stop_asked", {{"calls", std::to_string(State.Calls_.size())}}});
+}
+
+void settle(EntryState &State, core::TimePoint Now, jobs::WallTime Wall,
+            EntryEffects &Out) {
+  listSelf(State);
+  holdElection(State, Now, Wall, Out);
+  runHolder(State, Now, Wall, Out);
+  expireCalls(State, Now, Out);
+  requestReads(State, Now, Out);
+  requestAppends(State, Now, Out);
+  sendBeats(State, Now, Out);
+}
+
+bool isReady(const EntryState &State) {
+  return State.Tables_ && State.Cell_.Synced_ && !State.Stopping_;
+}
+
+bool isDrained(const EntryState &State) {
+  return State.Stopping_ && State.Released_ && State.Calls_.empty();
+}
+
+} // namespace nutmegwell::site
--- /dev/null
+++ b/lib/site/src/streams.cpp
@@ -0,0 +1,250 @@
+#include "parts.h"
+#include <algorithm>
+
+namespace nutmegwell::site {
+
+namespace {
+
+const char *nameOf(store::Stream Which) {
+  return Which == store::Stream::Operator ? "operator" : "cell";
+}
+
+void applyOperator(EntryState &State, const store::KeyedRecord &Record,
+                   EntryEffects &Out) {
+  const absl::StatusOr<OperatorChange> Change =
+      State.Codec_.DecodeOperator_(Record);
+  if (!Change.ok()) {
+    Out.Decisions_.push_back({"operator_record_unreadable",
+                              {{"key", Record.Key_},
+                               {"offset", std::to_string(Record.Offset_)},
+                               {"error", core::describe(Change.status())}}});
+    return;
+  }
+  if (const auto *Tables = std::get_if<jobs::ServiceTables>(&*Change)) {
+    // A configuration never goes back within a process's life.
+    if (State.Tables_ && Tables->Version_ <= State.Tables_->Version_)
+      return;
+    State.Tables_ = *Tables;
+    Out.Decisions_.push_back({"tables_in_force",
+                              {{"version", std::to_string(Tables->Version_)},
+                               {"offset", std::to_string(Record.Offset_)}}});
+  } else if (const auto *Domain = std::get_if<DomainChange>(&*Change)) {
+    const bool Changed = Domain->Out_
+                             ? State.DomainsOut_.insert(Domain->Domain_).second
+                             : State.DomainsOut_.erase(Domain->Domain_) > 0;
+    if (Changed)
+      Out.Decisions_.push_back({Domain->Out_ ? "domain_out" : "domain_in",
+                                {{"domain", Domain->Domain_},
+                                 {"offset", std::to_string(Record.Offset_)}}});
+  }
+}
+
+/// Remembers the newest claim and the one before it.
+void noteClaim(EntryState &State, const jobs::CellClaimed &Before,
+               core::Term TermBefore, core::TimePoint Now, EntryEffects &Out) {
+  State.EarlierTerm_ = TermBefore;
+  State.EarlierReleased_ = !Before.Held_;
+  State.EarlierHost_ = Before.Host_;
+  State.EarlierProcess_ = Before.Process_;
+  State.HolderHeard_ = Now;
+  State.HolderEnded_ = false;
+  State.VacantSince_.reset();
+  const jobs::CellClaimed &Claim = State.View_.Claim_;
+  Out.Decisions_.push_back({Claim.Held_ ? "cell_claimed" : "cell_released",
+                            {{"host", Claim.Host_},
+                             {"term", std::to_string(State.View_.Term_)},
+                             {"earlier_host", Before.Host_},
+                             {"earlier_term", std::to_string(TermBefore)}}});
+}
+
+void applyCell(EntryState &State, const store::KeyedRecord &Record,
+               bool InOrder, core::TimePoint Now, EntryEffects &Out) {
+  absl::StatusOr<jobs::Record> Value =
+      State.Codec_.DecodeRecord_(Record.Value_);
+  if (!Value.ok()) {
+    Out.Decisions_.push_back({"record_unreadable",
+                              {{"key", Record.Key_},
+                               {"offset", std::to_string(Record.Offset_)},
+                               {"error", core::describe(Value.status())}}});
+    return;
+  }
+  const jobs::CellClaimed ClaimBefore = State.View_.Claim_;
+  const core::Term TermBefore = State.View_.Term_;
+  const jobs::StoredRecord Stored{Record.Offset_, *std::move(Value)};
+  if (InOrder)
+    jobs::apply(State.View_, Stored);
+  else
+    jobs::applyNewest(State.View_, Stored);
+  if (State.View_.Term_ != TermBefore)
+    noteClaim(State, ClaimBefore, TermBefore, Now, Out);
+  if (const auto *Job = std::get_if<jobs::JobAccepted>(&Stored.Value_)) {
+    State.Accepted_.erase(Job->Job_);
+    onJobRecord(State, Job->Job_);
+  }
+  for (const auto &[Host, Address] : State.View_.EntryHosts_)
+    State.Hosts_[Host] = Address;
+}
+
+void noteReadFailure(EntryState &State, StreamState &Stream,
+                     store::Stream Which, const absl::Status &Error,
+                     core::TimePoint Now, EntryEffects &Out) {
+  Stream.NextReadAt_ = Now + State.Settings_.Policy_.ReadPause_;
+  if (!Stream.Failing_)
+    Out.Decisions_.push_back({"store_lost",
+                              {{"stream", nameOf(Which)},
+                               {"next", std::to_string(Stream.Next_)},
+                               {"error", core::describe(Error)}}});
+  Stream.Failing_ = true;
+}
+
+void noteReadSuccess(StreamState &Stream, store::Stream Which,
+                     EntryEffects &Out) {
+  if (Stream.Failing_)
+    Out.Decisions_.push_back(
+        {"store_regained",
+         {{"stream", nameOf(Which)}, {"next", std::to_string(Stream.Next_)}}});
+  Stream.Failing_ = false;
+}
+
+} // namespace
+
+/// Drops the keys that the pages of newest records no longer name.
+void dropMissingKeys(EntryState &State, store::Stream Which,
+                     core::TimePoint Now, EntryEffects &Out) {
+  StreamState &Stream = streamOf(State, Which);
+  std::vector<store::KeyedRecord> Dropped;
+  for (const auto &[Key, Record] : Stream.Newest_)
+    if (!Stream.PageKeys_.count(Key) && !Record.Value_.empty() &&
+        Record.Offset_ < *Stream.PagesFrom_)
+      Dropped.push_back({Record.Offset_ + 1, Key, ""});
+  for (const store::KeyedRecord &Record : Dropped)
+    applyRecord(State, Which, Record, false, Now, Out);
+}
+
+StreamState &streamOf(EntryState &State, store::Stream Which) {
+  return Which == store::Stream::Operator ? State.Operator_ : State.Cell_;
+}
+
+void applyRecord(EntryState &State, store::Stream Which,
+                 const store::KeyedRecord &Record, bool InOrder,
+                 core::TimePoint Now, EntryEffects &Out) {
+  StreamState &Stream = streamOf(State, Which);
+  store::KeyedRecord &Kept = Stream.Newest_[Record.Key_];
+  if (!Kept.Key_.empty() && Kept.Offset_ >= Record.Offset_)
+    return;
+  Kept = Record;
+  if (Which == store::Stream::Operator)
+    applyOperator(State, Record, Out);
+  else if (!Record.Value_.empty())
+    applyCell(State, Record, InOrder, Now, Out);
+}
+
+void onRead(EntryState &State, store::Stream Which,
+            const absl::StatusOr<store::ReadPage> &Page, core::TimePoint Now,
+            EntryEffects &Out) {
+  StreamState &Stream = streamOf(State, Which);
+  Stream.ReadOpen_ = false;
+  if (!Page.ok()) {
+    if (absl::IsOutOfRange(Page.status())) {
+      // The records from here on are gone; the newest of each key are kept.
+      Stream.PagesFrom_.reset();
+      Stream.EverRead_ = false;
+      return;
+    }
+    noteReadFailure(State, Stream, Which, Page.status(), Now, Out);
+    return;
+  }
+  noteReadSuccess(Stream, Which, Out);
+  for (const store::KeyedRecord &Record : Page->Records_) {
+    // Records that a peer relayed meanwhile were applied before.
+    if (Record.Offset_ < Stream.Next_)
+      continue;
+    applyRecord(State, Which, Record, true, Now, Out);
+    Stream.Next_ = Record.Offset_ + 1;
+  }
+  if (Which == store::Stream::Cell)
+    State.View_.Next_ = std::max(State.View_.Next_, Stream.Next_);
+  if (Stream.Next_ < Page->End_)
+    return;
+  Stream.Synced_ = true;
+  Stream.GoodReadSentAt_ = Stream.ReadSentAt_;
+  if (Which == store::Stream::Cell && State.Holder_ &&
+      State.View_.Term_ == State.Holder_->Term_)
+    cell::onTenureConfirmed(*State.Holder_, Stream.ReadSentAt_);
+}
+
+void onNewest(EntryState &State, store::Stream Which,
+              const absl::StatusOr<store::NewestPage> &Page,
+              core::TimePoint Now, EntryEffects &Out) {
+  StreamState &Stream = streamOf(State, Which);
+  Stream.ReadOpen_ = false;
+  if (!Page.ok()) {
+    noteReadFailure(State, Stream, Which, Page.status(), Now, Out);
+    Stream.PagesFrom_.reset();
+    return;
+  }
+  noteReadSuccess(Stream, Which, Out);
+  // Pages are not a snapshot: reads go on from where the first page ended.
+  if (!Stream.PagesFrom_) {
+    Stream.PagesFrom_ = Page->End_;
+    Stream.PageKeys_.clear();
+  }
+  for (const store::KeyedRecord &Record : Page->Records_) {
+    Stream.PageKeys_.insert(Record.Key_);
+    applyRecord(State, Which, Record, false, Now, Out);
+  }
+  if (Page->HasMore_ && !Page->Records_.empty()) {
+    Stream.ReadOpen_ = true;
+    Stream.ReadSentAt_ = Now;
+    Out.Newests_.push_back({Which, Page->Records_.back().Key_});
+    return;
+  }
+  if (Which == store::Stream::Operator)
+    dropMissingKeys(State, Which, Now, Out);
+  Stream.Next_ = std::max(Stream.Next_, *Stream.PagesFrom_);
+  if (Which == store::Stream::Cell)
+    State.View_.Next_ = std::max(State.View_.Next_, Stream.Next_);
+  Stream.PagesFrom_.reset();
+  Stream.EverRead_ = true;
+}
+
+void requestReads(EntryState &State, core::TimePoint Now, EntryEffects &Out) {
+  for (store::Stream Which : {store::Stream::Operator, store::Stream::Cell}) {
+    StreamState &Stream = streamOf(State, Which);
+    if (Stream.ReadOpen_)
+      continue;
+    if (Now < Stream.NextReadAt_) {
+      Out.Wake_ = std::min(Out.Wake_, Stream.NextReadAt_);
+      continue;
+    }
+    Stream.ReadOpen_ = true;
+    Stream.ReadSentAt_ = Now;
+    if (Stream.EverRead_)
+      Out.Reads_.push_back({Which, Stream.Next_});
+    else
+      Out.Newests_.push_back({Which, ""});
+  }
+}
+
+void onRelay(EntryState &State, const cell::RelayedRecords &Relay,
+             core::TimePoint Now, EntryEffects &Out) {
+  StreamState &Stream = streamOf(State, Relay.Stream_);
+  if (Relay.From_ > Stream.Next_ || Relay.Next_ <= Stream.Next_)
+    return;
+  const core::Offset Before = Stream.Next_;
+  for (const store::KeyedRecord &Record : Relay.Records_)
+    applyRecord(State, Relay.Stream_, Record, false, Now, Out);
+  Stream.Next_ = Relay.Next_;
+  Stream.Synced_ = true;
+  Stream.EverRead_ = true;
+  if (Relay.Stream_ == store::Stream::Cell)
+    State.View_.Next_ = std::max(State.View_.Next_, Stream.Next_);
+  Out.Decisions_.push_back(
+      {"records_from_peer",
+       {{"stream", nameOf(Relay.Stream_)},
+        {"from", std::to_string(Before)},
+        {"next", std::to_string(Stream.Next_)},
+        {"records", std::to_string(Relay.Records_.size())}}});
+}
+
+} // namespace nutmegwell::site
--- /dev/null
+++ b/lib/site/src/writers.cpp
@@ -0,0 +1,173 @@
+#include "parts.h"
+#include <algorithm>
+
+namespace nutmegwell::site {
+
+namespace {
+
+store::Appender *writer(EntryState &State, Writer Which) {
+  if (Which == Writer::Own)
+    return &State.Own_;
+  return State.HolderWriter_ ? &*State.HolderWriter_ : nullptr;
+}
+
+/// Returns the addresses of peers that reach the store, as far as their beats
+/// tell.
+std::vector<std::string> relays(const EntryState &State, core::TimePoint Now) {
+  std::vector<std::string> Addresses;
+  for (const auto &[Host, Other] : State.Peers_)
+    if (isFresh(State, Other, Now) &&
+        Other.Beat_.StoreReadAgo_ < 2 * State.Settings_.Policy_.ReadTimeout_)
+      Addresses.push_back(Other.Address_);
+  return Addresses;
+}
+
+/// Returns the relay for a try, or an empty text for the own path. The own path
+/// goes first while it works; otherwise every third try goes over it.
+std::string pathOf(EntryState &State, unsigned Try, core::TimePoint Now) {
+  constexpr unsigned OwnPathEvery = 3;
+  const std::vector<std::string> Others = relays(State, Now);
+  const bool OwnTurn = State.StoreFailing_
+                           ? Try % OwnPathEvery == OwnPathEvery - 1
+                           : Try % 2 == 0;
+  if (Others.empty() || OwnTurn)
+    return {};
+  return Others[State.NextRelay_++ % Others.size()];
+}
+
+/// A late answer to an earlier ask must not be taken for the newest one's.
+void forgetAsks(EntryState &State, Writer Which) {
+  for (auto It = State.Asked_.begin(); It != State.Asked_.end();)
+    It = It->second == Which ? State.Asked_.erase(It) : std::next(It);
+}
+
+void applyResults(EntryState &State, Writer Which,
+                  const std::vector<store::AppendResult> &Results,
+                  core::TimePoint Now, EntryEffects &Out) {
+  for (const store::AppendResult &Result : Results) {
+    const bool Done = Result.Outcome_.Status_ == store::AppendStatus::Done;
+    if (!Done)
+      Out.Decisions_.push_back(
+          {"append_ended",
+           {{"token", std::to_string(Result.Token_)},
+            {"status", store::name(Result.Outcome_.Status_)},
+            {"reason", Result.Outcome_.Reason_}}});
+    if (Which == Writer::Own) {
+      endCalls(State, Result, Now, Out);
+      if (Result.Token_ == State.ClaimToken_)
+        State.ClaimToken_ = 0;
+      continue;
+    }
+    if (!State.Holder_ || Result.Token_ != State.HolderToken_)
+      continue;
+    if (Done) {
+      cell::onAppended(*State.Holder_,
+                       surroundingsOf(State, Now, jobs::WallTime()));
+      continue;
+    }
+    // Another holder has fenced this one.
+    State.Holder_.reset();
+    State.HolderWriter_.reset();
+    return;
+  }
+}
+
+void takeOutcome(EntryState &State, Writer Which,
+                 const store::AppendOutcome &Outcome, core::TimePoint Now,
+                 EntryEffects &Out) {
+  store::Appender *Appender = writer(State, Which);
+  if (!Appender || !Appender->CallOpen_)
+    return;
+  forgetAsks(State, Which);
+  const core::TimePoint SentAt = Appender->CallSince_;
+  if (Which == Writer::Holder && State.Holder_ &&
+      Outcome.Status_ == store::AppendStatus::Done)
+    cell::onTenureConfirmed(*State.Holder_, SentAt);
+  applyResults(State, Which, store::onOutcome(*Appender, Outcome, Now), Now,
+               Out);
+}
+
+} // namespace
+
+store::AppendToken append(EntryState &State, Writer Which,
+                          const std::vector<jobs::Record> &Records) {
+  const store::AppendToken Token = State.NextToken_++;
+  std::vector<store::KeyedRecord> Encoded;
+  for (const jobs::Record &Record : Records)
+    Encoded.push_back(
+        {0, jobs::keyOf(Record), State.Codec_.EncodeRecord_(Record)});
+  if (store::Appender *Appender = writer(State, Which))
+    store::enqueue(*Appender, Token, std::move(Encoded));
+  return Token;
+}
+
+void requestAppends(EntryState &State, core::TimePoint Now, EntryEffects &Out) {
+  for (Writer Which : {Writer::Own, Writer::Holder}) {
+    store::Appender *Appender = writer(State, Which);
+    if (!Appender)
+      continue;
+    const core::TimePoint GivenUp =
+        Appender->CallSince_ + 2 * Appender->Policy_.CallTimeout_;
+    if (Appender->CallOpen_ && Now >= GivenUp)
+      // A relay that does not answer may have made the append.
+      takeOutcome(State, Which,
+                  {store::AppendStatus::Unknown, 0, 0, "no answer"}, Now, Out);
+    Appender = writer(State, Which);
+    if (!Appender)
+      continue;
+    if (auto Try = store::nextTry(*Appender, Now)) {
+      const std::string Relay = pathOf(State, Try->Try_, Now);
+      if (Relay.empty()) {
+        Out.Appends_.push_back({Which, std::move(Try->Request_)});
+      } else {
+        const std::uint64_t Id = State.NextAsk_++;
+        forgetAsks(State, Which);
+        State.Asked_[Id] = Which;
+        Out.SendsTo_.emplace_back(
+            Relay, cell::AppendAsked{Id, std::move(Try->Request_)});
+      }
+    }
+    if (Appender->CallOpen_)
+      Out.Wake_ = std::min(Out.Wake_, Appender->CallSince_ +
+                                          2 * Appender->Policy_.CallTimeout_);
+    else if (auto At = store::nextTryAt(*Appender))
+      Out.Wake_ = std::min(Out.Wake_, std::max(*At, Now));
+  }
+}
+
+void onAppend(EntryState &State, const std::variant<Writer, RelayedAppend> &For,
+              const store::AppendOutcome &Outcome, core::TimePoint Now,
+              EntryEffects &Out) {
+  if (const auto *Relayed = std::get_if<RelayedAppend>(&For)) {
+    Out.Sends_.emplace_back(Relayed->Link_,
+                            cell::AppendAnswered{Relayed->Id_, Outcome});
+    return;
+  }
+  const bool Failed = Outcome.Status_ == store::AppendStatus::NotDone ||
+                      Outcome.Status_ == store::AppendStatus::Unknown;
+  if (Failed != State.StoreFailing_)
+    Out.Decisions_.push_back(
+        {Failed ? "append_path_lost" : "append_path_regained",
+         {{"status", store::name(Outcome.Status_)},
+          {"reason", Outcome.Reason_}}});
+  State.StoreFailing_ = Failed;
+  takeOutcome(State, std::get<Writer>(For), Outcome, Now, Out);
+}
+
+void onAsk(EntryState &State, LinkId Link, const cell::AppendAsked &Ask,
+           EntryEffects &Out) {
+  (void)State;
+  Out.Appends_.push_back({RelayedAppend{Link, Ask.Id_}, Ask.Request_});
+}
+
+void onAnswer(EntryState &State, const cell::AppendAnswered &Answer,
+              core::TimePoint Now, EntryEffects &Out) {
+  auto It = State.Asked_.find(Answer.Id_);
+  if (It == State.Asked_.end())
+    return;
+  const Writer Which = It->second;
+  State.Asked_.erase(It);
+  takeOutcome(State, Which, Answer.Outcome_, Now, Out);
+}
+
+} // namespace nutmegwell::site
--- /dev/null
+++ b/lib/sitehost/src/agentrole.cpp
@@ -0,0 +1,209 @@
+#include "common.h"
+#include "control.h"
+#include "logwriter.h"
+#include "nutmegwell/aio/link.h"
+#include "nutmegwell/sitehost/roles.h"
+#include "nutmegwell/wire/cellbinary.h"
+#include <csignal>
+
+namespace nutmegwell::sitehost {
+
+std::unique_ptr<aio::HttpServer>
+serveMetrics(aio::Loop &Owner, const settings::Settings &Values,
+             const metrics::Registry &All) {
+  if (!Values.has("metrics-listen"))
+    return nullptr;
+  return std::make_unique<aio::HttpServer>(
+      Owner, addressOf(Values.address("metrics-listen")), aio::ServerLimits(),
+      [&All](net::HttpRequest, aio::Responder Respond) {
+        net::HttpResponse Response;
+        Response.ContentType_ = "text/plain";
+        Response.Body_ = All.render(core::steadyClock().Now_());
+        Respond(std::move(Response));
+      });
+}
+
+namespace {
+
+site::AgentSettings agentSettings(const settings::Settings &Values) {
+  site::AgentSettings Result;
+  Result.Host_ = Values.text("node");
+  Result.FailureDomain_ = Values.text("domain");
+  Result.Process_ = newIncarnation();
+  Result.Seeds_ = texts(Values.addresses("seeds"));
+  Result.Policy_.MaxHold_ = Values.duration("max-hold");
+  return Result;
+}
+
+/// The sockets and threads of an agent.
+class AgentHost {
+public:
+  AgentHost(const settings::Settings &Values, const SettingsReader &Reread,
+            const std::function<AgentPorts(aio::Loop &)> &MakePorts)
+      : Values_(Values), Reread_(Reread),
+        Log_(static_cast<std::size_t>(Values.count("log-queue")), All_),
+        Ports_(MakePorts(Loop_)),
+        Links_(Loop_, aio::LinkLimits(), linkHandlers()),
+        State_(site::makeAgent(agentSettings(Values), Clock_.Now_())),
+        Control_(
+            Clock_,
+            [this](core::TimePoint Now, site::AgentEffects &Out) {
+              site::settle(State_, Now, Out);
+            },
+            [this](site::AgentEffects Out) { hand(std::move(Out)); }) {}
+
+  int run() {
+    Notices_ = std::make_unique<aio::HttpServer>(
+        Loop_, addressOf(Values_.address("worker-listen")), aio::ServerLimits(),
+        [this](net::HttpRequest Request, aio::Responder Respond) {
+          onNotice(Request, Respond);
+        });
+    Metrics_ = serveMetrics(Loop_, Values_, All_);
+    Loop_.onSignals({SIGTERM, SIGINT, SIGHUP},
+                    [this](int Signal) { onSignal(Signal); });
+    Log_.write({{"started",
+                 {{"role", "site-agent"},
+                  {"host", Values_.text("node")},
+                  {"process", std::to_string(State_.Settings_.Process_)}}}});
+    Control_.start();
+    Loop_.run();
+    Control_.stop();
+    Log_.write({{"stopped", {{"host", Values_.text("node")}}}});
+    return 0;
+  }
+
+private:
+  using Effects = site::AgentEffects;
+
+  aio::LinkHandlers linkHandlers() {
+    // A link that was left for another says nothing any more.
+    return {[this](aio::LinkId Link) {
+              if (Link != Link_)
+                return;
+              Control_.post([this, Link](core::TimePoint Now, Effects &Out) {
+                site::onLinkOpened(State_, Link, Now, Out);
+              });
+            },
+            [this](aio::LinkId Link, std::string Frame) {
+              onFrame(Link, std::move(Frame));
+            },
+            [this](aio::LinkId Link) {
+              if (Link != Link_)
+                return;
+              Control_.post([this, Link](core::TimePoint Now, Effects &Out) {
+                site::onAgentLinkClosed(State_, Link, Now, Out);
+              });
+            }};
+  }
+
+  void onFrame(aio::LinkId Link, std::string Frame) {
+    auto Message = wire::decodePeerMessage(Frame);
+    if (!Message.ok()) {
+      All_.counter("nutmegwell_frames_malformed_total",
+                   "Frames dropped as malformed")
+          .add();
+      return Links_.close(Link);
+    }
+    Control_.post([this, Link, Message = *std::move(Message)](
+                      core::TimePoint Now, Effects &Out) {
+      site::onAgentMessage(State_, Link, Message, Now, Out);
+    });
+  }
+
+  /// The answer acknowledges the notice, so it waits until the control thread
+  /// has taken it.
+  void onNotice(const net::HttpRequest &Request, const aio::Responder &Respond) {
+    WorkerNotice Notice = Ports_.DecodeNotice_(Request);
+    net::HttpResponse Answer = Ports_.AnswerNotice_(Notice);
+    Control_.post([this, Notice = std::move(Notice), Answer = std::move(Answer),
+                   Respond](core::TimePoint Now, Effects &Out) {
+      if (const auto *Alive = std::get_if<site::Announcement>(&Notice))
+        site::onAnnounced(State_, *Alive, Now, Out);
+      else if (const auto *Left = std::get_if<std::string>(&Notice))
+        site::onWorkerLeft(State_, *Left, Out);
+      else
+        Out.Decisions_.push_back(
+            {"notice_unreadable",
+             {{"error", core::describe(std::get<absl::Status>(Notice))}}});
+      Respond(Answer);
+    });
+  }
+
+  void hand(Effects Out) {
+    Log_.write(std::move(Out.Decisions_));
+    if (Out.Calls_.empty() && Out.Sends_.empty() && !Out.Dial_)
+      return;
+    auto Shared = std::make_shared<Effects>(std::move(Out));
+    Loop_.post([this, Shared] { carryOut(*Shared); });
+  }
+
+  void carryOut(Effects &Out) {
+    for (const cell::PeerMessage &Message : Out.Sends_)
+      Links_.send(Link_, wire::encode(Message));
+    for (site::WorkerCall &Call : Out.Calls_)
+      Ports_.CallWorker_(std::move(Call), [this](site::WorkerAnswer Answer) {
+        Control_.post([this, Answer = std::move(Answer)](core::TimePoint Now,
+                                                         Effects &Out) {
+          site::onWorkerAnswer(State_, Answer, Now, Out);
+        });
+      });
+    if (Out.Dial_)
+      dial(*Out.Dial_);
+  }
+
+  void dial(const std::string &Address) {
+    net::Address Peer;
+    if (!net::parseAddress(Address, Peer))
+      return;
+    const aio::LinkId Before = Link_;
+    Link_ = Links_.dial(Peer);
+    if (Before != 0)
+      Links_.close(Before);
+  }
+
+  void onSignal(int Signal) {
+    if (Signal == SIGHUP)
+      return reload();
+    Loop_.stop();
+  }
+
+  void reload() {
+    absl::StatusOr<settings::Settings> Fresh = Reread_();
+    if (!Fresh.ok()) {
+      Log_.write(
+          {{"reload_failed", {{"error", core::describe(Fresh.status())}}}});
+      return;
+    }
+    const std::vector<std::string> Seeds = texts(Fresh->addresses("seeds"));
+    Control_.post([this, Seeds](core::TimePoint, Effects &Out) {
+      State_.Settings_.Seeds_ = Seeds;
+      Out.Decisions_.push_back(
+          {"reloaded", {{"seeds", std::to_string(Seeds.size())}}});
+    });
+  }
+
+  const settings::Settings &Values_;
+  SettingsReader Reread_;
+  core::Clock Clock_ = core::bootClock();
+  metrics::Registry All_;
+  LogWriter Log_;
+  aio::Loop Loop_;
+  AgentPorts Ports_;
+  // Traffic thread.
+  aio::Links Links_;
+  std::unique_ptr<aio::HttpServer> Notices_;
+  std::unique_ptr<aio::HttpServer> Metrics_;
+  aio::LinkId Link_ = 0;
+  // Control thread.
+  site::AgentState State_;
+  ControlThread<Effects> Control_;
+};
+
+} // namespace
+
+int runAgent(const settings::Settings &Values, const SettingsReader &Reread,
+             const std::function<AgentPorts(aio::Loop &)> &MakePorts) {
+  return AgentHost(Values, Reread, MakePorts).run();
+}
+
+} // namespace nutmegwell::sitehost
--- /dev/null
+++ b/lib/sitehost/src/common.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "nutmegwell/aio/httpserver.h"
+#include "nutmegwell/cell/peers.h"
+#include "nutmegwell/core/random.h"
+#include "nutmegwell/metrics/registry.h"
+#include "nutmegwell/settings/settings.h"
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace nutmegwell::sitehost {
+
+inline net::Address addressOf(const settings::HostPort &Value) {
+  return {Value.Ip_, Value.Port_};
+}
+
+inline std::vector<std::string>
+texts(const std::vector<settings::HostPort> &Values) {
+  std::vector<std::string> Result;
+  for (const settings::HostPort &Value : Values)
+    Result.push_back(settings::toString(Value));
+  return Result;
+}
+
+inline jobs::WallTime wallNow() {
+  return std::chrono::time_point_cast<core::Duration>(
+      std::chrono::system_clock::now());
+}
+
+/// Returns a number that tells this run of the process from others.
+inline core::Incarnation newIncarnation() {
+  return core::systemRandom().Next_() | 1;
+}
+
+/// Serves /metrics when the setting names an address.
+std::unique_ptr<aio::HttpServer>
+serveMetrics(aio::Loop &Owner, const settings::Settings &Values,
+             const metrics::Registry &All);
+
+} // namespace nutmegwell::sitehost
--- /dev/null
+++ b/lib/sitehost/src/sitesettings.cpp
@@ -0,0 +1,60 @@
+#include "nutmegwell/sitehost/roles.h"
+
+namespace nutmegwell::sitehost {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+settings::SettingsSpec siteSettings() {
+  settings::SettingsSpecBuilder Builder(
+      "nutmegwelld", "Runs a role of nutmegwell on the users' platform.");
+  Builder
+      .choice("role", {"site-entry", "site-agent"}, "",
+              "site-entry: takes jobs from callers and places them; site-agent: "
+              "runs beside a worker")
+      .required()
+      .text("node", "", "name of this host, unique in the site")
+      .required()
+      .text("domain", "", "failure domain of this host")
+      .required()
+      .listenAddress("callers-listen", "address for callers")
+      .requiredWhen("role", "site-entry")
+      .listenAddress("ready-listen", "address that tells whether callers "
+                                     "should be sent here")
+      .requiredWhen("role", "site-entry")
+      .listenAddress("peers-listen", "address for entry hosts and agents")
+      .requiredWhen("role", "site-entry")
+      .listenAddress("worker-listen",
+                     "address at which the worker announces itself")
+      .requiredWhen("role", "site-agent")
+      .address("worker-address", "address of the worker on this host")
+      .requiredWhen("role", "site-agent")
+      .listenAddress("metrics-listen", "address of /metrics, none when not set")
+      .addressList("seeds", "peer addresses of some entry hosts")
+      .address("store-address", "address of the platform's store")
+      .requiredWhen("role", "site-entry")
+      .address("approval-address", "address of the approval service, none when "
+                                   "not set");
+  Builder
+      .duration("max-hold", seconds(6), milliseconds(500), minutes(10),
+                "longest task lease that a worker accepts")
+      .duration("gang-timeout", seconds(3), milliseconds(100), minutes(10),
+                "time for which a member of a gang waits for the others")
+      .duration("early-start", milliseconds(250), milliseconds(0), minutes(1),
+                "how long before its due time an occurrence may start")
+      .duration("stop-grace", seconds(6), milliseconds(500), minutes(10),
+                "time between the signal to stop and the kill")
+      .count("remote-penalty", 3, 1, 1000,
+             "how many times as long a task takes away from its data")
+      .choice("log-format", {"text", "json"}, "json", "form of log lines")
+      .choice("log-level", {"error", "warning", "info"}, "info",
+              "least level that is logged")
+      .count("log-queue", 2000, 10, 1000000,
+             "lines that wait for a slow reader of the log; more are counted "
+             "and dropped")
+      .unit("lines");
+  return Builder.build();
+}
+
+} // namespace nutmegwell::sitehost
--- /dev/null
+++ b/lib/store/src/appender.cpp
@@ -0,0 +1,145 @@
+#include "nutmegwell/store/appender.h"
+#include <algorithm>
+
+namespace nutmegwell::store {
+
+namespace {
+
+void formBatch(Appender &State, core::TimePoint Now) {
+  AppendRequest Batch;
+  Batch.Producer_ = State.Producer_;
+  Batch.Epoch_ = State.Epoch_;
+  Batch.Sequence_ = State.NextSequence_;
+  while (!State.Waiting_.empty()) {
+    Appender::Pending &First = State.Waiting_.front();
+    if (!Batch.Records_.empty() &&
+        Batch.Records_.size() + First.Records_.size() >
+            State.Policy_.MaxRecords_)
+      break;
+    State.Tokens_.push_back(First.Token_);
+    std::move(First.Records_.begin(), First.Records_.end(),
+              std::back_inserter(Batch.Records_));
+    State.Waiting_.pop_front();
+  }
+  State.Batch_ = std::move(Batch);
+  State.BatchSince_ = Now;
+  State.RetryAt_ = Now;
+  State.Tries_ = 0;
+}
+
+void endBatch(Appender &State) {
+  State.Batch_.reset();
+  State.Tokens_.clear();
+}
+
+} // namespace
+
+const char *name(AppendStatus Status) {
+  switch (Status) {
+  case AppendStatus::Done:
+    return "done";
+  case AppendStatus::NotDone:
+    return "not done";
+  case AppendStatus::Unknown:
+    return "unknown";
+  case AppendStatus::Fenced:
+    return "fenced";
+  case AppendStatus::OutOfSequence:
+    return "out of sequence";
+  }
+  return "unknown";
+}
+
+Appender makeAppender(const AppendPolicy &Policy, std::string Producer,
+                      std::uint64_t Epoch) {
+  Appender State;
+  State.Policy_ = Policy;
+  State.Producer_ = std::move(Producer);
+  State.Epoch_ = Epoch;
+  return State;
+}
+
+void enqueue(Appender &State, AppendToken Token,
+             std::vector<KeyedRecord> Records) {
+  State.Waiting_.push_back({Token, std::move(Records)});
+}
+
+std::optional<AppendTry> nextTry(Appender &State, core::TimePoint Now) {
+  if (State.CallOpen_)
+    return std::nullopt;
+  if (!State.Batch_) {
+    if (State.Waiting_.empty())
+      return std::nullopt;
+    formBatch(State, Now);
+  }
+  if (Now < State.RetryAt_)
+    return std::nullopt;
+  State.CallOpen_ = true;
+  State.CallSince_ = Now;
+  return AppendTry{*State.Batch_, State.Tries_++};
+}
+
+std::vector<AppendResult>
+onOutcome(Appender &State, const AppendOutcome &Outcome, core::TimePoint Now) {
+  State.CallOpen_ = false;
+  if (!State.Batch_)
+    return {};
+  std::vector<AppendResult> Ended;
+  auto EndAll = [&] {
+    for (AppendToken Token : State.Tokens_)
+      Ended.push_back({Token, Outcome});
+    endBatch(State);
+  };
+  switch (Outcome.Status_) {
+  case AppendStatus::Done:
+    ++State.NextSequence_;
+    EndAll();
+    break;
+  case AppendStatus::Fenced:
+    EndAll();
+    break;
+  case AppendStatus::OutOfSequence:
+    // The store has already seen this sequence of this writer, so the batch was
+    // carried out and its answer is too old to be repeated.
+    if (Outcome.Expected_ == State.NextSequence_ + 1) {
+      ++State.NextSequence_;
+      EndAll();
+      for (AppendResult &Result : Ended)
+        Result.Outcome_.Status_ = AppendStatus::Done;
+      break;
+    }
+    EndAll();
+    break;
+  case AppendStatus::Unknown:
+  case AppendStatus::NotDone:
+    State.RetryAt_ = Now + State.Policy_.RetryPause_;
+    break;
+  }
+  return Ended;
+}
+
+bool takeBack(Appender &State, AppendToken Token) {
+  auto It =
+      std::find_if(State.Waiting_.begin(), State.Waiting_.end(),
+                   [&](const auto &Entry) { return Entry.Token_ == Token; });
+  if (It == State.Waiting_.end())
+    return false;
+  State.Waiting_.erase(It);
+  return true;
+}
+
+core::Duration stuckFor(const Appender &State, core::TimePoint Now) {
+  return State.Batch_ ? Now - State.BatchSince_ : core::Duration(0);
+}
+
+std::optional<core::TimePoint> nextTryAt(const Appender &State) {
+  if (State.CallOpen_)
+    return std::nullopt;
+  if (State.Batch_)
+    return State.RetryAt_;
+  if (!State.Waiting_.empty())
+    return core::TimePoint::min();
+  return std::nullopt;
+}
+
+} // namespace nutmegwell::store
--- /dev/null
+++ b/lib/wire/src/cellbinary.cpp
@@ -0,0 +1,24 @@
+#include "nutmegwell/wire/cellbinary.h"
+
+#include "cellfields.h"
+#include "envelope.h"
+
+namespace nutmegwell::wire {
+
+std::string encode(const jobs::Record &Value) {
+  return encodeAs(Kind::CellRecord, Value);
+}
+
+std::string encode(const cell::PeerMessage &Value) {
+  return encodeAs(Kind::PeerMessage, Value);
+}
+
+absl::StatusOr<jobs::Record> decodeRecord(std::string_view Bytes) {
+  return decodeAs<jobs::Record>(Kind::CellRecord, Bytes);
+}
+
+absl::StatusOr<cell::PeerMessage> decodePeerMessage(std::string_view Bytes) {
+  return decodeAs<cell::PeerMessage>(Kind::PeerMessage, Bytes);
+}
+
+} // namespace nutmegwell::wire
--- /dev/null
+++ b/lib/wire/src/cellfields.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "archive.h"
+#include "nutmegwell/cell/peers.h"
+#include "nutmegwell/jobs/records.h"
+#include <cereal/types/optional.hpp>
+
+/// The order of the fields of every encoded struct of a cell.
+namespace nutmegwell::wire {
+
+/// Encodes an enumeration as one byte and refuses values above \p Last.
+template <class A, class Enum>
+void enumerator(A &Fields, Enum &Value, Enum Last) {
+  auto Byte = static_cast<std::uint8_t>(Value);
+  Fields(Byte);
+  if (Byte > static_cast<std::uint8_t>(Last))
+    throw std::runtime_error("unknown enumerator");
+  Value = static_cast<Enum>(Byte);
+}
+
+} // namespace nutmegwell::wire
+
+namespace nutmegwell::jobs {
+
+template <class A> void serialize(A &Fields, Resources &V) {
+  Fields(V.Cpu_, V.MemoryMb_, V.Accelerators_);
+}
+
+template <class A> void serialize(A &Fields, StepSpec &V) {
+  Fields(V.Count_, V.Each_, V.Estimate_, V.After_, V.Checkpoints_, V.Gang_,
+         V.SameRack_, V.RequiredLabel_, V.DataRack_, V.SpreadLimit_,
+         V.Speculative_, V.Lasting_, V.Image_, V.TargetLatency_, V.Filling_,
+         V.MayMiss_);
+}
+
+template <class A> void serialize(A &Fields, JobSpec &V) {
+  Fields(V.Command_, V.Steps_, V.Repetitions_, V.FirstDue_, V.Interval_);
+}
+
+template <class A> void serialize(A &Fields, TaskId &V) {
+  Fields(V.Job_, V.Occurrence_, V.Step_, V.Index_);
+}
+
+template <class A> void serialize(A &Fields, TaskProgress &V) {
+  Fields(V.Done_, V.Failures_, V.FailedRun_, V.Checkpoint_);
+}
+
+template <class A> void serialize(A &Fields, StepProgress &V) {
+  Fields(V.Tasks_);
+}
+
+template <class A> void serialize(A &Fields, JobProgress &V) {
+  wire::enumerator(Fields, V.State_, JobState::Cancelled);
+  Fields(V.Occurrences_);
+}
+
+template <class A> void serialize(A &Fields, JobAccepted &V) {
+  Fields(V.Job_, V.Queue_, V.Service_, V.Account_, V.Priority_, V.MaxAttempts_,
+         V.Submitted_, V.Spec_);
+}
+
+template <class A> void serialize(A &Fields, JobCancelled &V) {
+  Fields(V.Job_);
+}
+
+template <class A> void serialize(A &Fields, JobProgressed &V) {
+  Fields(V.Job_, V.Progress_);
+}
+
+template <class A> void serialize(A &Fields, CellClaimed &V) {
+  Fields(V.Host_, V.Process_, V.Held_);
+}
+
+template <class A> void serialize(A &Fields, WorkerListed &V) {
+  Fields(V.Host_, V.FailureDomain_, V.Listed_);
+}
+
+template <class A> void serialize(A &Fields, EntryHostListed &V) {
+  Fields(V.Host_, V.Address_);
+}
+
+} // namespace nutmegwell::jobs
+
+namespace nutmegwell::store {
+
+template <class A> void serialize(A &Fields, KeyedRecord &V) {
+  Fields(V.Offset_, V.Key_, V.Value_);
+}
+
+template <class A> void serialize(A &Fields, AppendRequest &V) {
+  Fields(V.Producer_, V.Epoch_, V.Sequence_, V.Records_);
+}
+
+template <class A> void serialize(A &Fields, AppendOutcome &V) {
+  wire::enumerator(Fields, V.Status_, AppendStatus::OutOfSequence);
+  Fields(V.Offset_, V.Expected_, V.Reason_);
+}
+
+} // namespace nutmegwell::store
+
+namespace nutmegwell::cell {
+
+template <class A> void serialize(A &Fields, RunId &V) {
+  Fields(V.Task_, V.Run_);
+}
+
+template <class A> void serialize(A &Fields, WorkerInfo &V) {
+  Fields(V.Id_, V.Born_, V.Service_, V.FailureDomain_, V.Draining_,
+         V.DrainRemaining_, V.Capacity_, V.Labels_, V.Rack_);
+}
+
+template <class A> void serialize(A &Fields, RunningTask &V) {
+  Fields(V.Id_, V.Checkpoint_, V.Percent_, V.Usage_);
+}
+
+template <class A> void serialize(A &Fields, EndedTask &V) {
+  Fields(V.Number_, V.Id_);
+  wire::enumerator(Fields, V.Kind_, EndKind::Alone);
+  Fields(V.Checkpoint_);
+}
+
+template <class A> void serialize(A &Fields, RefusedStart &V) {
+  Fields(V.Id_);
+  wire::enumerator(Fields, V.Kind_, RefusalKind::OtherIncarnation);
+}
+
+template <class A> void serialize(A &Fields, AgentReport &V) {
+  Fields(V.Host_, V.Process_, V.Sequence_, V.Term_, V.Worker_, V.Processed_,
+         V.Running_, V.Ended_, V.Pending_, V.Refused_);
+}
+
+template <class A> void serialize(A &Fields, StartOrder &V) {
+  Fields(V.Id_, V.Command_, V.Checkpoint_, V.Ticket_);
+}
+
+template <class A> void serialize(A &Fields, PaceOrder &V) {
+  Fields(V.Id_, V.Percent_);
+}
+
+template <class A> void serialize(A &Fields, HolderOrders &V) {
+  Fields(V.Term_, V.Sequence_, V.Answers_, V.Grant_, V.Born_, V.SeenUpTo_,
+         V.Starts_, V.Stops_, V.Paces_);
+}
+
+template <class A> void serialize(A &Fields, EntryBeat &V) {
+  Fields(V.Host_, V.Address_, V.Process_, V.Sequence_, V.Echo_, V.Stopping_,
+         V.Term_, V.IsHolder_, V.HolderHeardAgo_, V.OperatorNext_, V.CellNext_,
+         V.StoreReadAgo_, V.Hosts_);
+}
+
+template <class A> void serialize(A &Fields, RelayedRecords &V) {
+  wire::enumerator(Fields, V.Stream_, store::Stream::Cell);
+  Fields(V.From_, V.Next_, V.Records_);
+}
+
+template <class A> void serialize(A &Fields, AppendAsked &V) {
+  Fields(V.Id_, V.Request_);
+}
+
+template <class A> void serialize(A &Fields, AppendAnswered &V) {
+  Fields(V.Id_, V.Outcome_);
+}
+
+template <class A> void serialize(A &Fields, EntryInfo &V) {
+  Fields(V.Hosts_, V.HolderAddress_, V.Term_);
+}
+
+} // namespace nutmegwell::cell
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 Packages=(python3 cmake ninja-build pkg-config g++ ccache clang-format clang-tidy
   libcxxtools-dev libcereal-dev libboost-dev libeasyloggingpp-dev libabsl-dev
-  libcppunit-dev librapidcheck-dev libbenchmark-dev)
+  libcppunit-dev nlohmann-json3-dev librapidcheck-dev libbenchmark-dev)
 Missing=()
 for Package in "${Packages[@]}"; do
   dpkg -s "$Package" >/dev/null 2>&1 || Missing+=("$Package")
