Settle a start only by a list of a later millisecond

Cause: the worker's clock is read in whole milliseconds. A list that was made before a start, in the millisecond of its answer, counted as showing the run, so the holder took the run for missing and started the task again. Ruled out: lost answers (start_unanswered is absent in the five logs) and takeovers (one holder throughout in four of them). Test: site-agent-test, listOfTheSameMillisecondDoesNotSettleAStart, failed before the change.

--- a/lib/site/include/nutmegwell/site/agent.h
+++ b/lib/site/include/nutmegwell/site/agent.h
@@ -141,7 +141,8 @@
   struct Pending {
     WorkerTime Deadline_{0};
     bool Answered_ = false;
-    /// Clock reading from which a list shows the run.
+    /// Clock reading after which a list shows the run. One of the same
+    /// millisecond may have been made before the start.
     WorkerTime ShownFrom_{0};
   };
   std::map<cell::RunId, Pending> Pending_;
--- a/lib/site/src/agentworker.cpp
+++ b/lib/site/src/agentworker.cpp
@@ -17,7 +17,7 @@
       std::chrono::duration_cast<WorkerTime>(Policy.LateMargin_);
   for (auto It = State.Pending_.begin(); It != State.Pending_.end();) {
     const AgentState::Pending &Start = It->second;
-    const bool Shown = Start.Answered_ && State.ListedAt_ >= Start.ShownFrom_;
+    const bool Shown = Start.Answered_ && State.ListedAt_ > Start.ShownFrom_;
     const bool Over = State.ListedAt_ > Start.Deadline_ + Margin;
     const bool Listed =
         std::any_of(State.Running_.begin(), State.Running_.end(),
--- /dev/null
+++ b/lib/site/tests/agenttest.cpp
@@ -0,0 +1,222 @@
+#include "nutmegwell/site/agent.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace nutmegwell;
+using namespace nutmegwell::site;
+using namespace std::chrono_literals;
+
+/// An agent whose worker and entry host are played by the test.
+class AgentTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AgentTest);
+  CPPUNIT_TEST(listOfTheSameMillisecondDoesNotSettleAStart);
+  CPPUNIT_TEST(laterListSettlesAStart);
+  CPPUNIT_TEST(drainingWorkerGetsNoStart);
+  CPPUNIT_TEST(lateOrderIsNotStarted);
+  CPPUNIT_TEST(unansweredStartStaysPendingUntilItsDeadline);
+  CPPUNIT_TEST(ordersOfAnOldTermAreIgnored);
+  CPPUNIT_TEST(leaseFollowsTheReportThatIsAnswered);
+  CPPUNIT_TEST(newIncarnationForgetsTheOldOne);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr core::Term Term = 7;
+  static constexpr std::uint64_t Link = 1;
+
+  AgentState State_;
+  core::TimePoint Now_{1000s};
+  /// Newest call of each kind and the newest report.
+  std::optional<WorkerCall> Look_;
+  std::optional<WorkerCall> Start_;
+  std::optional<cell::AgentReport> Report_;
+  std::uint64_t OrderSequence_ = 0;
+
+  void collect(AgentEffects Out) {
+    settle(State_, Now_, Out);
+    for (WorkerCall &Call : Out.Calls_) {
+      if (std::holds_alternative<LookCall>(Call.Body_))
+        Look_ = Call;
+      if (std::holds_alternative<StartCall>(Call.Body_))
+        Start_ = Call;
+    }
+    for (cell::PeerMessage &Message : Out.Sends_)
+      if (auto *Report = std::get_if<cell::AgentReport>(&Message))
+        Report_ = *Report;
+  }
+
+  void announce(bool Draining, std::uint64_t Sequence, std::int64_t Born = 1) {
+    Announcement Value;
+    Value.Info_.Id_ = "worker-" + std::to_string(Born);
+    Value.Info_.Born_ = Born;
+    Value.Info_.Service_ = "service";
+    Value.Info_.Draining_ = Draining;
+    Value.Clock_ = 100ms;
+    Value.Sequence_ = Sequence;
+    AgentEffects Out;
+    onAnnounced(State_, Value, Now_, Out);
+    collect(std::move(Out));
+  }
+
+  void answerLook(WorkerTime Clock, WorkerLists Lists = {}) {
+    WorkerAnswer Answer;
+    Answer.Id_ = Look_->Id_;
+    Answer.Answered_ = true;
+    Answer.Clock_ = Clock;
+    Answer.Lists_ = std::move(Lists);
+    Look_.reset();
+    AgentEffects Out;
+    onWorkerAnswer(State_, Answer, Now_, Out);
+    collect(std::move(Out));
+  }
+
+  void answerStart(bool Answered, WorkerTime Clock) {
+    WorkerAnswer Answer;
+    Answer.Id_ = Start_->Id_;
+    Answer.Answered_ = Answered;
+    if (Answered)
+      Answer.Clock_ = Clock;
+    AgentEffects Out;
+    onWorkerAnswer(State_, Answer, Now_, Out);
+    collect(std::move(Out));
+  }
+
+  cell::HolderOrders orders(std::uint64_t Answers, core::Term Of = Term) {
+    cell::HolderOrders Orders;
+    Orders.Term_ = Of;
+    Orders.Sequence_ = ++OrderSequence_;
+    Orders.Answers_ = Answers;
+    Orders.Grant_ = true;
+    Orders.Born_ = 1;
+    return Orders;
+  }
+
+  void give(const cell::HolderOrders &Orders) {
+    AgentEffects Out;
+    onAgentMessage(State_, Link, Orders, Now_, Out);
+    collect(std::move(Out));
+  }
+
+  static cell::RunId run() { return {{"job", 0, 0, 0}, 70}; }
+
+  void giveStart(std::uint64_t Answers) {
+    cell::HolderOrders Orders = orders(Answers);
+    Orders.Starts_.push_back({run(), "command", "", ""});
+    give(Orders);
+  }
+
+  /// Connects and lets the worker obey the term.
+  void connect() {
+    AgentSettings Settings;
+    Settings.Host_ = "w1";
+    Settings.Seeds_ = {"10.0.0.1:7000"};
+    State_ = makeAgent(Settings, Now_);
+    AgentEffects Out;
+    settle(State_, Now_, Out);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:7000"), *Out.Dial_);
+    AgentEffects Opened;
+    onLinkOpened(State_, Link, Now_, Opened);
+    collect(std::move(Opened));
+    announce(false, 1);
+    give(orders(Report_->Sequence_));
+    answerLook(101ms);
+    CPPUNIT_ASSERT_EQUAL(Term, Report_->Term_);
+  }
+
+public:
+  /// Guards against a run taken for missing: a list that was made before the
+  /// start, in the same millisecond, does not show it.
+  void listOfTheSameMillisecondDoesNotSettleAStart() {
+    connect();
+    giveStart(Report_->Sequence_);
+    Look_.reset();
+    answerStart(true, 150ms);
+    if (!Look_) {
+      Now_ += 1s;
+      collect({});
+    }
+    answerLook(150ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), State_.Pending_.size());
+  }
+
+  /// Guards against starts that stay pending for ever.
+  void laterListSettlesAStart() {
+    connect();
+    giveStart(Report_->Sequence_);
+    answerStart(true, 150ms);
+    Now_ += 1s;
+    collect({});
+    WorkerLists Lists;
+    Lists.Running_.push_back({run(), "", 0, 0});
+    answerLook(151ms, Lists);
+    CPPUNIT_ASSERT(State_.Pending_.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Report_->Running_.size());
+  }
+
+  /// Guards against a start after the acknowledgement of a draining worker.
+  void drainingWorkerGetsNoStart() {
+    connect();
+    announce(true, 2);
+    giveStart(Report_->Sequence_);
+    CPPUNIT_ASSERT(!Start_);
+    CPPUNIT_ASSERT(Report_->Refused_.at(0).Kind_ ==
+                   cell::RefusalKind::Draining);
+  }
+
+  /// Guards against a start on an order that was held up on its way.
+  void lateOrderIsNotStarted() {
+    connect();
+    const std::uint64_t Answered = Report_->Sequence_;
+    Now_ += 1501ms;
+    giveStart(Answered);
+    CPPUNIT_ASSERT(!Start_);
+    CPPUNIT_ASSERT(Report_->Refused_.at(0).Kind_ == cell::RefusalKind::Late);
+  }
+
+  /// Guards against two runs: a start without an answer may still be carried
+  /// out until its deadline on the worker's clock.
+  void unansweredStartStaysPendingUntilItsDeadline() {
+    connect();
+    giveStart(Report_->Sequence_);
+    const WorkerTime Deadline = std::get<StartCall>(Start_->Body_).Deadline_;
+    answerStart(false, 0ms);
+    Now_ += 1s;
+    collect({});
+    answerLook(Deadline);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), State_.Pending_.size());
+    Now_ += 1s;
+    collect({});
+    answerLook(Deadline + 151ms);
+    CPPUNIT_ASSERT(State_.Pending_.empty());
+  }
+
+  /// Guards against an earlier holder that has not noticed its successor.
+  void ordersOfAnOldTermAreIgnored() {
+    connect();
+    cell::HolderOrders Orders = orders(Report_->Sequence_, Term - 1);
+    Orders.Starts_.push_back({run(), "command", "", ""});
+    give(Orders);
+    CPPUNIT_ASSERT(!Start_);
+  }
+
+  /// Guards against leases that outlast the holder's tenure: a grant counts
+  /// from when the report was sent that it answers, not from its arrival.
+  void leaseFollowsTheReportThatIsAnswered() {
+    connect();
+    const core::TimePoint Sent = Now_;
+    const std::uint64_t Answered = Report_->Sequence_;
+    Now_ += 1s;
+    give(orders(Answered));
+    CPPUNIT_ASSERT(State_.GrantEnds_ == Sent + 6s);
+  }
+
+  /// Guards against runs of a worker's earlier life in a report.
+  void newIncarnationForgetsTheOldOne() {
+    connect();
+    giveStart(Report_->Sequence_);
+    announce(false, 1, 2);
+    CPPUNIT_ASSERT(State_.Pending_.empty());
+    CPPUNIT_ASSERT_EQUAL(core::Term(0), Report_->Term_);
+    announce(false, 5, 1);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(2), State_.Worker_->Born_);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AgentTest);
--- a/lib/sitehost/include/nutmegwell/sitehost/ports.h
+++ b/lib/sitehost/include/nutmegwell/sitehost/ports.h
@@ -30,8 +30,7 @@
 
 /// What an agent needs of the platform's formats and calls.
 struct AgentPorts {
-  std::function<void(site::WorkerCall,
-                     std::function<void(site::WorkerAnswer)>)>
+  std::function<void(site::WorkerCall, std::function<void(site::WorkerAnswer)>)>
       CallWorker_;
   std::function<WorkerNotice(const net::HttpRequest &)> DecodeNotice_;
   /// Returns the answer to a notice.
--- a/lib/sitehost/src/agentrole.cpp
+++ b/lib/sitehost/src/agentrole.cpp
@@ -8,9 +8,9 @@
 
 namespace nutmegwell::sitehost {
 
-std::unique_ptr<aio::HttpServer>
-serveMetrics(aio::Loop &Owner, const settings::Settings &Values,
-             const metrics::Registry &All) {
+std::unique_ptr<aio::HttpServer> serveMetrics(aio::Loop &Owner,
+                                              const settings::Settings &Values,
+                                              const metrics::Registry &All) {
   if (!Values.has("metrics-listen"))
     return nullptr;
   return std::make_unique<aio::HttpServer>(
@@ -112,7 +112,8 @@
 
   /// The answer acknowledges the notice, so it waits until the control thread
   /// has taken it.
-  void onNotice(const net::HttpRequest &Request, const aio::Responder &Respond) {
+  void onNotice(const net::HttpRequest &Request,
+                const aio::Responder &Respond) {
     WorkerNotice Notice = Ports_.DecodeNotice_(Request);
     net::HttpResponse Answer = Ports_.AnswerNotice_(Notice);
     Control_.post([this, Notice = std::move(Notice), Answer = std::move(Answer),
--- a/lib/sitehost/src/common.h
+++ b/lib/sitehost/src/common.h
@@ -34,8 +34,8 @@
 }
 
 /// Serves /metrics when the setting names an address.
-std::unique_ptr<aio::HttpServer>
-serveMetrics(aio::Loop &Owner, const settings::Settings &Values,
-             const metrics::Registry &All);
+std::unique_ptr<aio::HttpServer> serveMetrics(aio::Loop &Owner,
+                                              const settings::Settings &Values,
+                                              const metrics::Registry &All);
 
 } // namespace nutmegwell::sitehost
--- a/lib/sitehost/src/control.h
+++ b/lib/sitehost/src/control.h
@@ -58,7 +58,8 @@
 
   /// Returns \p When, a time of the control clock, on the clock of waits.
   core::TimePoint steadyTime(core::TimePoint When) const {
-    /// Longest wait, so that a suspended host looks again soon after it resumes.
+    /// Longest wait, so that a suspended host looks again soon after it
+    /// resumes.
     constexpr core::Duration LongestWait = std::chrono::milliseconds(500);
     const core::Duration Left = When - Clock_.Now_();
     return core::steadyClock().Now_() + std::min(Left, LongestWait);
--- a/lib/sitehost/src/entryrole.cpp
+++ b/lib/sitehost/src/entryrole.cpp
@@ -174,10 +174,10 @@
     Ports_.Store_.Append_(
         std::move(Call.Request_), State_.Settings_.Policy_.Append_.CallTimeout_,
         [this, For = Call.For_](store::AppendOutcome Outcome) {
-          Control_.post([this, For, Outcome](core::TimePoint Now,
-                                             Effects &Out) {
-            site::onAppend(State_, For, Outcome, Now, Out);
-          });
+          Control_.post(
+              [this, For, Outcome](core::TimePoint Now, Effects &Out) {
+                site::onAppend(State_, For, Outcome, Now, Out);
+              });
         });
   }
 
@@ -208,7 +208,8 @@
     if (Signal == SIGHUP)
       return reload();
     if (Stopping_) {
-      Log_.write({{"stopped_at_once", {{"in_flight", std::to_string(Callers_->inFlight())}}}});
+      Log_.write({{"stopped_at_once",
+                   {{"in_flight", std::to_string(Callers_->inFlight())}}}});
       return Loop_.stop();
     }
     Stopping_ = true;
--- a/lib/sitehost/src/sitesettings.cpp
+++ b/lib/sitehost/src/sitesettings.cpp
@@ -10,9 +10,10 @@
   settings::SettingsSpecBuilder Builder(
       "nutmegwelld", "Runs a role of nutmegwell on the users' platform.");
   Builder
-      .choice("role", {"site-entry", "site-agent"}, "",
-              "site-entry: takes jobs from callers and places them; site-agent: "
-              "runs beside a worker")
+      .choice(
+          "role", {"site-entry", "site-agent"}, "",
+          "site-entry: takes jobs from callers and places them; site-agent: "
+          "runs beside a worker")
       .required()
       .text("node", "", "name of this host, unique in the site")
       .required()
