--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -42,8 +42,6 @@
   /// A failed task waits this long before its next attempt, so that the news of
   /// a failing worker can spread.
   core::Duration RetryPause_ = std::chrono::milliseconds(100);
-  /// Work that urgent work may throw away, as a multiple of its own.
-  double PreemptionRatio_ = 1;
   /// How many times as long a task takes away from its data or across racks.
   double RemotePenalty_ = 3;
   /// A due occurrence starts this much after its time, because clocks of hosts
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -196,8 +196,6 @@
     const std::vector<Victim> Candidates = candidatesFor(Work, Groups);
     const std::vector<std::size_t> Chosen =
         chooseVictims(Request, Rooms, Candidates);
-    if (!worthTheLoss(Work, Candidates, Chosen))
-      return;
     for (std::size_t I : Chosen) {
       for (const RunId &Id : Groups[I])
         stopAttempt(State_, State_.Attempts_.at(Id),
@@ -210,31 +208,6 @@
       reserve(Work, Request, Rooms);
   }
 
-  /// A guarantee is always reclaimed. Other urgent work stops running work only
-  /// while it can still be on time, and only when that throws away less than it
-  /// does itself; in a burst each urgent job would otherwise stop the same work
-  /// again.
-  bool worthTheLoss(const Unit &Work, const std::vector<Victim> &Candidates,
-                    const std::vector<std::size_t> &Chosen) const {
-    if (Work.Guaranteed_)
-      return true;
-    if (Work.Slack_ < core::Duration(0))
-      return false;
-    double Loss = 0;
-    for (std::size_t I : Chosen)
-      Loss += Candidates[I].Loss_;
-    const double Gain =
-        coresOf(usesOf(Work.spec())) * Work.Count_ *
-        std::chrono::duration<double>(Work.spec().Estimate_).count();
-    return Loss <= Gain * State_.Policy_.PreemptionRatio_;
-  }
-
-  static double coresOf(const jobs::Resources &Uses) {
-    constexpr double MilliPerCore = 1000;
-    return static_cast<double>(Uses.Cpu_) / MilliPerCore +
-           CoresPerAccelerator * static_cast<double>(Uses.Accelerators_);
-  }
-
   void giveBack(const Attempt &Run, const Unit &Work,
                 std::vector<Room> &Rooms) {
     auto It = Index_.find(Run.Host_);
@@ -291,7 +264,9 @@
     const double Unsaved =
         Run.Percent_ > 0 ? (Run.Percent_ - Run.SavedPercent_) / Run.Percent_
                          : 1;
-    return Seconds * Unsaved * coresOf(Run.Uses_);
+    return Seconds * Unsaved *
+           (static_cast<double>(Run.Uses_.Cpu_) / 1000 +
+            CoresPerAccelerator * static_cast<double>(Run.Uses_.Accelerators_));
   }
 
   Holder &State_;
