End the runs of a worker that its agent cannot hear

Ruled out: preemption (such a job is never tried again while a member has a run) and the store (view and tables were current). Change: a report says whether the worker answers; such a worker gets no grant, no start, and its runs end with its lease. The lease is not extended by looks whose answers are missing. Tests: runsOfAWorkerThatItsAgentCannotHearAreStartedElsewhere, leaseOfASilentWorkerIsNotExtended; both failed before.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -86,6 +86,8 @@
   bool Connected_ = false;
   /// The worker obeys this term, so its lists are complete.
   bool Synced_ = false;
+  /// The worker answers its agent.
+  bool Heard_ = true;
   /// The record that tasks may run here is durable.
   bool Listed_ = false;
   core::Incarnation Process_ = 0;
--- a/lib/cell/include/nutmegwell/cell/messages.h
+++ b/lib/cell/include/nutmegwell/cell/messages.h
@@ -103,6 +103,8 @@
   core::Term Term_ = 0;
   /// Absent while no worker has announced itself.
   std::optional<WorkerInfo> Worker_;
+  /// False while the worker does not answer its agent; the lists are old then.
+  bool WorkerHeard_ = true;
   /// Orders up to this number have been carried out or are in Pending_.
   std::uint64_t Processed_ = 0;
   std::vector<RunningTask> Running_;
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -249,6 +249,13 @@
   Host.OrdersDue_ = true;
   noteLives(State, Host, Report, Around.Now_, Out);
   Host.LastReportSequence_ = Report.Sequence_;
+  if (Host.Heard_ != Report.WorkerHeard_)
+    Out.Decisions_.push_back(
+        {Report.WorkerHeard_ ? "worker_heard" : "worker_unheard",
+         {{"host", Host.Host_}}});
+  Host.Heard_ = Report.WorkerHeard_;
+  if (!Host.Heard_)
+    return;
   if (Report.Term_ != State.Term_ || !Report.Worker_)
     return;
   if (!Host.Synced_) {
--- a/lib/cell/src/orders.cpp
+++ b/lib/cell/src/orders.cpp
@@ -72,7 +72,9 @@
     Orders.Term_ = State.Term_;
     Orders.Sequence_ = Host.NextOrder_++;
     Orders.Answers_ = Host.LastReportSequence_;
-    Orders.Grant_ = Grant;
+    // Whether a silent worker got an extension is not known, so that its lease
+    // has to end.
+    Orders.Grant_ = Grant && Host.Heard_;
     Orders.Born_ = Host.Info_ ? Host.Info_->Born_ : 0;
     Orders.SeenUpTo_ = Host.EndsDurable_;
     Orders.Starts_ = std::move(Host.Starts_);
@@ -80,7 +82,7 @@
     Host.Starts_.clear();
     Host.Stops_.clear();
     Host.OrdersDue_ = false;
-    if (Grant)
+    if (Orders.Grant_)
       Host.LeaseEnds_ = leaseBound(State.Policy_, Now);
     Out.Orders_.emplace_back(Name, std::move(Orders));
   }
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -38,7 +38,7 @@
 private:
   bool usable(const Worker &Host) const {
     if (!Host.Connected_ || !Host.Synced_ || !Host.Listed_ || !Host.Info_ ||
-        Host.Stray_ || Host.Info_->Draining_)
+        !Host.Heard_ || Host.Stray_ || Host.Info_->Draining_)
       return false;
     if (Around_.Now_ - Host.LastReport_ > State_.Policy_.SilentAfter_)
       return false;
--- a/lib/cell/src/workers.cpp
+++ b/lib/cell/src/workers.cpp
@@ -62,8 +62,8 @@
 
 void expireLeases(Holder &State, const Surroundings &Around, Effects &Out) {
   for (auto &[Name, Host] : State.Workers_) {
-    const bool Silent =
-        Around.Now_ - Host.LastReport_ > State.Policy_.SilentAfter_;
+    const bool Silent = !Host.Heard_ || Around.Now_ - Host.LastReport_ >
+                                            State.Policy_.SilentAfter_;
     if (!Silent || !Host.Synced_ || Around.Now_ < Host.LeaseEnds_)
       continue;
     Host.Synced_ = false;
@@ -92,8 +92,9 @@
   std::vector<RunId> Stalled;
   for (const auto &[Id, Run] : State.Attempts_) {
     const Worker &Host = State.Workers_[Run.Host_];
-    const bool Heard = Host.Connected_ && Around.Now_ - Host.LastReport_ <=
-                                              State.Policy_.SilentAfter_;
+    const bool Heard =
+        Host.Connected_ && Host.Heard_ &&
+        Around.Now_ - Host.LastReport_ <= State.Policy_.SilentAfter_;
     if (Run.State_ != AttemptState::Running || Run.Lasting_ || !Heard)
       continue;
     auto Job = Around.View_.Jobs_.find(Id.Task_.Job_);
--- a/lib/cell/tests/holdertest.cpp
+++ b/lib/cell/tests/holdertest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(endIsAcknowledgedOnlyWhenDurable);
   CPPUNIT_TEST(stalledRunIsStopped);
   CPPUNIT_TEST(finishedMemberThatWaitsIsNotStalled);
+  CPPUNIT_TEST(runsOfAWorkerThatItsAgentCannotHearAreStartedElsewhere);
   CPPUNIT_TEST(domainOutGetsNoStart);
   CPPUNIT_TEST(occurrencesWaitForTheirTime);
   CPPUNIT_TEST_SUITE_END();
@@ -172,6 +173,24 @@
     CPPUNIT_ASSERT(!Cell.decided("run_stalled"));
   }
 
+  /// Guards against jobs that wait for ever: a worker can be gone while its
+  /// agent goes on reporting.
+  void runsOfAWorkerThatItsAgentCannotHearAreStartedElsewhere() {
+    FakeCell Cell;
+    start(Cell, 2);
+    Cell.accept("j", oneStep(1, {1000, 1000, 1}));
+    Cell.step();
+    const RunId First = Cell.runsOf("j")[0];
+    const std::string Host = Cell.hostOf(First);
+    Cell.Agents_[Host].WorkerHeard_ = false;
+    Cell.run(5s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("j").size());
+    Cell.run(2s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Cell.runsOf("j").size());
+    CPPUNIT_ASSERT(Cell.hostOf(Cell.runsOf("j")[1]) != Host);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Cell.View_.Workers_.count(Host));
+  }
+
   void domainOutGetsNoStart() {
     FakeCell Cell;
     Cell.addWorker("w0", "r0", "a");
--- a/lib/site/src/agent.cpp
+++ b/lib/site/src/agent.cpp
@@ -63,6 +63,7 @@
   Report.Sequence_ = State.NextReport_++;
   Report.Term_ = State.SyncedTerm_;
   Report.Worker_ = State.Worker_;
+  Report.WorkerHeard_ = !State.WorkerFailing_;
   Report.Processed_ = State.Processed_;
   Report.Running_ = State.Running_;
   for (const cell::EndedTask &End : State.Ended_)
--- a/lib/site/src/agentworker.cpp
+++ b/lib/site/src/agentworker.cpp
@@ -123,6 +123,7 @@
   State.SyncedTerm_ = 0;
   State.Calls_.clear();
   State.OpenLook_ = 0;
+  State.WorkerFailing_ = false;
 }
 
 void onAnnounced(AgentState &State, const Announcement &Value,
@@ -176,6 +177,7 @@
   }
   if (Look && Answer.Answered_ == State.WorkerFailing_) {
     State.WorkerFailing_ = !Answer.Answered_;
+    State.News_ = true;
     Out.Decisions_.push_back(
         {Answer.Answered_ ? "worker_regained" : "worker_lost",
          {{"worker", Call.Worker_}, {"error", Answer.Error_}}});
@@ -205,7 +207,7 @@
   LookCall Look;
   Look.Term_ = State.Term_;
   Look.SeenUpTo_ = State.SeenUpTo_;
-  if (State.Granted_ && State.GrantEnds_ > Now)
+  if (State.Granted_ && State.GrantEnds_ > Now && !State.WorkerFailing_)
     Look.LeaseUntil_ = workerClockAt(State, State.GrantEnds_);
   // The worker answers at once while it lists ends that are not acknowledged.
   const bool Unacknowledged =
--- a/lib/site/tests/agenttest.cpp
+++ b/lib/site/tests/agenttest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(unansweredStartStaysPendingUntilItsDeadline);
   CPPUNIT_TEST(ordersOfAnOldTermAreIgnored);
   CPPUNIT_TEST(leaseFollowsTheReportThatIsAnswered);
+  CPPUNIT_TEST(leaseOfASilentWorkerIsNotExtended);
   CPPUNIT_TEST(newIncarnationForgetsTheOldOne);
   CPPUNIT_TEST_SUITE_END();
 
@@ -207,6 +208,27 @@
     CPPUNIT_ASSERT(State_.GrantEnds_ == Sent + 6s);
   }
 
+  /// Guards against leases without an end: whether a look without an answer
+  /// arrived is not known, so the next ones must not extend them.
+  void leaseOfASilentWorkerIsNotExtended() {
+    connect();
+    Now_ += 1s;
+    collect({});
+    CPPUNIT_ASSERT(std::get<LookCall>(Look_->Body_).LeaseUntil_);
+    WorkerAnswer Lost;
+    Lost.Id_ = Look_->Id_;
+    Look_.reset();
+    AgentEffects Out;
+    onWorkerAnswer(State_, Lost, Now_, Out);
+    collect(std::move(Out));
+    CPPUNIT_ASSERT(!Report_->WorkerHeard_);
+    Now_ += 200ms;
+    collect({});
+    CPPUNIT_ASSERT(!std::get<LookCall>(Look_->Body_).LeaseUntil_);
+    answerLook(2000ms);
+    CPPUNIT_ASSERT(Report_->WorkerHeard_);
+  }
+
   /// Guards against runs of a worker's earlier life in a report.
   void newIncarnationForgetsTheOldOne() {
     connect();
