Bound what a new holder waits for by the earlier holders' last grants

Ruled out: the workers' leases (their hosts were gone) and the read path (the claim was read within 15 ms). Change: earlier holders are kept with the time of their last possible grant; a record tells when none is left; beats name workers that are void but still listed; a worker that was given up is listed again before its next start; no second claim while one is unread; tenure validity 6 s. Tests: newHolderWaitsForWorkersThatItCannotHear, voidWorkerHoldsNothingBack, givenUpWorkerIsListedAgainBeforeItsNextStart.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -18,8 +18,9 @@
   /// Longest lease that a worker accepts.
   core::Duration MaxHold_ = std::chrono::seconds(6);
   /// Time for which a store call confirms that no other host holds the cell.
-  /// Longer than the store's outages, which last up to 9 s in the site files.
-  core::Duration TenureValidity_ = std::chrono::seconds(12);
+  /// Longer than the store's usual outages, which last up to 4.5 s in the site
+  /// files; in a longer one running work goes on for MaxHold_ more.
+  core::Duration TenureValidity_ = std::chrono::seconds(6);
   /// Rate of the slowest worker clock; the platform allows 2%.
   double SlowestClock_ = 0.98;
   /// Added to bounds that compare two hosts' clocks: a round trip and a late
@@ -131,7 +132,10 @@
   HolderPolicy Policy_;
   core::Term Term_ = 0;
   core::Offset ClaimedAt_ = 0;
+  core::TimePoint BegunAt_{};
   core::TimePoint TenureConfirmed_{};
+  /// The record that no earlier grant is left was collected.
+  bool SettledAsked_ = false;
   std::uint64_t RunCounter_ = 0;
 
   AttemptMap Attempts_;
@@ -169,15 +173,20 @@
   core::TimePoint Wake_ = core::TimePoint::max();
 };
 
-/// Starts a tenure with the claim at \p ClaimedAt. \p Earlier is the state of
-/// the claim that it replaces: its term is 0 for none, and its holder gave no
-/// grants after \p EarlierEnded when that is known.
+/// Starts a tenure with the claim at \p ClaimedAt. Earlier holders give no
+/// grants after \p GrantsEnd; nothing without an earlier holder. On the workers
+/// \p VoidWorkers nothing of theirs can run.
 Holder beginTenure(const HolderPolicy &Policy, core::Offset ClaimedAt,
-                   core::Term Earlier, bool EarlierReleased,
+                   std::optional<core::TimePoint> GrantsEnd,
+                   const std::set<std::string> &VoidWorkers,
                    const Surroundings &Around);
 
-/// Notes that the process that held the cell before has ended at \p Now.
-void onEarlierHolderEnded(Holder &State, core::TimePoint Now);
+/// Notes that earlier holders give no grants after \p GrantsEnd.
+void limitEarlierGrants(Holder &State, core::TimePoint GrantsEnd);
+
+/// Returns the listed workers on which certainly nothing runs, although that
+/// is not durable yet.
+std::vector<std::string> voidWorkers(const Holder &State);
 
 /// Takes a report of an agent.
 void onReport(Holder &State, const AgentReport &Report,
--- a/lib/cell/include/nutmegwell/cell/peers.h
+++ b/lib/cell/include/nutmegwell/cell/peers.h
@@ -32,6 +32,9 @@
   core::Duration StoreReadAgo_{0};
   /// Address by entry host.
   std::map<std::string, std::string> Hosts_;
+  /// Of a holder: listed workers on which nothing can run as of CellNext_. It
+  /// starts nothing there before it has listed them anew.
+  std::vector<std::string> VoidWorkers_;
 };
 
 /// Newest records of the keys that changed from an offset on.
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -214,28 +214,39 @@
 }
 
 Holder beginTenure(const HolderPolicy &Policy, core::Offset ClaimedAt,
-                   core::Term Earlier, bool EarlierReleased,
+                   std::optional<core::TimePoint> GrantsEnd,
+                   const std::set<std::string> &VoidWorkers,
                    const Surroundings &Around) {
   Holder State;
   State.Policy_ = Policy;
   State.Term_ = ClaimedAt + 1;
   State.ClaimedAt_ = ClaimedAt;
+  State.BegunAt_ = Around.Now_;
   State.TenureConfirmed_ = Around.Now_;
-  if (Earlier == 0)
-    return State;
-  const core::TimePoint GrantsEnd =
-      EarlierReleased ? Around.Now_ : Around.Now_ + Policy.TenureValidity_;
-  for (const auto &[Name, Row] : Around.View_.Workers_)
-    State.Unheard_[Name] = leaseBound(Policy, GrantsEnd);
+  for (const auto &[Name, Row] : Around.View_.Workers_) {
+    if (VoidWorkers.count(Name))
+      State.Listing_[Name] = false;
+    else if (GrantsEnd)
+      State.Unheard_[Name] = leaseBound(Policy, *GrantsEnd);
+  }
   return State;
 }
 
-void onEarlierHolderEnded(Holder &State, core::TimePoint Now) {
-  const core::TimePoint Bound = leaseBound(State.Policy_, Now);
+void limitEarlierGrants(Holder &State, core::TimePoint GrantsEnd) {
+  const core::TimePoint Bound = leaseBound(State.Policy_, GrantsEnd);
   for (auto &[Name, Until] : State.Unheard_)
     Until = std::min(Until, Bound);
 }
 
+std::vector<std::string> voidWorkers(const Holder &State) {
+  std::vector<std::string> Names;
+  for (const auto *Listing : {&State.Listing_, &State.ListingInFlight_})
+    for (const auto &[Name, Wanted] : *Listing)
+      if (!Wanted)
+        Names.push_back(Name);
+  return Names;
+}
+
 void onReport(Holder &State, const AgentReport &Report,
               const Surroundings &Around, Effects &Out) {
   Worker &Host = State.Workers_[Report.Host_];
@@ -263,7 +274,11 @@
     // An earlier holder may have granted up to a moment ago.
     Host.LeaseEnds_ = leaseBound(State.Policy_, Around.Now_);
     State.Unheard_.erase(Host.Host_);
-    Host.Listed_ = Around.View_.Workers_.count(Host.Host_) > 0;
+    // A worker that was given up is listed anew before its next start, even if
+    // the record of that is still on its way.
+    const std::vector<std::string> Void = voidWorkers(State);
+    Host.Listed_ = Around.View_.Workers_.count(Host.Host_) > 0 &&
+                   std::count(Void.begin(), Void.end(), Host.Host_) == 0;
     if (!Host.Listed_)
       State.Listing_[Host.Host_] = true;
   }
--- a/lib/cell/src/orders.cpp
+++ b/lib/cell/src/orders.cpp
@@ -127,6 +127,11 @@
       Out.Append_.push_back(jobs::JobProgressed{Job, It->second.Progress_});
   }
   State.Dirty_.clear();
+  if (!State.SettledAsked_ &&
+      Around.Now_ >= State.BegunAt_ + State.Policy_.TenureValidity_) {
+    State.SettledAsked_ = true;
+    Out.Append_.push_back(jobs::TenureSettled{State.Term_});
+  }
   if (Out.Append_.empty()) {
     for (auto &[Name, Host] : State.Workers_)
       acknowledgeEnds(Host, Host.EndsHandled_);
--- a/lib/cell/src/workers.cpp
+++ b/lib/cell/src/workers.cpp
@@ -73,8 +73,9 @@
         Lost.push_back(It);
     for (auto It : Lost)
       dropAttempt(State, It, "the worker's lease has ended unheard", Out);
-    if (Host.Listed_)
+    if (Host.Listed_ || State.Listing_.count(Name))
       State.Listing_[Name] = false;
+    Host.Listed_ = false;
   }
   for (auto It = State.Unheard_.begin(); It != State.Unheard_.end();) {
     if (Around.Now_ < It->second) {
--- a/lib/cell/tests/fakecell.cpp
+++ b/lib/cell/tests/fakecell.cpp
@@ -24,10 +24,11 @@
   return {View_, Tables_, DomainsOut_, Now_, Wall_};
 }
 
-void FakeCell::claim(core::Term Earlier, bool Released) {
+void FakeCell::claim(std::optional<core::TimePoint> GrantsEnd,
+                     const std::set<std::string> &VoidWorkers) {
   const core::Offset At = View_.Next_;
   jobs::apply(View_, {At, jobs::CellClaimed{"me", 1, true}});
-  Holder_ = beginTenure(HolderPolicy(), At, Earlier, Released, around());
+  Holder_ = beginTenure(HolderPolicy(), At, GrantsEnd, VoidWorkers, around());
 }
 
 void FakeCell::addWorker(const std::string &Host, const std::string &Rack,
--- a/lib/cell/tests/fakecell.h
+++ b/lib/cell/tests/fakecell.h
@@ -29,7 +29,8 @@
   Surroundings around() const;
 
   /// Begins the tenure with the next offset as the claim.
-  void claim(core::Term Earlier = 0, bool Released = false);
+  void claim(std::optional<core::TimePoint> GrantsEnd = std::nullopt,
+             const std::set<std::string> &VoidWorkers = {});
 
   /// Adds a worker with 64 cores, 128 GB and 8 accelerators.
   void addWorker(const std::string &Host, const std::string &Rack,
--- a/lib/cell/tests/holdertest.cpp
+++ b/lib/cell/tests/holdertest.cpp
@@ -17,6 +17,10 @@
   CPPUNIT_TEST(stalledRunIsStopped);
   CPPUNIT_TEST(finishedMemberThatWaitsIsNotStalled);
   CPPUNIT_TEST(runsOfAWorkerThatItsAgentCannotHearAreStartedElsewhere);
+  CPPUNIT_TEST(newHolderWaitsForWorkersThatItCannotHear);
+  CPPUNIT_TEST(newHolderTakesOverWhatRuns);
+  CPPUNIT_TEST(voidWorkerHoldsNothingBack);
+  CPPUNIT_TEST(givenUpWorkerIsListedAgainBeforeItsNextStart);
   CPPUNIT_TEST(domainOutGetsNoStart);
   CPPUNIT_TEST(occurrencesWaitForTheirTime);
   CPPUNIT_TEST_SUITE_END();
@@ -191,6 +195,75 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), Cell.View_.Workers_.count(Host));
   }
 
+  /// Lists "lost", which no agent speaks for, and a job from before the claim.
+  static void prepareTakeover(FakeCell &Cell) {
+    Cell.addWorker("w0", "r0");
+    for (const char *Host : {"w0", "lost"})
+      jobs::apply(Cell.View_,
+                  {Cell.View_.Next_, jobs::WorkerListed{Host, "a", true}});
+    Cell.accept("old", oneStep(1, {1000, 1000, 1}));
+  }
+
+  /// Guards against a second run on a worker that a new holder cannot hear. The
+  /// bound is max hold 6 s by a clock that is 2% slow, and 0.2 s.
+  void newHolderWaitsForWorkersThatItCannotHear() {
+    FakeCell Cell;
+    prepareTakeover(Cell);
+    Cell.claim(Cell.Now_);
+    Cell.accept("new", oneStep(1, {1000, 1000, 1}));
+    Cell.run(300ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("new").size());
+    Cell.run(6000ms);
+    CPPUNIT_ASSERT(Cell.runsOf("old").empty());
+    Cell.run(200ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("old").size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Cell.View_.Workers_.count("lost"));
+  }
+
+  /// Guards against work thrown away when the holder changes.
+  void newHolderTakesOverWhatRuns() {
+    FakeCell Cell;
+    start(Cell, 1);
+    Cell.accept("j", oneStep(1, {1000, 1000, 1}));
+    Cell.step();
+    const RunId First = Cell.runsOf("j")[0];
+    Cell.claim(Cell.Now_);
+    Cell.run(1s);
+    CPPUNIT_ASSERT(Cell.runsOf("j") == std::vector<RunId>{First});
+    Cell.end(First, EndKind::Done);
+    Cell.run(200ms);
+    CPPUNIT_ASSERT(Cell.stateOf("j") == jobs::JobState::Completed);
+  }
+
+  /// Guards against jobs that wait for workers which the earlier holder knew to
+  /// be empty but could not unlist while the store was away.
+  void voidWorkerHoldsNothingBack() {
+    FakeCell Cell;
+    prepareTakeover(Cell);
+    Cell.claim(Cell.Now_, {"lost"});
+    Cell.run(400ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("old").size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Cell.View_.Workers_.count("lost"));
+  }
+
+  /// Guards against a start that a next holder would not know to be possible.
+  void givenUpWorkerIsListedAgainBeforeItsNextStart() {
+    FakeCell Cell;
+    start(Cell, 1);
+    Cell.Agents_["w0"].WorkerHeard_ = false;
+    Cell.StoreWorks_ = false;
+    Cell.run(7s);
+    CPPUNIT_ASSERT(voidWorkers(Cell.Holder_) == std::vector<std::string>{"w0"});
+    Cell.Agents_["w0"].WorkerHeard_ = true;
+    Cell.accept("j", oneStep(1, {1000, 1000, 1}));
+    Cell.run(1s);
+    CPPUNIT_ASSERT(Cell.runsOf("j").empty());
+    Cell.StoreWorks_ = true;
+    onAppended(Cell.Holder_, Cell.around());
+    Cell.run(300ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("j").size());
+  }
+
   void domainOutGetsNoStart() {
     FakeCell Cell;
     Cell.addWorker("w0", "r0", "a");
--- a/lib/jobs/include/nutmegwell/jobs/records.h
+++ b/lib/jobs/include/nutmegwell/jobs/records.h
@@ -41,6 +41,12 @@
   bool Held_ = true;
 };
 
+/// Every holder before the one of this term has certainly stopped giving
+/// grants.
+struct TenureSettled {
+  core::Term Term_ = 0;
+};
+
 /// A worker on which tasks of this cell may run.
 struct WorkerListed {
   std::string Host_;
@@ -56,7 +62,8 @@
 };
 
 using Record = std::variant<JobAccepted, JobCancelled, JobProgressed,
-                            CellClaimed, WorkerListed, EntryHostListed>;
+                            CellClaimed, WorkerListed, EntryHostListed,
+                 TenureSettled>;
 
 /// Returns the key under which the store keeps the newest such record.
 std::string keyOf(const Record &Value);
--- a/lib/jobs/include/nutmegwell/jobs/view.h
+++ b/lib/jobs/include/nutmegwell/jobs/view.h
@@ -30,7 +30,11 @@
   /// Newest claim of the cell; its term is 0 without any.
   core::Term Term_ = 0;
   CellClaimed Claim_;
+  /// Newest term whose holder has outlasted all earlier grants.
+  core::Term Settled_ = 0;
   std::map<std::string, WorkerListed> Workers_;
+  /// Place of the newest listing of each worker.
+  std::map<std::string, core::Offset> ListedAt_;
   /// Address by entry host.
   std::map<std::string, std::string> EntryHosts_;
 };
--- a/lib/jobs/src/records.cpp
+++ b/lib/jobs/src/records.cpp
@@ -15,6 +15,7 @@
     return "p/" + Value.Job_;
   }
   std::string operator()(const CellClaimed &) const { return "h"; }
+  std::string operator()(const TenureSettled &) const { return "s"; }
   std::string operator()(const WorkerListed &Value) const {
     return "w/" + Value.Host_;
   }
--- a/lib/jobs/src/view.cpp
+++ b/lib/jobs/src/view.cpp
@@ -41,7 +41,12 @@
     State_.Claim_ = Value;
   }
 
+  void operator()(const TenureSettled &Value) const {
+    State_.Settled_ = std::max(State_.Settled_, Value.Term_);
+  }
+
   void operator()(const WorkerListed &Value) const {
+    State_.ListedAt_[Value.Host_] = Offset_;
     if (Value.Listed_)
       State_.Workers_[Value.Host_] = Value;
     else
--- a/lib/site/include/nutmegwell/site/entry.h
+++ b/lib/site/include/nutmegwell/site/entry.h
@@ -27,6 +27,9 @@
   /// The holder is taken for gone after this silence: several lost beats, and
   /// less than the 2 s in which a new holder has to serve.
   core::Duration HolderSilence_ = std::chrono::milliseconds(1500);
+  /// An own claim that the view does not show by then is asked for again.
+  /// Longer than an append and a read of a slow store.
+  core::Duration ClaimPatience_ = std::chrono::milliseconds(2000);
   /// Claims of hosts are this far apart, so that one is read before the next.
   core::Duration ClaimSpacing_ = std::chrono::milliseconds(300);
   /// A read of a stream waits this long for a record. Bounds how long a
@@ -123,6 +126,13 @@
   store::AppendToken Append_ = 0;
 };
 
+/// A process that held the cell, and the time of its last possible grant.
+struct EarlierHolder {
+  std::string Host_;
+  core::Incarnation Process_ = 0;
+  core::TimePoint GrantsEnd_{};
+};
+
 /// Which of a host's writers an append belongs to.
 enum class Writer : std::uint8_t { Own, Holder };
 
@@ -163,17 +173,23 @@
   std::map<std::string, jobs::JobAccepted> Accepted_;
 
   std::optional<cell::Holder> Holder_;
-  store::AppendToken ClaimToken_ = 0;
   store::AppendToken HolderToken_ = 0;
   core::TimePoint HolderHeard_{};
   /// Since when no holder is known; the clock of the own claim.
   std::optional<core::TimePoint> VacantSince_;
   bool HolderEnded_ = false;
-  /// The claim before the newest one.
-  core::Term EarlierTerm_ = 0;
-  bool EarlierReleased_ = false;
-  std::string EarlierHost_;
-  core::Incarnation EarlierProcess_ = 0;
+  /// Own claim that the view does not show yet, and when it was asked for.
+  std::optional<core::TimePoint> ClaimAsked_;
+  /// Term at which the store refused the holder's records for a newer one.
+  core::Term FencedTerm_ = 0;
+  /// Holders before the newest claim.
+  std::vector<EarlierHolder> Earlier_;
+  /// Workers on which nothing ran as of an offset, told by the holder of
+  /// VoidTerm_.
+  core::Term VoidTerm_ = 0;
+  std::map<std::string, core::Offset> VoidAt_;
+  /// Term before the newest claim.
+  core::Term TermBefore_ = 0;
 
   bool Listed_ = false;
   bool Stopping_ = false;
--- a/lib/site/src/election.cpp
+++ b/lib/site/src/election.cpp
@@ -37,18 +37,42 @@
   return Rank;
 }
 
+/// Returns the time after which no earlier holder gives grants, or nothing
+/// without an earlier holder.
+std::optional<core::TimePoint> earlierGrantsEnd(const EntryState &State) {
+  std::optional<core::TimePoint> End;
+  for (const EarlierHolder &Earlier : State.Earlier_) {
+    // A process of this host that is not this one has ended.
+    const bool Gone = Earlier.Host_ == State.Settings_.Host_ &&
+                      Earlier.Process_ != State.Settings_.Process_;
+    const core::TimePoint Last =
+        Gone ? std::min(Earlier.GrantsEnd_, State.StartedAt_)
+             : Earlier.GrantsEnd_;
+    End = End ? std::max(*End, Last) : Last;
+  }
+  return End;
+}
+
+/// Returns the listed workers on which the holder before knew nothing to run
+/// and which it has not listed again since.
+std::set<std::string> voidWorkersBefore(const EntryState &State) {
+  std::set<std::string> Names;
+  if (State.VoidTerm_ != State.TermBefore_)
+    return Names;
+  for (const auto &[Name, At] : State.VoidAt_) {
+    auto Listed = State.View_.ListedAt_.find(Name);
+    if (Listed != State.View_.ListedAt_.end() && Listed->second < At)
+      Names.insert(Name);
+  }
+  return Names;
+}
+
 void beginHolding(EntryState &State, core::TimePoint Now, jobs::WallTime Wall,
                   EntryEffects &Out) {
   const jobs::View &View = State.View_;
-  // After a process of the same host, its earlier grants have ended with it.
-  const bool OwnEarlier = State.EarlierHost_ == State.Settings_.Host_;
   State.Holder_ = cell::beginTenure(
-      State.Settings_.Policy_.Holder_, View.Term_ - 1, State.EarlierTerm_,
-      State.EarlierReleased_ || OwnEarlier, surroundingsOf(State, Now, Wall));
-  auto Earlier = State.Peers_.find(State.EarlierHost_);
-  if (Earlier != State.Peers_.end() &&
-      Earlier->second.Process_ != State.EarlierProcess_)
-    cell::onEarlierHolderEnded(*State.Holder_, Now);
+      State.Settings_.Policy_.Holder_, View.Term_ - 1, earlierGrantsEnd(State),
+      voidWorkersBefore(State), surroundingsOf(State, Now, Wall));
   State.HolderWriter_ =
       store::makeAppender(State.Settings_.Policy_.Append_, "cell", View.Term_);
   State.HolderToken_ = 0;
@@ -56,6 +80,7 @@
       {"tenure_begun",
        {{"term", std::to_string(View.Term_)},
         {"jobs", std::to_string(View.Jobs_.size())},
+        {"earlier_holders", std::to_string(State.Earlier_.size())},
         {"unheard_workers", std::to_string(State.Holder_->Unheard_.size())}}});
 }
 
@@ -87,12 +112,15 @@
     Out.Wake_ = std::min(Out.Wake_, Due);
     return;
   }
-  if (!StoreFresh || State.ClaimToken_ != 0)
+  // A second claim would only end the tenure of the first.
+  const bool Waiting =
+      State.ClaimAsked_ && Now < *State.ClaimAsked_ + Policy.ClaimPatience_;
+  if (!StoreFresh || Waiting)
     return;
-  State.ClaimToken_ =
-      append(State, Writer::Own,
-             {jobs::CellClaimed{State.Settings_.Host_, State.Settings_.Process_,
-                                true}});
+  State.ClaimAsked_ = Now;
+  append(State, Writer::Own,
+         {jobs::CellClaimed{State.Settings_.Host_, State.Settings_.Process_,
+                            true}});
   State.VacantSince_ = Now;
   Out.Decisions_.push_back({"claim_asked",
                             {{"reason", Reason},
@@ -127,8 +155,11 @@
   for (const auto &[Host, Other] : State.Peers_)
     if (State.Holder_ && Other.Beat_.Term_ > State.Holder_->Term_)
       endHolding(State, "a peer knows a higher claim", Out);
+  if (State.Holder_ && !State.Holder_->Unheard_.empty())
+    if (auto End = earlierGrantsEnd(State))
+      cell::limitEarlierGrants(*State.Holder_, *End);
   if (Mine && !State.Holder_ && !State.Stopping_ && State.Cell_.Synced_ &&
-      State.EarlierTerm_ < View.Term_) {
+      View.Term_ > State.FencedTerm_) {
     bool Outdated = false;
     for (const auto &[Host, Other] : State.Peers_)
       Outdated |= Other.Beat_.Term_ > View.Term_;
--- a/lib/site/src/peers.cpp
+++ b/lib/site/src/peers.cpp
@@ -21,6 +21,8 @@
   Beat.CellNext_ = State.Cell_.Next_;
   Beat.StoreReadAgo_ = Now - State.Cell_.GoodReadSentAt_;
   Beat.Hosts_ = State.Hosts_;
+  if (State.Holder_)
+    Beat.VoidWorkers_ = cell::voidWorkers(*State.Holder_);
   return Beat;
 }
 
@@ -68,9 +70,16 @@
   if (Claim.Held_ && Beat.Host_ == Claim.Host_ &&
       Beat.Process_ != Claim.Process_)
     State.HolderEnded_ = true;
-  if (State.Holder_ && Beat.Host_ == State.EarlierHost_ &&
-      Beat.Process_ != State.EarlierProcess_)
-    cell::onEarlierHolderEnded(*State.Holder_, Now);
+  for (EarlierHolder &Earlier : State.Earlier_)
+    if (Earlier.Host_ == Beat.Host_ && Earlier.Process_ != Beat.Process_)
+      Earlier.GrantsEnd_ = std::min(Earlier.GrantsEnd_, Now);
+  if (Beat.IsHolder_ && Beat.Term_ == State.View_.Term_) {
+    if (State.VoidTerm_ != Beat.Term_)
+      State.VoidAt_.clear();
+    State.VoidTerm_ = Beat.Term_;
+    for (const std::string &Host : Beat.VoidWorkers_)
+      State.VoidAt_[Host] = Beat.CellNext_;
+  }
 }
 
 } // namespace
--- a/lib/site/src/streams.cpp
+++ b/lib/site/src/streams.cpp
@@ -39,16 +39,23 @@
   }
 }
 
-/// Remembers the newest claim and the one before it.
+/// Remembers the newest claim and the holders before it.
 void noteClaim(EntryState &State, const jobs::CellClaimed &Before,
-               core::Term TermBefore, core::TimePoint Now, EntryEffects &Out) {
-  State.EarlierTerm_ = TermBefore;
-  State.EarlierReleased_ = !Before.Held_;
-  State.EarlierHost_ = Before.Host_;
-  State.EarlierProcess_ = Before.Process_;
+               core::Term TermBefore, bool InOrder, core::TimePoint Now,
+               EntryEffects &Out) {
+  const core::Duration Validity =
+      State.Settings_.Policy_.Holder_.TenureValidity_;
+  if (TermBefore != 0)
+    State.Earlier_.push_back(
+        {Before.Host_, Before.Process_, Before.Held_ ? Now + Validity : Now});
+  // The newest claim of the keyed records says nothing of those before it.
+  if (!InOrder && State.View_.Term_ != State.View_.Settled_)
+    State.Earlier_.push_back({"", 0, Now + Validity});
+  State.TermBefore_ = TermBefore;
   State.HolderHeard_ = Now;
   State.HolderEnded_ = false;
   State.VacantSince_.reset();
+  State.ClaimAsked_.reset();
   const jobs::CellClaimed &Claim = State.View_.Claim_;
   Out.Decisions_.push_back({Claim.Held_ ? "cell_claimed" : "cell_released",
                             {{"host", Claim.Host_},
@@ -76,11 +83,19 @@
   else
     jobs::applyNewest(State.View_, Stored);
   if (State.View_.Term_ != TermBefore)
-    noteClaim(State, ClaimBefore, TermBefore, Now, Out);
+    noteClaim(State, ClaimBefore, TermBefore, InOrder, Now, Out);
   if (const auto *Job = std::get_if<jobs::JobAccepted>(&Stored.Value_)) {
     State.Accepted_.erase(Job->Job_);
     onJobRecord(State, Job->Job_);
   }
+  // Pages come in the order of keys, so that this can follow its claim.
+  if (State.View_.Settled_ == State.View_.Term_)
+    State.Earlier_.erase(std::remove_if(State.Earlier_.begin(),
+                                        State.Earlier_.end(),
+                                        [](const EarlierHolder &Row) {
+                                          return Row.Host_.empty();
+                                        }),
+                         State.Earlier_.end());
   for (const auto &[Host, Address] : State.View_.EntryHosts_)
     State.Hosts_[Host] = Address;
 }
--- a/lib/site/src/writers.cpp
+++ b/lib/site/src/writers.cpp
@@ -54,8 +54,6 @@
             {"reason", Result.Outcome_.Reason_}}});
     if (Which == Writer::Own) {
       endCalls(State, Result, Now, Out);
-      if (Result.Token_ == State.ClaimToken_)
-        State.ClaimToken_ = 0;
       continue;
     }
     if (!State.Holder_ || Result.Token_ != State.HolderToken_)
@@ -65,7 +63,10 @@
                        surroundingsOf(State, Now, jobs::WallTime()));
       continue;
     }
-    // Another holder has fenced this one.
+    // A newer holder exists, although its claim has not been read yet.
+    State.FencedTerm_ = State.Holder_->Term_;
+    Out.Decisions_.push_back(
+        {"tenure_fenced", {{"term", std::to_string(State.FencedTerm_)}}});
     State.Holder_.reset();
     State.HolderWriter_.reset();
     return;
--- a/lib/wire/src/cellfields.h
+++ b/lib/wire/src/cellfields.h
@@ -71,6 +71,10 @@
   Fields(V.Host_, V.Process_, V.Held_);
 }
 
+template <class A> void serialize(A &Fields, TenureSettled &V) {
+  Fields(V.Term_);
+}
+
 template <class A> void serialize(A &Fields, WorkerListed &V) {
   Fields(V.Host_, V.FailureDomain_, V.Listed_);
 }
@@ -146,7 +150,7 @@
 template <class A> void serialize(A &Fields, EntryBeat &V) {
   Fields(V.Host_, V.Address_, V.Process_, V.Sequence_, V.Echo_, V.Stopping_,
          V.Term_, V.IsHolder_, V.HolderHeardAgo_, V.OperatorNext_, V.CellNext_,
-         V.StoreReadAgo_, V.Hosts_);
+         V.StoreReadAgo_, V.Hosts_, V.VoidWorkers_);
 }
 
 template <class A> void serialize(A &Fields, RelayedRecords &V) {
