Prefer fuller racks between workers that fit alike

Load pattern: wide patient jobs of one-accelerator tasks spread over all racks, and urgent gangs that want one rack find none free and preempt.

--- a/lib/cell/src/place.cpp
+++ b/lib/cell/src/place.cpp
@@ -13,11 +13,16 @@
 /// of them counts more than all processors of a worker.
 constexpr std::int64_t DoubtWeight = 1'000'000'000;
 constexpr std::int64_t AcceleratorWeight = 1'000'000;
+/// Between workers that fit alike, the fuller rack comes first, so that whole
+/// racks stay free for gangs that need one.
+constexpr std::int64_t RackWeight = 1'000;
+constexpr std::int64_t MilliPerCore = 1'000;
 
-std::int64_t scoreOf(const Room &Worker, const jobs::Resources &Each) {
+std::int64_t scoreOf(const Room &Worker, const jobs::Resources &Each,
+                     std::int64_t RackFree) {
   return DoubtWeight * Worker.Doubt_ +
          AcceleratorWeight * (Worker.Free_.Accelerators_ - Each.Accelerators_) +
-         (Worker.Free_.Cpu_ - Each.Cpu_);
+         RackWeight * RackFree + (Worker.Free_.Cpu_ - Each.Cpu_) / MilliPerCore;
 }
 
 bool fits(const Room &Worker, const jobs::StepSpec &Step,
@@ -29,6 +34,14 @@
   return Worker.Free_.covers(Each);
 }
 
+/// Returns the accelerators that are free in each rack.
+std::map<std::string, std::int64_t> freeByRack(const std::vector<Room> &Rooms) {
+  std::map<std::string, std::int64_t> Free;
+  for (const Room &Worker : Rooms)
+    Free[Worker.Rack_] += Worker.Free_.Accelerators_;
+  return Free;
+}
+
 using Choice = std::vector<std::size_t>;
 
 /// Places all tasks on the workers of \p Rack, or of any rack when it is empty.
@@ -39,6 +52,7 @@
   jobs::Resources Each = Step.Each_;
   if (Step.Filling_)
     Each.Cpu_ = 0;
+  std::map<std::string, std::int64_t> RackFree = freeByRack(Rooms);
   Choice Chosen;
   auto Undo = [&] {
     for (std::size_t I : Chosen) {
@@ -54,7 +68,8 @@
         continue;
       if (!fits(Rooms[I], Step, Each))
         continue;
-      const std::int64_t Score = scoreOf(Rooms[I], Each);
+      const std::int64_t Score =
+          scoreOf(Rooms[I], Each, RackFree[Rooms[I].Rack_]);
       if (Score < BestScore) {
         Best = I;
         BestScore = Score;
@@ -65,20 +80,13 @@
       return std::nullopt;
     }
     Rooms[Best].Free_ -= Each;
+    RackFree[Rooms[Best].Rack_] -= Each.Accelerators_;
     ++Rooms[Best].SameStep_;
     Chosen.push_back(Best);
   }
   return Chosen;
 }
 
-/// Returns the accelerators that are free in each rack.
-std::map<std::string, std::int64_t> freeByRack(const std::vector<Room> &Rooms) {
-  std::map<std::string, std::int64_t> Free;
-  for (const Room &Worker : Rooms)
-    Free[Worker.Rack_] += Worker.Free_.Accelerators_;
-  return Free;
-}
-
 /// Returns the racks to try, the first one first.
 std::vector<std::string> racksToTry(const PlaceRequest &Request,
                                     const std::vector<Room> &Rooms) {
