Test the entry hosts' control state against a store with faults

A fake site plays store, network and time: elections, hand-over, relayed records and appends, lost answers, outages, dropped history, restart of all.

--- /dev/null
+++ b/lib/cell/tests/placetest.cpp
@@ -0,0 +1,181 @@
+#include "nutmegwell/cell/place.h"
+#include "nutmegwell/cell/preempt.h"
+#include "nutmegwell/cell/trust.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace nutmegwell;
+using namespace nutmegwell::cell;
+using namespace std::chrono_literals;
+
+class PlaceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlaceTest);
+  CPPUNIT_TEST(smallTasksFillOneRackFirst);
+  CPPUNIT_TEST(gangPrefersOneRack);
+  CPPUNIT_TEST(gangLeavesItsRackOnlyWhenAllowed);
+  CPPUNIT_TEST(tasksStayNearTheirData);
+  CPPUNIT_TEST(spreadLimitHolds);
+  CPPUNIT_TEST(requiredLabelHolds);
+  CPPUNIT_TEST(failedPlacementTakesNoRoom);
+  CPPUNIT_TEST(doubtfulWorkersComeLast);
+  CPPUNIT_TEST(cheapestVictimsAreChosen);
+  CPPUNIT_TEST(noVictimsWhenNoneSuffice);
+  CPPUNIT_TEST(failingWorkerRestsLongerEachTime);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Racks "r0", "r1" with three empty workers each.
+  static std::vector<Room> twoRacks() {
+    std::vector<Room> Rooms;
+    for (int I = 0; I < 6; ++I) {
+      Room Worker;
+      Worker.Host_ = "w" + std::to_string(I);
+      Worker.Rack_ = "r" + std::to_string(I / 3);
+      Worker.Labels_ = {I == 4 ? "b" : "a", Worker.Rack_};
+      Worker.Free_ = {64000, 131072, 8};
+      Rooms.push_back(Worker);
+    }
+    return Rooms;
+  }
+
+  static jobs::StepSpec step(std::int64_t Accelerators) {
+    jobs::StepSpec Step;
+    Step.Each_ = {1000, 1000, Accelerators};
+    return Step;
+  }
+
+  static PlaceRequest request(const jobs::StepSpec &Step, std::uint32_t Count) {
+    PlaceRequest Request;
+    Request.Step_ = &Step;
+    Request.Count_ = Count;
+    return Request;
+  }
+
+public:
+  /// Replays wide patient jobs beside urgent gangs: 9 tasks of one accelerator
+  /// on two racks must leave the other rack whole.
+  void smallTasksFillOneRackFirst() {
+    std::vector<Room> Rooms = twoRacks();
+    Rooms[4].Free_.Accelerators_ = 7;
+    const jobs::StepSpec Step = step(1);
+    for (int I = 0; I < 9; ++I)
+      CPPUNIT_ASSERT(place(request(Step, 1), Rooms));
+    for (int I = 0; I < 3; ++I)
+      CPPUNIT_ASSERT_EQUAL(std::int64_t(8), Rooms[I].Free_.Accelerators_);
+  }
+
+  void gangPrefersOneRack() {
+    std::vector<Room> Rooms = twoRacks();
+    Rooms[0].Free_.Accelerators_ = 4;
+    jobs::StepSpec Step = step(8);
+    Step.Gang_ = Step.SameRack_ = true;
+    const auto Chosen = place(request(Step, 3), Rooms);
+    CPPUNIT_ASSERT(Chosen);
+    for (std::size_t I : *Chosen)
+      CPPUNIT_ASSERT_EQUAL(std::string("r1"), Rooms[I].Rack_);
+  }
+
+  void gangLeavesItsRackOnlyWhenAllowed() {
+    std::vector<Room> Rooms = twoRacks();
+    jobs::StepSpec Step = step(8);
+    Step.Gang_ = Step.SameRack_ = true;
+    PlaceRequest Request = request(Step, 4);
+    CPPUNIT_ASSERT(!place(Request, Rooms));
+    Request.AllowRemote_ = true;
+    CPPUNIT_ASSERT(place(Request, Rooms));
+  }
+
+  void tasksStayNearTheirData() {
+    std::vector<Room> Rooms = twoRacks();
+    Rooms[0].Free_.Accelerators_ = 1;
+    jobs::StepSpec Step = step(1);
+    Step.DataRack_ = "r1";
+    const auto Chosen = place(request(Step, 1), Rooms);
+    CPPUNIT_ASSERT_EQUAL(std::string("r1"), Rooms[Chosen->at(0)].Rack_);
+  }
+
+  void spreadLimitHolds() {
+    std::vector<Room> Rooms = twoRacks();
+    jobs::StepSpec Step = step(1);
+    Step.SpreadLimit_ = 2;
+    CPPUNIT_ASSERT(!place(request(Step, 13), Rooms));
+    CPPUNIT_ASSERT(place(request(Step, 12), Rooms));
+    for (const Room &Worker : Rooms)
+      CPPUNIT_ASSERT_EQUAL(2u, Worker.SameStep_);
+  }
+
+  void requiredLabelHolds() {
+    std::vector<Room> Rooms = twoRacks();
+    jobs::StepSpec Step = step(1);
+    Step.RequiredLabel_ = "b";
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4),
+                         place(request(Step, 1), Rooms)->at(0));
+    Step.RequiredLabel_ = "c";
+    CPPUNIT_ASSERT(!place(request(Step, 1), Rooms));
+  }
+
+  /// Guards against room that leaks when only a part of a gang fits.
+  void failedPlacementTakesNoRoom() {
+    std::vector<Room> Rooms = twoRacks();
+    const jobs::StepSpec Step = step(8);
+    CPPUNIT_ASSERT(!place(request(Step, 7), Rooms));
+    CPPUNIT_ASSERT(place(request(Step, 6), Rooms));
+  }
+
+  void doubtfulWorkersComeLast() {
+    std::vector<Room> Rooms = twoRacks();
+    for (int I = 0; I < 5; ++I)
+      Rooms[I].Doubt_ = 1;
+    const jobs::StepSpec Step = step(1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(5),
+                         place(request(Step, 1), Rooms)->at(0));
+  }
+
+  static Victim victim(int Priority, double Loss, std::size_t Worker) {
+    Victim Entry;
+    Entry.Priority_ = Priority;
+    Entry.Loss_ = Loss;
+    Entry.Frees_.emplace_back(Worker, jobs::Resources{0, 0, 8});
+    return Entry;
+  }
+
+  /// Guards against work thrown away without need.
+  void cheapestVictimsAreChosen() {
+    std::vector<Room> Rooms = twoRacks();
+    for (Room &Worker : Rooms)
+      Worker.Free_.Accelerators_ = 0;
+    const jobs::StepSpec Step = step(8);
+    const std::vector<Victim> All = {victim(1, 1, 0), victim(2, 50, 1),
+                                     victim(2, 10, 2)};
+    const auto Chosen = chooseVictims(request(Step, 1), Rooms, All);
+    CPPUNIT_ASSERT(Chosen == std::vector<std::size_t>{2});
+  }
+
+  /// Guards against stops that help nobody.
+  void noVictimsWhenNoneSuffice() {
+    std::vector<Room> Rooms = twoRacks();
+    for (Room &Worker : Rooms)
+      Worker.Free_.Accelerators_ = 0;
+    const jobs::StepSpec Step = step(8);
+    CPPUNIT_ASSERT(
+        chooseVictims(request(Step, 2), Rooms, {victim(2, 1, 0)}).empty());
+  }
+
+  /// Guards against a worker that fails all that it starts, and against one
+  /// that is never tried again.
+  void failingWorkerRestsLongerEachTime() {
+    const TrustPolicy Policy;
+    Trust Worker;
+    core::TimePoint Now(1000s);
+    CPPUNIT_ASSERT(!noteBadEnd(Worker, Policy, Now));
+    CPPUNIT_ASSERT(mayGetWork(Worker, Policy, 5, Now));
+    CPPUNIT_ASSERT(noteBadEnd(Worker, Policy, Now));
+    CPPUNIT_ASSERT(!mayGetWork(Worker, Policy, 0, Now + 2999ms));
+    CPPUNIT_ASSERT(mayGetWork(Worker, Policy, 0, Now + 3s));
+    CPPUNIT_ASSERT(!mayGetWork(Worker, Policy, 1, Now + 3s));
+    noteBadEnd(Worker, Policy, Now + 3s);
+    CPPUNIT_ASSERT(!mayGetWork(Worker, Policy, 0, Now + 8s));
+    noteGoodEnd(Worker);
+    CPPUNIT_ASSERT(mayGetWork(Worker, Policy, 5, Now + 8s));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlaceTest);
--- /dev/null
+++ b/lib/site/tests/fakesite.cpp
@@ -0,0 +1,246 @@
+#include "fakesite.h"
+
+namespace nutmegwell::site {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Links between entry hosts are named by the number of the sender.
+LinkId linkOf(const std::string &Host) {
+  return static_cast<LinkId>(Host.back());
+}
+
+std::string hostOf(LinkId Link) {
+  return std::string("e") + static_cast<char>(Link);
+}
+
+} // namespace
+
+store::AppendOutcome FakeStore::append(const store::AppendRequest &Request) {
+  Writer &Known = Writers_[Request.Producer_];
+  if (Request.Epoch_ < Known.Epoch_)
+    return {store::AppendStatus::Fenced, 0, 0, "fenced"};
+  if (Request.Epoch_ > Known.Epoch_)
+    Known = {Request.Epoch_, Request.Sequence_, 0};
+  if (Request.Sequence_ + 1 == Known.Next_)
+    return {store::AppendStatus::Done, Known.Last_, 0, "repeat"};
+  if (Request.Sequence_ != Known.Next_)
+    return {store::AppendStatus::OutOfSequence, 0, Known.Next_, "sequence"};
+  auto &Log = Records_[store::Stream::Cell];
+  Known.Last_ = Log.size();
+  ++Known.Next_;
+  for (store::KeyedRecord Record : Request.Records_) {
+    Record.Offset_ = Log.size();
+    Log.push_back(std::move(Record));
+  }
+  return {store::AppendStatus::Done, Known.Last_, 0, ""};
+}
+
+void FakeStore::publish(const std::string &Key, const std::string &Value) {
+  auto &Log = Records_[store::Stream::Operator];
+  Log.push_back({Log.size(), Key, Value});
+}
+
+absl::StatusOr<store::ReadPage> FakeStore::read(store::Stream Which,
+                                                core::Offset From) const {
+  store::ReadPage Page;
+  auto Log = Records_.find(Which);
+  if (Log == Records_.end())
+    return Page;
+  Page.End_ = Log->second.size();
+  if (From < FirstRetained_)
+    return core::makeError(absl::StatusCode::kOutOfRange, "read", "store",
+                           "dropped");
+  for (core::Offset I = From; I < Page.End_; ++I)
+    Page.Records_.push_back(Log->second[I]);
+  return Page;
+}
+
+store::NewestPage FakeStore::newest(store::Stream Which) const {
+  store::NewestPage Page;
+  auto Log = Records_.find(Which);
+  if (Log == Records_.end())
+    return Page;
+  std::map<std::string, store::KeyedRecord> Newest;
+  for (const store::KeyedRecord &Record : Log->second)
+    Newest[Record.Key_] = Record;
+  for (auto &[Key, Record] : Newest)
+    if (!Record.Value_.empty())
+      Page.Records_.push_back(Record);
+  Page.End_ = Log->second.size();
+  return Page;
+}
+
+FakeSite::FakeSite(int Hosts) {
+  Store_.publish("tables", "1");
+  for (int I = 0; I < Hosts; ++I)
+    start("e" + std::to_string(I));
+}
+
+EntryCodec FakeSite::codec() {
+  EntryCodec Codec;
+  Codec.EncodeRecord_ = [this](const jobs::Record &Value) {
+    const std::string Name = std::to_string(Encoded_.size() + 1);
+    Encoded_[Name] = Value;
+    return Name;
+  };
+  Codec.DecodeRecord_ =
+      [this](const std::string &Bytes) -> absl::StatusOr<jobs::Record> {
+    return Encoded_.at(Bytes);
+  };
+  // "tables" holds a version; account "acme" loses its key in version 9.
+  Codec.DecodeOperator_ = [](const store::KeyedRecord &Record)
+      -> absl::StatusOr<OperatorChange> {
+    if (Record.Key_ != "tables")
+      return OperatorChange(
+          DomainChange{Record.Key_, !Record.Value_.empty()});
+    jobs::ServiceTables Tables;
+    Tables.Version_ = std::stoul(Record.Value_);
+    jobs::Queue Queue;
+    Queue.Name_ = "q1";
+    Queue.Host_ = "site";
+    Queue.PathPrefix_ = "/q/";
+    Queue.Service_ = "service";
+    Queue.Priority_ = 1;
+    Tables.Queues_.push_back(Queue);
+    jobs::Account Account;
+    Account.Name_ = "acme";
+    if (Tables.Version_ != 9)
+      Account.Keys_.push_back("key");
+    Tables.Accounts_.push_back(Account);
+    return OperatorChange(Tables);
+  };
+  return Codec;
+}
+
+void FakeSite::start(const std::string &Host) {
+  EntrySettings Settings;
+  Settings.Host_ = Host;
+  Settings.Address_ = Host;
+  Settings.Process_ = NextProcess_++;
+  Settings.Seeds_ = {"e0"};
+  Hosts_[Host] = std::make_unique<EntryState>(
+      makeEntry(Settings, codec(), Now_));
+}
+
+void FakeSite::deliver(
+    const std::string &To,
+    std::function<void(EntryState &, EntryEffects &)> Function) {
+  auto It = Hosts_.find(To);
+  if (It == Hosts_.end())
+    return;
+  EntryEffects Out;
+  Function(*It->second, Out);
+  carryOut(To, std::move(Out));
+}
+
+void FakeSite::send(const std::string &From, const std::string &To,
+                    const cell::PeerMessage &Message) {
+  if (Cut_.count(From) || Cut_.count(To))
+    return;
+  Next_.push_back([this, From, To, Message] {
+    deliver(To, [&](EntryState &State, EntryEffects &Out) {
+      onMessage(State, linkOf(From), Message, Now_, Wall_, Out);
+    });
+  });
+}
+
+void FakeSite::carryOut(const std::string &Host, EntryEffects &&Out) {
+  std::move(Out.Decisions_.begin(), Out.Decisions_.end(),
+            std::back_inserter(Decisions_));
+  for (const CallerReply &Reply : Out.Replies_)
+    Replies_[Reply.Token_] = Reply;
+  for (const auto &[Link, Message] : Out.Sends_)
+    send(Host, hostOf(Link), Message);
+  for (const auto &[Address, Message] : Out.SendsTo_)
+    send(Host, Address, Message);
+  for (const AppendCall &Call : Out.Appends_) {
+    store::AppendOutcome Outcome{store::AppendStatus::NotDone, 0, 0, "refused"};
+    if (!Store_.refuses(Host)) {
+      Outcome = Store_.append(Call.Request_);
+      if (Store_.LosesAnswers_)
+        Outcome = {store::AppendStatus::Unknown, 0, 0, "lost"};
+    }
+    Next_.push_back([this, Host, For = Call.For_, Outcome] {
+      deliver(Host, [&](EntryState &State, EntryEffects &Effects) {
+        onAppend(State, For, Outcome, Now_, Effects);
+      });
+    });
+  }
+  auto Refusal = core::makeError(absl::StatusCode::kUnavailable, "read",
+                                 "store", "refused");
+  for (const ReadCall &Call : Out.Reads_)
+    Next_.push_back([this, Host, Call, Refusal] {
+      const absl::StatusOr<store::ReadPage> Page =
+          Store_.refuses(Host) ? absl::StatusOr<store::ReadPage>(Refusal)
+                               : Store_.read(Call.Stream_, Call.From_);
+      deliver(Host, [&](EntryState &State, EntryEffects &Effects) {
+        onRead(State, Call.Stream_, Page, Now_, Effects);
+      });
+    });
+  for (const NewestCall &Call : Out.Newests_)
+    Next_.push_back([this, Host, Call, Refusal] {
+      const absl::StatusOr<store::NewestPage> Page =
+          Store_.refuses(Host) ? absl::StatusOr<store::NewestPage>(Refusal)
+                               : Store_.newest(Call.Stream_);
+      deliver(Host, [&](EntryState &State, EntryEffects &Effects) {
+        onNewest(State, Call.Stream_, Page, Now_, Effects);
+      });
+    });
+}
+
+void FakeSite::run(core::Duration Span) {
+  constexpr core::Duration Step = milliseconds(10);
+  for (core::Duration Past(0); Past < Span; Past += Step) {
+    Now_ += Step;
+    Wall_ += Step;
+    std::vector<Delivery> Due;
+    Due.swap(Next_);
+    for (const Delivery &Item : Due)
+      Item();
+    std::vector<std::string> Names;
+    for (const auto &[Host, State] : Hosts_)
+      Names.push_back(Host);
+    for (const std::string &Host : Names)
+      deliver(Host, [&](EntryState &State, EntryEffects &Out) {
+        settle(State, Now_, Wall_, Out);
+      });
+  }
+}
+
+CallToken FakeSite::call(const std::string &Host, CallKind Kind,
+                         const std::string &Job) {
+  CallerRequest Request;
+  Request.Token_ = NextToken_++;
+  Request.Kind_ = Kind;
+  Request.Host_ = "site";
+  Request.Path_ = "/q/" + Job;
+  Request.Key_ = "key";
+  if (Kind == CallKind::Submit)
+    Request.Spec_ = jobs::JobSpecBuilder()
+                        .step(1, {1000, 1000, 1}, std::chrono::seconds(1))
+                        .build();
+  const CallToken Token = Request.Token_;
+  deliver(Host, [&](EntryState &State, EntryEffects &Out) {
+    onCaller(State, Request, Now_, Wall_, Out);
+  });
+  return Token;
+}
+
+std::optional<ReplyKind> FakeSite::answer(CallToken Token) const {
+  auto It = Replies_.find(Token);
+  if (It == Replies_.end())
+    return std::nullopt;
+  return It->second.Kind_;
+}
+
+std::vector<std::string> FakeSite::holders() const {
+  std::vector<std::string> Names;
+  for (const auto &[Host, State] : Hosts_)
+    if (State->Holder_)
+      Names.push_back(Host);
+  return Names;
+}
+
+} // namespace nutmegwell::site
--- /dev/null
+++ b/lib/site/tests/sitetest.cpp
@@ -0,0 +1,244 @@
+#include "fakesite.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace nutmegwell;
+using namespace nutmegwell::site;
+using namespace std::chrono_literals;
+
+class SiteTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SiteTest);
+  CPPUNIT_TEST(oneHostHoldsTheCell);
+  CPPUNIT_TEST(killedHolderIsReplaced);
+  CPPUNIT_TEST(stoppingHolderHandsOver);
+  CPPUNIT_TEST(oneClaimAtATime);
+  CPPUNIT_TEST(jobIsKnownEverywhere);
+  CPPUNIT_TEST(lostAnswersAcceptAJobOnce);
+  CPPUNIT_TEST(refusedHostAppendsThroughAPeer);
+  CPPUNIT_TEST(refusedHostLearnsThroughAPeer);
+  CPPUNIT_TEST(lastKeyIsGoneOnARefusedHost);
+  CPPUNIT_TEST(storeOutageIsAnsweredInTime);
+  CPPUNIT_TEST(holderOutlastsAStoreOutage);
+  CPPUNIT_TEST(refusedHolderKeepsItsTenureThroughAPeer);
+  CPPUNIT_TEST(cutHolderStopsGranting);
+  CPPUNIT_TEST(droppedHistoryIsReadFromTheNewestRecords);
+  CPPUNIT_TEST(allHostsRestartFromTheStoreAlone);
+  CPPUNIT_TEST(cancelOfAJobOnItsWayIsNotLost);
+  CPPUNIT_TEST_SUITE_END();
+
+  static bool has(const std::optional<ReplyKind> &Answer, ReplyKind Kind) {
+    return Answer && *Answer == Kind;
+  }
+
+public:
+  void oneHostHoldsTheCell() {
+    FakeSite Site(3);
+    Site.run(2s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Site.holders().size());
+  }
+
+  /// Guards against a cell without a holder: 1.5 s of silence, one turn of
+  /// claims of 0.3 s each.
+  void killedHolderIsReplaced() {
+    FakeSite Site(3);
+    Site.run(2s);
+    const std::string First = Site.holders()[0];
+    Site.kill(First);
+    Site.run(2500ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Site.holders().size());
+  }
+
+  /// Guards against a gap in service around a planned stop.
+  void stoppingHolderHandsOver() {
+    FakeSite Site(3);
+    Site.run(2s);
+    const std::string First = Site.holders()[0];
+    EntryEffects Out;
+    onStopAsked(Site.entry(First), Out);
+    Site.run(500ms);
+    CPPUNIT_ASSERT(isDrained(Site.entry(First)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Site.holders().size());
+    CPPUNIT_ASSERT(Site.holders()[0] != First);
+  }
+
+  /// Guards against a host that ends its own tenure by a second claim while the
+  /// first is unread.
+  void oneClaimAtATime() {
+    FakeSite Site(1);
+    Site.run(2s);
+    std::size_t Claims = 0;
+    for (const core::Decision &Line : Site.Decisions_)
+      Claims += Line.Event_ == "claim_asked";
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Claims);
+  }
+
+  void jobIsKnownEverywhere() {
+    FakeSite Site(3);
+    Site.run(2s);
+    const CallToken Token = Site.call("e1", CallKind::Submit, "j");
+    Site.run(100ms);
+    CPPUNIT_ASSERT(has(Site.answer(Token), ReplyKind::Accepted));
+    const CallToken Query = Site.call("e2", CallKind::Query, "j");
+    CPPUNIT_ASSERT(has(Site.answer(Query), ReplyKind::State));
+  }
+
+  /// Guards against a job that is stored twice, and against a false refusal:
+  /// the same sequence is sent again until its end is certain.
+  void lostAnswersAcceptAJobOnce() {
+    FakeSite Site(3);
+    Site.run(2s);
+    Site.Store_.LosesAnswers_ = true;
+    const CallToken Token = Site.call("e1", CallKind::Submit, "j");
+    Site.run(500ms);
+    CPPUNIT_ASSERT(!Site.answer(Token));
+    Site.Store_.LosesAnswers_ = false;
+    Site.run(500ms);
+    CPPUNIT_ASSERT(has(Site.answer(Token), ReplyKind::Accepted));
+    std::size_t Copies = 0;
+    for (const auto &Record : Site.Store_.Records_[store::Stream::Cell])
+      Copies += Record.Key_ == "j/j";
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Copies);
+  }
+
+  void refusedHostAppendsThroughAPeer() {
+    FakeSite Site(3);
+    Site.run(2s);
+    Site.Store_.Refused_ = {"e1"};
+    Site.run(1s);
+    const CallToken Token = Site.call("e1", CallKind::Submit, "j");
+    Site.run(1s);
+    CPPUNIT_ASSERT(has(Site.answer(Token), ReplyKind::Accepted));
+  }
+
+  void refusedHostLearnsThroughAPeer() {
+    FakeSite Site(3);
+    Site.run(2s);
+    Site.Store_.Refused_ = {"e1"};
+    Site.call("e2", CallKind::Submit, "j");
+    Site.Store_.publish("tables", "2");
+    Site.Store_.publish("domain-a", "{}");
+    Site.run(1s);
+    CPPUNIT_ASSERT_EQUAL(core::Version(2), Site.entry("e1").Tables_->Version_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         Site.entry("e1").DomainsOut_.count("domain-a"));
+    CPPUNIT_ASSERT(has(Site.answer(Site.call("e1", CallKind::Query, "j")),
+                       ReplyKind::State));
+  }
+
+  /// Guards against a key that works on where the store cannot be read; the
+  /// bound of the tables is 2 s.
+  void lastKeyIsGoneOnARefusedHost() {
+    FakeSite Site(3);
+    Site.run(2s);
+    Site.Store_.Refused_ = {"e1"};
+    Site.Store_.publish("tables", "9");
+    Site.run(1500ms);
+    CPPUNIT_ASSERT(has(Site.answer(Site.call("e1", CallKind::Submit, "j")),
+                       ReplyKind::UnknownKey));
+  }
+
+  /// Guards against callers that wait for nothing: an append that was sent is
+  /// unknown, one that was not is refused at once.
+  void storeOutageIsAnsweredInTime() {
+    FakeSite Site(3);
+    Site.run(2s);
+    Site.Store_.Refused_ = {"*"};
+    const CallToken Sent = Site.call("e1", CallKind::Submit, "a");
+    Site.run(800ms);
+    const CallToken Later = Site.call("e1", CallKind::Submit, "b");
+    CPPUNIT_ASSERT(has(Site.answer(Later), ReplyKind::Refused));
+    Site.run(2200ms);
+    CPPUNIT_ASSERT(has(Site.answer(Sent), ReplyKind::OutcomeUnknown));
+  }
+
+  /// Guards against a change of holders that no host needs.
+  void holderOutlastsAStoreOutage() {
+    FakeSite Site(3);
+    Site.run(2s);
+    const auto Before = Site.holders();
+    Site.Store_.Refused_ = {"*"};
+    Site.run(5s);
+    Site.Store_.Refused_.clear();
+    Site.run(2s);
+    CPPUNIT_ASSERT(Site.holders() == Before);
+  }
+
+  void refusedHolderKeepsItsTenureThroughAPeer() {
+    FakeSite Site(3);
+    Site.run(2s);
+    const std::string Host = Site.holders()[0];
+    Site.Store_.Refused_ = {Host};
+    Site.run(9s);
+    CPPUNIT_ASSERT(Site.holders() == std::vector<std::string>{Host});
+    CPPUNIT_ASSERT(Site.entry(Host).Holder_->TenureConfirmed_ >
+                   Site.Now_ - 2s);
+  }
+
+  /// Guards against two hosts that grant: a holder without any path is replaced,
+  /// and its tenure is over within its validity of 6 s.
+  void cutHolderStopsGranting() {
+    FakeSite Site(3);
+    Site.run(2s);
+    const std::string Host = Site.holders()[0];
+    Site.cut(Host);
+    Site.Store_.Refused_ = {Host};
+    Site.run(6100ms);
+    const cell::Holder &Old = *Site.entry(Host).Holder_;
+    CPPUNIT_ASSERT(Site.Now_ >=
+                   Old.TenureConfirmed_ + Old.Policy_.TenureValidity_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Site.holders().size());
+    Site.heal(Host);
+    Site.Store_.Refused_.clear();
+    Site.run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Site.holders().size());
+    CPPUNIT_ASSERT(Site.holders()[0] != Host);
+  }
+
+  /// Guards against a view that goes back or stops when history is dropped, and
+  /// against a domain that stays out because its record's end was missed.
+  void droppedHistoryIsReadFromTheNewestRecords() {
+    FakeSite Site(2);
+    Site.run(2s);
+    Site.Store_.publish("domain-a", "{}");
+    Site.run(200ms);
+    Site.Store_.Refused_ = {"*"};
+    Site.run(300ms);
+    Site.Store_.publish("domain-a", "");
+    Site.Store_.publish("tables", "5");
+    Site.Store_.FirstRetained_ = 1000;
+    Site.Store_.Refused_.clear();
+    Site.run(500ms);
+    CPPUNIT_ASSERT_EQUAL(core::Version(5), Site.entry("e1").Tables_->Version_);
+    CPPUNIT_ASSERT(Site.entry("e1").DomainsOut_.empty());
+  }
+
+  /// Guards against work lost when every process ends at one time.
+  void allHostsRestartFromTheStoreAlone() {
+    FakeSite Site(3);
+    Site.run(2s);
+    Site.call("e1", CallKind::Submit, "j");
+    Site.run(100ms);
+    for (const char *Host : {"e0", "e1", "e2"})
+      Site.kill(Host);
+    Site.run(500ms);
+    for (const char *Host : {"e0", "e1", "e2"})
+      Site.start(Host);
+    Site.run(2s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Site.holders().size());
+    CPPUNIT_ASSERT(has(Site.answer(Site.call("e2", CallKind::Query, "j")),
+                       ReplyKind::State));
+  }
+
+  /// Guards against "no such job" for one that another host has just accepted.
+  void cancelOfAJobOnItsWayIsNotLost() {
+    FakeSite Site(3);
+    Site.run(2s);
+    Site.call("e1", CallKind::Submit, "j");
+    const CallToken Cancel = Site.call("e2", CallKind::Cancel, "j");
+    const CallToken Unknown = Site.call("e2", CallKind::Cancel, "none");
+    Site.run(400ms);
+    CPPUNIT_ASSERT(has(Site.answer(Cancel), ReplyKind::Cancelled));
+    CPPUNIT_ASSERT(has(Site.answer(Unknown), ReplyKind::UnknownJob));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SiteTest);
