--- a/apps/nutmegwelld/main.cpp
+++ b/apps/nutmegwelld/main.cpp
@@ -4,6 +4,7 @@
 #include "nutmegwell/settings/logging.h"
 #include "nutmegwell/settings/settings.h"
 #include "nutmegwell/sitehost/roles.h"
+#include <algorithm>
 #include <iostream>
 
 using namespace nutmegwell;
@@ -18,14 +19,18 @@
   settings::configureLogging(Format, Level);
 }
 
-/// Reads the flags of the command line, then those of the settings file.
+/// Reads the flags of the command line, then those of the settings file, if
+/// there is one.
 absl::StatusOr<settings::Settings>
 readSiteSettings(const settings::SettingsSpec &Spec,
-                 std::vector<std::string> Arguments, const std::string &Path) {
-  absl::StatusOr<std::vector<std::string>> Flags = platform::readFlags(Path);
-  if (!Flags.ok())
-    return Flags.status();
-  Arguments.insert(Arguments.end(), Flags->begin(), Flags->end());
+                 std::vector<std::string> Arguments,
+                 const std::optional<std::string> &Path) {
+  if (Path) {
+    absl::StatusOr<std::vector<std::string>> Flags = platform::readFlags(*Path);
+    if (!Flags.ok())
+      return Flags.status();
+    Arguments.insert(Arguments.end(), Flags->begin(), Flags->end());
+  }
   std::vector<const char *> Texts;
   for (const std::string &Argument : Arguments)
     Texts.push_back(Argument.c_str());
@@ -33,7 +38,7 @@
                          settings::processEnvironment());
 }
 
-int runSite(int Argc, char **Argv, const std::string &Path) {
+int runSite(int Argc, char **Argv, const std::optional<std::string> &Path) {
   const settings::SettingsSpec Spec = sitehost::siteSettings();
   const std::vector<std::string> Arguments(Argv, Argv + Argc);
   auto Reread = [&] { return readSiteSettings(Spec, Arguments, Path); };
@@ -50,6 +55,13 @@
   });
 }
 
+/// Returns true when the flags ask for a role on the users' platform.
+bool namesSiteRole(int Argc, char **Argv) {
+  return std::any_of(Argv, Argv + Argc, [](const char *Argument) {
+    return std::string(Argument).rfind("--role=site-", 0) == 0;
+  });
+}
+
 int runRole(int Argc, char **Argv) {
   const settings::SettingsSpec Spec = settings::daemonSettings();
   auto Values =
@@ -67,8 +79,9 @@
 int main(int Argc, char **Argv) {
   try {
     // On the users' platform the settings come from a file.
-    if (auto Path = platform::settingsPath(settings::processEnvironment()))
-      return runSite(Argc, Argv, *Path);
+    const auto Path = platform::settingsPath(settings::processEnvironment());
+    if (Path || namesSiteRole(Argc, Argv))
+      return runSite(Argc, Argv, Path);
     return runRole(Argc, Argv);
   } catch (const std::exception &Error) {
     std::cerr << "nutmegwelld: " << Error.what() << "\n";
--- a/lib/sitehost/src/entryrole.cpp
+++ b/lib/sitehost/src/entryrole.cpp
@@ -14,7 +14,8 @@
 site::EntrySettings entrySettings(const settings::Settings &Values) {
   site::EntrySettings Result;
   Result.Host_ = Values.text("node");
-  Result.Address_ = settings::toString(Values.address("peers-listen"));
+  Result.Address_ = settings::toString(Values.address(
+      Values.has("peers-address") ? "peers-address" : "peers-listen"));
   Result.Process_ = newIncarnation();
   Result.Seeds_ = texts(Values.addresses("seeds"));
   Result.Policy_.Holder_.MaxHold_ = Values.duration("max-hold");
--- a/lib/sitehost/src/sitesettings.cpp
+++ b/lib/sitehost/src/sitesettings.cpp
@@ -26,6 +26,8 @@
       .requiredWhen("role", "site-entry")
       .listenAddress("peers-listen", "address for entry hosts and agents")
       .requiredWhen("role", "site-entry")
+      .address("peers-address", "address at which peers and agents reach this "
+                                "host, peers-listen when not set")
       .listenAddress("worker-listen",
                      "address at which the worker announces itself")
       .requiredWhen("role", "site-agent")
