--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -43,10 +43,6 @@
   /// A failed task waits this long before its next attempt, so that the news of
   /// a failing worker can spread.
   core::Duration RetryPause_ = std::chrono::milliseconds(100);
-  /// Time for which a preempted job starts nothing; doubles up to the second.
-  /// The longest is below the 3 s for which a job with room may stand still.
-  core::Duration FirstPreemptionRest_ = std::chrono::milliseconds(400);
-  core::Duration LongestPreemptionRest_ = std::chrono::milliseconds(1600);
   /// How many times as long a task takes away from its data or across racks.
   double RemotePenalty_ = 3;
   /// A due occurrence starts this much after its time, because clocks of hosts
@@ -124,8 +120,6 @@
   jobs::JobProgress Progress_;
   /// No attempt of a task before this time.
   core::TimePoint NotBefore_{};
-  /// Rest after the newest preemption.
-  core::Duration Rest_{0};
   /// When the job was first seen waiting.
   core::TimePoint Since_{};
 };
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -197,7 +197,6 @@
     const std::vector<std::size_t> Chosen =
         chooseVictims(Request, Rooms, Candidates);
     for (std::size_t I : Chosen) {
-      restAfterPreemption(Groups[I].front().Task_.Job_);
       for (const RunId &Id : Groups[I])
         stopAttempt(State_, State_.Attempts_.at(Id),
                     "gives way to " + Work.Job_->Accepted_.Job_, Around_.Now_,
@@ -209,19 +208,6 @@
       reserve(Work, Request, Rooms);
   }
 
-  /// A job that gave way starts nothing for a while that doubles each time. In
-  /// a burst of urgent work it would only be stopped again.
-  void restAfterPreemption(const std::string &Job) {
-    LiveJob &Live = State_.Jobs_.at(Job);
-    if (Live.NotBefore_ > Around_.Now_)
-      return;
-    const HolderPolicy &Policy = State_.Policy_;
-    Live.Rest_ =
-        std::min(Policy.LongestPreemptionRest_,
-                 std::max(Policy.FirstPreemptionRest_, Live.Rest_ * 2));
-    Live.NotBefore_ = Around_.Now_ + Live.Rest_;
-  }
-
   void giveBack(const Attempt &Run, const Unit &Work,
                 std::vector<Room> &Rooms) {
     auto It = Index_.find(Run.Host_);
