Wait for ready entry hosts after the soak's faults

The check now requires every entry host to be ready within 12 s, the users' bound for service after the last fault.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -2,7 +2,6 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <condition_variable>
 #include <iostream>
 #include <map>
 #include <mutex>
@@ -20,6 +19,8 @@
 constexpr auto LoadTime = 10s;
 /// Leases of 3 s, a tenure of 6 s and a new holder, twice over.
 constexpr auto SettleTime = 30s;
+/// The users' bound for service after the last fault.
+constexpr auto ReadyTime = 12s;
 
 /// What the callers know of a job.
 struct CallerView {
@@ -30,25 +31,6 @@
   bool Hopeless_ = false;
 };
 
-/// Waits without polling; ends early when the run is over.
-class Pause {
-public:
-  void wait(std::chrono::milliseconds Span) {
-    std::unique_lock<std::mutex> Lock(Mutex_);
-    Changed_.wait_for(Lock, Span, [this] { return Over_; });
-  }
-  void end() {
-    std::lock_guard<std::mutex> Lock(Mutex_);
-    Over_ = true;
-    Changed_.notify_all();
-  }
-
-private:
-  std::mutex Mutex_;
-  std::condition_variable Changed_;
-  bool Over_ = false;
-};
-
 net::HttpRequest request(const std::string &Method, const std::string &Path) {
   net::HttpRequest Request;
   Request.Method_ = Method;
@@ -205,6 +187,8 @@
       Cluster_.resume(I);
       Cluster_.restart(I);
     }
+    if (!Cluster_.waitReady(ReadyTime))
+      broken("an entry host is not ready after the faults");
     const auto End = std::chrono::steady_clock::now() + SettleTime;
     Pause Between;
     while (std::chrono::steady_clock::now() < End && !allEnded())
--- a/tests/soak/soakcluster.cpp
+++ b/tests/soak/soakcluster.cpp
@@ -115,6 +115,7 @@
 
 bool SoakCluster::waitReady(std::chrono::seconds Limit) {
   const auto End = std::chrono::steady_clock::now() + Limit;
+  Pause Between;
   for (std::size_t I = 0; I < Entries_; ++I) {
     bool Ready = false;
     while (!Ready && std::chrono::steady_clock::now() < End) {
@@ -124,8 +125,7 @@
       auto Answer = Client.call(Request, std::chrono::seconds(1));
       Ready = Answer.ok() && Answer->Status_ == 200;
       if (!Ready)
-        Nodes_[I].Process_->waitForLine("never written", 0,
-                                        std::chrono::milliseconds(100));
+        Between.wait(std::chrono::milliseconds(100));
     }
     if (!Ready)
       return false;
--- a/tests/soak/soakcluster.h
+++ b/tests/soak/soakcluster.h
@@ -4,13 +4,34 @@
 #include "platformworker.h"
 #include "process.h"
 #include "tcpproxy.h"
+#include <condition_variable>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
 namespace soak {
 
+/// Waits without polling; ends early when the run is over.
+class Pause {
+public:
+  void wait(std::chrono::milliseconds Span) {
+    std::unique_lock<std::mutex> Lock(Mutex_);
+    Changed_.wait_for(Lock, Span, [this] { return Over_; });
+  }
+  void end() {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Over_ = true;
+    Changed_.notify_all();
+  }
+
+private:
+  std::mutex Mutex_;
+  std::condition_variable Changed_;
+  bool Over_ = false;
+};
+
 /// The real daemons as processes on loopback, and stand-ins of the platform.
 class SoakCluster {
 public:
