--- a/lib/aio/src/httpclient.cpp
+++ b/lib/aio/src/httpclient.cpp
@@ -14,7 +14,7 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
-using tcp = asio::ip::tcp;
+using Tcp = asio::ip::tcp;
 using Error = boost::system::error_code;
 
 /// Largest answer that is read; a page of the store is at most 1 MB and a read
@@ -85,7 +85,7 @@
                             Self->Connected_ = true;
                             Error Ignored; // Only slower without the option.
                             Self->Stream_.socket().set_option(
-                                tcp::no_delay(true), Ignored);
+                                Tcp::no_delay(true), Ignored);
                             Self->send();
                           });
   }
--- a/lib/aio/src/httpserver.cpp
+++ b/lib/aio/src/httpserver.cpp
@@ -12,7 +12,7 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
-using tcp = asio::ip::tcp;
+using Tcp = asio::ip::tcp;
 using Error = boost::system::error_code;
 
 net::HttpRequest convert(http::request<http::string_body> &&Message) {
@@ -38,9 +38,9 @@
         Handler_(std::move(Function)) {}
 
   void listen(const net::Address &Address) {
-    const tcp::endpoint Endpoint = endpointOf(Address);
+    const Tcp::endpoint Endpoint = endpointOf(Address);
     Acceptor_.open(Endpoint.protocol());
-    Acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    Acceptor_.set_option(Tcp::acceptor::reuse_address(true));
     Acceptor_.bind(Endpoint);
     Acceptor_.listen();
     accept();
@@ -49,7 +49,7 @@
   void accept();
 
   asio::io_context &Context_;
-  tcp::acceptor Acceptor_;
+  Tcp::acceptor Acceptor_;
   ServerLimits Limits_;
   RequestHandler Handler_;
   bool Draining_ = false;
@@ -62,7 +62,7 @@
 /// One connection; lives as long as an operation on it is pending.
 class Session : public std::enable_shared_from_this<Session> {
 public:
-  Session(tcp::socket Socket, std::shared_ptr<HttpServer::Impl> Server)
+  Session(Tcp::socket Socket, std::shared_ptr<HttpServer::Impl> Server)
       : Stream_(std::move(Socket)), Server_(std::move(Server)) {
     ++Server_->Connections_;
   }
@@ -160,7 +160,7 @@
 
   void close() {
     Error Ignored; // The peer may have closed already.
-    Stream_.socket().shutdown(tcp::socket::shutdown_send, Ignored);
+    Stream_.socket().shutdown(Tcp::socket::shutdown_send, Ignored);
     Stream_.close();
   }
 
@@ -176,12 +176,12 @@
 
 void HttpServer::Impl::accept() {
   Acceptor_.async_accept(
-      [Self = shared_from_this()](const Error &Failure, tcp::socket Socket) {
+      [Self = shared_from_this()](const Error &Failure, Tcp::socket Socket) {
         if (Failure == asio::error::operation_aborted)
           return;
         if (!Failure && Self->Connections_ < Self->Limits_.MaxConnections_) {
           Error Ignored; // Without the option small answers are only slower.
-          Socket.set_option(tcp::no_delay(true), Ignored);
+          Socket.set_option(Tcp::no_delay(true), Ignored);
           std::make_shared<Session>(std::move(Socket), Self)->readNext();
         }
         Self->accept();
--- a/lib/aio/src/link.cpp
+++ b/lib/aio/src/link.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 namespace asio = boost::asio;
-using tcp = asio::ip::tcp;
+using Tcp = asio::ip::tcp;
 using Error = boost::system::error_code;
 
 /// Bytes of the big-endian length before each frame.
@@ -38,10 +38,10 @@
         Handlers_(std::move(Functions)) {}
 
   void accept();
-  std::shared_ptr<Connection> add(tcp::socket Socket);
+  std::shared_ptr<Connection> add(Tcp::socket Socket);
 
   asio::io_context &Context_;
-  tcp::acceptor Acceptor_;
+  Tcp::acceptor Acceptor_;
   LinkLimits Limits_;
   LinkHandlers Handlers_;
   LinkId Next_ = 1;
@@ -50,7 +50,7 @@
 
 struct Links::Impl::Connection
     : std::enable_shared_from_this<Links::Impl::Connection> {
-  Connection(std::shared_ptr<Impl> Owner, LinkId Number, tcp::socket Stream)
+  Connection(std::shared_ptr<Impl> Owner, LinkId Number, Tcp::socket Stream)
       : Owner_(std::move(Owner)), Id_(Number), Socket_(std::move(Stream)),
         Timer_(Owner_->Context_) {}
 
@@ -69,7 +69,7 @@
       return;
     Connected_ = true;
     Error Ignored; // Only slower without the option.
-    Socket_.set_option(tcp::no_delay(true), Ignored);
+    Socket_.set_option(Tcp::no_delay(true), Ignored);
     watch(Owner_->Limits_.Silence_);
     Owner_->Handlers_.Opened_(Id_);
     readPrefix();
@@ -152,7 +152,7 @@
 
   std::shared_ptr<Impl> Owner_;
   LinkId Id_;
-  tcp::socket Socket_;
+  Tcp::socket Socket_;
   asio::steady_timer Timer_;
   std::array<unsigned char, PrefixSize> Prefix_{};
   std::string Frame_;
@@ -163,7 +163,7 @@
   bool Closed_ = false;
 };
 
-std::shared_ptr<Links::Impl::Connection> Links::Impl::add(tcp::socket Socket) {
+std::shared_ptr<Links::Impl::Connection> Links::Impl::add(Tcp::socket Socket) {
   const LinkId Id = Next_++;
   auto Added =
       std::make_shared<Connection>(shared_from_this(), Id, std::move(Socket));
@@ -173,7 +173,7 @@
 
 void Links::Impl::accept() {
   Acceptor_.async_accept(
-      [Self = shared_from_this()](const Error &Failure, tcp::socket Socket) {
+      [Self = shared_from_this()](const Error &Failure, Tcp::socket Socket) {
         if (Failure == asio::error::operation_aborted)
           return;
         if (!Failure)
@@ -191,9 +191,9 @@
 }
 
 std::uint16_t Links::listen(const net::Address &Listen) {
-  const tcp::endpoint Endpoint = endpointOf(Listen);
+  const Tcp::endpoint Endpoint = endpointOf(Listen);
   Impl_->Acceptor_.open(Endpoint.protocol());
-  Impl_->Acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  Impl_->Acceptor_.set_option(Tcp::acceptor::reuse_address(true));
   Impl_->Acceptor_.bind(Endpoint);
   Impl_->Acceptor_.listen();
   Impl_->accept();
@@ -201,7 +201,7 @@
 }
 
 LinkId Links::dial(const net::Address &Peer) {
-  auto Added = Impl_->add(tcp::socket(Impl_->Context_));
+  auto Added = Impl_->add(Tcp::socket(Impl_->Context_));
   Added->dial(Peer);
   return Added->Id_;
 }
--- a/lib/cell/tests/fakecell.cpp
+++ b/lib/cell/tests/fakecell.cpp
@@ -82,7 +82,9 @@
 }
 
 void FakeCell::carryOut(Effects &&Out) {
-  for (auto &[Host, Orders] : Out.Orders_) {
+  for (auto &Entry : Out.Orders_) {
+    const std::string &Host = Entry.first;
+    HolderOrders &Orders = Entry.second;
     AgentReport &Report = Agents_[Host];
     Report.Term_ = Orders.Term_;
     Report.Processed_ = Orders.Sequence_;
--- a/lib/cell/tests/placetest.cpp
+++ b/lib/cell/tests/placetest.cpp
@@ -106,8 +106,7 @@
     std::vector<Room> Rooms = twoRacks();
     jobs::StepSpec Step = step(1);
     Step.RequiredLabel_ = "b";
-    CPPUNIT_ASSERT_EQUAL(std::size_t(4),
-                         place(request(Step, 1), Rooms)->at(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), place(request(Step, 1), Rooms)->at(0));
     Step.RequiredLabel_ = "c";
     CPPUNIT_ASSERT(!place(request(Step, 1), Rooms));
   }
@@ -125,8 +124,7 @@
     for (int I = 0; I < 5; ++I)
       Rooms[I].Doubt_ = 1;
     const jobs::StepSpec Step = step(1);
-    CPPUNIT_ASSERT_EQUAL(std::size_t(5),
-                         place(request(Step, 1), Rooms)->at(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(5), place(request(Step, 1), Rooms)->at(0));
   }
 
   static Victim victim(int Priority, double Loss, std::size_t Worker) {
--- a/lib/site/src/parts.h
+++ b/lib/site/src/parts.h
@@ -18,6 +18,10 @@
 store::AppendToken append(EntryState &State, Writer Which,
                           const std::vector<jobs::Record> &Records);
 
+/// Returns the addresses of peers that reach the store, as far as their beats
+/// tell.
+std::vector<std::string> relays(const EntryState &State, core::TimePoint Now);
+
 /// Asks the driver for the appends that are due.
 void requestAppends(EntryState &State, core::TimePoint Now, EntryEffects &Out);
 
--- a/lib/site/src/writers.cpp
+++ b/lib/site/src/writers.cpp
@@ -11,17 +11,6 @@
   return State.HolderWriter_ ? &*State.HolderWriter_ : nullptr;
 }
 
-/// Returns the addresses of peers that reach the store, as far as their beats
-/// tell.
-std::vector<std::string> relays(const EntryState &State, core::TimePoint Now) {
-  std::vector<std::string> Addresses;
-  for (const auto &[Host, Other] : State.Peers_)
-    if (isFresh(State, Other, Now) &&
-        Other.Beat_.StoreReadAgo_ < 2 * State.Settings_.Policy_.ReadTimeout_)
-      Addresses.push_back(Other.Address_);
-  return Addresses;
-}
-
 /// Returns the relay for a try, or an empty text for the own path. The own path
 /// goes first while it works; otherwise every third try goes over it.
 std::string pathOf(EntryState &State, unsigned Try, core::TimePoint Now) {
@@ -90,6 +79,15 @@
 
 } // namespace
 
+std::vector<std::string> relays(const EntryState &State, core::TimePoint Now) {
+  std::vector<std::string> Addresses;
+  for (const auto &[Host, Other] : State.Peers_)
+    if (isFresh(State, Other, Now) &&
+        Other.Beat_.StoreReadAgo_ < State.Settings_.Policy_.ReadTimeout_)
+      Addresses.push_back(Other.Address_);
+  return Addresses;
+}
+
 store::AppendToken append(EntryState &State, Writer Which,
                           const std::vector<jobs::Record> &Records) {
   const store::AppendToken Token = State.NextToken_++;
--- a/lib/site/tests/fakesite.cpp
+++ b/lib/site/tests/fakesite.cpp
@@ -90,11 +90,10 @@
     return Encoded_.at(Bytes);
   };
   // "tables" holds a version; account "acme" loses its key in version 9.
-  Codec.DecodeOperator_ = [](const store::KeyedRecord &Record)
-      -> absl::StatusOr<OperatorChange> {
+  Codec.DecodeOperator_ =
+      [](const store::KeyedRecord &Record) -> absl::StatusOr<OperatorChange> {
     if (Record.Key_ != "tables")
-      return OperatorChange(
-          DomainChange{Record.Key_, !Record.Value_.empty()});
+      return OperatorChange(DomainChange{Record.Key_, !Record.Value_.empty()});
     jobs::ServiceTables Tables;
     Tables.Version_ = std::stoul(Record.Value_);
     jobs::Queue Queue;
@@ -120,8 +119,8 @@
   Settings.Address_ = Host;
   Settings.Process_ = NextProcess_++;
   Settings.Seeds_ = {"e0"};
-  Hosts_[Host] = std::make_unique<EntryState>(
-      makeEntry(Settings, codec(), Now_));
+  Hosts_[Host] =
+      std::make_unique<EntryState>(makeEntry(Settings, codec(), Now_));
 }
 
 void FakeSite::deliver(
--- a/lib/site/tests/sitetest.cpp
+++ b/lib/site/tests/sitetest.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(refusedHostLearnsThroughAPeer);
   CPPUNIT_TEST(lastKeyIsGoneOnARefusedHost);
   CPPUNIT_TEST(storeOutageIsAnsweredInTime);
+  CPPUNIT_TEST(knownOutageIsRefusedAtOnce);
   CPPUNIT_TEST(holderOutlastsAStoreOutage);
   CPPUNIT_TEST(refusedHolderKeepsItsTenureThroughAPeer);
   CPPUNIT_TEST(cutHolderStopsGranting);
@@ -150,6 +151,22 @@
     CPPUNIT_ASSERT(has(Site.answer(Sent), ReplyKind::OutcomeUnknown));
   }
 
+  /// Guards against submissions that wait for a store which is known to be
+  /// away: once sent, their end stays uncertain until the caller gives up.
+  void knownOutageIsRefusedAtOnce() {
+    FakeSite Site(3);
+    Site.run(2s);
+    Site.Store_.Refused_ = {"*"};
+    Site.run(2s);
+    const CallToken Token = Site.call("e1", CallKind::Submit, "a");
+    CPPUNIT_ASSERT(has(Site.answer(Token), ReplyKind::Refused));
+    Site.Store_.Refused_.clear();
+    Site.run(500ms);
+    const CallToken Again = Site.call("e1", CallKind::Submit, "a");
+    Site.run(100ms);
+    CPPUNIT_ASSERT(has(Site.answer(Again), ReplyKind::Accepted));
+  }
+
   /// Guards against a change of holders that no host needs.
   void holderOutlastsAStoreOutage() {
     FakeSite Site(3);
@@ -169,12 +186,11 @@
     Site.Store_.Refused_ = {Host};
     Site.run(9s);
     CPPUNIT_ASSERT(Site.holders() == std::vector<std::string>{Host});
-    CPPUNIT_ASSERT(Site.entry(Host).Holder_->TenureConfirmed_ >
-                   Site.Now_ - 2s);
+    CPPUNIT_ASSERT(Site.entry(Host).Holder_->TenureConfirmed_ > Site.Now_ - 2s);
   }
 
-  /// Guards against two hosts that grant: a holder without any path is replaced,
-  /// and its tenure is over within its validity of 6 s.
+  /// Guards against two hosts that grant: a holder without any path is
+  /// replaced, and its tenure is over within its validity of 6 s.
   void cutHolderStopsGranting() {
     FakeSite Site(3);
     Site.run(2s);
--- a/tests/soak/tcpproxy.cpp
+++ b/tests/soak/tcpproxy.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 namespace asio = boost::asio;
-using tcp = asio::ip::tcp;
+using Tcp = asio::ip::tcp;
 using Error = boost::system::error_code;
 
 } // namespace
@@ -24,13 +24,13 @@
   explicit Impl(const nutmegwell::net::Address &Server)
       : Server_(asio::ip::make_address_v4(Server.Ip_), Server.Port_),
         Acceptor_(Context_,
-                  tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {}
+                  Tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {}
 
   void accept();
 
   asio::io_context Context_{1};
-  tcp::endpoint Server_;
-  tcp::acceptor Acceptor_;
+  Tcp::endpoint Server_;
+  Tcp::acceptor Acceptor_;
   ProxyMode Mode_ = ProxyMode::Pass;
   std::set<std::shared_ptr<Pair>> Open_;
 };
@@ -38,7 +38,7 @@
 /// A client's connection and the one to the server.
 struct TcpProxy::Impl::Pair
     : std::enable_shared_from_this<TcpProxy::Impl::Pair> {
-  Pair(std::shared_ptr<Impl> Owner, tcp::socket Client)
+  Pair(std::shared_ptr<Impl> Owner, Tcp::socket Client)
       : Owner_(std::move(Owner)), Client_(std::move(Client)),
         Server_(Owner_->Context_), Timer_(Owner_->Context_) {}
 
@@ -55,7 +55,7 @@
 
   using Buffer = std::array<char, 16384>;
 
-  void pump(tcp::socket &From, tcp::socket &To, Buffer &Bytes, ProxyMode Cut) {
+  void pump(Tcp::socket &From, Tcp::socket &To, Buffer &Bytes, ProxyMode Cut) {
     From.async_read_some(
         asio::buffer(Bytes), [Self = shared_from_this(), &From, &To, &Bytes,
                               Cut](const Error &Failure, std::size_t Size) {
@@ -75,7 +75,7 @@
         });
   }
 
-  void pass(tcp::socket &From, tcp::socket &To, Buffer &Bytes, ProxyMode Cut,
+  void pass(Tcp::socket &From, Tcp::socket &To, Buffer &Bytes, ProxyMode Cut,
             std::size_t Size) {
     asio::async_write(To, asio::buffer(Bytes, Size),
                       [Self = shared_from_this(), &From, &To, &Bytes,
@@ -98,8 +98,8 @@
   }
 
   std::shared_ptr<Impl> Owner_;
-  tcp::socket Client_;
-  tcp::socket Server_;
+  Tcp::socket Client_;
+  Tcp::socket Server_;
   asio::steady_timer Timer_;
   Buffer Forward_{};
   Buffer Back_{};
@@ -108,7 +108,7 @@
 
 void TcpProxy::Impl::accept() {
   Acceptor_.async_accept(
-      [Self = shared_from_this()](const Error &Failure, tcp::socket Socket) {
+      [Self = shared_from_this()](const Error &Failure, Tcp::socket Socket) {
         if (Failure)
           return;
         auto New = std::make_shared<Pair>(Self, std::move(Socket));
