Carry submissions through an outage of the store again

An append that was sent is repeated until it is certain, so that the job runs after the outage; a refused caller has usually given up by then.

--- a/lib/site/src/callers.cpp
+++ b/lib/site/src/callers.cpp
@@ -112,11 +112,8 @@
   return &It->second;
 }
 
-bool storeIsAway(const EntryState &State, core::TimePoint Now) {
-  if (store::stuckFor(State.Own_, Now) > State.Settings_.Policy_.StoreStuck_)
-    return true;
-  // What is sent now would have no certain end before its caller gives up.
-  return State.Cell_.Failing_ && relays(State, Now).empty();
+bool storeIsStuck(const EntryState &State, core::TimePoint Now) {
+  return store::stuckFor(State.Own_, Now) > State.Settings_.Policy_.StoreStuck_;
 }
 
 void query(const Step &At, const CallerRequest &Request,
@@ -157,7 +154,7 @@
       At.wait(std::move(Request), Job).Append_ = Shared;
       return;
     }
-  if (storeIsAway(State, At.Now_))
+  if (storeIsStuck(State, At.Now_))
     return At.refuse(Request, Job, "the store does not answer");
   jobs::JobAccepted Record;
   Record.Job_ = Job;
@@ -241,7 +238,7 @@
 
 void expireCalls(EntryState &State, core::TimePoint Now, EntryEffects &Out) {
   const Step At{State, Now, Out};
-  if (storeIsAway(State, Now))
+  if (storeIsStuck(State, Now))
     refuseUnsent(At);
   for (auto It = State.Calls_.begin(); It != State.Calls_.end();) {
     WaitingCall &Call = It->second;
