Forget acknowledgements of a worker's earlier life

Cause: numbers of ends start at 1 in each life of a worker. An append in flight when a worker came back acknowledged the ends of its earlier life, up to 6, and the holder took that number into the new life. The worker then forgot its ends 1 to 6 before the holder had seen them, the runs counted as missing, and six done tasks were started again (TWICE). Ruled out: the agent (it had reset its state), leases (the worker was heard). Test: cell-holder-test, endsOfAnEarlierLifeAcknowledgeNothing, failed before.

--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -47,6 +47,10 @@
       dropAllOf(State, Host.Host_, "the worker started anew", Out);
     Host.EndsHandled_ = 0;
     Host.EndsDurable_ = 0;
+    // The append in flight covers ends of the earlier life only.
+    State.EndsInFlight_.erase(Host.Host_);
+    Host.Starts_.clear();
+    Host.Stops_.clear();
     Host.Trust_ = {};
     Out.Decisions_.push_back({"worker_seen",
                               {{"host", Host.Host_},
--- a/lib/cell/tests/holdertest.cpp
+++ b/lib/cell/tests/holdertest.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(attemptsAreBounded);
   CPPUNIT_TEST(cancelledJobIsStopped);
   CPPUNIT_TEST(endIsAcknowledgedOnlyWhenDurable);
+  CPPUNIT_TEST(endsOfAnEarlierLifeAcknowledgeNothing);
   CPPUNIT_TEST(stalledRunIsStopped);
   CPPUNIT_TEST(finishedMemberThatWaitsIsNotStalled);
   CPPUNIT_TEST(runsOfAWorkerThatItsAgentCannotHearAreStartedElsewhere);
@@ -146,6 +147,27 @@
     CPPUNIT_ASSERT(Cell.Agents_["w0"].Ended_.empty());
   }
 
+  /// Guards against a second run: numbers of ends start anew with each life of
+  /// a worker, so that an append of before must not acknowledge those of now.
+  void endsOfAnEarlierLifeAcknowledgeNothing() {
+    FakeCell Cell;
+    start(Cell, 1);
+    Cell.accept("a", oneStep(1, {1000, 1000, 1}));
+    Cell.step();
+    Cell.StoreWorks_ = false;
+    Cell.end(Cell.runsOf("a")[0], EndKind::Done);
+    Cell.run(200ms);
+    AgentReport &Report = Cell.Agents_["w0"];
+    Report.Worker_->Born_ = 2;
+    Report.Ended_.clear();
+    Cell.run(200ms);
+    onAppended(Cell.Holder_, Cell.around());
+    Cell.StoreWorks_ = true;
+    Cell.run(200ms);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0),
+                         Cell.Orders_.back().second.SeenUpTo_);
+  }
+
   /// Guards against a job that waits for ever on a worker that hangs.
   void stalledRunIsStopped() {
     FakeCell Cell;
