--- a/lib/jobs/include/nutmegwell/jobs/records.h
+++ b/lib/jobs/include/nutmegwell/jobs/records.h
@@ -61,9 +61,9 @@
   std::string Address_;
 };
 
-using Record = std::variant<JobAccepted, JobCancelled, JobProgressed,
-                            CellClaimed, WorkerListed, EntryHostListed,
-                 TenureSettled>;
+using Record =
+    std::variant<JobAccepted, JobCancelled, JobProgressed, CellClaimed,
+                 WorkerListed, EntryHostListed, TenureSettled>;
 
 /// Returns the key under which the store keeps the newest such record.
 std::string keyOf(const Record &Value);
--- a/lib/site/tests/fakesite.h
+++ b/lib/site/tests/fakesite.h
@@ -76,8 +76,8 @@
 
   EntryCodec codec();
   void carryOut(const std::string &Host, EntryEffects &&Out);
-  void deliver(const std::string &To, std::function<void(EntryState &,
-                                                         EntryEffects &)>);
+  void deliver(const std::string &To,
+               std::function<void(EntryState &, EntryEffects &)>);
   void send(const std::string &From, const std::string &To,
             const cell::PeerMessage &Message);
 
--- a/lib/store/tests/appendertest.cpp
+++ b/lib/store/tests/appendertest.cpp
@@ -38,8 +38,7 @@
     CPPUNIT_ASSERT(!nextTry(Appender_, Now_));
     Now_ += 100ms;
     const auto Second = nextTry(Appender_, Now_);
-    CPPUNIT_ASSERT_EQUAL(First->Request_.Sequence_,
-                         Second->Request_.Sequence_);
+    CPPUNIT_ASSERT_EQUAL(First->Request_.Sequence_, Second->Request_.Sequence_);
     CPPUNIT_ASSERT_EQUAL(1u, Second->Try_);
     CPPUNIT_ASSERT_EQUAL(AppendToken(1),
                          answer(AppendStatus::Done).at(0).Token_);
--- a/lib/wire/src/cellfields.h
+++ b/lib/wire/src/cellfields.h
@@ -129,9 +129,8 @@
 }
 
 template <class A> void serialize(A &Fields, AgentReport &V) {
-  Fields(V.Host_, V.Process_, V.Sequence_, V.Term_, V.Worker_,
-         V.WorkerHeard_, V.Processed_,
-         V.Running_, V.Ended_, V.Pending_, V.Refused_);
+  Fields(V.Host_, V.Process_, V.Sequence_, V.Term_, V.Worker_, V.WorkerHeard_,
+         V.Processed_, V.Running_, V.Ended_, V.Pending_, V.Refused_);
 }
 
 template <class A> void serialize(A &Fields, StartOrder &V) {
