--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -200,7 +200,7 @@
 void onTenureConfirmed(Holder &State, core::TimePoint SentAt);
 
 /// Notes that the append in flight is durable.
-void onAppended(Holder &State, const Surroundings &Around);
+void onAppended(Holder &State);
 
 /// Applies what time and records have changed, places work, and collects the
 /// orders and records that are due.
--- a/lib/cell/src/orders.cpp
+++ b/lib/cell/src/orders.cpp
@@ -143,7 +143,7 @@
     State.EndsInFlight_[Name] = Host.EndsHandled_;
 }
 
-void onAppended(Holder &State, const Surroundings &Around) {
+void onAppended(Holder &State) {
   State.AppendInFlight_ = false;
   for (const auto &[Name, UpTo] : State.EndsInFlight_) {
     auto It = State.Workers_.find(Name);
@@ -157,7 +157,6 @@
       It->second.Listed_ = Wanted;
   }
   State.ListingInFlight_.clear();
-  (void)Around;
 }
 
 } // namespace nutmegwell::cell
--- a/lib/cell/tests/fakecell.cpp
+++ b/lib/cell/tests/fakecell.cpp
@@ -107,7 +107,7 @@
   if (StoreWorks_) {
     for (const jobs::Record &Record : Out.Append_)
       jobs::apply(View_, {View_.Next_, Record});
-    onAppended(Holder_, around());
+    onAppended(Holder_);
   }
   std::move(Out.Append_.begin(), Out.Append_.end(),
             std::back_inserter(Records_));
--- a/lib/cell/tests/holdertest.cpp
+++ b/lib/cell/tests/holdertest.cpp
@@ -142,7 +142,7 @@
     Cell.run(1s);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.Agents_["w0"].Ended_.size());
     Cell.StoreWorks_ = true;
-    onAppended(Cell.Holder_, Cell.around());
+    onAppended(Cell.Holder_);
     Cell.run(200ms);
     CPPUNIT_ASSERT(Cell.Agents_["w0"].Ended_.empty());
   }
@@ -161,7 +161,7 @@
     Report.Worker_->Born_ = 2;
     Report.Ended_.clear();
     Cell.run(200ms);
-    onAppended(Cell.Holder_, Cell.around());
+    onAppended(Cell.Holder_);
     Cell.StoreWorks_ = true;
     Cell.run(200ms);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(0),
@@ -281,7 +281,7 @@
     Cell.run(1s);
     CPPUNIT_ASSERT(Cell.runsOf("j").empty());
     Cell.StoreWorks_ = true;
-    onAppended(Cell.Holder_, Cell.around());
+    onAppended(Cell.Holder_);
     Cell.run(300ms);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("j").size());
   }
--- a/lib/site/src/entry.cpp
+++ b/lib/site/src/entry.cpp
@@ -89,7 +89,7 @@
   else if (const auto *Relay = std::get_if<cell::RelayedRecords>(&Message))
     onRelay(State, *Relay, Now, Out);
   else if (const auto *Ask = std::get_if<cell::AppendAsked>(&Message))
-    onAsk(State, Link, *Ask, Out);
+    onAsk(Link, *Ask, Out);
   else if (const auto *Answer = std::get_if<cell::AppendAnswered>(&Message))
     onAnswer(State, *Answer, Now, Out);
   else if (const auto *Report = std::get_if<cell::AgentReport>(&Message))
--- a/lib/site/src/parts.h
+++ b/lib/site/src/parts.h
@@ -29,8 +29,7 @@
 void sendBeats(EntryState &State, core::TimePoint Now, EntryEffects &Out);
 
 /// Takes an answer to a peer's ask or an ask itself.
-void onAsk(EntryState &State, LinkId Link, const cell::AppendAsked &Ask,
-           EntryEffects &Out);
+void onAsk(LinkId Link, const cell::AppendAsked &Ask, EntryEffects &Out);
 void onAnswer(EntryState &State, const cell::AppendAnswered &Answer,
               core::TimePoint Now, EntryEffects &Out);
 
--- a/lib/site/src/peers.cpp
+++ b/lib/site/src/peers.cpp
@@ -27,9 +27,9 @@
 }
 
 /// Sends the records that a peer has lacked for a whole beat.
-void relayTo(const EntryState &State, const StreamState &Stream,
-             store::Stream Which, core::Offset PeerNext, core::Offset NextThen,
-             LinkId Link, EntryEffects &Out) {
+void relayTo(const StreamState &Stream, store::Stream Which,
+             core::Offset PeerNext, core::Offset NextThen, LinkId Link,
+             EntryEffects &Out) {
   if (!Stream.Synced_ || PeerNext >= Stream.Next_ || PeerNext >= NextThen)
     return;
   cell::RelayedRecords Relay;
@@ -47,7 +47,6 @@
         {"next", std::to_string(Stream.Next_)},
         {"records", std::to_string(Relay.Records_.size())}}});
   Out.Sends_.emplace_back(Link, std::move(Relay));
-  (void)State;
 }
 
 /// A peer's read of the store confirms the tenure when it was certainly sent
@@ -141,10 +140,10 @@
     State.Hosts_.emplace(Host, Address);
   noteHolder(State, Beat, Now);
   confirmThrough(State, Other);
-  relayTo(State, State.Operator_, store::Stream::Operator, Beat.OperatorNext_,
+  relayTo(State.Operator_, store::Stream::Operator, Beat.OperatorNext_,
           Other.OperatorNextThen_, Link, Out);
-  relayTo(State, State.Cell_, store::Stream::Cell, Beat.CellNext_,
-          Other.CellNextThen_, Link, Out);
+  relayTo(State.Cell_, store::Stream::Cell, Beat.CellNext_, Other.CellNextThen_,
+          Link, Out);
   Other.OperatorNextThen_ = State.Operator_.Next_;
   Other.CellNextThen_ = State.Cell_.Next_;
 }
--- a/lib/site/src/writers.cpp
+++ b/lib/site/src/writers.cpp
@@ -48,8 +48,7 @@
     if (!State.Holder_ || Result.Token_ != State.HolderToken_)
       continue;
     if (Done) {
-      cell::onAppended(*State.Holder_,
-                       surroundingsOf(State, Now, jobs::WallTime()));
+      cell::onAppended(*State.Holder_);
       continue;
     }
     // A newer holder exists, although its claim has not been read yet.
@@ -153,9 +152,7 @@
   takeOutcome(State, std::get<Writer>(For), Outcome, Now, Out);
 }
 
-void onAsk(EntryState &State, LinkId Link, const cell::AppendAsked &Ask,
-           EntryEffects &Out) {
-  (void)State;
+void onAsk(LinkId Link, const cell::AppendAsked &Ask, EntryEffects &Out) {
   Out.Appends_.push_back({RelayedAppend{Link, Ask.Id_}, Ask.Request_});
 }
 
--- a/lib/sitehost/src/sitesettings.cpp
+++ b/lib/sitehost/src/sitesettings.cpp
@@ -36,16 +36,10 @@
       .listenAddress("metrics-listen", "address of /metrics, none when not set")
       .addressList("seeds", "peer addresses of some entry hosts")
       .address("store-address", "address of the platform's store")
-      .requiredWhen("role", "site-entry")
-      .address("approval-address", "address of the approval service, none when "
-                                   "not set");
+      .requiredWhen("role", "site-entry");
   Builder
       .duration("max-hold", seconds(6), milliseconds(500), minutes(10),
                 "longest task lease that a worker accepts")
-      .duration("gang-timeout", seconds(3), milliseconds(100), minutes(10),
-                "time for which a member of a gang waits for the others")
-      .duration("early-start", milliseconds(250), milliseconds(0), minutes(1),
-                "how long before its due time an occurrence may start")
       .duration("stop-grace", seconds(6), milliseconds(500), minutes(10),
                 "time between the signal to stop and the kill")
       .count("remote-penalty", 3, 1, 1000,
