--- a/lib/cell/src/queue.cpp
+++ b/lib/cell/src/queue.cpp
@@ -96,8 +96,8 @@
   }
 }
 
-/// Later classes wait for earlier ones: work that can still meet its objective,
-/// then work that is late, then work that earns nothing more.
+/// Returns 0 for work that can still meet its objective, and 1 for late work,
+/// which waits for the former.
 int lateness(const Unit &Work) {
   if (Work.Slack_ >= core::Duration(0))
     return 0;
