Preempt only for jobs that can end on time

Urgent jobs kept preempting when they were late or worth nothing any more, and lost jobs went before late ones of the same priority.

Change: jobs have an outlook (on time, late, lost) that orders them and limits preemption, guarantees excepted. Victims are chosen by what their stop costs, worker by worker, with only a restart for runs that save a checkpoint at a stop. Places that slow work down are taken while half of the accelerators are free, or when the job would be lost otherwise; work within a guarantee waits 1.2 s for a near place. After one task of a step without a place its siblings are not tried in the same look.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegwell/cell/messages.h"
+#include "nutmegwell/cell/preempt.h"
 #include "nutmegwell/cell/trust.h"
 #include "nutmegwell/core/decision.h"
 #include "nutmegwell/jobs/tables.h"
@@ -13,6 +14,9 @@
 
 namespace nutmegwell::cell {
 
+/// What a job can still be worth to its caller.
+enum class Outlook : std::uint8_t { OnTime, Late, Lost };
+
 /// Times and weights of a cell's holder.
 struct HolderPolicy {
   /// Longest lease that a worker accepts.
@@ -45,10 +49,27 @@
   core::Duration RetryPause_ = std::chrono::milliseconds(100);
   /// How many times as long a task takes away from its data or across racks.
   double RemotePenalty_ = 3;
+  /// A job that takes up to this many times its objective is late; after that
+  /// it is worth nothing to its caller. The users' pages say three.
+  int LateUpTo_ = 3;
+  /// Work is placed far from its data this long before it would be lost
+  /// otherwise, as placing it takes a look or two.
+  core::Duration LastChance_ = std::chrono::seconds(1);
+  /// Work within a guarantee waits this long for a place near its data. Less
+  /// than half of the 2.7 s in which the users' pages want it started, so that
+  /// stops and a lost order still fit.
+  core::Duration GuaranteeWait_ = std::chrono::milliseconds(1200);
+  /// Share of a service's accelerators that has to be free for work to be
+  /// placed far from its data when it could wait.
+  double SpareShare_ = 0.5;
   /// A due occurrence starts this much after its time, because clocks of hosts
   /// differ.
   core::Duration DueMargin_ = std::chrono::milliseconds(20);
   TrustPolicy Trust_;
+  VictimChoice ChooseVictims_ = chooseVictims;
+  /// Worst outlook with which urgent work preempts. Stops delay other callers
+  /// and throw work away, which pays only while a job can end on time.
+  Outlook PreemptsUpTo_ = Outlook::OnTime;
 };
 
 enum class AttemptState : std::uint8_t {
@@ -68,6 +89,8 @@
   int Priority_ = 0;
   bool Gang_ = false;
   bool Lasting_ = false;
+  /// The run saves a checkpoint when it is stopped.
+  bool Checkpoints_ = false;
   AttemptState State_ = AttemptState::Ordered;
   /// Number of the orders message that carried the start.
   std::uint64_t OrderSequence_ = 0;
@@ -77,8 +100,6 @@
   core::TimePoint StopSentAt_{};
   double Percent_ = 0;
   std::string Checkpoint_;
-  /// Percentage of the work that Checkpoint_ covers.
-  double SavedPercent_ = 0;
 };
 
 /// A worker as its holder sees it.
--- a/lib/cell/include/nutmegwell/cell/place.h
+++ b/lib/cell/include/nutmegwell/cell/place.h
@@ -12,6 +12,7 @@
   std::string Host_;
   std::string Rack_;
   std::vector<std::string> Labels_;
+  jobs::Resources Capacity_;
   jobs::Resources Free_;
   /// 0 for a worker without recent bad ends.
   unsigned Doubt_ = 0;
@@ -38,6 +39,18 @@
 std::optional<std::vector<std::size_t>> place(const PlaceRequest &Request,
                                               std::vector<Room> &Rooms);
 
+/// Returns true when the constraints of the step allow one more of its tasks on
+/// \p Worker, whatever room is free there.
+bool permits(const Room &Worker, const jobs::StepSpec &Step);
+
+/// Returns the racks within which the request may be placed, the preferred one
+/// first; an empty name stands for all racks together.
+std::vector<std::string> scopesOf(const PlaceRequest &Request,
+                                  const std::vector<Room> &Rooms);
+
+/// Returns what a task of \p Step takes of its worker.
+jobs::Resources usesOf(const jobs::StepSpec &Step);
+
 /// Returns true when some worker of \p Rooms, were it empty of other work,
 /// would be near the data of the step.
 bool rackExists(const std::vector<Room> &Rooms, const std::string &Rack);
--- a/lib/cell/include/nutmegwell/cell/preempt.h
+++ b/lib/cell/include/nutmegwell/cell/preempt.h
@@ -22,4 +22,9 @@
                                        const std::vector<Room> &Rooms,
                                        const std::vector<Victim> &Candidates);
 
+/// Form of a choice of victims.
+using VictimChoice = std::vector<std::size_t> (*)(const PlaceRequest &,
+                                                  const std::vector<Room> &,
+                                                  const std::vector<Victim> &);
+
 } // namespace nutmegwell::cell
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -77,7 +77,6 @@
   Run.ChangedAt_ = Around.Now_;
   Run.Percent_ = Task.Percent_;
   Run.Checkpoint_ = Task.Checkpoint_;
-  Run.SavedPercent_ = Task.Percent_;
   auto Entry = Around.View_.Jobs_.find(Task.Id_.Task_.Job_);
   const bool Explained =
       Entry != Around.View_.Jobs_.end() &&
@@ -91,6 +90,7 @@
     Run.Priority_ = Job.Accepted_.Priority_;
     Run.Gang_ = Step.Gang_;
     Run.Lasting_ = Step.Lasting_;
+    Run.Checkpoints_ = Step.Checkpoints_;
     LiveJob &Live = liveJob(State, Job, Around.Now_);
     const jobs::StepProgress *Progress =
         Live.Progress_.find(Task.Id_.Task_.Occurrence_, Task.Id_.Task_.Step_);
@@ -133,7 +133,6 @@
     }
     if (Run.Checkpoint_ != Task.Checkpoint_) {
       Run.Checkpoint_ = Task.Checkpoint_;
-      Run.SavedPercent_ = Task.Percent_;
     }
   }
 }
@@ -175,13 +174,6 @@
 
 } // namespace
 
-jobs::Resources usesOf(const jobs::StepSpec &Step) {
-  jobs::Resources Uses = Step.Each_;
-  if (Step.Filling_)
-    Uses.Cpu_ = 0;
-  return Uses;
-}
-
 LiveJob &liveJob(Holder &State, const jobs::JobEntry &Job,
                  core::TimePoint Now) {
   auto [It, Added] = State.Jobs_.try_emplace(Job.Accepted_.Job_);
--- a/lib/cell/src/place.cpp
+++ b/lib/cell/src/place.cpp
@@ -25,15 +25,6 @@
          RackWeight * RackFree + (Worker.Free_.Cpu_ - Each.Cpu_) / MilliPerCore;
 }
 
-bool fits(const Room &Worker, const jobs::StepSpec &Step,
-          const jobs::Resources &Each) {
-  if (!Step.RequiredLabel_.empty() && !Worker.hasLabel(Step.RequiredLabel_))
-    return false;
-  if (Step.SpreadLimit_ != 0 && Worker.SameStep_ >= Step.SpreadLimit_)
-    return false;
-  return Worker.Free_.covers(Each);
-}
-
 /// Returns the accelerators that are free in each rack.
 std::map<std::string, std::int64_t> freeByRack(const std::vector<Room> &Rooms) {
   std::map<std::string, std::int64_t> Free;
@@ -49,9 +40,7 @@
                                   std::vector<Room> &Rooms,
                                   const std::string &Rack) {
   const jobs::StepSpec &Step = *Request.Step_;
-  jobs::Resources Each = Step.Each_;
-  if (Step.Filling_)
-    Each.Cpu_ = 0;
+  const jobs::Resources Each = usesOf(Step);
   std::map<std::string, std::int64_t> RackFree = freeByRack(Rooms);
   Choice Chosen;
   auto Undo = [&] {
@@ -66,7 +55,7 @@
     for (std::size_t I = 0; I < Rooms.size(); ++I) {
       if (!Rack.empty() && Rooms[I].Rack_ != Rack)
         continue;
-      if (!fits(Rooms[I], Step, Each))
+      if (!permits(Rooms[I], Step) || !Rooms[I].Free_.covers(Each))
         continue;
       const std::int64_t Score =
           scoreOf(Rooms[I], Each, RackFree[Rooms[I].Rack_]);
@@ -120,18 +109,37 @@
                      [&](const Room &Worker) { return Worker.Rack_ == Rack; });
 }
 
-std::optional<std::vector<std::size_t>> place(const PlaceRequest &Request,
-                                              std::vector<Room> &Rooms) {
-  for (const std::string &Rack : racksToTry(Request, Rooms))
-    if (auto Chosen = placeWithin(Request, Rooms, Rack))
-      return Chosen;
+bool permits(const Room &Worker, const jobs::StepSpec &Step) {
+  if (!Step.RequiredLabel_.empty() && !Worker.hasLabel(Step.RequiredLabel_))
+    return false;
+  return Step.SpreadLimit_ == 0 || Worker.SameStep_ < Step.SpreadLimit_;
+}
+
+jobs::Resources usesOf(const jobs::StepSpec &Step) {
+  jobs::Resources Uses = Step.Each_;
+  if (Step.Filling_)
+    Uses.Cpu_ = 0;
+  return Uses;
+}
+
+std::vector<std::string> scopesOf(const PlaceRequest &Request,
+                                  const std::vector<Room> &Rooms) {
+  std::vector<std::string> Scopes = racksToTry(Request, Rooms);
   const jobs::StepSpec &Step = *Request.Step_;
   const bool Near = !Step.DataRack_.empty() ||
                     (Step.SameRack_ && Request.Count_ > 1) ||
                     !Request.PreferredRack_.empty();
-  if (Near && !Request.AllowRemote_)
-    return std::nullopt;
-  return placeWithin(Request, Rooms, "");
+  if (!Near || Request.AllowRemote_)
+    Scopes.emplace_back();
+  return Scopes;
+}
+
+std::optional<std::vector<std::size_t>> place(const PlaceRequest &Request,
+                                              std::vector<Room> &Rooms) {
+  for (const std::string &Scope : scopesOf(Request, Rooms))
+    if (auto Chosen = placeWithin(Request, Rooms, Scope))
+      return Chosen;
+  return std::nullopt;
 }
 
 } // namespace nutmegwell::cell
--- a/lib/cell/src/queue.cpp
+++ b/lib/cell/src/queue.cpp
@@ -37,26 +37,17 @@
   return Chain;
 }
 
-/// Returns how much time is left until \p Job can no longer meet its objective
-/// when the work from \p Step on starts now.
-core::Duration slackOf(const JobEntry &Job, const jobs::Queue *Queue,
-                       const std::vector<core::Duration> &Chains,
-                       std::uint32_t Occurrence, std::uint32_t Step,
-                       jobs::WallTime Wall) {
-  const jobs::JobSpec &Spec = Job.Accepted_.Spec_;
+/// Returns the time from a job's arrival in which it should end.
+core::Duration objectiveOf(const jobs::Queue *Queue,
+                           const std::vector<core::Duration> &Chains) {
   core::Duration Longest(0);
   for (core::Duration Chain : Chains)
     Longest = std::max(Longest, Chain);
-  const double Stretch = Queue ? Queue->Stretch_ : 1;
-  const core::Duration Allowance =
-      Queue ? Queue->StartAllowance_ : core::Duration(0);
-  const jobs::WallTime Begin =
-      Spec.timed() ? Spec.dueAt(Occurrence) : Job.Accepted_.Submitted_;
-  const jobs::WallTime Objective =
-      Begin + Allowance +
-      core::Duration(static_cast<std::int64_t>(
-          static_cast<double>(Longest.count()) * Stretch));
-  return Objective - Wall - Chains[Step];
+  if (!Queue)
+    return Longest;
+  return Queue->StartAllowance_ +
+         core::Duration(static_cast<std::int64_t>(
+             static_cast<double>(Longest.count()) * Queue->Stretch_));
 }
 
 bool stepReady(const jobs::JobSpec &Spec, const jobs::JobProgress &Progress,
@@ -96,21 +87,16 @@
   }
 }
 
-/// Returns 0 for work that can still meet its objective, and 1 for late work,
-/// which waits for the former.
-int lateness(const Unit &Work) {
-  if (Work.Slack_ >= core::Duration(0))
-    return 0;
-  return 1;
-}
-
-bool before(const Unit &A, const Unit &B) {
+/// Urgent work first, then what can still be of most use to its caller.
+bool before(const HolderPolicy &Policy, const Unit &A, const Unit &B) {
   if (A.Guaranteed_ != B.Guaranteed_)
     return A.Guaranteed_;
   if (A.Priority_ != B.Priority_)
     return A.Priority_ < B.Priority_;
-  if (lateness(A) != lateness(B))
-    return lateness(A) < lateness(B);
+  const Outlook OfA = outlookOf(Policy, A);
+  const Outlook OfB = outlookOf(Policy, B);
+  if (OfA != OfB)
+    return OfA < OfB;
   if (A.Slack_ != B.Slack_)
     return A.Slack_ < B.Slack_;
   return A.Job_->Accepted_.Job_ < B.Job_->Accepted_.Job_;
@@ -149,8 +135,11 @@
     Work.Step_ = Step;
     Work.Priority_ = Job_.Accepted_.Priority_;
     Work.Guaranteed_ = Guaranteed_;
-    Work.Slack_ =
-        slackOf(Job_, Queue_, Chains_, Occurrence, Step, Around_.Wall_);
+    const jobs::JobSpec &Spec = Job_.Accepted_.Spec_;
+    const jobs::WallTime Begin =
+        Spec.timed() ? Spec.dueAt(Occurrence) : Job_.Accepted_.Submitted_;
+    Work.Objective_ = objectiveOf(Queue_, Chains_);
+    Work.Slack_ = Begin + Work.Objective_ - Around_.Wall_ - Chains_[Step];
     return Work;
   }
 
@@ -164,6 +153,28 @@
 
 } // namespace
 
+Outlook outlookOf(const HolderPolicy &Policy, const Unit &Work) {
+  if (Work.Slack_ >= core::Duration(0))
+    return Outlook::OnTime;
+  const core::Duration UntilLost =
+      Work.Slack_ + Work.Objective_ * (Policy.LateUpTo_ - 1);
+  return UntilLost >= core::Duration(0) ? Outlook::Late : Outlook::Lost;
+}
+
+bool acceptsSlowPlace(const HolderPolicy &Policy, const Unit &Work,
+                      double FreeShare) {
+  const auto Added = std::chrono::duration_cast<core::Duration>(
+      std::chrono::duration<double, std::micro>(
+          static_cast<double>(Work.spec().Estimate_.count()) *
+          (Policy.RemotePenalty_ - 1)));
+  const bool OnTime = outlookOf(Policy, Work) == Outlook::OnTime;
+  if (FreeShare >= Policy.SpareShare_ && (!OnTime || Work.Slack_ >= Added))
+    return true;
+  const core::Duration UntilLost =
+      Work.Slack_ + Work.Objective_ * (Policy.LateUpTo_ - 1) - Added;
+  return !OnTime && UntilLost < Policy.LastChance_;
+}
+
 std::vector<Unit> readyUnits(Holder &State, const Surroundings &Around,
                              core::TimePoint &Wake) {
   std::vector<Unit> Units;
@@ -192,7 +203,9 @@
     }
     JobScan(State, Around, Job, Guaranteed).run(Live, Units, Wake);
   }
-  std::sort(Units.begin(), Units.end(), before);
+  std::sort(Units.begin(), Units.end(), [&](const Unit &A, const Unit &B) {
+    return before(State.Policy_, A, B);
+  });
   return Units;
 }
 
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -23,19 +23,46 @@
   }
 
   void place(const Unit &Work) {
-    std::vector<Room> &Rooms = roomsOf(Work);
+    // Tasks of a step are alike: after one without a place, none has one.
+    if (sameStep(Work, NoPlaceFor_))
+      return;
     PlaceRequest Request = requestFor(Work);
-    countSameStep(Work, Rooms);
-    Request.AllowRemote_ = allowRemote(Work, Rooms);
-    if (auto Chosen = cell::place(Request, Rooms)) {
-      start(Work, Rooms, *Chosen);
+    countSameStep(Work, roomsOf(Work));
+    Request.AllowRemote_ = allowRemote(Work, roomsOf(Work));
+    if (startOrPreempt(Work, Request))
       return;
+    if (Work.Guaranteed_ && !Request.AllowRemote_ && hasWaited(Work)) {
+      Request.AllowRemote_ = true;
+      if (startOrPreempt(Work, Request))
+        return;
     }
-    if (Work.Priority_ == 0)
-      preempt(Work, Request);
+    NoPlaceFor_ = Work;
   }
 
 private:
+  static bool sameStep(const Unit &A, const Unit &B) {
+    return A.Job_ == B.Job_ && A.Occurrence_ == B.Occurrence_ &&
+           A.Step_ == B.Step_;
+  }
+
+  /// Starts \p Work, or makes room for it. Returns false when neither can be
+  /// done.
+  bool startOrPreempt(const Unit &Work, const PlaceRequest &Request) {
+    std::vector<Room> &Rooms = roomsOf(Work);
+    if (auto Chosen = cell::place(Request, Rooms)) {
+      start(Work, Rooms, *Chosen);
+      return true;
+    }
+    return mayPreempt(Work) && preempt(Work, Request);
+  }
+
+  /// Returns true when work within a guarantee no longer waits for a near
+  /// place.
+  bool hasWaited(const Unit &Work) const {
+    const LiveJob &Live = State_.Jobs_.at(Work.Job_->Accepted_.Job_);
+    return Around_.Now_ - Live.Since_ >= State_.Policy_.GuaranteeWait_;
+  }
+
   bool usable(const Worker &Host) const {
     if (!Host.Connected_ || !Host.Synced_ || !Host.Listed_ || !Host.Info_ ||
         !Host.Heard_ || Host.Stray_ || Host.Info_->Draining_)
@@ -59,6 +86,7 @@
     Space.Host_ = Host.Host_;
     Space.Rack_ = Host.Info_->Rack_;
     Space.Labels_ = Host.Info_->Labels_;
+    Space.Capacity_ = Host.Info_->Capacity_;
     Space.Free_ = Host.Info_->Capacity_;
     Space.Doubt_ = doubtOf(Host.Trust_, State_.Policy_.Trust_, Around_.Now_);
     std::vector<Room> &Rooms = Rooms_[Host.Info_->Service_];
@@ -117,18 +145,27 @@
         Space.SameStep_ += Space.Host_ == It->second.Host_;
   }
 
-  /// Waiting for a near place pays as long as it costs less than the time that
-  /// distance adds. A rack without any usable worker is not waited for.
   bool allowRemote(const Unit &Work, const std::vector<Room> &Rooms) const {
     const std::string &Data = Work.spec().DataRack_;
+    // A rack without any usable worker is not waited for.
     if (!Data.empty() && !rackExists(Rooms, Data))
       return true;
-    const LiveJob &Live = State_.Jobs_.at(Work.Job_->Accepted_.Job_);
-    const auto Added = std::chrono::duration_cast<core::Duration>(
-        std::chrono::duration<double, std::micro>(
-            static_cast<double>(Work.spec().Estimate_.count()) *
-            (State_.Policy_.RemotePenalty_ - 1)));
-    return Around_.Now_ - Live.Since_ >= Added;
+    std::int64_t Free = 0;
+    std::int64_t All = 0;
+    for (const Room &Space : Rooms) {
+      Free += Space.Free_.Accelerators_;
+      All += Space.Capacity_.Accelerators_;
+    }
+    const double Share =
+        All > 0 ? static_cast<double>(Free) / static_cast<double>(All) : 1;
+    return acceptsSlowPlace(State_.Policy_, Work, Share);
+  }
+
+  /// A guarantee is kept whatever the outlook of the job.
+  bool mayPreempt(const Unit &Work) const {
+    return Work.Priority_ == 0 &&
+           (Work.Guaranteed_ ||
+            outlookOf(State_.Policy_, Work) <= State_.Policy_.PreemptsUpTo_);
   }
 
   void start(const Unit &Work, const std::vector<Room> &Rooms,
@@ -162,6 +199,7 @@
     New.Priority_ = Work.Priority_;
     New.Gang_ = Step.Gang_;
     New.Lasting_ = Step.Lasting_;
+    New.Checkpoints_ = Step.Checkpoints_;
     New.OrderSequence_ = Host.NextOrder_;
     New.OrderedAt_ = Around_.Now_;
     New.ChangedAt_ = Around_.Now_;
@@ -185,17 +223,19 @@
     State_.Attempts_.emplace(New.Id_, std::move(New));
   }
 
-  void preempt(const Unit &Work, const PlaceRequest &Request) {
+  /// Makes room for \p Work at the cost of patient work. Returns false when
+  /// that is not possible.
+  bool preempt(const Unit &Work, const PlaceRequest &Request) {
     std::vector<Room> Rooms = roomsOf(Work);
     for (const auto &[Id, Run] : State_.Attempts_)
       if (Run.State_ == AttemptState::Stopping)
         giveBack(Run, Work, Rooms);
     if (reserve(Work, Request, Rooms))
-      return;
+      return true;
     std::vector<std::vector<RunId>> Groups;
     const std::vector<Victim> Candidates = candidatesFor(Work, Groups);
     const std::vector<std::size_t> Chosen =
-        chooseVictims(Request, Rooms, Candidates);
+        State_.Policy_.ChooseVictims_(Request, Rooms, Candidates);
     for (std::size_t I : Chosen) {
       for (const RunId &Id : Groups[I])
         stopAttempt(State_, State_.Attempts_.at(Id),
@@ -204,8 +244,7 @@
       for (const auto &[Worker, Freed] : Candidates[I].Frees_)
         Rooms[Worker].Free_ += Freed;
     }
-    if (!Chosen.empty())
-      reserve(Work, Request, Rooms);
+    return !Chosen.empty() && reserve(Work, Request, Rooms);
   }
 
   void giveBack(const Attempt &Run, const Unit &Work,
@@ -259,12 +298,15 @@
 
   /// Returns the core-seconds that a stop of \p Run throws away.
   double lossOf(const Attempt &Run) const {
-    const double Seconds =
-        std::chrono::duration<double>(Around_.Now_ - Run.OrderedAt_).count();
+    /// A stop and the next start, in seconds; the pages allow 0.2 s for a stop
+    /// and up to 0.25 s to restore a checkpoint.
+    constexpr double RestartSeconds = 0.4;
     const double Unsaved =
-        Run.Percent_ > 0 ? (Run.Percent_ - Run.SavedPercent_) / Run.Percent_
-                         : 1;
-    return Seconds * Unsaved *
+        Run.Checkpoints_
+            ? 0
+            : std::chrono::duration<double>(Around_.Now_ - Run.OrderedAt_)
+                  .count();
+    return (Unsaved + RestartSeconds) *
            (static_cast<double>(Run.Uses_.Cpu_) / 1000 +
             CoresPerAccelerator * static_cast<double>(Run.Uses_.Accelerators_));
   }
@@ -272,6 +314,8 @@
   Holder &State_;
   const Surroundings &Around_;
   Effects &Out_;
+  /// Last work that found no place.
+  Unit NoPlaceFor_;
   std::map<std::string, std::vector<Room>> Rooms_;
   std::map<std::string, std::pair<std::vector<Room> *, std::size_t>> Index_;
 };
--- a/lib/cell/src/steps.h
+++ b/lib/cell/src/steps.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegwell/cell/holder.h"
+#include "nutmegwell/cell/place.h"
 
 namespace nutmegwell::cell {
 
@@ -14,6 +15,8 @@
   std::uint32_t Count_ = 1;
   /// Time left until the job's objective is missed; negative when it is.
   core::Duration Slack_{0};
+  /// Time from the job's arrival in which it should end.
+  core::Duration Objective_{0};
   int Priority_ = 0;
   /// The account's guarantee covers this job.
   bool Guaranteed_ = false;
@@ -23,6 +26,15 @@
   }
 };
 
+/// Returns the outlook of \p Work if it starts now near its data.
+Outlook outlookOf(const HolderPolicy &Policy, const Unit &Work);
+
+/// Returns true when \p Work should start on a place that slows it down. Such a
+/// place costs several times the room, so that work which can wait takes it
+/// only while \p FreeShare of the accelerators is large.
+bool acceptsSlowPlace(const HolderPolicy &Policy, const Unit &Work,
+                      double FreeShare);
+
 /// Returns the first attempt of \p Task, or the map's end.
 AttemptMap::iterator findAttempt(AttemptMap &Attempts, const TaskId &Task);
 
@@ -76,9 +88,6 @@
 /// Collects the records of one append, unless one is in flight.
 void collectRecords(Holder &State, const Surroundings &Around, Effects &Out);
 
-/// Returns the resources that a run of \p Step takes of its worker.
-jobs::Resources usesOf(const jobs::StepSpec &Step);
-
 /// Returns until when a worker can run what a grant given at \p Now allows.
 core::TimePoint leaseBound(const HolderPolicy &Policy, core::TimePoint Now);
 
--- a/lib/cell/tests/placetest.cpp
+++ b/lib/cell/tests/placetest.cpp
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(failedPlacementTakesNoRoom);
   CPPUNIT_TEST(doubtfulWorkersComeLast);
   CPPUNIT_TEST(cheapestVictimsAreChosen);
+  CPPUNIT_TEST(leastWorkIsLostToAnUrgentTask);
+  CPPUNIT_TEST(urgentGangTakesTheRackWhereLeastIsLost);
   CPPUNIT_TEST(noVictimsWhenNoneSuffice);
   CPPUNIT_TEST(failingWorkerRestsLongerEachTime);
   CPPUNIT_TEST_SUITE_END();
@@ -147,6 +149,38 @@
     CPPUNIT_ASSERT(Chosen == std::vector<std::size_t>{2});
   }
 
+  /// Replays an urgent task beside patient work: one large run is cheaper to
+  /// stop than eight small ones that have each done less.
+  void leastWorkIsLostToAnUrgentTask() {
+    std::vector<Room> Rooms = twoRacks();
+    for (Room &Worker : Rooms)
+      Worker.Free_.Accelerators_ = 0;
+    std::vector<Victim> All;
+    for (int I = 0; I < 8; ++I) {
+      All.push_back(victim(2, 5, 1));
+      All.back().Frees_[0].second.Accelerators_ = 1;
+    }
+    All.push_back(victim(2, 30, 0));
+    const jobs::StepSpec Step = step(8);
+    CPPUNIT_ASSERT(chooseVictims(request(Step, 1), Rooms, All) ==
+                   std::vector<std::size_t>{8});
+  }
+
+  /// Replays an urgent gang that must share a rack: the rack whose work has
+  /// done least gives way, although the cheapest single runs are elsewhere.
+  void urgentGangTakesTheRackWhereLeastIsLost() {
+    std::vector<Room> Rooms = twoRacks();
+    for (Room &Worker : Rooms)
+      Worker.Free_.Accelerators_ = 0;
+    const std::vector<Victim> All = {victim(2, 1, 0),  victim(2, 1, 1),
+                                     victim(2, 90, 2), victim(2, 20, 3),
+                                     victim(2, 20, 4), victim(2, 20, 5)};
+    jobs::StepSpec Step = step(8);
+    Step.Gang_ = Step.SameRack_ = true;
+    CPPUNIT_ASSERT(chooseVictims(request(Step, 3), Rooms, All) ==
+                   (std::vector<std::size_t>{3, 4, 5}));
+  }
+
   /// Guards against stops that help nobody.
   void noVictimsWhenNoneSuffice() {
     std::vector<Room> Rooms = twoRacks();
--- /dev/null
+++ b/lib/cell/tests/queuetest.cpp
@@ -0,0 +1,163 @@
+#include "fakecell.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace nutmegwell;
+using namespace nutmegwell::cell;
+using namespace std::chrono_literals;
+
+/// Order of waiting work and what it may cost others, under high load.
+class QueueTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(QueueTest);
+  CPPUNIT_TEST(urgentWorkOnTimePreempts);
+  CPPUNIT_TEST(lateUrgentWorkStopsNobody);
+  CPPUNIT_TEST(guaranteedWorkPreemptsAlsoLate);
+  CPPUNIT_TEST(lostJobsWaitForLateOnes);
+  CPPUNIT_TEST(checkpointedRunsGiveWayFirst);
+  CPPUNIT_TEST(idleCellStartsWideGangsAcrossRacks);
+  CPPUNIT_TEST(busyCellKeepsGangsInOneRack);
+  CPPUNIT_TEST(guaranteeDoesNotWaitForARack);
+  CPPUNIT_TEST_SUITE_END();
+
+  static jobs::JobSpec job(std::uint32_t Count, std::int64_t Accelerators) {
+    return jobs::JobSpecBuilder()
+        .step(Count, {1000, 1000, Accelerators}, 2s)
+        .build();
+  }
+
+  static jobs::JobSpec rackGang(std::uint32_t Count) {
+    return jobs::JobSpecBuilder()
+        .step(Count, {1000, 1000, 8}, 2s)
+        .gang(true)
+        .build();
+  }
+
+  static void start(FakeCell &Cell, int Workers) {
+    for (int I = 0; I < Workers; ++I)
+      Cell.addWorker("w" + std::to_string(I), "r" + std::to_string(I / 3));
+    Cell.claim();
+    Cell.run(300ms);
+  }
+
+  /// Hands a job in as if it had arrived \p Ago.
+  static void acceptOld(FakeCell &Cell, const std::string &Name,
+                        const jobs::JobSpec &Spec, const std::string &Queue,
+                        core::Duration Ago,
+                        const std::string &Account = "other") {
+    Cell.Wall_ -= Ago;
+    Cell.accept(Name, Spec, Queue, Account);
+    Cell.Wall_ += Ago;
+  }
+
+public:
+  void urgentWorkOnTimePreempts() {
+    FakeCell Cell;
+    start(Cell, 1);
+    Cell.accept("patient", job(1, 8), "q2", "other");
+    Cell.step();
+    Cell.accept("urgent", job(1, 8), "q0", "other");
+    Cell.run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("urgent").size());
+    CPPUNIT_ASSERT(Cell.runsOf("patient").empty());
+  }
+
+  /// Replays an urgent burst that is longer than the cell can serve: work that
+  /// is late anyway must not throw patient work away.
+  void lateUrgentWorkStopsNobody() {
+    FakeCell Cell;
+    start(Cell, 1);
+    Cell.accept("patient", job(1, 8), "q2", "other");
+    Cell.step();
+    acceptOld(Cell, "urgent", job(1, 8), "q0", 5s);
+    Cell.run(1s);
+    CPPUNIT_ASSERT(Cell.runsOf("urgent").empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("patient").size());
+  }
+
+  /// Guards an account's guarantee, which does not depend on lateness.
+  void guaranteedWorkPreemptsAlsoLate() {
+    FakeCell Cell;
+    start(Cell, 1);
+    Cell.accept("patient", job(1, 8), "q2", "other");
+    Cell.step();
+    acceptOld(Cell, "urgent", job(1, 8), "q0", 60s, "acme");
+    Cell.run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("urgent").size());
+  }
+
+  /// Replays the end of a burst: a job that is worth nothing to its caller any
+  /// more must not go before one that is only late.
+  void lostJobsWaitForLateOnes() {
+    FakeCell Cell;
+    acceptOld(Cell, "lost", job(1, 8), "q1", 100s);
+    acceptOld(Cell, "late", job(1, 8), "q1", 10s);
+    start(Cell, 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("late").size());
+    CPPUNIT_ASSERT(Cell.runsOf("lost").empty());
+  }
+
+  /// Guards against lost work: a run that saves a checkpoint when it is stopped
+  /// is cheaper to stop than a younger one that saves nothing.
+  void checkpointedRunsGiveWayFirst() {
+    FakeCell Cell;
+    start(Cell, 2);
+    Cell.accept("saves",
+                jobs::JobSpecBuilder()
+                    .step(1, {1000, 1000, 8}, 8s)
+                    .checkpoints()
+                    .build(),
+                "q2", "other");
+    Cell.run(2s);
+    Cell.accept("young", job(1, 8), "q2", "other");
+    Cell.run(1s);
+    Cell.accept("urgent", job(1, 8), "q0", "other");
+    Cell.run(500ms);
+    CPPUNIT_ASSERT(Cell.runsOf("saves").empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("young").size());
+  }
+
+  /// Replays a quiet hour: a gang that no rack can hold starts at once where it
+  /// can still end on time.
+  void idleCellStartsWideGangsAcrossRacks() {
+    FakeCell Cell;
+    Cell.Tables_.Queues_[1].Stretch_ = 4;
+    start(Cell, 12);
+    Cell.accept("wide", rackGang(4), "q1", "other");
+    Cell.step();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), Cell.runsOf("wide").size());
+  }
+
+  /// Replays high load: such a gang would take three times its room, so that it
+  /// waits until it would be lost otherwise.
+  void busyCellKeepsGangsInOneRack() {
+    FakeCell Cell;
+    Cell.Tables_.Queues_[1].Stretch_ = 4;
+    start(Cell, 12);
+    Cell.accept("load", job(7, 8), "q1", "other");
+    Cell.step();
+    Cell.accept("wide", rackGang(4), "q1", "other");
+    Cell.run(1s);
+    CPPUNIT_ASSERT(Cell.runsOf("wide").empty());
+    // The objective is 8 s and the gang needs 6 s across racks, so that it has
+    // to start 18 s after its arrival.
+    for (int I = 0; I < 17; ++I) {
+      Cell.progress("load", I);
+      Cell.run(1s);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), Cell.runsOf("wide").size());
+  }
+
+  /// Guards against a guarantee that is kept back for a rack: a gang within it
+  /// that no rack can hold starts in the time that the guarantee allows.
+  void guaranteeDoesNotWaitForARack() {
+    FakeCell Cell;
+    Cell.Tables_.Accounts_[0].GuaranteedAccelerators_ = 32;
+    start(Cell, 6);
+    Cell.accept("load", job(4, 8), "q1", "other");
+    Cell.step();
+    Cell.accept("wide", rackGang(4), "q0", "acme");
+    Cell.run(2700ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), Cell.runsOf("wide").size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QueueTest);
