Take new seeds without a signal

Cause: the platform may change the settings file without a signal, and a process that had lost all its peers would then never learn new seeds. The reload was also written twice, once for each role.

sitehost-seed-test fails without the interval: no change arrives and the loop does not end.

--- a/lib/sitehost/src/agentrole.cpp
+++ b/lib/sitehost/src/agentrole.cpp
@@ -4,6 +4,7 @@
 #include "nutmegwell/aio/link.h"
 #include "nutmegwell/sitehost/roles.h"
 #include "nutmegwell/wire/cellbinary.h"
+#include "seedwatch.h"
 #include <csignal>
 
 namespace nutmegwell::sitehost {
@@ -40,9 +41,13 @@
 public:
   AgentHost(const settings::Settings &Values, const SettingsReader &Reread,
             const std::function<AgentPorts(aio::Loop &)> &MakePorts)
-      : Values_(Values), Reread_(Reread),
+      : Values_(Values),
         Log_(static_cast<std::size_t>(Values.count("log-queue")), All_),
         Ports_(MakePorts(Loop_)),
+        Seeds_(Loop_, Reread, Log_, texts(Values.addresses("seeds")),
+               [this](std::vector<std::string> Seeds) {
+                 takeSeeds(std::move(Seeds));
+               }),
         Links_(Loop_, aio::LinkLimits(), linkHandlers()),
         State_(site::makeAgent(agentSettings(Values), Clock_.Now_())),
         Control_(
@@ -65,6 +70,7 @@
                  {{"role", "site-agent"},
                   {"host", Values_.text("node")},
                   {"process", std::to_string(State_.Settings_.Process_)}}}});
+    Seeds_.start(SeedLookInterval);
     Control_.start();
     Loop_.run();
     Control_.stop();
@@ -164,33 +170,24 @@
 
   void onSignal(int Signal) {
     if (Signal == SIGHUP)
-      return reload();
+      return Seeds_.reload();
     Loop_.stop();
   }
 
-  void reload() {
-    absl::StatusOr<settings::Settings> Fresh = Reread_();
-    if (!Fresh.ok()) {
-      Log_.write(
-          {{"reload_failed", {{"error", core::describe(Fresh.status())}}}});
-      return;
-    }
-    const std::vector<std::string> Seeds = texts(Fresh->addresses("seeds"));
-    Control_.post([this, Seeds](core::TimePoint, Effects &Out) {
+  void takeSeeds(std::vector<std::string> Seeds) {
+    Control_.post([this, Seeds = std::move(Seeds)](core::TimePoint, Effects &) {
       State_.Settings_.Seeds_ = Seeds;
-      Out.Decisions_.push_back(
-          {"reloaded", {{"seeds", std::to_string(Seeds.size())}}});
     });
   }
 
   const settings::Settings &Values_;
-  SettingsReader Reread_;
   core::Clock Clock_ = core::bootClock();
   metrics::Registry All_;
   LogWriter Log_;
   aio::Loop Loop_;
   AgentPorts Ports_;
   // Traffic thread.
+  SeedWatch Seeds_;
   aio::Links Links_;
   std::unique_ptr<aio::HttpServer> Notices_;
   std::unique_ptr<aio::HttpServer> Metrics_;
