Ask for approvals, pace filling runs and copy slow tasks

Cause: the job model knew approval policies, filling and serving tasks and speculative steps, and the holder decided nothing about them: a start of a queue with a policy would have been rejected for want of a ticket, and filling tasks would have disturbed serving ones without a limit.

Moves and upkeep of machines are not built: every worker of these sites is beside a side machine, and the platform answers busy for those (docs/platform.md, open questions).

Without the line that takes a run's usage from the report, the test of a disturbed serving run failed (expected pace 0, actual 100).

--- /dev/null
+++ b/lib/cell/include/nutmegwell/cell/approval.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "nutmegwell/core/status.h"
+#include "nutmegwell/core/time.h"
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace nutmegwell::cell {
+
+/// One step of one occurrence of a job.
+struct StepId {
+  std::string Job_;
+  std::uint32_t Occurrence_ = 0;
+  std::uint32_t Step_ = 0;
+
+  friend bool operator<(const StepId &A, const StepId &B) {
+    return std::tie(A.Job_, A.Occurrence_, A.Step_) <
+           std::tie(B.Job_, B.Occurrence_, B.Step_);
+  }
+};
+
+/// Returns "JOB.OCCURRENCE.STEP".
+std::string toString(const StepId &Id);
+
+/// Bounds for questions to the approval service.
+struct ApprovalPolicy {
+  /// Workers that one question names. The users' pages count a call for 30
+  /// workers as part of a job's objective.
+  std::size_t WorkersPerQuestion_ = 30;
+  /// Added to the time that the service says it takes: a round trip and the
+  /// questions of other hosts in its queue.
+  core::Duration Margin_ = std::chrono::seconds(2);
+  /// Pause after a question without an answer.
+  core::Duration Pause_ = std::chrono::milliseconds(500);
+};
+
+/// Asks which workers may run a step.
+struct ApprovalQuestion {
+  StepId Step_;
+  /// Ids of the workers by host, and their lives.
+  std::map<std::string, std::string> Workers_;
+  std::map<std::string, std::int64_t> Born_;
+  /// How long an approval is valid.
+  core::Duration Validity_{0};
+  core::Duration Timeout_{0};
+};
+
+/// Tickets by id of the approved workers.
+using ApprovalAnswer = std::map<std::string, std::string>;
+
+/// What is known about one worker for one step.
+struct Approval {
+  /// Empty for a worker that may not run the step.
+  std::string Ticket_;
+  std::int64_t Born_ = 0;
+  core::TimePoint ValidUntil_{};
+};
+
+/// Answers for one step by host.
+using StepApprovals = std::map<std::string, Approval>;
+
+} // namespace nutmegwell::cell
--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "nutmegwell/cell/approval.h"
 #include "nutmegwell/cell/messages.h"
+#include "nutmegwell/cell/pace.h"
 #include "nutmegwell/cell/preempt.h"
 #include "nutmegwell/cell/trust.h"
 #include "nutmegwell/core/decision.h"
@@ -65,7 +67,17 @@
   /// A due occurrence starts this much after its time, because clocks of hosts
   /// differ.
   core::Duration DueMargin_ = std::chrono::milliseconds(20);
+  /// A task of a speculative step that has run this many times its declared
+  /// time and is not nearly done gets a copy.
+  double CopyAfter_ = 2;
+  /// Part of the work, 0 to 100, from which a run counts as nearly done.
+  double NearlyDone_ = 75;
+  /// Most copies for each hundred runs, so that copies do not crowd out first
+  /// attempts.
+  std::size_t CopiesPerHundred_ = 5;
   TrustPolicy Trust_;
+  PacePolicy Pace_;
+  ApprovalPolicy Approval_;
   VictimChoice ChooseVictims_ = chooseVictims;
   /// Worst outlook with which urgent work preempts. Stops delay other callers
   /// and throw work away, which pays only while a job can end on time.
@@ -91,6 +103,16 @@
   bool Lasting_ = false;
   /// The run saves a checkpoint when it is stopped.
   bool Checkpoints_ = false;
+  /// The run works with what others leave of the worker's processors.
+  bool Filling_ = false;
+  /// Largest tail latency of a serving run; zero for none.
+  core::Duration TargetLatency_{0};
+  /// Newest tail latency of a serving run in ms, thousandths of a core of
+  /// another.
+  double Usage_ = 0;
+  /// Share of its speed at which the run was told to work, 0 to 100.
+  unsigned Pace_ = 100;
+  core::TimePoint PaceSentAt_{};
   AttemptState State_ = AttemptState::Ordered;
   /// Number of the orders message that carried the start.
   std::uint64_t OrderSequence_ = 0;
@@ -127,12 +149,14 @@
   /// ended took its pending starts with it.
   core::TimePoint UncertainUntil_{};
   Trust Trust_;
+  WorkerPace Pace_;
   /// A run that no job explains is present; nothing is known of its size.
   bool Stray_ = false;
 
   /// Orders that the next message carries.
   std::vector<StartOrder> Starts_;
   std::vector<RunId> Stops_;
+  std::vector<PaceOrder> Paces_;
   bool OrdersDue_ = false;
 };
 
@@ -165,6 +189,12 @@
   /// Workers that may run tasks of an earlier holder, and until when.
   std::map<std::string, core::TimePoint> Unheard_;
 
+  /// Answers of the approval service, by step.
+  std::map<StepId, StepApprovals> Approvals_;
+  bool ApprovalInFlight_ = false;
+  /// No question is asked before this time, after one without an answer.
+  core::TimePoint NextApproval_{};
+
   /// Jobs whose progress has to be recorded.
   std::set<std::string> Dirty_;
   /// Workers to list (true) or to unlist (false).
@@ -189,6 +219,8 @@
   std::vector<std::pair<std::string, HolderOrders>> Orders_;
   /// Records for one append under the holder's term; empty for none.
   std::vector<jobs::Record> Append_;
+  /// Question for the approval service, which answers one at a time.
+  std::optional<ApprovalQuestion> Question_;
   std::vector<core::Decision> Decisions_;
   /// Time at which to call tick again.
   core::TimePoint Wake_ = core::TimePoint::max();
@@ -220,6 +252,11 @@
 /// claim.
 void onTenureConfirmed(Holder &State, core::TimePoint SentAt);
 
+/// Takes the answer to \p Question, or the error when there is none.
+void onApproval(Holder &State, const ApprovalQuestion &Question,
+                const absl::StatusOr<ApprovalAnswer> &Answer,
+                const Surroundings &Around, Effects &Out);
+
 /// Notes that the append in flight is durable.
 void onAppended(Holder &State);
 
--- a/lib/cell/include/nutmegwell/cell/place.h
+++ b/lib/cell/include/nutmegwell/cell/place.h
@@ -18,6 +18,8 @@
   unsigned Doubt_ = 0;
   /// Tasks of the step at hand that run here; set by the caller.
   std::uint32_t SameStep_ = 0;
+  /// The step at hand must not run here; set by the caller.
+  bool Barred_ = false;
 
   bool hasLabel(const std::string &Label) const;
 };
--- /dev/null
+++ b/lib/cell/src/approvals.cpp
@@ -0,0 +1,130 @@
+#include "steps.h"
+#include <algorithm>
+
+namespace nutmegwell::cell {
+
+std::string toString(const StepId &Id) {
+  return Id.Job_ + "." + std::to_string(Id.Occurrence_) + "." +
+         std::to_string(Id.Step_);
+}
+
+namespace {
+
+StepId stepIdOf(const Unit &Work) {
+  return {Work.Job_->Accepted_.Job_, Work.Occurrence_, Work.Step_};
+}
+
+} // namespace
+
+const Approval *approvalFor(const Holder &State, const Unit &Work,
+                            const Worker &Host, core::TimePoint Now) {
+  auto Step = State.Approvals_.find(stepIdOf(Work));
+  if (Step == State.Approvals_.end())
+    return nullptr;
+  auto Known = Step->second.find(Host.Host_);
+  if (Known == Step->second.end() || !Host.Info_ ||
+      Known->second.Born_ != Host.Info_->Born_)
+    return nullptr;
+  // A denial holds for the worker's life; a ticket has to outlast the start.
+  if (!Known->second.Ticket_.empty() &&
+      Known->second.ValidUntil_ <= Now + State.Policy_.StartPermit_)
+    return nullptr;
+  return &Known->second;
+}
+
+void askForApproval(Holder &State, const Unit &Work,
+                    const std::vector<Room> &Rooms, const Surroundings &Around,
+                    Effects &Out) {
+  if (State.ApprovalInFlight_ || Around.Now_ < State.NextApproval_)
+    return;
+  const jobs::Queue *Queue = Around.Tables_.queue(Work.Job_->Accepted_.Queue_);
+  if (!Queue || !Queue->Approval_)
+    return;
+  const jobs::StepSpec &Step = Work.spec();
+  const jobs::Resources Each = usesOf(Step);
+  // Workers with room for the step come first, the fullest of them first.
+  std::vector<std::tuple<bool, std::int64_t, std::size_t>> Order;
+  for (std::size_t I = 0; I < Rooms.size(); ++I) {
+    const Room &Space = Rooms[I];
+    const bool Labelled =
+        Step.RequiredLabel_.empty() || Space.hasLabel(Step.RequiredLabel_);
+    if (Labelled && Space.Capacity_.covers(Each) &&
+        !approvalFor(State, Work, State.Workers_.at(Space.Host_), Around.Now_))
+      Order.emplace_back(!Space.Free_.covers(Each), Space.Free_.Accelerators_,
+                         I);
+  }
+  if (Order.empty())
+    return;
+  std::sort(Order.begin(), Order.end());
+  const ApprovalPolicy &Policy = State.Policy_.Approval_;
+  Order.resize(std::min(Order.size(), Policy.WorkersPerQuestion_));
+  ApprovalQuestion Question;
+  Question.Step_ = stepIdOf(Work);
+  for (const auto &[Full, Free, I] : Order) {
+    const Worker &Host = State.Workers_.at(Rooms[I].Host_);
+    Question.Workers_[Host.Host_] = Host.Info_->Id_;
+    Question.Born_[Host.Host_] = Host.Info_->Born_;
+  }
+  Question.Validity_ = Queue->Approval_->Validity_;
+  Question.Timeout_ =
+      Queue->Approval_->Decision_ +
+      Queue->Approval_->PerWorker_ * static_cast<std::int64_t>(Order.size()) +
+      Policy.Margin_;
+  State.ApprovalInFlight_ = true;
+  Out.Decisions_.push_back({"approval_asked",
+                            {{"step", toString(Question.Step_)},
+                             {"workers", std::to_string(Order.size())}}});
+  Out.Question_ = std::move(Question);
+}
+
+namespace {
+
+/// Forgets answers for jobs that have ended.
+void dropEndedSteps(Holder &State, const Surroundings &Around) {
+  for (auto It = State.Approvals_.begin(); It != State.Approvals_.end();) {
+    auto Job = Around.View_.Jobs_.find(It->first.Job_);
+    const bool Ended = Job == Around.View_.Jobs_.end() ||
+                       jobs::ended(Job->second.shownState());
+    It = Ended ? State.Approvals_.erase(It) : std::next(It);
+  }
+}
+
+} // namespace
+
+void onApproval(Holder &State, const ApprovalQuestion &Question,
+                const absl::StatusOr<ApprovalAnswer> &Answer,
+                const Surroundings &Around, Effects &Out) {
+  State.ApprovalInFlight_ = false;
+  dropEndedSteps(State, Around);
+  if (!Answer.ok()) {
+    State.NextApproval_ = Around.Now_ + State.Policy_.Approval_.Pause_;
+    Out.Decisions_.push_back({"approval_missing",
+                              {{"step", toString(Question.Step_)},
+                               {"error", core::describe(Answer.status())}}});
+    return;
+  }
+  StepApprovals &Step = State.Approvals_[Question.Step_];
+  for (const auto &[Host, Id] : Question.Workers_) {
+    auto Ticket = Answer->find(Id);
+    // The validity began at the latest when the answer was written; the time
+    // that it was under way is covered by the margin of the question.
+    Step[Host] = {Ticket != Answer->end() ? Ticket->second : std::string(),
+                  Question.Born_.at(Host),
+                  Around.Now_ + Question.Validity_ -
+                      State.Policy_.Approval_.Margin_};
+  }
+  Out.Decisions_.push_back(
+      {"approval_answered",
+       {{"step", toString(Question.Step_)},
+        {"asked", std::to_string(Question.Workers_.size())},
+        {"approved", std::to_string(Answer->size())}}});
+}
+
+void forgetApproval(Holder &State, const RunId &Id, const std::string &Host) {
+  auto Step = State.Approvals_.find(
+      {Id.Task_.Job_, Id.Task_.Occurrence_, Id.Task_.Step_});
+  if (Step != State.Approvals_.end())
+    Step->second.erase(Host);
+}
+
+} // namespace nutmegwell::cell
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -51,7 +51,9 @@
     State.EndsInFlight_.erase(Host.Host_);
     Host.Starts_.clear();
     Host.Stops_.clear();
+    Host.Paces_.clear();
     Host.Trust_ = {};
+    Host.Pace_ = {};
     Out.Decisions_.push_back({"worker_seen",
                               {{"host", Host.Host_},
                                {"worker", Report.Worker_->Id_},
@@ -86,11 +88,10 @@
     const jobs::JobEntry &Job = Entry->second;
     const jobs::StepSpec &Step =
         Job.Accepted_.Spec_.Steps_[Task.Id_.Task_.Step_];
-    Run.Uses_ = usesOf(Step);
+    describeRun(Run, Step);
     Run.Priority_ = Job.Accepted_.Priority_;
-    Run.Gang_ = Step.Gang_;
-    Run.Lasting_ = Step.Lasting_;
-    Run.Checkpoints_ = Step.Checkpoints_;
+    // The pace that an earlier holder ordered is not known.
+    Run.Pace_ = Run.Filling_ ? 0 : 100;
     LiveJob &Live = liveJob(State, Job, Around.Now_);
     const jobs::StepProgress *Progress =
         Live.Progress_.find(Task.Id_.Task_.Occurrence_, Task.Id_.Task_.Step_);
@@ -98,6 +99,7 @@
                       Task.Id_.Task_.Index_ < Progress->Tasks_.size() &&
                       Progress->Tasks_[Task.Id_.Task_.Index_].Done_;
     const bool Twin =
+        !Step.Speculative_ &&
         findAttempt(State.Attempts_, Task.Id_.Task_) != State.Attempts_.end();
     Wanted = !jobs::ended(Live.Progress_.State_) && !Done && !Twin;
   }
@@ -131,9 +133,8 @@
       Run.Percent_ = Task.Percent_;
       Run.ChangedAt_ = Around.Now_;
     }
-    if (Run.Checkpoint_ != Task.Checkpoint_) {
-      Run.Checkpoint_ = Task.Checkpoint_;
-    }
+    Run.Checkpoint_ = Task.Checkpoint_;
+    Run.Usage_ = Task.Usage_;
   }
 }
 
@@ -148,6 +149,8 @@
                                {"run", std::to_string(Refusal.Id_.Run_)},
                                {"host", Host.Host_},
                                {"reason", name(Refusal.Kind_)}}});
+    if (Refusal.Kind_ == RefusalKind::NoTicket)
+      forgetApproval(State, Refusal.Id_, Host.Host_);
     if (Refusal.Kind_ == RefusalKind::Unhealthy)
       noteBadEnd(Host.Trust_, State.Policy_.Trust_, Now);
   }
@@ -174,6 +177,15 @@
 
 } // namespace
 
+void describeRun(Attempt &Run, const jobs::StepSpec &Step) {
+  Run.Uses_ = usesOf(Step);
+  Run.Gang_ = Step.Gang_;
+  Run.Lasting_ = Step.Lasting_;
+  Run.Checkpoints_ = Step.Checkpoints_;
+  Run.Filling_ = Step.Filling_;
+  Run.TargetLatency_ = Step.TargetLatency_;
+}
+
 LiveJob &liveJob(Holder &State, const jobs::JobEntry &Job,
                  core::TimePoint Now) {
   auto [It, Added] = State.Jobs_.try_emplace(Job.Accepted_.Job_);
@@ -294,6 +306,7 @@
   // tells which runs exist.
   It->second.Starts_.clear();
   It->second.Stops_.clear();
+  It->second.Paces_.clear();
 }
 
 void onTenureConfirmed(Holder &State, core::TimePoint SentAt) {
--- a/lib/cell/src/holderloop.cpp
+++ b/lib/cell/src/holderloop.cpp
@@ -17,6 +17,7 @@
   applyCancels(State, Around, Out);
   stopStalled(State, Around, Out);
   repeatStops(State, Around.Now_);
+  adjustPaces(State, Around, Out);
   schedule(State, Around, Out);
   collectRecords(State, Around, Out);
   collectOrders(State, Around.Now_, Out);
--- a/lib/cell/src/orders.cpp
+++ b/lib/cell/src/orders.cpp
@@ -79,8 +79,10 @@
     Orders.SeenUpTo_ = Host.EndsDurable_;
     Orders.Starts_ = std::move(Host.Starts_);
     Orders.Stops_ = std::move(Host.Stops_);
+    Orders.Paces_ = std::move(Host.Paces_);
     Host.Starts_.clear();
     Host.Stops_.clear();
+    Host.Paces_.clear();
     Host.OrdersDue_ = false;
     if (Orders.Grant_)
       Host.LeaseEnds_ = leaseBound(State.Policy_, Now);
--- /dev/null
+++ b/lib/cell/src/pace.cpp
@@ -0,0 +1,83 @@
+#include "nutmegwell/cell/pace.h"
+#include "steps.h"
+#include <algorithm>
+
+namespace nutmegwell::cell {
+
+bool adjustPace(WorkerPace &Pace, const PacePolicy &Policy, double Load,
+                core::TimePoint Now) {
+  if (Load <= 1)
+    Pace.OverSince_ = core::TimePoint::max();
+  else
+    Pace.OverSince_ = std::min(Pace.OverSince_, Now);
+  unsigned Wanted = Pace.Percent_;
+  if (Load > 1 && Now - Pace.OverSince_ >= Policy.FullStopAfter_) {
+    Wanted = 0;
+  } else if (Now - Pace.ChangedAt_ < Policy.Interval_) {
+    return false;
+  } else if (Load > Policy.SlowAbove_) {
+    Wanted = Pace.Percent_ / 2 < Policy.Least_ ? 0 : Pace.Percent_ / 2;
+  } else if (Load < Policy.SpeedUpBelow_) {
+    Wanted = std::min(100u, Pace.Percent_ + Policy.StepUp_);
+  }
+  if (Wanted == Pace.Percent_)
+    return false;
+  Pace.Percent_ = Wanted;
+  Pace.ChangedAt_ = Now;
+  return true;
+}
+
+namespace {
+
+/// Serving and filling runs on one worker.
+struct SharedWorker {
+  double Load_ = 0;
+  std::vector<Attempt *> Filling_;
+};
+
+std::map<std::string, SharedWorker> sharedWorkers(Holder &State) {
+  std::map<std::string, SharedWorker> Result;
+  for (auto &[Id, Run] : State.Attempts_) {
+    if (Run.State_ != AttemptState::Running)
+      continue;
+    if (Run.Filling_)
+      Result[Run.Host_].Filling_.push_back(&Run);
+    else if (Run.TargetLatency_ > core::Duration(0))
+      Result[Run.Host_].Load_ =
+          std::max(Result[Run.Host_].Load_,
+                   Run.Usage_ / std::chrono::duration<double, std::milli>(
+                                    Run.TargetLatency_)
+                                    .count());
+  }
+  return Result;
+}
+
+} // namespace
+
+void adjustPaces(Holder &State, const Surroundings &Around, Effects &Out) {
+  const PacePolicy &Policy = State.Policy_.Pace_;
+  for (auto &[Name, Shared] : sharedWorkers(State)) {
+    Worker &Host = State.Workers_[Name];
+    if (Shared.Filling_.empty())
+      continue;
+    if (adjustPace(Host.Pace_, Policy, Shared.Load_, Around.Now_))
+      Out.Decisions_.push_back(
+          {"pace_changed",
+           {{"host", Name},
+            {"percent", std::to_string(Host.Pace_.Percent_)},
+            {"load", std::to_string(Shared.Load_)},
+            {"runs", std::to_string(Shared.Filling_.size())}}});
+    for (Attempt *Run : Shared.Filling_) {
+      const bool Repeat = Host.Pace_.Percent_ < 100 &&
+                          Around.Now_ - Run->PaceSentAt_ >= Policy.Repeat_;
+      if (Run->Pace_ == Host.Pace_.Percent_ && !Repeat)
+        continue;
+      Run->Pace_ = Host.Pace_.Percent_;
+      Run->PaceSentAt_ = Around.Now_;
+      Host.Paces_.push_back({Run->Id_, Run->Pace_});
+      Host.OrdersDue_ = true;
+    }
+  }
+}
+
+} // namespace nutmegwell::cell
--- a/lib/cell/src/place.cpp
+++ b/lib/cell/src/place.cpp
@@ -110,6 +110,8 @@
 }
 
 bool permits(const Room &Worker, const jobs::StepSpec &Step) {
+  if (Worker.Barred_)
+    return false;
   if (!Step.RequiredLabel_.empty() && !Worker.hasLabel(Step.RequiredLabel_))
     return false;
   return Step.SpreadLimit_ == 0 || Worker.SameStep_ < Step.SpreadLimit_;
--- a/lib/cell/src/queue.cpp
+++ b/lib/cell/src/queue.cpp
@@ -58,9 +58,32 @@
   return !Progress.stepDone(Occurrence, Step);
 }
 
+/// Adds a copy of the only run of a task when that is far behind its declared
+/// time.
+void addCopy(const Holder &State, Unit Work, core::TimePoint Now,
+             std::vector<Unit> &Units) {
+  const HolderPolicy &Policy = State.Policy_;
+  const TaskId Task{Work.Job_->Accepted_.Job_, Work.Occurrence_, Work.Step_,
+                    Work.Index_};
+  auto It = State.Attempts_.lower_bound({Task, 0});
+  auto Next = std::next(It);
+  if (Next != State.Attempts_.end() && Next->first.Task_ == Task)
+    return;
+  const Attempt &Run = It->second;
+  const auto Patience = std::chrono::duration_cast<core::Duration>(
+      std::chrono::duration<double, std::micro>(
+          static_cast<double>(Work.spec().Estimate_.count()) *
+          Policy.CopyAfter_));
+  if (Run.State_ != AttemptState::Running ||
+      Run.Percent_ >= Policy.NearlyDone_ || Now - Run.OrderedAt_ < Patience)
+    return;
+  Work.CopyOf_ = Run.Host_;
+  Units.push_back(Work);
+}
+
 /// Adds the units of a step whose tasks have no run.
 void addUnits(Holder &State, const Unit &Common, LiveJob &Live,
-              std::vector<Unit> &Units) {
+              core::TimePoint Now, std::vector<Unit> &Units) {
   const std::string &Job = Common.Job_->Accepted_.Job_;
   const jobs::StepSpec &Step = Common.spec();
   auto Free = [&](std::uint32_t Index) {
@@ -79,16 +102,40 @@
   const jobs::StepProgress &Progress = Live.Progress_.step(
       Common.Job_->Accepted_.Spec_, Common.Occurrence_, Common.Step_);
   for (std::uint32_t I = 0; I < Step.Count_; ++I) {
-    if (Progress.Tasks_[I].Done_ || !Free(I))
-      continue;
     Unit One = Common;
     One.Index_ = I;
-    Units.push_back(One);
+    if (Progress.Tasks_[I].Done_)
+      continue;
+    if (Free(I))
+      Units.push_back(One);
+    else if (Step.Speculative_)
+      addCopy(State, One, Now, Units);
+  }
+}
+
+/// Leaves copies out that exceed their budget, the last ones first.
+void limitCopies(const Holder &State, std::vector<Unit> &Units) {
+  std::size_t Copies = 0;
+  const RunId *Before = nullptr;
+  for (const auto &[Id, Run] : State.Attempts_) {
+    Copies += Before && Before->Task_ == Id.Task_;
+    Before = &Id;
+  }
+  const std::size_t Budget = std::max<std::size_t>(
+      1, State.Attempts_.size() * State.Policy_.CopiesPerHundred_ / 100);
+  for (auto It = Units.begin(); It != Units.end();) {
+    if (It->CopyOf_.empty() || Copies++ < Budget)
+      ++It;
+    else
+      It = Units.erase(It);
   }
 }
 
-/// Urgent work first, then what can still be of most use to its caller.
+/// First attempts before copies, urgent work first, then what can still be of
+/// most use to its caller.
 bool before(const HolderPolicy &Policy, const Unit &A, const Unit &B) {
+  if (A.CopyOf_.empty() != B.CopyOf_.empty())
+    return A.CopyOf_.empty();
   if (A.Guaranteed_ != B.Guaranteed_)
     return A.Guaranteed_;
   if (A.Priority_ != B.Priority_)
@@ -123,7 +170,7 @@
       }
       for (std::uint32_t Step = 0; Step < Spec.Steps_.size(); ++Step)
         if (stepReady(Spec, Live.Progress_, K, Step))
-          addUnits(State_, common(K, Step), Live, Units);
+          addUnits(State_, common(K, Step), Live, Around_.Now_, Units);
     }
   }
 
@@ -206,6 +253,7 @@
   std::sort(Units.begin(), Units.end(), [&](const Unit &A, const Unit &B) {
     return before(State.Policy_, A, B);
   });
+  limitCopies(State, Units);
   return Units;
 }
 
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -28,6 +28,7 @@
       return;
     PlaceRequest Request = requestFor(Work);
     countSameStep(Work, roomsOf(Work));
+    limitRooms(Work, roomsOf(Work));
     Request.AllowRemote_ = allowRemote(Work, roomsOf(Work));
     if (startOrPreempt(Work, Request))
       return;
@@ -37,12 +38,14 @@
         return;
     }
     NoPlaceFor_ = Work;
+    if (needsApproval(Work))
+      askForApproval(State_, Work, roomsOf(Work), Around_, Out_);
   }
 
 private:
   static bool sameStep(const Unit &A, const Unit &B) {
     return A.Job_ == B.Job_ && A.Occurrence_ == B.Occurrence_ &&
-           A.Step_ == B.Step_;
+           A.Step_ == B.Step_ && A.CopyOf_ == B.CopyOf_;
   }
 
   /// Starts \p Work, or makes room for it. Returns false when neither can be
@@ -163,7 +166,7 @@
 
   /// A guarantee is kept whatever the outlook of the job.
   bool mayPreempt(const Unit &Work) const {
-    return Work.Priority_ == 0 &&
+    return Work.Priority_ == 0 && Work.CopyOf_.empty() &&
            (Work.Guaranteed_ ||
             outlookOf(State_.Policy_, Work) <= State_.Policy_.PreemptsUpTo_);
   }
@@ -195,11 +198,8 @@
     Attempt New;
     New.Id_ = {{Job, Work.Occurrence_, Work.Step_, Index}, Run};
     New.Host_ = HostName;
-    New.Uses_ = usesOf(Step);
+    describeRun(New, Step);
     New.Priority_ = Work.Priority_;
-    New.Gang_ = Step.Gang_;
-    New.Lasting_ = Step.Lasting_;
-    New.Checkpoints_ = Step.Checkpoints_;
     New.OrderSequence_ = Host.NextOrder_;
     New.OrderedAt_ = Around_.Now_;
     New.ChangedAt_ = Around_.Now_;
@@ -208,8 +208,8 @@
             .step(Work.Job_->Accepted_.Spec_, Work.Occurrence_, Work.Step_)
             .Tasks_[Step.Gang_ ? 0 : Index]
             .Checkpoint_;
-    Host.Starts_.push_back(
-        {New.Id_, Work.Job_->Accepted_.Spec_.Command_, New.Checkpoint_, ""});
+    Host.Starts_.push_back({New.Id_, Work.Job_->Accepted_.Spec_.Command_,
+                            New.Checkpoint_, ticketFor(Work, Host)});
     Host.OrdersDue_ = true;
     Out_.Decisions_.push_back(
         {"task_starting",
@@ -223,6 +223,33 @@
     State_.Attempts_.emplace(New.Id_, std::move(New));
   }
 
+  std::string ticketFor(const Unit &Work, const Worker &Host) const {
+    const Approval *Known = needsApproval(Work)
+                                ? approvalFor(State_, Work, Host, Around_.Now_)
+                                : nullptr;
+    return Known ? Known->Ticket_ : std::string();
+  }
+
+  bool needsApproval(const Unit &Work) const {
+    const jobs::Queue *Queue =
+        Around_.Tables_.queue(Work.Job_->Accepted_.Queue_);
+    return Queue && Queue->Approval_;
+  }
+
+  /// Marks the rooms in which \p Work may not run: those of workers without an
+  /// approval, and that of the run of which it is a copy.
+  void limitRooms(const Unit &Work, std::vector<Room> &Rooms) const {
+    const bool Approvals = needsApproval(Work);
+    for (Room &Space : Rooms) {
+      Space.Barred_ = Space.Host_ == Work.CopyOf_;
+      if (!Approvals)
+        continue;
+      const Approval *Known = approvalFor(
+          State_, Work, State_.Workers_.at(Space.Host_), Around_.Now_);
+      Space.Barred_ |= !Known || Known->Ticket_.empty();
+    }
+  }
+
   /// Makes room for \p Work at the cost of patient work. Returns false when
   /// that is not possible.
   bool preempt(const Unit &Work, const PlaceRequest &Request) {
--- a/lib/cell/src/steps.h
+++ b/lib/cell/src/steps.h
@@ -20,6 +20,8 @@
   int Priority_ = 0;
   /// The account's guarantee covers this job.
   bool Guaranteed_ = false;
+  /// Worker of the run that this is a copy of; empty for a first attempt.
+  std::string CopyOf_;
 
   const jobs::StepSpec &spec() const {
     return Job_->Accepted_.Spec_.Steps_[Step_];
@@ -38,6 +40,9 @@
 /// Returns the first attempt of \p Task, or the map's end.
 AttemptMap::iterator findAttempt(AttemptMap &Attempts, const TaskId &Task);
 
+/// Sets what a run takes and does by its step.
+void describeRun(Attempt &Run, const jobs::StepSpec &Step);
+
 /// Returns the live work of a job, copied from the durable records when it is
 /// new.
 LiveJob &liveJob(Holder &State, const jobs::JobEntry &Job, core::TimePoint Now);
@@ -72,6 +77,23 @@
 /// Gives up runs that make no progress.
 void stopStalled(Holder &State, const Surroundings &Around, Effects &Out);
 
+/// Slows filling runs down where they disturb serving ones.
+void adjustPaces(Holder &State, const Surroundings &Around, Effects &Out);
+
+/// Returns what the approval service said of a worker for \p Work, or nullptr
+/// when it has to be asked. An empty ticket is a denial.
+const Approval *approvalFor(const Holder &State, const Unit &Work,
+                            const Worker &Host, core::TimePoint Now);
+
+/// Asks the approval service about workers of \p Rooms that are not known for
+/// \p Work, unless a question is open.
+void askForApproval(Holder &State, const Unit &Work,
+                    const std::vector<Room> &Rooms, const Surroundings &Around,
+                    Effects &Out);
+
+/// Forgets a ticket that the worker did not take.
+void forgetApproval(Holder &State, const RunId &Id, const std::string &Host);
+
 /// Ends the work of cancelled jobs.
 void applyCancels(Holder &State, const Surroundings &Around, Effects &Out);
 
--- a/lib/cell/tests/fakecell.cpp
+++ b/lib/cell/tests/fakecell.cpp
@@ -102,6 +102,8 @@
   }
   std::move(Out.Decisions_.begin(), Out.Decisions_.end(),
             std::back_inserter(Decisions_));
+  if (Out.Question_)
+    Question_ = std::move(Out.Question_);
   if (Out.Append_.empty())
     return;
   if (StoreWorks_) {
@@ -131,6 +133,34 @@
         Task.Percent_ = Percent;
 }
 
+void FakeCell::usage(const std::string &Job, double Value) {
+  for (auto &[Host, Report] : Agents_)
+    for (RunningTask &Task : Report.Running_)
+      if (Task.Id_.Task_.Job_ == Job)
+        Task.Usage_ = Value;
+}
+
+void FakeCell::approve(const std::vector<std::string> &Hosts) {
+  ApprovalAnswer Answer;
+  for (const std::string &Host : Hosts)
+    if (auto It = Question_->Workers_.find(Host);
+        It != Question_->Workers_.end())
+      Answer[It->second] = "ticket-" + Host;
+  const ApprovalQuestion Question = *std::move(Question_);
+  Question_.reset();
+  Effects Out;
+  onApproval(Holder_, Question, Answer, around(), Out);
+}
+
+unsigned FakeCell::paceOf(const std::string &Job) const {
+  unsigned Percent = 100;
+  for (const auto &[Host, Orders] : Orders_)
+    for (const PaceOrder &Order : Orders.Paces_)
+      if (Order.Id_.Task_.Job_ == Job)
+        Percent = Order.Percent_;
+  return Percent;
+}
+
 std::vector<RunId> FakeCell::runsOf(const std::string &Job) const {
   std::vector<RunId> Runs;
   for (const auto &[Host, Report] : Agents_)
--- a/lib/cell/tests/fakecell.h
+++ b/lib/cell/tests/fakecell.h
@@ -23,6 +23,8 @@
   std::vector<std::pair<std::string, HolderOrders>> Orders_;
   std::vector<jobs::Record> Records_;
   std::vector<core::Decision> Decisions_;
+  /// Open question for the approval service.
+  std::optional<ApprovalQuestion> Question_;
   /// Appends are durable at once.
   bool StoreWorks_ = true;
 
@@ -55,6 +57,15 @@
   /// Sets the percentage of every run of a job.
   void progress(const std::string &Job, double Percent);
 
+  /// Sets the tail latency or processor use that the runs of a job report.
+  void usage(const std::string &Job, double Value);
+
+  /// Answers the open question with a ticket for each of \p Hosts.
+  void approve(const std::vector<std::string> &Hosts);
+
+  /// Returns the newest pace that was ordered for a run of a job, or 100.
+  unsigned paceOf(const std::string &Job) const;
+
   /// Runs of a job on all fake workers.
   std::vector<RunId> runsOf(const std::string &Job) const;
   std::string hostOf(const RunId &Id) const;
--- /dev/null
+++ b/lib/cell/tests/sharingtest.cpp
@@ -0,0 +1,267 @@
+#include "fakecell.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace nutmegwell;
+using namespace nutmegwell::cell;
+using namespace std::chrono_literals;
+
+/// Filling runs beside serving ones, copies of slow tasks, and approvals.
+class SharingTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SharingTest);
+  CPPUNIT_TEST(paceFallsInHalvesAndRisesInSteps);
+  CPPUNIT_TEST(fillingRunsStopWorkingBesideADisturbedOne);
+  CPPUNIT_TEST(undisturbedRunsKeepTheirPace);
+  CPPUNIT_TEST(newHolderOrdersThePaceAnew);
+  CPPUNIT_TEST(slowTaskGetsOneCopyElsewhere);
+  CPPUNIT_TEST(ordinaryTaskGetsNoCopy);
+  CPPUNIT_TEST(copiesStayWithinTheirBudget);
+  CPPUNIT_TEST(lastingTaskStartsAgainWhateverItsEnd);
+  CPPUNIT_TEST(startWaitsForATicket);
+  CPPUNIT_TEST(deniedWorkersAreNotAskedAgain);
+  CPPUNIT_TEST(oneQuestionAtATime);
+  CPPUNIT_TEST(refusedTicketIsAskedForAgain);
+  CPPUNIT_TEST(expiredTicketIsAskedForAgain);
+  CPPUNIT_TEST_SUITE_END();
+
+  static void start(FakeCell &Cell, int Workers) {
+    for (int I = 0; I < Workers; ++I)
+      Cell.addWorker("w" + std::to_string(I), "r" + std::to_string(I / 3));
+    Cell.claim();
+    Cell.run(300ms);
+  }
+
+  static jobs::JobSpec oneTask() {
+    return jobs::JobSpecBuilder().step(1, {1000, 1000, 1}, 2s).build();
+  }
+
+  static jobs::JobSpec serving(core::Duration Target) {
+    jobs::JobSpec Spec = oneTask();
+    Spec.Steps_[0].Lasting_ = true;
+    Spec.Steps_[0].TargetLatency_ = Target;
+    return Spec;
+  }
+
+  static jobs::JobSpec filling() {
+    jobs::JobSpec Spec = oneTask();
+    Spec.Steps_[0].Lasting_ = true;
+    Spec.Steps_[0].Filling_ = true;
+    return Spec;
+  }
+
+  static jobs::JobSpec speculative(std::uint32_t Count) {
+    jobs::JobSpec Spec =
+        jobs::JobSpecBuilder().step(Count, {1000, 1000, 1}, 2s).build();
+    Spec.Steps_[0].Speculative_ = true;
+    return Spec;
+  }
+
+  static void askApprovals(FakeCell &Cell, core::Duration Validity = 60s) {
+    jobs::ApprovalPolicy Policy;
+    Policy.Validity_ = Validity;
+    Cell.Tables_.Queues_[1].Approval_ = Policy;
+  }
+
+  static std::string ticketOf(const FakeCell &Cell) {
+    for (const auto &[Host, Orders] : Cell.Orders_)
+      for (const StartOrder &Order : Orders.Starts_)
+        return Order.Ticket_;
+    return {};
+  }
+
+public:
+  void paceFallsInHalvesAndRisesInSteps() {
+    const PacePolicy Policy;
+    WorkerPace Pace;
+    core::TimePoint Now(1000s);
+    CPPUNIT_ASSERT(adjustPace(Pace, Policy, 0.95, Now));
+    CPPUNIT_ASSERT_EQUAL(50u, Pace.Percent_);
+    CPPUNIT_ASSERT(!adjustPace(Pace, Policy, 0.95, Now + 600ms));
+    CPPUNIT_ASSERT(!adjustPace(Pace, Policy, 0.8, Now + 700ms));
+    CPPUNIT_ASSERT(adjustPace(Pace, Policy, 0.5, Now + 700ms));
+    CPPUNIT_ASSERT_EQUAL(60u, Pace.Percent_);
+  }
+
+  /// Guards the targets of serving tasks: what fills beside one that is over
+  /// its target works on no longer than the pages allow.
+  void fillingRunsStopWorkingBesideADisturbedOne() {
+    FakeCell Cell;
+    start(Cell, 1);
+    Cell.accept("serving", serving(100ms));
+    Cell.accept("filling", filling());
+    Cell.step();
+    Cell.usage("serving", 150);
+    Cell.run(2s);
+    CPPUNIT_ASSERT_EQUAL(0u, Cell.paceOf("filling"));
+    CPPUNIT_ASSERT_EQUAL(100u, Cell.paceOf("serving"));
+    Cell.usage("serving", 40);
+    Cell.run(10s);
+    CPPUNIT_ASSERT_EQUAL(100u, Cell.paceOf("filling"));
+  }
+
+  void undisturbedRunsKeepTheirPace() {
+    FakeCell Cell;
+    start(Cell, 1);
+    Cell.accept("serving", serving(100ms));
+    Cell.accept("filling", filling());
+    Cell.step();
+    Cell.usage("serving", 80);
+    Cell.run(5s);
+    for (const auto &[Host, Orders] : Cell.Orders_)
+      CPPUNIT_ASSERT(Orders.Paces_.empty());
+  }
+
+  /// Guards against a run that an earlier holder slowed down and that stays
+  /// slow.
+  void newHolderOrdersThePaceAnew() {
+    FakeCell Cell;
+    start(Cell, 1);
+    Cell.accept("filling", filling());
+    Cell.step();
+    Cell.claim();
+    Cell.Orders_.clear();
+    Cell.run(1s);
+    std::size_t Orders = 0;
+    for (const auto &[Host, Row] : Cell.Orders_)
+      Orders += Row.Paces_.size();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Orders);
+  }
+
+  /// Replays a worker that crawls: the task is copied once, on another worker,
+  /// and the first copy that is done ends the other.
+  void slowTaskGetsOneCopyElsewhere() {
+    FakeCell Cell;
+    start(Cell, 2);
+    Cell.accept("j", speculative(1));
+    for (int Percent = 1; Percent < 8; ++Percent) {
+      Cell.progress("j", Percent);
+      Cell.run(1s);
+    }
+    const std::vector<RunId> Runs = Cell.runsOf("j");
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Runs.size());
+    CPPUNIT_ASSERT(Cell.hostOf(Runs[0]) != Cell.hostOf(Runs[1]));
+    Cell.end(Runs[1], EndKind::Done);
+    Cell.run(300ms);
+    CPPUNIT_ASSERT(Cell.runsOf("j").empty());
+    CPPUNIT_ASSERT(Cell.stateOf("j") == jobs::JobState::Completed);
+  }
+
+  /// Guards against two runs of a task that may run only once.
+  void ordinaryTaskGetsNoCopy() {
+    FakeCell Cell;
+    start(Cell, 2);
+    Cell.accept("j", oneTask());
+    for (int Percent = 1; Percent < 8; ++Percent) {
+      Cell.progress("j", Percent);
+      Cell.run(1s);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("j").size());
+  }
+
+  /// Replays a cell whose workers all crawl: copies must not fill it.
+  void copiesStayWithinTheirBudget() {
+    FakeCell Cell;
+    start(Cell, 6);
+    Cell.accept("j", speculative(20));
+    for (int Percent = 1; Percent < 8; ++Percent) {
+      Cell.progress("j", Percent);
+      Cell.run(1s);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(21), Cell.runsOf("j").size());
+  }
+
+  void lastingTaskStartsAgainWhateverItsEnd() {
+    FakeCell Cell;
+    start(Cell, 2);
+    Cell.accept("j", serving(0s));
+    Cell.step();
+    for (EndKind Kind : {EndKind::Failed, EndKind::Done, EndKind::Lapsed,
+                         EndKind::Failed, EndKind::Failed, EndKind::Failed}) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("j").size());
+      Cell.end(Cell.runsOf("j")[0], Kind);
+      Cell.run(3500ms);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("j").size());
+  }
+
+  /// Guards against starts that the queue's policy does not allow.
+  void startWaitsForATicket() {
+    FakeCell Cell;
+    askApprovals(Cell);
+    start(Cell, 3);
+    Cell.accept("j", oneTask());
+    Cell.run(1s);
+    CPPUNIT_ASSERT(Cell.runsOf("j").empty());
+    CPPUNIT_ASSERT(Cell.Question_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Cell.Question_->Workers_.size());
+    Cell.approve({"w1"});
+    Cell.step();
+    CPPUNIT_ASSERT_EQUAL(std::string("w1"),
+                         Cell.hostOf(Cell.runsOf("j").at(0)));
+    CPPUNIT_ASSERT_EQUAL(std::string("ticket-w1"), ticketOf(Cell));
+  }
+
+  void deniedWorkersAreNotAskedAgain() {
+    FakeCell Cell;
+    askApprovals(Cell);
+    start(Cell, 3);
+    Cell.accept("j", oneTask());
+    Cell.run(1s);
+    Cell.approve({});
+    Cell.run(5s);
+    CPPUNIT_ASSERT(!Cell.Question_);
+    CPPUNIT_ASSERT(Cell.runsOf("j").empty());
+  }
+
+  /// Guards against questions that queue up at the service.
+  void oneQuestionAtATime() {
+    FakeCell Cell;
+    askApprovals(Cell);
+    start(Cell, 1);
+    Cell.accept("a", oneTask());
+    Cell.accept("b", oneTask());
+    Cell.run(1s);
+    const std::string First = toString(Cell.Question_->Step_);
+    Cell.run(1s);
+    CPPUNIT_ASSERT_EQUAL(First, toString(Cell.Question_->Step_));
+    Cell.approve({"w0"});
+    Cell.run(1s);
+    CPPUNIT_ASSERT(First != toString(Cell.Question_->Step_));
+  }
+
+  void refusedTicketIsAskedForAgain() {
+    FakeCell Cell;
+    askApprovals(Cell);
+    start(Cell, 1);
+    Cell.accept("j", oneTask());
+    Cell.run(300ms);
+    Cell.approve({"w0"});
+    Cell.step();
+    const RunId Id = Cell.runsOf("j").at(0);
+    Cell.Agents_["w0"].Running_.clear();
+    Cell.Agents_["w0"].Refused_.push_back({Id, RefusalKind::NoTicket});
+    Cell.run(300ms);
+    CPPUNIT_ASSERT(Cell.runsOf("j").empty());
+    CPPUNIT_ASSERT(Cell.Question_);
+  }
+
+  /// Guards against starts with a ticket whose time is over.
+  void expiredTicketIsAskedForAgain() {
+    FakeCell Cell;
+    askApprovals(Cell, 10s);
+    start(Cell, 1);
+    Cell.accept("j", oneTask());
+    Cell.run(300ms);
+    Cell.approve({"w0"});
+    Cell.step();
+    for (int Percent = 1; Percent <= 10; ++Percent) {
+      Cell.progress("j", Percent);
+      Cell.run(1s);
+    }
+    Cell.end(Cell.runsOf("j").at(0), EndKind::Failed);
+    Cell.run(300ms);
+    CPPUNIT_ASSERT(Cell.runsOf("j").empty());
+    CPPUNIT_ASSERT(Cell.Question_);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SharingTest);
--- a/lib/site/include/nutmegwell/site/entry.h
+++ b/lib/site/include/nutmegwell/site/entry.h
@@ -225,6 +225,7 @@
   std::vector<AppendCall> Appends_;
   std::vector<ReadCall> Reads_;
   std::vector<NewestCall> Newests_;
+  std::optional<cell::ApprovalQuestion> Question_;
   std::vector<core::Decision> Decisions_;
   core::TimePoint Wake_ = core::TimePoint::max();
 };
@@ -243,6 +244,9 @@
 void onAppend(EntryState &State, const std::variant<Writer, RelayedAppend> &For,
               const store::AppendOutcome &Outcome, core::TimePoint Now,
               EntryEffects &Out);
+void onApproval(EntryState &State, const cell::ApprovalQuestion &Question,
+                const absl::StatusOr<cell::ApprovalAnswer> &Answer,
+                core::TimePoint Now, jobs::WallTime Wall, EntryEffects &Out);
 void onMessage(EntryState &State, LinkId Link, const cell::PeerMessage &Message,
                core::TimePoint Now, jobs::WallTime Wall, EntryEffects &Out);
 void onLinkClosed(EntryState &State, LinkId Link);
--- a/lib/site/src/entry.cpp
+++ b/lib/site/src/entry.cpp
@@ -41,6 +41,7 @@
     if (Link != State.Agents_.end())
       Out.Sends_.emplace_back(Link->second, std::move(Orders));
   }
+  Out.Question_ = std::move(Effects.Question_);
   if (!Effects.Append_.empty())
     State.HolderToken_ = append(State, Writer::Holder, Effects.Append_);
 }
@@ -96,6 +97,18 @@
     onAgent(State, Link, *Report, Now, Wall, Out);
 }
 
+void onApproval(EntryState &State, const cell::ApprovalQuestion &Question,
+                const absl::StatusOr<cell::ApprovalAnswer> &Answer,
+                core::TimePoint Now, jobs::WallTime Wall, EntryEffects &Out) {
+  if (!State.Holder_)
+    return;
+  cell::Effects Effects;
+  cell::onApproval(*State.Holder_, Question, Answer,
+                   surroundingsOf(State, Now, Wall), Effects);
+  std::move(Effects.Decisions_.begin(), Effects.Decisions_.end(),
+            std::back_inserter(Out.Decisions_));
+}
+
 void onLinkClosed(EntryState &State, LinkId Link) {
   for (auto It = State.Agents_.begin(); It != State.Agents_.end(); ++It)
     if (It->second == Link) {
--- a/lib/sitehost/include/nutmegwell/sitehost/ports.h
+++ b/lib/sitehost/include/nutmegwell/sitehost/ports.h
@@ -21,6 +21,11 @@
       const net::HttpRequest &)>
       DecodeCall_;
   std::function<net::HttpResponse(const site::CallerReply &)> EncodeReply_;
+  /// Asks the approval service; the answer comes within the question's timeout.
+  /// Empty where the settings name no such service.
+  std::function<void(cell::ApprovalQuestion,
+                     std::function<void(absl::StatusOr<cell::ApprovalAnswer>)>)>
+      Approve_;
 };
 
 /// A worker's message about itself: that it lives, that it ends, or neither;
--- a/lib/sitehost/src/entryrole.cpp
+++ b/lib/sitehost/src/entryrole.cpp
@@ -4,6 +4,7 @@
 #include "nutmegwell/aio/link.h"
 #include "nutmegwell/sitehost/roles.h"
 #include "nutmegwell/wire/cellbinary.h"
+#include "seedwatch.h"
 #include <csignal>
 #include <map>
 
@@ -30,9 +31,13 @@
 public:
   EntryHost(const settings::Settings &Values, const SettingsReader &Reread,
             const std::function<EntryPorts(aio::Loop &)> &MakePorts)
-      : Values_(Values), Reread_(Reread),
+      : Values_(Values),
         Log_(static_cast<std::size_t>(Values.count("log-queue")), All_),
         Ports_(MakePorts(Loop_)),
+        Seeds_(Loop_, Reread, Log_, texts(Values.addresses("seeds")),
+               [this](std::vector<std::string> Seeds) {
+                 takeSeeds(std::move(Seeds));
+               }),
         Links_(Loop_, aio::LinkLimits(), linkHandlers()),
         State_(site::makeEntry(entrySettings(Values), Ports_.Codec_,
                                Clock_.Now_())),
@@ -67,6 +72,7 @@
                  {{"role", "site-entry"},
                   {"host", Values_.text("node")},
                   {"process", std::to_string(State_.Settings_.Process_)}}}});
+    Seeds_.start(SeedLookInterval);
     Control_.start();
     Loop_.run();
     Control_.stop();
@@ -127,7 +133,8 @@
   void hand(Effects Out) {
     Log_.write(std::move(Out.Decisions_));
     if (Out.Replies_.empty() && Out.Sends_.empty() && Out.SendsTo_.empty() &&
-        Out.Appends_.empty() && Out.Reads_.empty() && Out.Newests_.empty())
+        Out.Appends_.empty() && Out.Reads_.empty() && Out.Newests_.empty() &&
+        !Out.Question_)
       return;
     auto Shared = std::make_shared<Effects>(std::move(Out));
     Loop_.post([this, Shared] { carryOut(*Shared); });
@@ -146,6 +153,21 @@
       read(Call);
     for (const site::NewestCall &Call : Out.Newests_)
       newest(Call);
+    if (Out.Question_)
+      approve(*std::move(Out.Question_));
+  }
+
+  void approve(cell::ApprovalQuestion Question) {
+    auto Done = [this, Question](absl::StatusOr<cell::ApprovalAnswer> Answer) {
+      Control_.post([this, Question, Answer = std::move(Answer)](
+                        core::TimePoint Now, Effects &Out) {
+        site::onApproval(State_, Question, Answer, Now, wallNow(), Out);
+      });
+    };
+    if (Ports_.Approve_)
+      return Ports_.Approve_(std::move(Question), std::move(Done));
+    Done(core::makeError(absl::StatusCode::kFailedPrecondition, "approve",
+                         "settings", "approval-address is not set"));
   }
 
   void answer(const site::CallerReply &Reply) {
@@ -207,7 +229,7 @@
 
   void onSignal(int Signal) {
     if (Signal == SIGHUP)
-      return reload();
+      return Seeds_.reload();
     if (Stopping_) {
       Log_.write({{"stopped_at_once",
                    {{"in_flight", std::to_string(Callers_->inFlight())}}}});
@@ -237,18 +259,9 @@
     Loop_.after(LookInterval, [this] { watchDrain(); });
   }
 
-  void reload() {
-    absl::StatusOr<settings::Settings> Fresh = Reread_();
-    if (!Fresh.ok()) {
-      Log_.write(
-          {{"reload_failed", {{"error", core::describe(Fresh.status())}}}});
-      return;
-    }
-    const std::vector<std::string> Seeds = texts(Fresh->addresses("seeds"));
-    Control_.post([this, Seeds](core::TimePoint, Effects &Out) {
+  void takeSeeds(std::vector<std::string> Seeds) {
+    Control_.post([this, Seeds = std::move(Seeds)](core::TimePoint, Effects &) {
       State_.Settings_.Seeds_ = Seeds;
-      Out.Decisions_.push_back(
-          {"reloaded", {{"seeds", std::to_string(Seeds.size())}}});
     });
   }
 
@@ -258,13 +271,13 @@
   };
 
   const settings::Settings &Values_;
-  SettingsReader Reread_;
   core::Clock Clock_ = core::bootClock();
   metrics::Registry All_;
   LogWriter Log_;
   aio::Loop Loop_;
   EntryPorts Ports_;
   // Traffic thread.
+  SeedWatch Seeds_;
   aio::Links Links_;
   std::unique_ptr<aio::HttpServer> Callers_;
   std::unique_ptr<aio::HttpServer> Readiness_;
--- a/lib/sitehost/src/sitesettings.cpp
+++ b/lib/sitehost/src/sitesettings.cpp
@@ -35,6 +35,8 @@
       .requiredWhen("role", "site-agent")
       .listenAddress("metrics-listen", "address of /metrics, none when not set")
       .addressList("seeds", "peer addresses of some entry hosts")
+      .address("approval-address", "address of the service that approves "
+                                   "workers, none when not set")
       .address("store-address", "address of the platform's store")
       .requiredWhen("role", "site-entry");
   Builder
