Preempt for late jobs too and wait for near places by their cost

Declared work is off by up to 1.9 times there, so that jobs counted as late or lost too early, and slow places were taken too late to be of use.

Change: only lost jobs do not preempt, and a slow place is taken after a wait as long as it costs, or at once while half of the accelerators are free.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -54,9 +54,6 @@
   /// A job that takes up to this many times its objective is late; after that
   /// it is worth nothing to its caller. The users' pages say three.
   int LateUpTo_ = 3;
-  /// Work is placed far from its data this long before it would be lost
-  /// otherwise, as placing it takes a look or two.
-  core::Duration LastChance_ = std::chrono::seconds(1);
   /// Work within a guarantee waits this long for a place near its data. Less
   /// than half of the 2.7 s in which the users' pages want it started, so that
   /// stops and a lost order still fit.
@@ -80,8 +77,8 @@
   ApprovalPolicy Approval_;
   VictimChoice ChooseVictims_ = chooseVictims;
   /// Worst outlook with which urgent work preempts. Stops delay other callers
-  /// and throw work away, which pays only while a job can end on time.
-  Outlook PreemptsUpTo_ = Outlook::OnTime;
+  /// and throw work away, which never pays for a job that is lost.
+  Outlook PreemptsUpTo_ = Outlook::Late;
 };
 
 enum class AttemptState : std::uint8_t {
--- a/lib/cell/src/queue.cpp
+++ b/lib/cell/src/queue.cpp
@@ -209,17 +209,15 @@
 }
 
 bool acceptsSlowPlace(const HolderPolicy &Policy, const Unit &Work,
-                      double FreeShare) {
+                      double FreeShare, core::Duration Waited) {
   const auto Added = std::chrono::duration_cast<core::Duration>(
       std::chrono::duration<double, std::micro>(
           static_cast<double>(Work.spec().Estimate_.count()) *
           (Policy.RemotePenalty_ - 1)));
-  const bool OnTime = outlookOf(Policy, Work) == Outlook::OnTime;
-  if (FreeShare >= Policy.SpareShare_ && (!OnTime || Work.Slack_ >= Added))
+  if (Waited >= Added)
     return true;
-  const core::Duration UntilLost =
-      Work.Slack_ + Work.Objective_ * (Policy.LateUpTo_ - 1) - Added;
-  return !OnTime && UntilLost < Policy.LastChance_;
+  const bool OnTime = outlookOf(Policy, Work) == Outlook::OnTime;
+  return FreeShare >= Policy.SpareShare_ && (!OnTime || Work.Slack_ >= Added);
 }
 
 std::vector<Unit> readyUnits(Holder &State, const Surroundings &Around,
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -32,7 +32,8 @@
     Request.AllowRemote_ = allowRemote(Work, roomsOf(Work));
     if (startOrPreempt(Work, Request))
       return;
-    if (Work.Guaranteed_ && !Request.AllowRemote_ && hasWaited(Work)) {
+    if (Work.Guaranteed_ && !Request.AllowRemote_ &&
+        waited(Work) >= State_.Policy_.GuaranteeWait_) {
       Request.AllowRemote_ = true;
       if (startOrPreempt(Work, Request))
         return;
@@ -59,11 +60,9 @@
     return mayPreempt(Work) && preempt(Work, Request);
   }
 
-  /// Returns true when work within a guarantee no longer waits for a near
-  /// place.
-  bool hasWaited(const Unit &Work) const {
-    const LiveJob &Live = State_.Jobs_.at(Work.Job_->Accepted_.Job_);
-    return Around_.Now_ - Live.Since_ >= State_.Policy_.GuaranteeWait_;
+  /// Returns how long the holder has known the job of \p Work.
+  core::Duration waited(const Unit &Work) const {
+    return Around_.Now_ - State_.Jobs_.at(Work.Job_->Accepted_.Job_).Since_;
   }
 
   bool usable(const Worker &Host) const {
@@ -161,7 +160,7 @@
     }
     const double Share =
         All > 0 ? static_cast<double>(Free) / static_cast<double>(All) : 1;
-    return acceptsSlowPlace(State_.Policy_, Work, Share);
+    return acceptsSlowPlace(State_.Policy_, Work, Share, waited(Work));
   }
 
   /// A guarantee is kept whatever the outlook of the job.
--- a/lib/cell/src/steps.h
+++ b/lib/cell/src/steps.h
@@ -32,10 +32,11 @@
 Outlook outlookOf(const HolderPolicy &Policy, const Unit &Work);
 
 /// Returns true when \p Work should start on a place that slows it down. Such a
-/// place costs several times the room, so that work which can wait takes it
-/// only while \p FreeShare of the accelerators is large.
+/// place costs several times the room. Work takes it once it has waited as long
+/// as the place would cost it, and at once while \p FreeShare of the
+/// accelerators is large and waiting would not keep it on time.
 bool acceptsSlowPlace(const HolderPolicy &Policy, const Unit &Work,
-                      double FreeShare);
+                      double FreeShare, core::Duration Waited);
 
 /// Returns the first attempt of \p Task, or the map's end.
 AttemptMap::iterator findAttempt(AttemptMap &Attempts, const TaskId &Task);
