Let kept connections go with their HTTP client

Cause: aio-test under the address sanitizer reported 8,790 bytes in 30 allocations. A kept connection holds the client's state, which holds the kept connections, so that neither was freed. A process keeps its clients until it ends, so that no memory grew in service.

Change: the client drops kept connections when it goes, and keeps none afterwards.

--- a/lib/aio/include/nutmegwell/aio/httpclient.h
+++ b/lib/aio/include/nutmegwell/aio/httpclient.h
@@ -23,6 +23,7 @@
              core::Duration MaxIdle);
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
+  /// Called on the loop's thread or after the loop has ended.
   ~HttpClient();
 
   /// Sends \p Request; the whole call ends within \p Timeout. Safe from any
--- a/lib/aio/src/httpclient.cpp
+++ b/lib/aio/src/httpclient.cpp
@@ -64,6 +64,9 @@
   std::size_t MaxConnections_;
   core::Duration MaxIdle_;
   std::size_t Open_ = 0;
+  /// The client is gone; connections are no longer kept, since each of them
+  /// keeps this object.
+  bool Closed_ = false;
   std::deque<Call> Waiting_;
   std::deque<std::shared_ptr<Connection>> Idle_;
 };
@@ -189,7 +192,7 @@
 
 void HttpClient::Impl::finish(const std::shared_ptr<Connection> &Used,
                               bool Reusable) {
-  if (Reusable) {
+  if (Reusable && !Closed_) {
     Idle_.push_back(Used);
   } else {
     Used->Stream_.close();
@@ -203,7 +206,10 @@
     : Impl_(std::make_shared<Impl>(Owner, std::move(Server), MaxConnections,
                                    MaxIdle)) {}
 
-HttpClient::~HttpClient() = default;
+HttpClient::~HttpClient() {
+  Impl_->Closed_ = true;
+  Impl_->Idle_.clear();
+}
 
 void HttpClient::call(net::HttpRequest Request, core::Duration Timeout,
                       ResponseHandler Handler) {
