--- a/bench/replay/world.cpp
+++ b/bench/replay/world.cpp
@@ -16,6 +16,9 @@
 constexpr core::Duration ReportEvery = std::chrono::milliseconds(500);
 /// Time in which an emulated worker stops a run; the pages allow up to 0.2 s.
 constexpr core::Duration StopTakes = std::chrono::milliseconds(100);
+/// Times of the clocks at the day's begin; any others would do.
+constexpr core::TimePoint SteadyStart{std::chrono::seconds(1000)};
+constexpr jobs::WallTime WallStart{std::chrono::seconds(5000)};
 /// Work after which a failing worker fails what it runs.
 constexpr double FailsAfterSeconds = 0.3;
 /// Cores that an accelerator counts as, as in the users' prices.
@@ -85,14 +88,11 @@
     std::vector<std::string> Hosts_;
   };
 
-  core::TimePoint now() const {
-    return core::TimePoint(std::chrono::seconds(1000)) + Time_;
-  }
+  core::TimePoint now() const { return SteadyStart + Time_; }
 
   cell::Surroundings around() const {
     static const std::set<std::string> NoDomains;
-    return {View_, Tables_, NoDomains, now(),
-            jobs::WallTime(std::chrono::seconds(5000)) + Time_};
+    return {View_, Tables_, NoDomains, now(), WallStart + Time_};
   }
 
   void addWorkers() {
