Free connections with their owners and end links quietly

Reading further: open links went on after their Links object was gone and called its handlers when they fell silent.

Change: an idle HTTP connection no longer holds its client, so that the destructor needs no thread. Links ends its links when it goes and calls no handler afterwards.

After: aio-test passes under the address sanitizer without a leak, 10 tests.

--- a/lib/aio/include/nutmegwell/aio/httpclient.h
+++ b/lib/aio/include/nutmegwell/aio/httpclient.h
@@ -23,7 +23,7 @@
              core::Duration MaxIdle);
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
-  /// Called on the loop's thread or after the loop has ended.
+  /// Calls that are open go on to their end.
   ~HttpClient();
 
   /// Sends \p Request; the whole call ends within \p Timeout. Safe from any
--- a/lib/aio/include/nutmegwell/aio/link.h
+++ b/lib/aio/include/nutmegwell/aio/link.h
@@ -35,6 +35,7 @@
   Links(Loop &Owner, const LinkLimits &Limits, LinkHandlers Handlers);
   Links(const Links &) = delete;
   Links &operator=(const Links &) = delete;
+  /// Ends all links; no handler is called any more.
   ~Links();
 
   /// Accepts links at \p Listen. Throws std::runtime_error when it cannot be
--- a/lib/aio/src/httpclient.cpp
+++ b/lib/aio/src/httpclient.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 #include <deque>
 #include <optional>
+#include <utility>
 
 namespace nutmegwell::aio {
 
@@ -64,19 +65,16 @@
   std::size_t MaxConnections_;
   core::Duration MaxIdle_;
   std::size_t Open_ = 0;
-  /// The client is gone; connections are no longer kept, since each of them
-  /// keeps this object.
-  bool Closed_ = false;
   std::deque<Call> Waiting_;
   std::deque<std::shared_ptr<Connection>> Idle_;
 };
 
 struct HttpClient::Impl::Connection
     : std::enable_shared_from_this<HttpClient::Impl::Connection> {
-  explicit Connection(std::shared_ptr<Impl> Owner)
-      : Owner_(std::move(Owner)), Stream_(Owner_->Context_) {}
+  explicit Connection(asio::io_context &Context) : Stream_(Context) {}
 
-  void carry(Call Work) {
+  void carry(std::shared_ptr<Impl> Owner, Call Work) {
+    Owner_ = std::move(Owner);
     Call_ = std::move(Work);
     Stream_.expires_at(Call_.Deadline_);
     if (Connected_)
@@ -128,20 +126,24 @@
     auto Handler = std::move(Call_.Handler_);
     Stream_.expires_never();
     Since_ = std::chrono::steady_clock::now();
-    Owner_->finish(shared_from_this(), Message.keep_alive());
+    std::exchange(Owner_, nullptr)
+        ->finish(shared_from_this(), Message.keep_alive());
     Handler(std::move(Response));
   }
 
   void fail(const char *Step, const Error &Failure) {
     auto Handler = std::move(Call_.Handler_);
     Stream_.close();
-    Owner_->finish(shared_from_this(), false);
+    const std::shared_ptr<Impl> Owner = std::exchange(Owner_, nullptr);
+    Owner->finish(shared_from_this(), false);
     Handler(core::makeError(Failure == beast::error::timeout
                                 ? absl::StatusCode::kDeadlineExceeded
                                 : absl::StatusCode::kUnavailable,
-                            Step, Owner_->Name_, Failure.message()));
+                            Step, Owner->Name_, Failure.message()));
   }
 
+  /// Set during a call only: an idle connection is kept by its owner and must
+  /// not keep it.
   std::shared_ptr<Impl> Owner_;
   beast::tcp_stream Stream_;
   beast::flat_buffer Buffer_;
@@ -182,17 +184,17 @@
       if (Open_ >= MaxConnections_)
         return;
       ++Open_;
-      Chosen = std::make_shared<Connection>(shared_from_this());
+      Chosen = std::make_shared<Connection>(Context_);
     }
     Call Work = std::move(Waiting_.front());
     Waiting_.pop_front();
-    Chosen->carry(std::move(Work));
+    Chosen->carry(shared_from_this(), std::move(Work));
   }
 }
 
 void HttpClient::Impl::finish(const std::shared_ptr<Connection> &Used,
                               bool Reusable) {
-  if (Reusable && !Closed_) {
+  if (Reusable) {
     Idle_.push_back(Used);
   } else {
     Used->Stream_.close();
@@ -206,10 +208,7 @@
     : Impl_(std::make_shared<Impl>(Owner, std::move(Server), MaxConnections,
                                    MaxIdle)) {}
 
-HttpClient::~HttpClient() {
-  Impl_->Closed_ = true;
-  Impl_->Idle_.clear();
-}
+HttpClient::~HttpClient() = default;
 
 void HttpClient::call(net::HttpRequest Request, core::Duration Timeout,
                       ResponseHandler Handler) {
--- a/lib/aio/src/link.cpp
+++ b/lib/aio/src/link.cpp
@@ -98,6 +98,8 @@
         [Self = shared_from_this()](const Error &Failure, std::size_t) {
           if (Failure)
             return Self->close();
+          if (Self->Closed_)
+            return;
           Self->watch(Self->Owner_->Limits_.Silence_);
           std::string Frame;
           Frame.swap(Self->Frame_);
@@ -142,12 +144,17 @@
   void close() {
     if (Closed_)
       return;
+    endQuietly();
+    Owner_->Open_.erase(Id_);
+    Owner_->Handlers_.Closed_(Id_);
+  }
+
+  /// Ends the link without telling its owner.
+  void endQuietly() {
     Closed_ = true;
     Error Ignored; // The socket is of no more use either way.
     Socket_.close(Ignored);
     Timer_.cancel();
-    Owner_->Open_.erase(Id_);
-    Owner_->Handlers_.Closed_(Id_);
   }
 
   std::shared_ptr<Impl> Owner_;
@@ -188,6 +195,9 @@
 Links::~Links() {
   Error Ignored; // The process is ending.
   Impl_->Acceptor_.close(Ignored);
+  for (const auto &[Id, Link] : Impl_->Open_)
+    Link->endQuietly();
+  Impl_->Open_.clear();
 }
 
 std::uint16_t Links::listen(const net::Address &Listen) {
--- a/lib/aio/tests/aiotest.cpp
+++ b/lib/aio/tests/aiotest.cpp
@@ -2,6 +2,7 @@
 #include "nutmegwell/aio/httpserver.h"
 #include "nutmegwell/aio/link.h"
 #include <arpa/inet.h>
+#include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
 #include <future>
 #include <sys/socket.h>
@@ -23,6 +24,7 @@
   CPPUNIT_TEST(framesArriveInOrder);
   CPPUNIT_TEST(silentLinkIsClosed);
   CPPUNIT_TEST(oversizedFrameClosesTheLink);
+  CPPUNIT_TEST(endedLinksCallNoHandler);
   CPPUNIT_TEST_SUITE_END();
 
   std::unique_ptr<Loop> Loop_;
@@ -237,6 +239,33 @@
       return 0;
     });
   }
+
+  /// Guards against handlers that are called after their owner is gone: an open
+  /// link used to go on until it was silent for too long.
+  void endedLinksCallNoHandler() {
+    std::promise<void> Opened;
+    std::promise<void> Ended;
+    std::atomic<int> Closed{0};
+    LinkLimits Limits;
+    Limits.Silence_ = 100ms;
+    LinkHandlers Handlers{[&](LinkId) { Opened.set_value(); },
+                          [](LinkId, const std::string &) {},
+                          [&](LinkId) { ++Closed; }};
+    auto Listener = onLoop(
+        [&] { return std::make_unique<Links>(*Loop_, Limits, Handlers); });
+    const std::uint16_t Port =
+        onLoop([&] { return Listener->listen(anyPort()); });
+    const int Socket = connectTo(Port);
+    Opened.get_future().wait();
+    onLoop([&] {
+      Listener.reset();
+      return 0;
+    });
+    Loop_->after(3 * Limits.Silence_, [&] { Ended.set_value(); });
+    Ended.get_future().wait();
+    close(Socket);
+    CPPUNIT_ASSERT_EQUAL(0, Closed.load());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AioTest);
