Name bare times and keep one conversion to milliseconds

Four copies of the conversion of a duration to whole milliseconds, and two divisions by a literal, are one function in lib/core now. Literals in the bench programs and in the retry budget got names with their source; the stand-in worker holds its birth as a time.

--- a/bench/capacityappend.cpp
+++ b/bench/capacityappend.cpp
@@ -59,7 +59,7 @@
   }
   const double Count = std::max<double>(1, static_cast<double>(Records));
   return {static_cast<double>(Appends) /
-              static_cast<double>(Simulated / std::chrono::seconds(1)),
+              std::chrono::duration<double>(Simulated).count(),
           Total.count() / Count, Longest.count()};
 }
 
--- a/bench/capacitystates.cpp
+++ b/bench/capacitystates.cpp
@@ -16,12 +16,15 @@
         Target.Now_);
 }
 
+/// Sequence numbers of beats rise by one in this time.
+constexpr core::Duration BeatStep = std::chrono::milliseconds(100);
+
 void beat(HeldCell &Target, std::size_t Workers, std::uint32_t Reports,
           std::size_t Jobs) {
   for (std::size_t W = 0; W < Workers; ++W) {
     model::Heartbeat Beat = heartbeatOf(W, 0);
-    Beat.Sequence_ = static_cast<std::uint64_t>(Target.Now_.time_since_epoch() /
-                                                std::chrono::milliseconds(100));
+    Beat.Sequence_ =
+        static_cast<std::uint64_t>(Target.Now_.time_since_epoch() / BeatStep);
     if (Reports > 0)
       for (std::size_t J = 0; J < Jobs; ++J)
         if ((W + Workers - J * TasksOfJob % Workers) % Workers < TasksOfJob)
--- a/bench/capacitywire.cpp
+++ b/bench/capacitywire.cpp
@@ -72,8 +72,10 @@
   wireSlope("start.by_number", Numbers, [](std::size_t Number) {
     return model::Start{1, jobIdOf(Number), 1};
   });
+  // Any time has the same size on the wire.
+  constexpr core::Duration Grace = std::chrono::seconds(5);
   wireSlope("stop.by_number", Numbers, [](std::size_t Number) {
-    return model::Stop{1, jobIdOf(Number), 1, std::chrono::seconds(5)};
+    return model::Stop{1, jobIdOf(Number), 1, Grace};
   });
   wireSlope("entry_heartbeat.by_name_length", NameLengths,
             [](std::size_t Length) {
--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -15,6 +15,9 @@
 /// Time between the decision to preempt and free accelerators, in which the
 /// job writes its checkpoint and does no other work.
 constexpr seconds CheckpointGrace{30};
+/// A guarantee is reclaimed in time when the stops took no longer than their
+/// grace and one decision.
+constexpr seconds ReclaimBound = CheckpointGrace + seconds(1);
 constexpr seconds PeriodicCheckpoint{600};
 /// Time that a later attempt needs to read its checkpoint.
 constexpr seconds RestoreTime{30};
@@ -104,7 +107,7 @@
   double UsefulInAbsence_ = 0;
   FragmentationProbe Fragmentation_;
   AbsenceProbe Absence_{Load_.AbsenceFrom_, Load_.AbsenceTo_};
-  ReclaimProbe Reclaim_{CheckpointGrace + seconds(1)};
+  ReclaimProbe Reclaim_{ReclaimBound};
   RunResult Result_;
 };
 
--- a/lib/agent/src/runtime.cpp
+++ b/lib/agent/src/runtime.cpp
@@ -12,10 +12,6 @@
 
 using cxxtools::SerializationInfo;
 
-std::int64_t milliseconds(core::Duration Value) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
-}
-
 absl::StatusOr<net::HttpResponse> post(net::HttpClient &Client,
                                        const std::string &Path,
                                        const SerializationInfo &Body) {
@@ -52,7 +48,7 @@
   Body.addValue("id", Task.Id_);
   Body.addValue("command", Task.Command_);
   Body.addValue("accelerators", Task.Accelerators_);
-  Body.addValue("lease_ms", milliseconds(Task.Lease_));
+  Body.addValue("lease_ms", core::wholeMilliseconds(Task.Lease_));
   Body.addValue("checkpoint", Task.Checkpoint_);
   return statusOf(post(Client, "/tasks", Body), "start", Peer);
 }
@@ -60,7 +56,7 @@
 absl::Status stopTask(net::HttpClient &Client, const std::string &Peer,
                       const StopTask &Task) {
   SerializationInfo Body;
-  Body.addValue("grace_ms", milliseconds(Task.Grace_));
+  Body.addValue("grace_ms", core::wholeMilliseconds(Task.Grace_));
   return statusOf(post(Client, "/tasks/" + Task.Id_ + "/stop", Body), "stop",
                   Peer);
 }
@@ -70,7 +66,7 @@
                                                    const ListTasks &Wanted) {
   for (const std::string &Id : Wanted.Renew_) {
     SerializationInfo Body;
-    Body.addValue("lease_ms", milliseconds(Wanted.Lease_));
+    Body.addValue("lease_ms", core::wholeMilliseconds(Wanted.Lease_));
     // A task that is gone shows in the listing below.
     post(Client, "/tasks/" + Id + "/renew", Body).IgnoreError();
   }
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -215,8 +215,7 @@
          {{"task", toString(New.Id_.Task_)},
           {"run", std::to_string(Run)},
           {"host", HostName},
-          {"slack_ms",
-           std::to_string(Work.Slack_ / std::chrono::milliseconds(1))},
+          {"slack_ms", std::to_string(core::wholeMilliseconds(Work.Slack_))},
           {"view", std::to_string(Around_.View_.Next_)},
           {"tables", std::to_string(Around_.Tables_.Version_)}}});
     State_.Attempts_.emplace(New.Id_, std::move(New));
--- a/lib/cell/src/workers.cpp
+++ b/lib/cell/src/workers.cpp
@@ -119,10 +119,10 @@
           {"run", std::to_string(Id.Run_)},
           {"host", Run.Host_},
           {"percent", std::to_string(Run.Percent_)},
-          {"since_ms", std::to_string((Around.Now_ - Run.ChangedAt_) /
-                                      std::chrono::milliseconds(1))},
-          {"ordered_ms_ago", std::to_string((Around.Now_ - Run.OrderedAt_) /
-                                            std::chrono::milliseconds(1))}}});
+          {"since_ms", std::to_string(core::wholeMilliseconds(Around.Now_ -
+                                                              Run.ChangedAt_))},
+          {"ordered_ms_ago", std::to_string(core::wholeMilliseconds(
+                                 Around.Now_ - Run.OrderedAt_))}}});
   }
   for (const RunId &Id : Stalled) {
     Attempt &Run = State.Attempts_.at(Id);
--- a/lib/core/include/nutmegwell/core/time.h
+++ b/lib/core/include/nutmegwell/core/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 
 namespace nutmegwell::core {
@@ -10,6 +11,11 @@
 /// Monotonic time of one process; never compared between processes.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
+/// Returns \p Value in whole milliseconds, for encodings and log lines.
+inline std::int64_t wholeMilliseconds(Duration Value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+}
+
 /// Source of the current time; a test fills it with its own clock.
 struct Clock {
   std::function<TimePoint()> Now_;
--- a/lib/logclient/src/httplog.cpp
+++ b/lib/logclient/src/httplog.cpp
@@ -55,10 +55,6 @@
   return At;
 }
 
-std::int64_t toMilliseconds(core::Duration Value) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
-}
-
 } // namespace
 
 absl::StatusOr<ReadResult> parseReadAnswer(const net::HttpResponse &Answer,
@@ -112,9 +108,9 @@
                       core::Duration Wait) -> absl::StatusOr<ReadResult> {
     net::HttpRequest Request;
     Request.Path_ = Path;
-    Request.Query_ = "from=" + std::to_string(From) +
-                     "&max=" + std::to_string(Max) +
-                     "&wait_ms=" + std::to_string(toMilliseconds(Wait));
+    Request.Query_ =
+        "from=" + std::to_string(From) + "&max=" + std::to_string(Max) +
+        "&wait_ms=" + std::to_string(core::wholeMilliseconds(Wait));
     auto Answer = Reads->call(Request, Settings.Timeout_ + Wait);
     if (!Answer.ok())
       return Answer.status();
--- a/lib/metrics/src/burnjson.cpp
+++ b/lib/metrics/src/burnjson.cpp
@@ -7,10 +7,6 @@
 
 using cxxtools::SerializationInfo;
 
-std::int64_t milliseconds(core::Duration Value) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
-}
-
 void addWindow(SerializationInfo &Out, const WindowBurn &Window) {
   Out.addValue("requests", Window.Counts_.Requests_);
   Out.addValue("refused", Window.Counts_.Refused_);
@@ -25,8 +21,8 @@
 
 std::string formatBurn(const BurnReport &Report) {
   SerializationInfo Root;
-  Root.addValue("short_ms", milliseconds(Report.Windows_.Short_));
-  Root.addValue("long_ms", milliseconds(Report.Windows_.Long_));
+  Root.addValue("short_ms", core::wholeMilliseconds(Report.Windows_.Short_));
+  Root.addValue("long_ms", core::wholeMilliseconds(Report.Windows_.Long_));
   SerializationInfo &Rows = Root.addMember("rows");
   Rows.setCategory(SerializationInfo::Array);
   for (const BurnRow &Row : Report.Rows_) {
@@ -34,7 +30,8 @@
     Out.addValue("account", Row.Account_);
     Out.addValue("service", Row.Service_);
     Out.addValue("allowed_errors", Row.Objective_.AllowedErrors_);
-    Out.addValue("latency_ms", milliseconds(Row.Objective_.Latency_));
+    Out.addValue("latency_ms",
+                 core::wholeMilliseconds(Row.Objective_.Latency_));
     addWindow(Out.addMember("short"), Row.Short_);
     addWindow(Out.addMember("long"), Row.Long_);
     Out.addValue("alert", Row.Alert_);
--- a/lib/routing/src/admission.cpp
+++ b/lib/routing/src/admission.cpp
@@ -11,6 +11,8 @@
 constexpr std::int64_t EarnedByRequest = OneRetry / 10;
 constexpr std::int64_t EarnedByMicrosecond = 10;
 constexpr std::int64_t MaxSaved = 10 * OneRetry;
+/// Idle time that earns at most; it fills the budget.
+constexpr core::Duration LongestGap = std::chrono::seconds(1);
 
 void earn(RetryBudget &Budget, std::int64_t Earned) {
   Budget.Saved_ = std::min(MaxSaved, Budget.Saved_ + Earned);
@@ -18,7 +20,7 @@
 
 void earnTime(RetryBudget &Budget, core::TimePoint Now) {
   const core::Duration Passed = std::clamp<core::Duration>(
-      Now - Budget.Counted_, core::Duration::zero(), std::chrono::seconds(1));
+      Now - Budget.Counted_, core::Duration::zero(), LongestGap);
   Budget.Counted_ = std::max(Budget.Counted_, Now);
   earn(Budget, Passed.count() * EarnedByMicrosecond);
 }
--- a/tests/soak/platformworker.cpp
+++ b/tests/soak/platformworker.cpp
@@ -39,9 +39,8 @@
                                std::uint64_t Seed)
     : Loop_(Owner), Name_(std::move(Name)), Domain_(std::move(Domain)),
       History_(History), Random_(Seed), Born_(core::steadyClock().Now_()),
-      BornMs_(std::chrono::duration_cast<milliseconds>(
-                  std::chrono::system_clock::now().time_since_epoch())
-                  .count()),
+      BornAt_(std::chrono::time_point_cast<core::Duration>(
+          std::chrono::system_clock::now())),
       Server_(Owner, Listen, aio::ServerLimits(),
               [this](net::HttpRequest Request, aio::Responder Respond) {
                 handle(Request, Respond);
@@ -81,7 +80,7 @@
            {"address", "127.0.0.1"},
            {"zone", Domain_},
            {"state", "ready"},
-           {"born", BornMs_},
+           {"born", core::wholeMilliseconds(BornAt_.time_since_epoch())},
            {"sequence", Sequence_},
            {"clock_ms", clock()},
            {"capacity", {{"cpu", 64000}, {"mem_mb", 131072}, {"gpu", 8}}},
@@ -106,7 +105,8 @@
 net::HttpResponse PlatformWorker::carryOut(const net::HttpRequest &Request) {
   const Json Body = Json::parse(Request.Body_);
   const std::int64_t Now = clock();
-  Json Answer = {{"clock_ms", Now}, {"born", BornMs_}};
+  Json Answer = {{"clock_ms", Now},
+                 {"born", core::wholeMilliseconds(BornAt_.time_since_epoch())}};
   auto Refuse = [&](const char *Reason) {
     Answer["reason"] = Reason;
     return reply(409, Answer);
@@ -167,7 +167,7 @@
     Ended.push_back(
         {Row.Number_, Row.Key_.first, Row.Key_.second, Row.How_, ""});
   return Json{{"clock_ms", clock()},
-              {"born", BornMs_},
+              {"born", core::wholeMilliseconds(BornAt_.time_since_epoch())},
               {"running", Running},
               {"ended", Ended}}
       .dump();
--- a/tests/soak/platformworker.h
+++ b/tests/soak/platformworker.h
@@ -2,6 +2,7 @@
 
 #include "nutmegwell/aio/httpclient.h"
 #include "nutmegwell/aio/httpserver.h"
+#include "nutmegwell/jobs/spec.h"
 #include <atomic>
 #include <cstdint>
 #include <map>
@@ -75,7 +76,7 @@
   std::mt19937_64 Random_;
   std::atomic<double> LateOrders_{0};
   core::TimePoint Born_;
-  std::int64_t BornMs_;
+  jobs::WallTime BornAt_;
   std::uint64_t Sequence_ = 0;
   std::uint64_t Fence_ = 0;
   std::int64_t LeaseUntil_ = 0;
