--- a/lib/sitehost/src/agentrole.cpp
+++ b/lib/sitehost/src/agentrole.cpp
@@ -9,21 +9,6 @@
 
 namespace nutmegwell::sitehost {
 
-std::unique_ptr<aio::HttpServer> serveMetrics(aio::Loop &Owner,
-                                              const settings::Settings &Values,
-                                              const metrics::Registry &All) {
-  if (!Values.has("metrics-listen"))
-    return nullptr;
-  return std::make_unique<aio::HttpServer>(
-      Owner, addressOf(Values.address("metrics-listen")), aio::ServerLimits(),
-      [&All](net::HttpRequest, aio::Responder Respond) {
-        net::HttpResponse Response;
-        Response.ContentType_ = "text/plain";
-        Response.Body_ = All.render(core::steadyClock().Now_());
-        Respond(std::move(Response));
-      });
-}
-
 namespace {
 
 site::AgentSettings agentSettings(const settings::Settings &Values) {
@@ -103,13 +88,9 @@
   }
 
   void onFrame(aio::LinkId Link, std::string Frame) {
-    auto Message = wire::decodePeerMessage(Frame);
-    if (!Message.ok()) {
-      All_.counter("nutmegwell_frames_malformed_total",
-                   "Frames dropped as malformed")
-          .add();
+    auto Message = readFrame(Frame, All_);
+    if (!Message)
       return Links_.close(Link);
-    }
     Control_.post([this, Link, Message = *std::move(Message)](
                       core::TimePoint Now, Effects &Out) {
       site::onAgentMessage(State_, Link, Message, Now, Out);
--- a/lib/sitehost/src/common.h
+++ b/lib/sitehost/src/common.h
@@ -6,6 +6,7 @@
 #include "nutmegwell/metrics/registry.h"
 #include "nutmegwell/settings/settings.h"
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,10 @@
   return core::systemRandom().Next_() | 1;
 }
 
+/// Returns the message in \p Frame; counts a frame that has none.
+std::optional<cell::PeerMessage> readFrame(const std::string &Frame,
+                                           metrics::Registry &All);
+
 /// Serves /metrics when the setting names an address.
 std::unique_ptr<aio::HttpServer> serveMetrics(aio::Loop &Owner,
                                               const settings::Settings &Values,
--- a/lib/sitehost/src/entryrole.cpp
+++ b/lib/sitehost/src/entryrole.cpp
@@ -92,13 +92,9 @@
   }
 
   void onFrame(aio::LinkId Link, std::string Frame) {
-    auto Message = wire::decodePeerMessage(Frame);
-    if (!Message.ok()) {
-      All_.counter("nutmegwell_frames_malformed_total",
-                   "Frames dropped as malformed")
-          .add();
+    auto Message = readFrame(Frame, All_);
+    if (!Message)
       return Links_.close(Link);
-    }
     Control_.post([this, Link, Message = *std::move(Message)](
                       core::TimePoint Now, Effects &Out) {
       site::onMessage(State_, Link, Message, Now, wallNow(), Out);
