Tell approval bounds from the approval policy of a queue

Two types were named ApprovalPolicy, one in jobs and one in cell; the latter holds bounds and is ApprovalLimits now. A question keeps a worker's id and life together instead of in two maps.

--- a/bench/replay/main.cpp
+++ b/bench/replay/main.cpp
@@ -66,11 +66,8 @@
 }
 
 /// Returns the policies to compare, the product's own first.
-std::vector<std::pair<std::string, cell::HolderPolicy>>
-policies(const Day &Table) {
+std::vector<std::pair<std::string, cell::HolderPolicy>> policies() {
   cell::HolderPolicy Own;
-  Own.MaxHold_ = Table.MaxHold_;
-  Own.RemotePenalty_ = Table.RemotePenalty_;
   cell::HolderPolicy Lost = Own;
   Lost.PreemptsUpTo_ = cell::Outlook::Lost;
   cell::HolderPolicy Near = Own;
@@ -116,7 +113,7 @@
     return false;
   }
   std::vector<NamedSummary> Rows;
-  auto Policies = policies(Table);
+  auto Policies = policies();
   if (Chosen.PolicyOnly_)
     Policies.resize(1);
   for (const auto &[Name, Policy] : Policies) {
--- a/bench/replay/world.cpp
+++ b/bench/replay/world.cpp
@@ -421,7 +421,9 @@
 } // namespace
 
 DayResult playDay(const Day &Table, std::uint64_t Seed,
-                  const cell::HolderPolicy &Policy) {
+                  cell::HolderPolicy Policy) {
+  Policy.MaxHold_ = Table.MaxHold_;
+  Policy.RemotePenalty_ = Table.RemotePenalty_;
   return World(Table, Seed, Policy).play();
 }
 
--- a/bench/replay/world.h
+++ b/bench/replay/world.h
@@ -35,8 +35,9 @@
 };
 
 /// Runs the decisions of a cell's holder against emulated workers in simulated
-/// time. Depends on its arguments alone.
+/// time, with the day's figures of the workers in \p Policy. Depends on its
+/// arguments alone.
 DayResult playDay(const Day &Table, std::uint64_t Seed,
-                  const cell::HolderPolicy &Policy);
+                  cell::HolderPolicy Policy);
 
 } // namespace nutmegwell::replay
--- a/lib/cell/include/nutmegwell/cell/approval.h
+++ b/lib/cell/include/nutmegwell/cell/approval.h
@@ -26,7 +26,7 @@
 std::string toString(const StepId &Id);
 
 /// Bounds for questions to the approval service.
-struct ApprovalPolicy {
+struct ApprovalLimits {
   /// Workers that one question names. The users' pages count a call for 30
   /// workers as part of a job's objective.
   std::size_t WorkersPerQuestion_ = 30;
@@ -37,12 +37,18 @@
   core::Duration Pause_ = std::chrono::milliseconds(500);
 };
 
+/// A worker that a question names.
+struct AskedWorker {
+  std::string Id_;
+  /// Life of the worker for which the answer holds.
+  std::int64_t Born_ = 0;
+};
+
 /// Asks which workers may run a step.
 struct ApprovalQuestion {
   StepId Step_;
-  /// Ids of the workers by host, and their lives.
-  std::map<std::string, std::string> Workers_;
-  std::map<std::string, std::int64_t> Born_;
+  /// By host.
+  std::map<std::string, AskedWorker> Workers_;
   /// How long an approval is valid.
   core::Duration Validity_{0};
   core::Duration Timeout_{0};
--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -74,7 +74,7 @@
   std::size_t CopiesPerHundred_ = 5;
   TrustPolicy Trust_;
   PacePolicy Pace_;
-  ApprovalPolicy Approval_;
+  ApprovalLimits Approval_;
   VictimChoice ChooseVictims_ = chooseVictims;
   /// Worst outlook with which urgent work preempts. Stops delay other callers
   /// and throw work away, which never pays for a job that is lost.
--- a/lib/cell/src/approvals.cpp
+++ b/lib/cell/src/approvals.cpp
@@ -56,20 +56,19 @@
   if (Order.empty())
     return;
   std::sort(Order.begin(), Order.end());
-  const ApprovalPolicy &Policy = State.Policy_.Approval_;
-  Order.resize(std::min(Order.size(), Policy.WorkersPerQuestion_));
+  const ApprovalLimits &Limits = State.Policy_.Approval_;
+  Order.resize(std::min(Order.size(), Limits.WorkersPerQuestion_));
   ApprovalQuestion Question;
   Question.Step_ = stepIdOf(Work);
   for (const auto &[Full, Free, I] : Order) {
     const Worker &Host = State.Workers_.at(Rooms[I].Host_);
-    Question.Workers_[Host.Host_] = Host.Info_->Id_;
-    Question.Born_[Host.Host_] = Host.Info_->Born_;
+    Question.Workers_[Host.Host_] = {Host.Info_->Id_, Host.Info_->Born_};
   }
   Question.Validity_ = Queue->Approval_->Validity_;
   Question.Timeout_ =
       Queue->Approval_->Decision_ +
       Queue->Approval_->PerWorker_ * static_cast<std::int64_t>(Order.size()) +
-      Policy.Margin_;
+      Limits.Margin_;
   State.ApprovalInFlight_ = true;
   Out.Decisions_.push_back({"approval_asked",
                             {{"step", toString(Question.Step_)},
@@ -104,14 +103,13 @@
     return;
   }
   StepApprovals &Step = State.Approvals_[Question.Step_];
-  for (const auto &[Host, Id] : Question.Workers_) {
-    auto Ticket = Answer->find(Id);
+  for (const auto &[Host, Asked] : Question.Workers_) {
+    auto Ticket = Answer->find(Asked.Id_);
     // The validity began at the latest when the answer was written; the time
     // that it was under way is covered by the margin of the question.
-    Step[Host] = {Ticket != Answer->end() ? Ticket->second : std::string(),
-                  Question.Born_.at(Host),
-                  Around.Now_ + Question.Validity_ -
-                      State.Policy_.Approval_.Margin_};
+    Step[Host] = {
+        Ticket != Answer->end() ? Ticket->second : std::string(), Asked.Born_,
+        Around.Now_ + Question.Validity_ - State.Policy_.Approval_.Margin_};
   }
   Out.Decisions_.push_back(
       {"approval_answered",
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -24,7 +24,7 @@
 
   void place(const Unit &Work) {
     // Tasks of a step are alike: after one without a place, none has one.
-    if (sameStep(Work, NoPlaceFor_))
+    if (isAlike(Work, NoPlaceFor_))
       return;
     PlaceRequest Request = requestFor(Work);
     countSameStep(Work, roomsOf(Work));
@@ -44,7 +44,8 @@
   }
 
 private:
-  static bool sameStep(const Unit &A, const Unit &B) {
+  /// Returns true for tasks of one step, and for copies of one run.
+  static bool isAlike(const Unit &A, const Unit &B) {
     return A.Job_ == B.Job_ && A.Occurrence_ == B.Occurrence_ &&
            A.Step_ == B.Step_ && A.CopyOf_ == B.CopyOf_;
   }
--- a/lib/cell/tests/fakecell.cpp
+++ b/lib/cell/tests/fakecell.cpp
@@ -145,7 +145,7 @@
   for (const std::string &Host : Hosts)
     if (auto It = Question_->Workers_.find(Host);
         It != Question_->Workers_.end())
-      Answer[It->second] = "ticket-" + Host;
+      Answer[It->second.Id_] = "ticket-" + Host;
   const ApprovalQuestion Question = *std::move(Question_);
   Question_.reset();
   Effects Out;
--- a/lib/cell/tests/sharingtest.cpp
+++ b/lib/cell/tests/sharingtest.cpp
@@ -55,6 +55,14 @@
     return Spec;
   }
 
+  /// Lets every run of the job "j" do one percent a second.
+  static void crawl(FakeCell &Cell, int Seconds) {
+    for (int Percent = 1; Percent <= Seconds; ++Percent) {
+      Cell.progress("j", Percent);
+      Cell.run(1s);
+    }
+  }
+
   static void askApprovals(FakeCell &Cell, core::Duration Validity = 60s) {
     jobs::ApprovalPolicy Policy;
     Policy.Validity_ = Validity;
@@ -132,10 +140,7 @@
     FakeCell Cell;
     start(Cell, 2);
     Cell.accept("j", speculative(1));
-    for (int Percent = 1; Percent < 8; ++Percent) {
-      Cell.progress("j", Percent);
-      Cell.run(1s);
-    }
+    crawl(Cell, 7);
     const std::vector<RunId> Runs = Cell.runsOf("j");
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), Runs.size());
     CPPUNIT_ASSERT(Cell.hostOf(Runs[0]) != Cell.hostOf(Runs[1]));
@@ -150,10 +155,7 @@
     FakeCell Cell;
     start(Cell, 2);
     Cell.accept("j", oneTask());
-    for (int Percent = 1; Percent < 8; ++Percent) {
-      Cell.progress("j", Percent);
-      Cell.run(1s);
-    }
+    crawl(Cell, 7);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("j").size());
   }
 
@@ -162,10 +164,7 @@
     FakeCell Cell;
     start(Cell, 6);
     Cell.accept("j", speculative(20));
-    for (int Percent = 1; Percent < 8; ++Percent) {
-      Cell.progress("j", Percent);
-      Cell.run(1s);
-    }
+    crawl(Cell, 7);
     CPPUNIT_ASSERT_EQUAL(std::size_t(21), Cell.runsOf("j").size());
   }
 
@@ -253,10 +252,7 @@
     Cell.run(300ms);
     Cell.approve({"w0"});
     Cell.step();
-    for (int Percent = 1; Percent <= 10; ++Percent) {
-      Cell.progress("j", Percent);
-      Cell.run(1s);
-    }
+    crawl(Cell, 10);
     Cell.end(Cell.runsOf("j").at(0), EndKind::Failed);
     Cell.run(300ms);
     CPPUNIT_ASSERT(Cell.runsOf("j").empty());
