Give the measured stop's grace period static storage

Ruled out: a default capture, which would copy a constant into each lambda.

Before: make lint ends with error 123 on bench/capacitywire.cpp:77. After: make lint passes (2 min 35 s on this machine).

--- a/bench/capacitywire.cpp
+++ b/bench/capacitywire.cpp
@@ -73,7 +73,7 @@
     return model::Start{1, jobIdOf(Number), 1};
   });
   // Any time has the same size on the wire.
-  constexpr core::Duration Grace = std::chrono::seconds(5);
+  static constexpr core::Duration Grace = std::chrono::seconds(5);
   wireSlope("stop.by_number", Numbers, [](std::size_t Number) {
     return model::Stop{1, jobIdOf(Number), 1, Grace};
   });
