--- a/lib/history/include/nutmegwell/history/event.h
+++ b/lib/history/include/nutmegwell/history/event.h
@@ -161,14 +161,109 @@
   std::uint32_t Attempt_ = 0;
 };
 
-using EventBody =
-    std::variant<CallInvoked, CallAnswered, CallRefused, CallUnknown,
-                 ExecutionBegun, ExecutionEnded, UpstreamLeaving,
-                 UpstreamReturned, StopBegun, StopEnded, AttemptCommitted,
-                 AttemptEnded, TaskStarted, TaskStopped, PermitGranted,
-                 PermitRevoked, DomainOut, DomainIn, ConfigAccepted,
-                 ConfigObserved, GuaranteeRequested, GuaranteeObtained,
-                 GuaranteeWithdrawn, GuaranteeBlocked>;
+/// A caller hands in a job, or hands it in again.
+struct JobSubmitted {
+  std::string Job_;
+  std::string Entry_;
+};
+/// A caller asks for the cancellation of a job.
+struct JobCancelSent {
+  std::string Job_;
+};
+/// The caller was told that the job is accepted, that this attempt was
+/// certainly not taken, or that the job is cancelled.
+struct JobAccepted {
+  std::string Job_;
+};
+struct JobRefused {
+  std::string Job_;
+};
+struct JobCancelled {
+  std::string Job_;
+};
+/// The event's process gave the job's state to a caller; an empty state stands
+/// for a job that it does not know.
+struct JobShown {
+  std::string Job_;
+  std::string State_;
+};
+
+/// What a submitted job consists of.
+struct StepDeclared {
+  std::string Job_;
+  std::uint32_t Step_ = 0;
+  std::uint32_t Tasks_ = 1;
+  /// Most runs of a task that may fail.
+  std::uint32_t Attempts_ = 1;
+  /// Several runs of a task may exist at the same time.
+  bool Speculative_ = false;
+};
+/// Step_ begins when every task of Needed_ is done.
+struct StepNeeds {
+  std::string Job_;
+  std::uint32_t Step_ = 0;
+  std::uint32_t Needed_ = 0;
+};
+
+/// A worker is there, without any run. A repeat stands for a new incarnation:
+/// nothing of before runs, and its ends are not listed any more.
+struct WorkerBorn {
+  std::string Worker_;
+  std::uint32_t Accelerators_ = 0;
+};
+/// The worker's leases have ended unrenewed, so that its runs end. An end of
+/// before that was not noted counts as if it had not been.
+struct WorkerLapsed {
+  std::string Worker_;
+};
+/// The worker was told that no start will reach it any more.
+struct WorkerDrainNoted {
+  std::string Worker_;
+};
+
+/// A run of a task on a worker.
+struct SiteRun {
+  std::string Job_;
+  std::uint32_t Step_ = 0;
+  std::uint32_t Task_ = 0;
+  std::uint64_t Run_ = 0;
+};
+struct RunStarted {
+  SiteRun Id_;
+  std::string Worker_;
+  std::string Domain_;
+  std::uint32_t Accelerators_ = 0;
+  /// Term of the holder that ordered it.
+  std::uint64_t Term_ = 0;
+  /// The worker carried the order out long after it came, so that bounds of
+  /// time do not apply.
+  bool Late_ = false;
+};
+struct RunEnded {
+  SiteRun Id_;
+  std::string Worker_;
+  /// "done" and "failed" are ends of the task's own.
+  std::string How_;
+};
+/// The worker was told that this end is durable.
+struct RunEndNoted {
+  SiteRun Id_;
+  std::string Worker_;
+};
+/// The event's process began to hold the cell.
+struct TenureBegun {
+  std::uint64_t Term_ = 0;
+};
+
+using EventBody = std::variant<
+    CallInvoked, CallAnswered, CallRefused, CallUnknown, ExecutionBegun,
+    ExecutionEnded, UpstreamLeaving, UpstreamReturned, StopBegun, StopEnded,
+    AttemptCommitted, AttemptEnded, TaskStarted, TaskStopped, PermitGranted,
+    PermitRevoked, DomainOut, DomainIn, ConfigAccepted, ConfigObserved,
+    GuaranteeRequested, GuaranteeObtained, GuaranteeWithdrawn, GuaranteeBlocked,
+    JobSubmitted, JobAccepted, JobRefused, JobCancelSent, JobCancelled,
+    JobShown, StepDeclared, StepNeeds, WorkerBorn, WorkerLapsed,
+    WorkerDrainNoted, RunStarted, RunEnded, RunEndNoted, TenureBegun>;
 
 /// One event of a run. All times of a run are of one machine's clock.
 struct Event {
--- a/lib/history/src/eventfields.h
+++ b/lib/history/src/eventfields.h
@@ -13,7 +13,12 @@
     "task_started",       "task_stopped",        "permit_granted",
     "permit_revoked",     "domain_out",          "domain_in",
     "config_accepted",    "config_observed",     "guarantee_requested",
-    "guarantee_obtained", "guarantee_withdrawn", "guarantee_blocked"};
+    "guarantee_obtained", "guarantee_withdrawn", "guarantee_blocked",
+    "job_submitted",      "job_accepted",        "job_refused",
+    "job_cancel_sent",    "job_cancelled",       "job_shown",
+    "step_declared",      "step_needs",          "worker_born",
+    "worker_lapsed",      "worker_drain_noted",  "run_started",
+    "run_ended",          "run_end_noted",       "tenure_begun"};
 static_assert(sizeof(EventNames) / sizeof(*EventNames) ==
                   std::variant_size_v<EventBody>,
               "each kind of event needs a name");
@@ -150,4 +155,88 @@
   Visit("attempt", E.Attempt_);
 }
 
+template <typename V> void visitFields(V &Visit, JobSubmitted &E) {
+  Visit("job", E.Job_);
+  Visit("entry", E.Entry_);
+}
+
+template <typename V> void visitFields(V &Visit, JobAccepted &E) {
+  Visit("job", E.Job_);
+}
+
+template <typename V> void visitFields(V &Visit, JobRefused &E) {
+  Visit("job", E.Job_);
+}
+
+template <typename V> void visitFields(V &Visit, JobCancelSent &E) {
+  Visit("job", E.Job_);
+}
+
+template <typename V> void visitFields(V &Visit, JobCancelled &E) {
+  Visit("job", E.Job_);
+}
+
+template <typename V> void visitFields(V &Visit, JobShown &E) {
+  Visit("job", E.Job_);
+  Visit("state", E.State_);
+}
+
+template <typename V> void visitFields(V &Visit, StepDeclared &E) {
+  Visit("job", E.Job_);
+  Visit("step", E.Step_);
+  Visit("tasks", E.Tasks_);
+  Visit("attempts", E.Attempts_);
+  Visit("speculative", E.Speculative_);
+}
+
+template <typename V> void visitFields(V &Visit, StepNeeds &E) {
+  Visit("job", E.Job_);
+  Visit("step", E.Step_);
+  Visit("needed", E.Needed_);
+}
+
+template <typename V> void visitFields(V &Visit, WorkerBorn &E) {
+  Visit("worker", E.Worker_);
+  Visit("accelerators", E.Accelerators_);
+}
+
+template <typename V> void visitFields(V &Visit, WorkerLapsed &E) {
+  Visit("worker", E.Worker_);
+}
+
+template <typename V> void visitFields(V &Visit, WorkerDrainNoted &E) {
+  Visit("worker", E.Worker_);
+}
+
+template <typename V> void visitFields(V &Visit, SiteRun &E) {
+  Visit("job", E.Job_);
+  Visit("step", E.Step_);
+  Visit("task", E.Task_);
+  Visit("run", E.Run_);
+}
+
+template <typename V> void visitFields(V &Visit, RunStarted &E) {
+  visitFields(Visit, E.Id_);
+  Visit("worker", E.Worker_);
+  Visit("domain", E.Domain_);
+  Visit("accelerators", E.Accelerators_);
+  Visit("term", E.Term_);
+  Visit("late", E.Late_);
+}
+
+template <typename V> void visitFields(V &Visit, RunEnded &E) {
+  visitFields(Visit, E.Id_);
+  Visit("worker", E.Worker_);
+  Visit("how", E.How_);
+}
+
+template <typename V> void visitFields(V &Visit, RunEndNoted &E) {
+  visitFields(Visit, E.Id_);
+  Visit("worker", E.Worker_);
+}
+
+template <typename V> void visitFields(V &Visit, TenureBegun &E) {
+  Visit("term", E.Term_);
+}
+
 } // namespace nutmegwell::history
--- a/lib/history/src/jobrules.cpp
+++ b/lib/history/src/jobrules.cpp
@@ -146,6 +146,15 @@
   Violations Found;
   std::map<std::string, std::size_t> Out;
   std::map<std::string, std::size_t> Revoked;
+  auto CheckDomain = [&](const std::string &Domain, std::size_t Index) {
+    auto Since = Out.find(Domain);
+    if (Since != Out.end() &&
+        between(Run, Since->second, Index) > Limits.DomainOut_)
+      Found.push_back({Rule,
+                       "a task started in domain " + Domain +
+                           " after it was taken out of service",
+                       {Since->second, Index}});
+  };
   for (std::size_t I = 0; I < Run.Events_.size(); ++I) {
     const EventBody &Body = Run.Events_[I].Body_;
     if (const auto *Leave = std::get_if<DomainOut>(&Body))
@@ -157,15 +166,12 @@
     else if (const auto *Grant = std::get_if<PermitGranted>(&Body))
       Revoked.erase(Grant->Worker_);
     const auto *Start = std::get_if<TaskStarted>(&Body);
+    const auto *RunStart = std::get_if<RunStarted>(&Body);
+    if (RunStart && !RunStart->Late_)
+      CheckDomain(RunStart->Domain_, I);
     if (!Start)
       continue;
-    auto Since = Out.find(Start->Domain_);
-    if (Since != Out.end() &&
-        between(Run, Since->second, I) > Limits.DomainOut_)
-      Found.push_back({Rule,
-                       "a task started in domain " + Start->Domain_ +
-                           " after it was taken out of service",
-                       {Since->second, I}});
+    CheckDomain(Start->Domain_, I);
     auto Permit = Revoked.find(Start->Worker_);
     if (Permit != Revoked.end())
       Found.push_back(
