Fence starts around a worker's new incarnation

Cause: a worker starts anew and the agent learns of it with the next announcement, up to half a second later. A start sent in between runs on the new incarnation. The agent then forgot its pending starts and the holder dropped all runs of the worker and started the tasks again. The same with the acknowledgement of ends: it went on in every look, and the new incarnation, which numbers its ends anew, dropped ends that nobody had taken.

Ruled out: the deadline of the start, which is on the clock of the earlier incarnation and means nothing on the new one's.

Change: pending starts outlive the announcement; the agent stops them, which also keeps a late start out, and reports them until a list made after the stop shows what became of them. Ends are acknowledged only while they are listed. An answer of an unannounced incarnation ends starts and acknowledgements.

newIncarnationForgetsTheOldOne asserted that a pending start is forgotten, which is the fault; it now asserts that listed runs are.

--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -15,12 +15,15 @@
   return Runs;
 }
 
-void dropAllOf(Holder &State, const std::string &Host,
-               const std::string &Reason, Effects &Out) {
+/// Drops the runs of the worker's earlier life. Those that the report names may
+/// have reached the new one.
+void dropEarlierLife(Holder &State, const AgentReport &Report, Effects &Out) {
+  const std::set<RunId> Reported = reportedRuns(Report);
   for (auto It = State.Attempts_.begin(); It != State.Attempts_.end();) {
     auto Current = It++;
-    if (Current->second.Host_ == Host)
-      dropAttempt(State, Current, Reason, Out);
+    if (Current->second.Host_ == Report.Host_ &&
+        !Reported.count(Current->first))
+      dropAttempt(State, Current, "the worker started anew", Out);
   }
 }
 
@@ -44,7 +47,7 @@
   const std::int64_t Born = Report.Worker_ ? Report.Worker_->Born_ : 0;
   if (Born != 0 && Born != Before) {
     if (Before != 0)
-      dropAllOf(State, Host.Host_, "the worker started anew", Out);
+      dropEarlierLife(State, Report, Out);
     Host.EndsHandled_ = 0;
     Host.EndsDurable_ = 0;
     // The append in flight covers ends of the earlier life only.
--- a/lib/site/include/nutmegwell/site/agent.h
+++ b/lib/site/include/nutmegwell/site/agent.h
@@ -144,6 +144,10 @@
     /// Clock reading after which a list shows the run. One of the same
     /// millisecond may have been made before the start.
     WorkerTime ShownFrom_{0};
+    /// Either incarnation of the worker may have it, or get it late. A stop
+    /// ends the run and keeps a late start out; Answered_ stands for the stop.
+    bool Fencing_ = false;
+    core::TimePoint NextFence_{};
   };
   std::map<cell::RunId, Pending> Pending_;
   std::vector<cell::RefusedStart> Refused_;
@@ -154,6 +158,8 @@
   WorkerCallId OpenLook_ = 0;
   core::TimePoint NextLook_{};
   bool WorkerFailing_ = false;
+  /// A newer incarnation has answered that has not announced itself.
+  bool Superseded_ = false;
 
   /// Connection to an entry host.
   std::uint64_t Link_ = 0;
--- a/lib/site/src/agent.cpp
+++ b/lib/site/src/agent.cpp
@@ -144,6 +144,7 @@
 
 void settle(AgentState &State, core::TimePoint Now, AgentEffects &Out) {
   keepLink(State, Now, Out);
+  fencePending(State, Now, Out);
   lookAtWorker(State, Now, Out);
   if (!State.LinkOpen_)
     return;
--- a/lib/site/src/agentorders.cpp
+++ b/lib/site/src/agentorders.cpp
@@ -19,7 +19,8 @@
 std::optional<cell::RefusalKind> refusalOf(const AgentState &State,
                                            const cell::HolderOrders &Orders,
                                            core::TimePoint Now) {
-  if (!State.Worker_ || Orders.Born_ != State.Worker_->Born_)
+  if (!State.Worker_ || State.Superseded_ ||
+      Orders.Born_ != State.Worker_->Born_)
     return cell::RefusalKind::OtherIncarnation;
   if (State.Worker_->Draining_)
     return cell::RefusalKind::Draining;
--- a/lib/site/src/agentparts.h
+++ b/lib/site/src/agentparts.h
@@ -20,7 +20,7 @@
 /// Asks for the next look at the worker when it is due.
 void lookAtWorker(AgentState &State, core::TimePoint Now, AgentEffects &Out);
 
-/// Forgets what belonged to an earlier incarnation of the worker.
-void forgetWorker(AgentState &State);
+/// Stops the pending starts that a new incarnation of the worker may have got.
+void fencePending(AgentState &State, core::TimePoint Now, AgentEffects &Out);
 
 } // namespace nutmegwell::site
--- a/lib/site/src/agentworker.cpp
+++ b/lib/site/src/agentworker.cpp
@@ -18,7 +18,8 @@
   for (auto It = State.Pending_.begin(); It != State.Pending_.end();) {
     const AgentState::Pending &Start = It->second;
     const bool Shown = Start.Answered_ && State.ListedAt_ > Start.ShownFrom_;
-    const bool Over = State.ListedAt_ > Start.Deadline_ + Margin;
+    const bool Over =
+        !Start.Fencing_ && State.ListedAt_ > Start.Deadline_ + Margin;
     const bool Listed =
         std::any_of(State.Running_.begin(), State.Running_.end(),
                     [&](const auto &Task) { return Task.Id_ == It->first; }) ||
@@ -91,6 +92,39 @@
   It->second.ShownFrom_ = Answer.Clock_.value_or(It->second.Deadline_);
 }
 
+void noteStop(AgentState &State, const StopCall &Call,
+              const WorkerAnswer &Answer, core::TimePoint Now) {
+  auto It = State.Pending_.find(Call.Id_);
+  if (It == State.Pending_.end() || !It->second.Fencing_ || !Answer.Answered_ ||
+      Answer.Refusal_ || !Answer.Clock_)
+    return;
+  It->second.Answered_ = true;
+  It->second.ShownFrom_ = *Answer.Clock_;
+  State.NextLook_ = Now;
+}
+
+/// Forgets what belonged to an earlier incarnation of the worker. Pending
+/// starts stay, since a start that was sent after the new one began and before
+/// it announced itself runs there.
+void forgetWorker(AgentState &State) {
+  State.Clock_.reset();
+  State.ListedAt_ = WorkerTime(0);
+  State.Running_.clear();
+  State.Ended_.clear();
+  State.Refused_.clear();
+  State.SeenUpTo_ = 0;
+  State.SyncedTerm_ = 0;
+  State.Calls_.clear();
+  State.OpenLook_ = 0;
+  State.WorkerFailing_ = false;
+  State.Superseded_ = false;
+  for (auto &[Id, Start] : State.Pending_) {
+    Start.Fencing_ = true;
+    Start.Answered_ = false;
+    Start.NextFence_ = {};
+  }
+}
+
 } // namespace
 
 void callWorker(AgentState &State, decltype(WorkerCall::Body_) Body,
@@ -112,20 +146,6 @@
          std::chrono::duration_cast<WorkerTime>(When - State.Clock_->second);
 }
 
-void forgetWorker(AgentState &State) {
-  State.Clock_.reset();
-  State.ListedAt_ = WorkerTime(0);
-  State.Running_.clear();
-  State.Ended_.clear();
-  State.Pending_.clear();
-  State.Refused_.clear();
-  State.SeenUpTo_ = 0;
-  State.SyncedTerm_ = 0;
-  State.Calls_.clear();
-  State.OpenLook_ = 0;
-  State.WorkerFailing_ = false;
-}
-
 void onAnnounced(AgentState &State, const Announcement &Value,
                  core::TimePoint Now, AgentEffects &Out) {
   const bool NewLife =
@@ -186,14 +206,34 @@
   // about the one that has.
   const bool Foreign =
       Answer.Born_ != 0 && bornOf(State) && Answer.Born_ != *bornOf(State);
-  if (Foreign)
+  if (Foreign) {
+    State.Superseded_ |= Answer.Born_ > *bornOf(State);
     return;
+  }
   if (Answer.Clock_ && (!State.Clock_ || *Answer.Clock_ >= State.Clock_->first))
     State.Clock_ = {*Answer.Clock_, Now};
   if (Look && Answer.Lists_)
     takeLists(State, *Look, Answer);
   if (const auto *Start = std::get_if<StartCall>(&Call.Body_))
     noteStart(State, *Start, Answer, Now, Out);
+  else if (const auto *Stop = std::get_if<StopCall>(&Call.Body_))
+    noteStop(State, *Stop, Answer, Now);
+}
+
+void fencePending(AgentState &State, core::TimePoint Now, AgentEffects &Out) {
+  const core::Duration Repeat = State.Settings_.Policy_.OrderTimeout_;
+  for (auto &[Id, Start] : State.Pending_) {
+    if (!Start.Fencing_ || Start.Answered_)
+      continue;
+    if (Now >= Start.NextFence_) {
+      Start.NextFence_ = Now + Repeat;
+      callWorker(State, StopCall{Id, State.Term_}, Repeat, Out);
+      Out.Decisions_.push_back(
+          {"start_fenced",
+           {{"task", toString(Id.Task_)}, {"run", std::to_string(Id.Run_)}}});
+    }
+    Out.Wake_ = std::min(Out.Wake_, Start.NextFence_);
+  }
 }
 
 void lookAtWorker(AgentState &State, core::TimePoint Now, AgentEffects &Out) {
@@ -206,7 +246,12 @@
   }
   LookCall Look;
   Look.Term_ = State.Term_;
-  Look.SeenUpTo_ = State.SeenUpTo_;
+  // A new incarnation numbers its ends anew. The acknowledgement is sent only
+  // for ends that the worker lists, so that it covers none of an incarnation
+  // that has not announced itself yet.
+  const bool Acknowledges =
+      !State.Ended_.empty() && State.Ended_.front().Number_ <= State.SeenUpTo_;
+  Look.SeenUpTo_ = Acknowledges && !State.Superseded_ ? State.SeenUpTo_ : 0;
   if (State.Granted_ && State.GrantEnds_ > Now && !State.WorkerFailing_)
     Look.LeaseUntil_ = workerClockAt(State, State.GrantEnds_);
   // The worker answers at once while it lists ends that are not acknowledged.
--- a/lib/site/tests/agenttest.cpp
+++ b/lib/site/tests/agenttest.cpp
@@ -17,6 +17,9 @@
   CPPUNIT_TEST(leaseFollowsTheReportThatIsAnswered);
   CPPUNIT_TEST(leaseOfASilentWorkerIsNotExtended);
   CPPUNIT_TEST(newIncarnationForgetsTheOldOne);
+  CPPUNIT_TEST(answerOfANewIncarnationEndsStarts);
+  CPPUNIT_TEST(onlyListedEndsAreAcknowledged);
+  CPPUNIT_TEST(startAroundANewIncarnationIsFenced);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr core::Term Term = 7;
@@ -27,6 +30,7 @@
   /// Newest call of each kind and the newest report.
   std::optional<WorkerCall> Look_;
   std::optional<WorkerCall> Start_;
+  std::optional<WorkerCall> Stop_;
   std::optional<cell::AgentReport> Report_;
   std::uint64_t OrderSequence_ = 0;
 
@@ -37,6 +41,8 @@
         Look_ = Call;
       if (std::holds_alternative<StartCall>(Call.Body_))
         Start_ = Call;
+      if (std::holds_alternative<StopCall>(Call.Body_))
+        Stop_ = Call;
     }
     for (cell::PeerMessage &Message : Out.Sends_)
       if (auto *Report = std::get_if<cell::AgentReport>(&Message))
@@ -232,13 +238,90 @@
   /// Guards against runs of a worker's earlier life in a report.
   void newIncarnationForgetsTheOldOne() {
     connect();
-    giveStart(Report_->Sequence_);
+    Now_ += 1s;
+    collect({});
+    WorkerLists Lists;
+    Lists.Running_.push_back({run(), "", 0, 0});
+    answerLook(151ms, Lists);
     announce(false, 1, 2);
-    CPPUNIT_ASSERT(State_.Pending_.empty());
+    CPPUNIT_ASSERT(Report_->Running_.empty());
+    CPPUNIT_ASSERT(Report_->Pending_.empty());
     CPPUNIT_ASSERT_EQUAL(core::Term(0), Report_->Term_);
     announce(false, 5, 1);
     CPPUNIT_ASSERT_EQUAL(std::int64_t(2), State_.Worker_->Born_);
   }
+
+  /// Guards against starts on an incarnation that was only seen in an answer.
+  void answerOfANewIncarnationEndsStarts() {
+    connect();
+    Now_ += 1s;
+    collect({});
+    WorkerAnswer Answer;
+    Answer.Id_ = Look_->Id_;
+    Answer.Answered_ = true;
+    Answer.Clock_ = 5ms;
+    Answer.Born_ = 2;
+    Answer.Lists_.emplace();
+    AgentEffects Out;
+    onWorkerAnswer(State_, Answer, Now_, Out);
+    collect(std::move(Out));
+    giveStart(Report_->Sequence_);
+    CPPUNIT_ASSERT(!Start_);
+    CPPUNIT_ASSERT(Report_->Refused_.at(0).Kind_ ==
+                   cell::RefusalKind::OtherIncarnation);
+  }
+
+  /// Guards against a lost end: an acknowledgement that goes on after the ends
+  /// it was for would cover those of a new incarnation, which numbers anew.
+  void onlyListedEndsAreAcknowledged() {
+    connect();
+    Now_ += 1s;
+    collect({});
+    WorkerLists Lists;
+    Lists.Ended_.push_back({57, run(), cell::EndKind::Done, ""});
+    answerLook(151ms, Lists);
+    cell::HolderOrders Durable = orders(Report_->Sequence_);
+    Durable.SeenUpTo_ = 57;
+    give(Durable);
+    answerLook(152ms, Lists);
+    Now_ += 1s;
+    collect({});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(57),
+                         std::get<LookCall>(Look_->Body_).SeenUpTo_);
+    answerLook(153ms);
+    Now_ += 1s;
+    collect({});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0),
+                         std::get<LookCall>(Look_->Body_).SeenUpTo_);
+  }
+
+  /// Guards against two runs: a start that was sent after the new incarnation
+  /// began and before it announced itself runs there, whatever its deadline on
+  /// the earlier clock says.
+  void startAroundANewIncarnationIsFenced() {
+    connect();
+    giveStart(Report_->Sequence_);
+    announce(false, 1, 2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Report_->Pending_.size());
+    CPPUNIT_ASSERT(Stop_ && std::get<StopCall>(Stop_->Body_).Id_ == run());
+    // Without an answer the stop is sent again.
+    Stop_.reset();
+    Now_ += 1s;
+    collect({});
+    CPPUNIT_ASSERT(Stop_);
+    answerLook(1100ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), State_.Pending_.size());
+    WorkerAnswer Answer;
+    Answer.Id_ = Stop_->Id_;
+    Answer.Answered_ = true;
+    Answer.Clock_ = 1200ms;
+    AgentEffects Out;
+    onWorkerAnswer(State_, Answer, Now_, Out);
+    collect(std::move(Out));
+    answerLook(1201ms);
+    CPPUNIT_ASSERT(State_.Pending_.empty());
+    CPPUNIT_ASSERT(Report_->Pending_.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentTest);
