Let a claim fence the records of earlier holders

Cause: the writer of a tenure began with its first record. Until then a record of the earlier holder, carried out seconds late by the store, still took effect behind the new claim. That holder acknowledged the ends; the new one had begun without them, and with the store out of its reach it started the tasks again.

Ruled out: an empty append after the claim as a fence, which costs every takeover another write and read.

Change: the claim is the first record of the tenure's own writer, with an epoch above that of every claim in view, so that it fences the earlier writers at its own place in the log. A host with an old view cannot claim. Answers to appends name the batch that they are for, since a writer now lives across tenures.

--- a/lib/site/include/nutmegwell/site/entry.h
+++ b/lib/site/include/nutmegwell/site/entry.h
@@ -136,6 +136,14 @@
 /// Which of a host's writers an append belongs to.
 enum class Writer : std::uint8_t { Own, Holder };
 
+/// An append of this host. An answer that names an earlier batch or an earlier
+/// epoch of the writer says nothing of the batch in flight.
+struct OwnAppend {
+  Writer Writer_ = Writer::Own;
+  std::uint64_t Epoch_ = 0;
+  std::uint64_t Sequence_ = 0;
+};
+
 /// An append that this host makes for a peer.
 struct RelayedAppend {
   LinkId Link_ = 0;
@@ -159,10 +167,12 @@
   std::map<std::string, LinkId> Agents_;
 
   store::Appender Own_;
+  /// Writer of the tenure, from its claim on: the claim fences the writers of
+  /// earlier tenures, so that none of their records follows it.
   std::optional<store::Appender> HolderWriter_;
   store::AppendToken NextToken_ = 1;
   /// Open asks to peers by their number.
-  std::map<std::uint64_t, Writer> Asked_;
+  std::map<std::uint64_t, OwnAppend> Asked_;
   std::uint64_t NextAsk_ = 1;
   /// The own path to the store failed last time.
   bool StoreFailing_ = false;
@@ -201,8 +211,7 @@
 
 /// An append for the driver to make.
 struct AppendCall {
-  /// Own writers, or the ask of a peer.
-  std::variant<Writer, RelayedAppend> For_;
+  std::variant<OwnAppend, RelayedAppend> For_;
   store::AppendRequest Request_;
 };
 
@@ -241,7 +250,8 @@
 void onNewest(EntryState &State, store::Stream Which,
               const absl::StatusOr<store::NewestPage> &Page,
               core::TimePoint Now, EntryEffects &Out);
-void onAppend(EntryState &State, const std::variant<Writer, RelayedAppend> &For,
+void onAppend(EntryState &State,
+              const std::variant<OwnAppend, RelayedAppend> &For,
               const store::AppendOutcome &Outcome, core::TimePoint Now,
               EntryEffects &Out);
 void onApproval(EntryState &State, const cell::ApprovalQuestion &Question,
--- a/lib/site/src/election.cpp
+++ b/lib/site/src/election.cpp
@@ -15,9 +15,13 @@
   if (State.HolderEnded_)
     return "the holder's process ended";
   const jobs::CellClaimed &Claim = State.View_.Claim_;
-  if (Claim.Host_ == State.Settings_.Host_)
-    return Claim.Process_ == State.Settings_.Process_ ? ""
-                                                      : "an earlier process";
+  if (Claim.Host_ == State.Settings_.Host_) {
+    if (Claim.Process_ != State.Settings_.Process_)
+      return "an earlier process";
+    const bool Usable = State.Holder_ || State.HolderWriter_ ||
+                        State.View_.Term_ <= State.FencedTerm_;
+    return Usable ? "" : "the own claim has no writer";
+  }
   if (Now - State.HolderHeard_ < Policy.HolderSilence_)
     return {};
   for (const auto &[Host, Other] : State.Peers_)
@@ -73,8 +77,6 @@
   State.Holder_ = cell::beginTenure(
       State.Settings_.Policy_.Holder_, View.Term_ - 1, earlierGrantsEnd(State),
       voidWorkersBefore(State), surroundingsOf(State, Now, Wall));
-  State.HolderWriter_ =
-      store::makeAppender(State.Settings_.Policy_.Append_, "cell", View.Term_);
   State.HolderToken_ = 0;
   Out.Decisions_.push_back(
       {"tenure_begun",
@@ -93,6 +95,15 @@
   State.HolderWriter_.reset();
 }
 
+/// Returns an epoch above those of all claims that the view shows. The lowest
+/// bits tell processes apart that claim on the same view.
+std::uint64_t claimEpoch(const EntryState &State) {
+  constexpr unsigned ProcessBits = 12;
+  constexpr std::uint64_t ProcessMask = (1U << ProcessBits) - 1;
+  return (State.View_.Next_ + 1) << ProcessBits |
+         (State.Settings_.Process_ & ProcessMask);
+}
+
 void claimIfDue(EntryState &State, core::TimePoint Now, EntryEffects &Out) {
   const EntryPolicy &Policy = State.Settings_.Policy_;
   const std::string Reason = vacancy(State, Now);
@@ -118,7 +129,9 @@
   if (!StoreFresh || Waiting)
     return;
   State.ClaimAsked_ = Now;
-  append(State, Writer::Own,
+  State.HolderWriter_ =
+      store::makeAppender(Policy.Append_, "cell", claimEpoch(State));
+  append(State, Writer::Holder,
          {jobs::CellClaimed{State.Settings_.Host_, State.Settings_.Process_,
                             true}});
   State.VacantSince_ = Now;
@@ -133,6 +146,7 @@
     return;
   State.ReleaseAsked_ = true;
   if (!State.Holder_) {
+    State.HolderWriter_.reset();
     State.Released_ = true;
     return;
   }
@@ -158,8 +172,8 @@
   if (State.Holder_ && !State.Holder_->Unheard_.empty())
     if (auto End = earlierGrantsEnd(State))
       cell::limitEarlierGrants(*State.Holder_, *End);
-  if (Mine && !State.Holder_ && !State.Stopping_ && State.Cell_.Synced_ &&
-      View.Term_ > State.FencedTerm_) {
+  if (Mine && !State.Holder_ && State.HolderWriter_ && !State.Stopping_ &&
+      State.Cell_.Synced_ && View.Term_ > State.FencedTerm_) {
     bool Outdated = false;
     for (const auto &[Host, Other] : State.Peers_)
       Outdated |= Other.Beat_.Term_ > View.Term_;
--- a/lib/site/src/writers.cpp
+++ b/lib/site/src/writers.cpp
@@ -24,10 +24,14 @@
   return Others[State.NextRelay_++ % Others.size()];
 }
 
+OwnAppend appendOf(Writer Which, const store::AppendRequest &Request) {
+  return {Which, Request.Epoch_, Request.Sequence_};
+}
+
 /// A late answer to an earlier ask must not be taken for the newest one's.
 void forgetAsks(EntryState &State, Writer Which) {
   for (auto It = State.Asked_.begin(); It != State.Asked_.end();)
-    It = It->second == Which ? State.Asked_.erase(It) : std::next(It);
+    It = It->second.Writer_ == Which ? State.Asked_.erase(It) : std::next(It);
 }
 
 void applyResults(EntryState &State, Writer Which,
@@ -45,6 +49,12 @@
       endCalls(State, Result, Now, Out);
       continue;
     }
+    if (!State.Holder_ && !Done) {
+      Out.Decisions_.push_back(
+          {"claim_lost", {{"view", std::to_string(State.View_.Next_)}}});
+      State.HolderWriter_.reset();
+      return;
+    }
     if (!State.Holder_ || Result.Token_ != State.HolderToken_)
       continue;
     if (Done) {
@@ -61,11 +71,14 @@
   }
 }
 
-void takeOutcome(EntryState &State, Writer Which,
+void takeOutcome(EntryState &State, const OwnAppend &For,
                  const store::AppendOutcome &Outcome, core::TimePoint Now,
                  EntryEffects &Out) {
+  const Writer Which = For.Writer_;
   store::Appender *Appender = writer(State, Which);
-  if (!Appender || !Appender->CallOpen_)
+  if (!Appender || !Appender->CallOpen_ ||
+      Appender->Batch_->Epoch_ != For.Epoch_ ||
+      Appender->Batch_->Sequence_ != For.Sequence_)
     return;
   forgetAsks(State, Which);
   const core::TimePoint SentAt = Appender->CallSince_;
@@ -108,7 +121,7 @@
         Appender->CallSince_ + 2 * Appender->Policy_.CallTimeout_;
     if (Appender->CallOpen_ && Now >= GivenUp)
       // A relay that does not answer may have made the append.
-      takeOutcome(State, Which,
+      takeOutcome(State, appendOf(Which, *Appender->Batch_),
                   {store::AppendStatus::Unknown, 0, 0, "no answer"}, Now, Out);
     Appender = writer(State, Which);
     if (!Appender)
@@ -116,11 +129,12 @@
     if (auto Try = store::nextTry(*Appender, Now)) {
       const std::string Relay = pathOf(State, Try->Try_, Now);
       if (Relay.empty()) {
-        Out.Appends_.push_back({Which, std::move(Try->Request_)});
+        Out.Appends_.push_back(
+            {appendOf(Which, Try->Request_), std::move(Try->Request_)});
       } else {
         const std::uint64_t Id = State.NextAsk_++;
         forgetAsks(State, Which);
-        State.Asked_[Id] = Which;
+        State.Asked_[Id] = appendOf(Which, Try->Request_);
         Out.SendsTo_.emplace_back(
             Relay, cell::AppendAsked{Id, std::move(Try->Request_)});
       }
@@ -133,7 +147,8 @@
   }
 }
 
-void onAppend(EntryState &State, const std::variant<Writer, RelayedAppend> &For,
+void onAppend(EntryState &State,
+              const std::variant<OwnAppend, RelayedAppend> &For,
               const store::AppendOutcome &Outcome, core::TimePoint Now,
               EntryEffects &Out) {
   if (const auto *Relayed = std::get_if<RelayedAppend>(&For)) {
@@ -149,7 +164,7 @@
          {{"status", store::name(Outcome.Status_)},
           {"reason", Outcome.Reason_}}});
   State.StoreFailing_ = Failed;
-  takeOutcome(State, std::get<Writer>(For), Outcome, Now, Out);
+  takeOutcome(State, std::get<OwnAppend>(For), Outcome, Now, Out);
 }
 
 void onAsk(LinkId Link, const cell::AppendAsked &Ask, EntryEffects &Out) {
@@ -161,9 +176,9 @@
   auto It = State.Asked_.find(Answer.Id_);
   if (It == State.Asked_.end())
     return;
-  const Writer Which = It->second;
+  const OwnAppend For = It->second;
   State.Asked_.erase(It);
-  takeOutcome(State, Which, Answer.Outcome_, Now, Out);
+  takeOutcome(State, For, Answer.Outcome_, Now, Out);
 }
 
 } // namespace nutmegwell::site
--- a/lib/site/tests/sitetest.cpp
+++ b/lib/site/tests/sitetest.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST(killedHolderIsReplaced);
   CPPUNIT_TEST(stoppingHolderHandsOver);
   CPPUNIT_TEST(oneClaimAtATime);
+  CPPUNIT_TEST(claimFencesTheEarlierHolder);
   CPPUNIT_TEST(jobIsKnownEverywhere);
   CPPUNIT_TEST(lostAnswersAcceptAJobOnce);
   CPPUNIT_TEST(refusedHostAppendsThroughAPeer);
@@ -61,6 +62,22 @@
     CPPUNIT_ASSERT(Site.holders()[0] != First);
   }
 
+  /// Guards against tasks that run again: a record of the earlier holder that
+  /// the store carries out after the new claim would say that they are done,
+  /// and the new holder would not have read it.
+  void claimFencesTheEarlierHolder() {
+    FakeSite Site(3);
+    Site.run(2s);
+    const std::string First = Site.holders()[0];
+    const store::Appender Writer = *Site.entry(First).HolderWriter_;
+    Site.kill(First);
+    Site.run(2500ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Site.holders().size());
+    const store::AppendOutcome Late = Site.Store_.append(
+        {Writer.Producer_, Writer.Epoch_, Writer.NextSequence_, {}});
+    CPPUNIT_ASSERT(Late.Status_ == store::AppendStatus::Fenced);
+  }
+
   /// Guards against a host that ends its own tenure by a second claim while the
   /// first is unread.
   void oneClaimAtATime() {
