--- a/lib/site/tests/fakesite.cpp
+++ b/lib/site/tests/fakesite.cpp
@@ -6,6 +6,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr core::Duration Step = milliseconds(10);
+
 /// Links between entry hosts are named by the number of the sender.
 LinkId linkOf(const std::string &Host) {
   return static_cast<LinkId>(Host.back());
@@ -89,7 +91,8 @@
       [this](const std::string &Bytes) -> absl::StatusOr<jobs::Record> {
     return Encoded_.at(Bytes);
   };
-  // "tables" holds a version; account "acme" loses its key in version 9.
+  // "tables" holds a version, other keys name a domain; account "acme" loses
+  // its key in version 9.
   Codec.DecodeOperator_ =
       [](const store::KeyedRecord &Record) -> absl::StatusOr<OperatorChange> {
     if (Record.Key_ != "tables")
@@ -102,6 +105,7 @@
     Queue.PathPrefix_ = "/q/";
     Queue.Service_ = "service";
     Queue.Priority_ = 1;
+    Queue.MaxAttempts_ = FakeAttempts;
     Tables.Queues_.push_back(Queue);
     jobs::Account Account;
     Account.Name_ = "acme";
@@ -123,23 +127,77 @@
       std::make_unique<EntryState>(makeEntry(Settings, codec(), Now_));
 }
 
+void FakeSite::kill(const std::string &Host) {
+  Hosts_.erase(Host);
+  for (auto &[Name, Each] : Agents_)
+    if (Each.Entry_ == Host)
+      closeLink(Name);
+}
+
+void FakeSite::stop(const std::string &Host) {
+  deliver(Host, [](EntryState &State, EntryEffects &Out) {
+    onStopAsked(State, Out);
+  });
+}
+
+void FakeSite::later(core::Duration After, Delivery Item) {
+  Deliveries_.emplace(Now_ + After, std::move(Item));
+}
+
+void FakeSite::record(const std::string &Process, history::EventBody Body) {
+  Events_.push_back({Now_, Process, std::move(Body)});
+}
+
+void FakeSite::recordReply(const std::string &Host, const CallerReply &Reply) {
+  const auto &[Job, Kind] = CallJobs_.at(Reply.Token_);
+  if (Reply.Kind_ == ReplyKind::Accepted)
+    record(Host, history::JobAccepted{Job});
+  else if (Reply.Kind_ == ReplyKind::Refused && Kind == CallKind::Submit)
+    record(Host, history::JobRefused{Job});
+  else if (Reply.Kind_ == ReplyKind::Cancelled)
+    record(Host, history::JobCancelled{Job});
+  else if (Reply.Kind_ == ReplyKind::State)
+    record(Host, history::JobShown{Job, jobs::name(Reply.State_)});
+  else if (Reply.Kind_ == ReplyKind::UnknownJob)
+    record(Host, history::JobShown{Job, ""});
+}
+
 void FakeSite::deliver(
     const std::string &To,
     std::function<void(EntryState &, EntryEffects &)> Function) {
   auto It = Hosts_.find(To);
   if (It == Hosts_.end())
     return;
+  if (Frozen_.count(To))
+    return later(Step, [this, To, Function] { deliver(To, Function); });
   EntryEffects Out;
   Function(*It->second, Out);
+  const std::optional<cell::Holder> &Held = It->second->Holder_;
+  if (Held && Terms_[To] != Held->Term_) {
+    Terms_[To] = Held->Term_;
+    record(To, history::TenureBegun{Held->Term_});
+  }
   carryOut(To, std::move(Out));
 }
 
+void FakeSite::answer(
+    const std::string &To, core::Incarnation Process,
+    std::function<void(EntryState &, EntryEffects &)> Function) {
+  auto It = Hosts_.find(To);
+  if (It == Hosts_.end() || It->second->Settings_.Process_ != Process)
+    return;
+  if (Frozen_.count(To))
+    return later(
+        Step, [this, To, Process, Function] { answer(To, Process, Function); });
+  deliver(To, Function);
+}
+
 void FakeSite::send(const std::string &From, const std::string &To,
                     const cell::PeerMessage &Message) {
   if (Cut_.count(From) || Cut_.count(To))
     return;
-  Next_.push_back([this, From, To, Message] {
-    deliver(To, [&](EntryState &State, EntryEffects &Out) {
+  later(Step, [this, From, To, Message] {
+    deliver(To, [this, From, Message](EntryState &State, EntryEffects &Out) {
       onMessage(State, linkOf(From), Message, Now_, Wall_, Out);
     });
   });
@@ -148,85 +206,134 @@
 void FakeSite::carryOut(const std::string &Host, EntryEffects &&Out) {
   std::move(Out.Decisions_.begin(), Out.Decisions_.end(),
             std::back_inserter(Decisions_));
-  for (const CallerReply &Reply : Out.Replies_)
+  for (const CallerReply &Reply : Out.Replies_) {
     Replies_[Reply.Token_] = Reply;
-  for (const auto &[Link, Message] : Out.Sends_)
-    send(Host, hostOf(Link), Message);
+    recordReply(Host, Reply);
+  }
+  for (const auto &[Link, Message] : Out.Sends_) {
+    if (Link >= FirstAgentLink)
+      sendToAgent(Host, Link, Message);
+    else
+      send(Host, hostOf(Link), Message);
+  }
   for (const auto &[Address, Message] : Out.SendsTo_)
     send(Host, Address, Message);
-  for (const AppendCall &Call : Out.Appends_) {
-    store::AppendOutcome Outcome{store::AppendStatus::NotDone, 0, 0, "refused"};
-    if (!Store_.refuses(Host)) {
-      Outcome = Store_.append(Call.Request_);
-      if (Store_.LosesAnswers_)
-        Outcome = {store::AppendStatus::Unknown, 0, 0, "lost"};
-    }
-    Next_.push_back([this, Host, For = Call.For_, Outcome] {
-      deliver(Host, [&](EntryState &State, EntryEffects &Effects) {
-        onAppend(State, For, Outcome, Now_, Effects);
-      });
-    });
-  }
+  for (const AppendCall &Call : Out.Appends_)
+    append(Host, Call);
+  const core::Incarnation Process = Hosts_.at(Host)->Settings_.Process_;
   auto Refusal = core::makeError(absl::StatusCode::kUnavailable, "read",
                                  "store", "refused");
   for (const ReadCall &Call : Out.Reads_)
-    Next_.push_back([this, Host, Call, Refusal] {
+    later(Step, [this, Host, Process, Call, Refusal] {
       const absl::StatusOr<store::ReadPage> Page =
           Store_.refuses(Host) ? absl::StatusOr<store::ReadPage>(Refusal)
                                : Store_.read(Call.Stream_, Call.From_);
-      deliver(Host, [&](EntryState &State, EntryEffects &Effects) {
-        onRead(State, Call.Stream_, Page, Now_, Effects);
-      });
+      answer(Host, Process,
+             [this, Call, Page](EntryState &State, EntryEffects &Effects) {
+               onRead(State, Call.Stream_, Page, Now_, Effects);
+             });
     });
   for (const NewestCall &Call : Out.Newests_)
-    Next_.push_back([this, Host, Call, Refusal] {
+    later(Step, [this, Host, Process, Call, Refusal] {
       const absl::StatusOr<store::NewestPage> Page =
           Store_.refuses(Host) ? absl::StatusOr<store::NewestPage>(Refusal)
                                : Store_.newest(Call.Stream_);
-      deliver(Host, [&](EntryState &State, EntryEffects &Effects) {
-        onNewest(State, Call.Stream_, Page, Now_, Effects);
-      });
+      answer(Host, Process,
+             [this, Call, Page](EntryState &State, EntryEffects &Effects) {
+               onNewest(State, Call.Stream_, Page, Now_, Effects);
+             });
     });
 }
 
+void FakeSite::append(const std::string &Host, const AppendCall &Call) {
+  store::AppendOutcome Outcome{store::AppendStatus::NotDone, 0, 0, "refused"};
+  const store::AppendOutcome Lost{store::AppendStatus::Unknown, 0, 0, "lost"};
+  if (!Store_.refuses(Host) && Store_.LateBy_ > core::Duration(0)) {
+    later(Store_.LateBy_,
+          [this, Request = Call.Request_] { Store_.append(Request); });
+    Outcome = Lost;
+  } else if (!Store_.refuses(Host)) {
+    Outcome = Store_.append(Call.Request_);
+    if (Store_.LosesAnswers_)
+      Outcome = Lost;
+  }
+  const core::Incarnation Process = Hosts_.at(Host)->Settings_.Process_;
+  later(Step, [this, Host, Process, For = Call.For_, Outcome] {
+    answer(Host, Process,
+           [this, For, Outcome](EntryState &State, EntryEffects &Effects) {
+             onAppend(State, For, Outcome, Now_, Effects);
+           });
+  });
+}
+
 void FakeSite::run(core::Duration Span) {
-  constexpr core::Duration Step = milliseconds(10);
   for (core::Duration Past(0); Past < Span; Past += Step) {
     Now_ += Step;
     Wall_ += Step;
-    std::vector<Delivery> Due;
-    Due.swap(Next_);
-    for (const Delivery &Item : Due)
+    while (!Deliveries_.empty() && Deliveries_.begin()->first <= Now_) {
+      const Delivery Item = std::move(Deliveries_.begin()->second);
+      Deliveries_.erase(Deliveries_.begin());
       Item();
+    }
     std::vector<std::string> Names;
     for (const auto &[Host, State] : Hosts_)
       Names.push_back(Host);
     for (const std::string &Host : Names)
-      deliver(Host, [&](EntryState &State, EntryEffects &Out) {
-        settle(State, Now_, Wall_, Out);
-      });
+      if (!Frozen_.count(Host))
+        deliver(Host, [&](EntryState &State, EntryEffects &Out) {
+          settle(State, Now_, Wall_, Out);
+        });
+    runWorkers();
   }
 }
 
-CallToken FakeSite::call(const std::string &Host, CallKind Kind,
-                         const std::string &Job) {
-  CallerRequest Request;
+CallToken FakeSite::send(const std::string &Host, CallerRequest Request) {
   Request.Token_ = NextToken_++;
-  Request.Kind_ = Kind;
   Request.Host_ = "site";
-  Request.Path_ = "/q/" + Job;
   Request.Key_ = "key";
-  if (Kind == CallKind::Submit)
-    Request.Spec_ = jobs::JobSpecBuilder()
-                        .step(1, {1000, 1000, 1}, std::chrono::seconds(1))
-                        .build();
   const CallToken Token = Request.Token_;
-  deliver(Host, [&](EntryState &State, EntryEffects &Out) {
+  const std::string Job = Request.Path_.substr(3);
+  CallJobs_[Token] = {Job, Request.Kind_};
+  if (Request.Kind_ == CallKind::Submit)
+    record("caller", history::JobSubmitted{Job, Host});
+  else if (Request.Kind_ == CallKind::Cancel)
+    record("caller", history::JobCancelSent{Job});
+  deliver(Host, [this, Request](EntryState &State, EntryEffects &Out) {
     onCaller(State, Request, Now_, Wall_, Out);
   });
   return Token;
 }
 
+CallToken FakeSite::call(const std::string &Host, CallKind Kind,
+                         const std::string &Job) {
+  if (Kind == CallKind::Submit)
+    return submit(Host, Job,
+                  jobs::JobSpecBuilder()
+                      .step(1, {1000, 1000, 1}, std::chrono::seconds(1))
+                      .build());
+  CallerRequest Request;
+  Request.Kind_ = Kind;
+  Request.Path_ = "/q/" + Job;
+  return send(Host, std::move(Request));
+}
+
+CallToken FakeSite::submit(const std::string &Host, const std::string &Job,
+                           const jobs::JobSpec &Spec) {
+  CallerRequest Request;
+  Request.Kind_ = CallKind::Submit;
+  Request.Path_ = "/q/" + Job;
+  Request.Spec_ = Spec;
+  return send(Host, std::move(Request));
+}
+
+void FakeSite::setDomainOut(const std::string &Domain, bool Out) {
+  Store_.publish(Domain, Out ? "out" : "");
+  if (Out)
+    record("operator", history::DomainOut{Domain});
+  else
+    record("operator", history::DomainIn{Domain});
+}
+
 std::optional<ReplyKind> FakeSite::answer(CallToken Token) const {
   auto It = Replies_.find(Token);
   if (It == Replies_.end())
