Record what a leaving or silent worker may run

Cause: a new holder cannot know what eleven workers run that were taken away before its time, and held every job back that was accepted before its claim until their last possible lease was over, 10 to 16 s. The holder before knew which tasks ran there, and that nothing more would start.

Ruled out: load (the log shows the empty workers), trust, the domain out of service (another one), records of emptiness told to peers, which end with the processes when all are killed.

Change: a worker that leaves, or has sent no report for 3 s, is closed by a record that names the tasks that may run there. A new holder holds back only these. The worker is opened by another record before its next start.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -37,6 +37,10 @@
   /// A worker without a report for this long gets no new work. Twice the
   /// interval of reports and a lost one.
   core::Duration SilentAfter_ = std::chrono::milliseconds(1500);
+  /// A worker without a report for this long is closed in the records, so that
+  /// a new holder knows what can run there. Twice SilentAfter_, since to open
+  /// it again takes an append.
+  core::Duration CloseAfter_ = std::chrono::milliseconds(3000);
   /// A stop is sent again while the run is still listed after this.
   core::Duration StopRepeat_ = std::chrono::milliseconds(500);
   /// Time without progress after which a run is given up, when its pace is
@@ -129,8 +133,10 @@
   bool Synced_ = false;
   /// The worker answers its agent.
   bool Heard_ = true;
-  /// The record that tasks may run here is durable.
+  /// The record that tasks may start here is durable.
   bool Listed_ = false;
+  /// The worker was closed and has not been opened again.
+  bool Closed_ = false;
   core::Incarnation Process_ = 0;
   std::optional<WorkerInfo> Info_;
   core::TimePoint LastReport_{};
@@ -166,6 +172,24 @@
   core::TimePoint Since_{};
 };
 
+/// What the records say of a worker from now on.
+enum class Listing : std::uint8_t {
+  /// Tasks may start there.
+  Open,
+  /// No task starts there; those that run may go on.
+  Closed,
+  /// Nothing can run there.
+  Gone
+};
+
+/// A worker that has not reported to this holder.
+struct UnheardWorker {
+  /// Nothing that an earlier holder started runs there after this time.
+  core::TimePoint Until_{};
+  /// The only tasks that may run there; absent when it can be any.
+  std::optional<std::set<TaskId>> Tasks_;
+};
+
 /// Attempts by task and run.
 using AttemptMap = std::map<RunId, Attempt>;
 
@@ -183,8 +207,8 @@
   AttemptMap Attempts_;
   std::map<std::string, Worker> Workers_;
   std::map<std::string, LiveJob> Jobs_;
-  /// Workers that may run tasks of an earlier holder, and until when.
-  std::map<std::string, core::TimePoint> Unheard_;
+  /// Workers that may run tasks of an earlier holder.
+  std::map<std::string, UnheardWorker> Unheard_;
 
   /// Answers of the approval service, by step.
   std::map<StepId, StepApprovals> Approvals_;
@@ -194,12 +218,14 @@
 
   /// Jobs whose progress has to be recorded.
   std::set<std::string> Dirty_;
-  /// Workers to list (true) or to unlist (false).
-  std::map<std::string, bool> Listing_;
+  /// Listings that have to be recorded.
+  std::map<std::string, Listing> Listing_;
   bool AppendInFlight_ = false;
   /// Ends that the append in flight makes durable, by host.
   std::map<std::string, std::uint64_t> EndsInFlight_;
-  std::map<std::string, bool> ListingInFlight_;
+  std::map<std::string, Listing> ListingInFlight_;
+  /// Listings of this tenure that are durable. The view shows them later.
+  std::map<std::string, Listing> Recorded_;
 };
 
 /// What the control thread may see besides the holder's own state.
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -159,6 +159,21 @@
   }
 }
 
+/// Returns what the records say of a worker, those on their way included.
+Listing newestListing(const Holder &State, const std::string &Host,
+                      const jobs::View &View) {
+  for (const auto *Listings :
+       {&State.Listing_, &State.ListingInFlight_, &State.Recorded_}) {
+    auto It = Listings->find(Host);
+    if (It != Listings->end())
+      return It->second;
+  }
+  auto Row = View.Workers_.find(Host);
+  if (Row == View.Workers_.end())
+    return Listing::Gone;
+  return Row->second.Closed_ ? Listing::Closed : Listing::Open;
+}
+
 /// Drops the runs that the worker certainly does not have.
 void dropMissing(Holder &State, const Worker &Host, const AgentReport &Report,
                  core::TimePoint Now, Effects &Out) {
@@ -235,25 +250,29 @@
   State.BegunAt_ = Around.Now_;
   State.TenureConfirmed_ = Around.Now_;
   for (const auto &[Name, Row] : Around.View_.Workers_) {
-    if (VoidWorkers.count(Name))
-      State.Listing_[Name] = false;
-    else if (GrantsEnd)
-      State.Unheard_[Name] = leaseBound(Policy, *GrantsEnd);
+    if (VoidWorkers.count(Name)) {
+      State.Listing_[Name] = Listing::Gone;
+    } else if (GrantsEnd) {
+      UnheardWorker &Unheard = State.Unheard_[Name];
+      Unheard.Until_ = leaseBound(Policy, *GrantsEnd);
+      if (Row.Closed_)
+        Unheard.Tasks_.emplace(Row.Tasks_.begin(), Row.Tasks_.end());
+    }
   }
   return State;
 }
 
 void limitEarlierGrants(Holder &State, core::TimePoint GrantsEnd) {
   const core::TimePoint Bound = leaseBound(State.Policy_, GrantsEnd);
-  for (auto &[Name, Until] : State.Unheard_)
-    Until = std::min(Until, Bound);
+  for (auto &[Name, Unheard] : State.Unheard_)
+    Unheard.Until_ = std::min(Unheard.Until_, Bound);
 }
 
 std::vector<std::string> voidWorkers(const Holder &State) {
   std::vector<std::string> Names;
-  for (const auto *Listing : {&State.Listing_, &State.ListingInFlight_})
-    for (const auto &[Name, Wanted] : *Listing)
-      if (!Wanted)
+  for (const auto *Listings : {&State.Listing_, &State.ListingInFlight_})
+    for (const auto &[Name, Wanted] : *Listings)
+      if (Wanted == Listing::Gone)
         Names.push_back(Name);
   return Names;
 }
@@ -287,11 +306,17 @@
     State.Unheard_.erase(Host.Host_);
     // A worker that was given up is listed anew before its next start, even if
     // the record of that is still on its way.
-    const std::vector<std::string> Void = voidWorkers(State);
-    Host.Listed_ = Around.View_.Workers_.count(Host.Host_) > 0 &&
-                   std::count(Void.begin(), Void.end(), Host.Host_) == 0;
-    if (!Host.Listed_)
-      State.Listing_[Host.Host_] = true;
+    const Listing Newest = newestListing(State, Host.Host_, Around.View_);
+    Host.Closed_ = Newest == Listing::Closed;
+    Host.Listed_ = Newest == Listing::Open &&
+                   State.Listing_.count(Host.Host_) == 0 &&
+                   State.ListingInFlight_.count(Host.Host_) == 0;
+    if (Newest == Listing::Gone)
+      State.Listing_[Host.Host_] = Listing::Open;
+  }
+  if (Host.Closed_ && !Host.Info_->Draining_) {
+    Host.Closed_ = false;
+    State.Listing_[Host.Host_] = Listing::Open;
   }
   Host.Processed_ = Report.Processed_;
   noteRefusals(State, Host, Report, Around.Now_, Out);
--- a/lib/cell/src/orders.cpp
+++ b/lib/cell/src/orders.cpp
@@ -92,18 +92,49 @@
 
 namespace {
 
+/// Closes the workers on which nothing is to start for now.
+void closeWorkers(Holder &State, core::TimePoint Now) {
+  for (auto &[Name, Host] : State.Workers_) {
+    const bool Silent = Now - Host.LastReport_ > State.Policy_.CloseAfter_;
+    const bool Leaves = Host.Info_ && Host.Info_->Draining_;
+    if (!Host.Listed_ || !Host.Synced_ || (!Silent && !Leaves))
+      continue;
+    Host.Listed_ = false;
+    Host.Closed_ = true;
+    State.Listing_[Name] = Listing::Closed;
+  }
+}
+
+const char *eventOf(Listing Wanted) {
+  switch (Wanted) {
+  case Listing::Open:
+    return "worker_listed";
+  case Listing::Closed:
+    return "worker_closed";
+  case Listing::Gone:
+    return "worker_unlisted";
+  }
+  return "worker_unlisted";
+}
+
 void addListings(Holder &State, const Surroundings &Around, Effects &Out) {
   for (const auto &[Name, Wanted] : State.Listing_) {
     jobs::WorkerListed Row;
     Row.Host_ = Name;
-    Row.Listed_ = Wanted;
+    Row.Listed_ = Wanted != Listing::Gone;
+    Row.Closed_ = Wanted == Listing::Closed;
+    if (Row.Closed_)
+      for (const auto &[Id, Run] : State.Attempts_)
+        if (Run.Host_ == Name)
+          Row.Tasks_.push_back(Id.Task_);
     auto It = State.Workers_.find(Name);
     if (It != State.Workers_.end() && It->second.Info_)
       Row.FailureDomain_ = It->second.Info_->FailureDomain_;
     Out.Append_.push_back(Row);
-    Out.Decisions_.push_back({Wanted ? "worker_listed" : "worker_unlisted",
+    Out.Decisions_.push_back({eventOf(Wanted),
                               {{"host", Name},
                                {"domain", Row.FailureDomain_},
+                               {"tasks", std::to_string(Row.Tasks_.size())},
                                {"view", std::to_string(Around.View_.Next_)}}});
   }
   State.ListingInFlight_ = std::move(State.Listing_);
@@ -122,6 +153,7 @@
 void collectRecords(Holder &State, const Surroundings &Around, Effects &Out) {
   if (State.AppendInFlight_)
     return;
+  closeWorkers(State, Around.Now_);
   addListings(State, Around, Out);
   for (const std::string &Job : State.Dirty_) {
     auto It = State.Jobs_.find(Job);
@@ -154,9 +186,11 @@
   }
   State.EndsInFlight_.clear();
   for (const auto &[Name, Wanted] : State.ListingInFlight_) {
+    State.Recorded_[Name] = Wanted;
     auto It = State.Workers_.find(Name);
     if (It != State.Workers_.end())
-      It->second.Listed_ = Wanted;
+      It->second.Listed_ = Wanted == Listing::Open && !It->second.Closed_ &&
+                           State.Listing_.count(Name) == 0;
   }
   State.ListingInFlight_.clear();
 }
--- a/lib/cell/src/queue.cpp
+++ b/lib/cell/src/queue.cpp
@@ -81,18 +81,29 @@
   Units.push_back(Work);
 }
 
+/// Returns true when \p Task may run on a closed worker that was not heard.
+bool mayRunUnheard(const Holder &State, const TaskId &Task) {
+  return std::any_of(
+      State.Unheard_.begin(), State.Unheard_.end(), [&](const auto &Row) {
+        return Row.second.Tasks_ && Row.second.Tasks_->count(Task) > 0;
+      });
+}
+
 /// Adds the units of a step whose tasks have no run.
 void addUnits(Holder &State, const Unit &Common, LiveJob &Live,
               core::TimePoint Now, std::vector<Unit> &Units) {
   const std::string &Job = Common.Job_->Accepted_.Job_;
   const jobs::StepSpec &Step = Common.spec();
+  auto Doubtful = [&](std::uint32_t Index) {
+    return mayRunUnheard(State, {Job, Common.Occurrence_, Common.Step_, Index});
+  };
   auto Free = [&](std::uint32_t Index) {
     return findAttempt(State.Attempts_, {Job, Common.Occurrence_, Common.Step_,
                                          Index}) == State.Attempts_.end();
   };
   if (Step.Gang_) {
     for (std::uint32_t I = 0; I < Step.Count_; ++I)
-      if (!Free(I))
+      if (!Free(I) || Doubtful(I))
         return;
     Unit Whole = Common;
     Whole.Count_ = Step.Count_;
@@ -104,7 +115,7 @@
   for (std::uint32_t I = 0; I < Step.Count_; ++I) {
     Unit One = Common;
     One.Index_ = I;
-    if (Progress.Tasks_[I].Done_)
+    if (Progress.Tasks_[I].Done_ || Doubtful(I))
       continue;
     if (Free(I))
       Units.push_back(One);
@@ -223,13 +234,16 @@
 std::vector<Unit> readyUnits(Holder &State, const Surroundings &Around,
                              core::TimePoint &Wake) {
   std::vector<Unit> Units;
+  const bool AnyTask = std::any_of(
+      State.Unheard_.begin(), State.Unheard_.end(),
+      [](const auto &Row) { return !Row.second.Tasks_.has_value(); });
   const auto Needs = guaranteedNeeds(State, Around);
   for (const auto &[Name, Job] : Around.View_.Jobs_) {
     if (Job.Accepted_.Job_.empty() || jobs::ended(Job.shownState()))
       continue;
-    // A worker that was not heard may run any task that an earlier holder could
-    // see.
-    if (!State.Unheard_.empty() && Job.AcceptedAt_ < State.ClaimedAt_)
+    // An open worker that was not heard may run any task that an earlier
+    // holder could see.
+    if (AnyTask && Job.AcceptedAt_ < State.ClaimedAt_)
       continue;
     LiveJob &Live = liveJob(State, Job, Around.Now_);
     if (jobs::ended(Live.Progress_.State_))
--- a/lib/cell/src/workers.cpp
+++ b/lib/cell/src/workers.cpp
@@ -73,18 +73,18 @@
         Lost.push_back(It);
     for (auto It : Lost)
       dropAttempt(State, It, "the worker's lease has ended unheard", Out);
-    if (Host.Listed_ || State.Listing_.count(Name))
-      State.Listing_[Name] = false;
-    Host.Listed_ = false;
+    if (Host.Listed_ || Host.Closed_ || State.Listing_.count(Name))
+      State.Listing_[Name] = Listing::Gone;
+    Host.Listed_ = Host.Closed_ = false;
   }
   for (auto It = State.Unheard_.begin(); It != State.Unheard_.end();) {
-    if (Around.Now_ < It->second) {
-      Out.Wake_ = std::min(Out.Wake_, It->second);
+    if (Around.Now_ < It->second.Until_) {
+      Out.Wake_ = std::min(Out.Wake_, It->second.Until_);
       ++It;
       continue;
     }
     Out.Decisions_.push_back({"earlier_runs_over", {{"host", It->first}}});
-    State.Listing_[It->first] = false;
+    State.Listing_[It->first] = Listing::Gone;
     It = State.Unheard_.erase(It);
   }
 }
--- a/lib/cell/tests/holdertest.cpp
+++ b/lib/cell/tests/holdertest.cpp
@@ -22,6 +22,9 @@
   CPPUNIT_TEST(newHolderTakesOverWhatRuns);
   CPPUNIT_TEST(voidWorkerHoldsNothingBack);
   CPPUNIT_TEST(givenUpWorkerIsListedAgainBeforeItsNextStart);
+  CPPUNIT_TEST(closedWorkerHoldsBackOnlyItsTasks);
+  CPPUNIT_TEST(leavingAndSilentWorkersAreClosed);
+  CPPUNIT_TEST(closedWorkerIsOpenedBeforeItsNextStart);
   CPPUNIT_TEST(domainOutGetsNoStart);
   CPPUNIT_TEST(occurrencesWaitForTheirTime);
   CPPUNIT_TEST_SUITE_END();
@@ -221,8 +224,8 @@
   static void prepareTakeover(FakeCell &Cell) {
     Cell.addWorker("w0", "r0");
     for (const char *Host : {"w0", "lost"})
-      jobs::apply(Cell.View_,
-                  {Cell.View_.Next_, jobs::WorkerListed{Host, "a", true}});
+      jobs::apply(Cell.View_, {Cell.View_.Next_,
+                               jobs::WorkerListed{Host, "a", true, false, {}}});
     Cell.accept("old", oneStep(1, {1000, 1000, 1}));
   }
 
@@ -286,6 +289,69 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("j").size());
   }
 
+  /// Guards against all jobs waiting for a worker whose runs are known: only
+  /// those that it may run wait until its leases are over.
+  void closedWorkerHoldsBackOnlyItsTasks() {
+    FakeCell Cell;
+    prepareTakeover(Cell);
+    Cell.accept("there", oneStep(2, {1000, 1000, 1}));
+    jobs::apply(Cell.View_,
+                {Cell.View_.Next_,
+                 jobs::WorkerListed{
+                     "lost", "a", true, true, {TaskId{"there", 0, 0, 1}}}});
+    Cell.claim(Cell.Now_);
+    Cell.run(400ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("old").size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("there").size());
+    CPPUNIT_ASSERT_EQUAL(0u, Cell.runsOf("there")[0].Task_.Index_);
+    Cell.end(Cell.runsOf("there")[0], EndKind::Done);
+    Cell.run(6200ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("there").size());
+    CPPUNIT_ASSERT_EQUAL(1u, Cell.runsOf("there")[0].Task_.Index_);
+  }
+
+  /// Guards against a next holder that does not know what a worker that leaves
+  /// or falls silent may run.
+  void leavingAndSilentWorkersAreClosed() {
+    FakeCell Cell;
+    start(Cell, 2);
+    Cell.accept("j", oneStep(2, {40000, 1000, 1}));
+    Cell.step();
+    Cell.Agents_["w0"].Worker_->Draining_ = true;
+    Cell.run(200ms);
+    CPPUNIT_ASSERT(Cell.View_.Workers_.at("w0").Closed_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         Cell.View_.Workers_.at("w0").Tasks_.size());
+    const AgentReport Silent = Cell.Agents_["w1"];
+    Cell.Agents_.erase("w1");
+    Cell.run(2900ms);
+    CPPUNIT_ASSERT(!Cell.View_.Workers_.at("w1").Closed_);
+    Cell.run(400ms);
+    CPPUNIT_ASSERT(Cell.View_.Workers_.at("w1").Closed_);
+    Cell.Agents_["w1"] = Silent;
+    Cell.run(400ms);
+    CPPUNIT_ASSERT(!Cell.View_.Workers_.at("w1").Closed_);
+  }
+
+  /// Guards against a start that a next holder would not know to be possible.
+  void closedWorkerIsOpenedBeforeItsNextStart() {
+    FakeCell Cell;
+    start(Cell, 1);
+    const AgentReport Silent = Cell.Agents_["w0"];
+    Cell.Agents_.erase("w0");
+    Cell.run(3300ms);
+    CPPUNIT_ASSERT(Cell.View_.Workers_.at("w0").Closed_);
+    Cell.Agents_["w0"] = Silent;
+    Cell.StoreWorks_ = false;
+    Cell.accept("j", oneStep(1, {1000, 1000, 1}));
+    Cell.run(1s);
+    CPPUNIT_ASSERT(Cell.runsOf("j").empty());
+    Cell.StoreWorks_ = true;
+    onAppended(Cell.Holder_);
+    Cell.run(300ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("j").size());
+  }
+
   void domainOutGetsNoStart() {
     FakeCell Cell;
     Cell.addWorker("w0", "r0", "a");
--- a/lib/jobs/include/nutmegwell/jobs/records.h
+++ b/lib/jobs/include/nutmegwell/jobs/records.h
@@ -53,6 +53,10 @@
   std::string FailureDomain_;
   /// False when nothing can run there any more.
   bool Listed_ = true;
+  /// No task starts there before the worker is listed anew, and only those of
+  /// Tasks_ may be running.
+  bool Closed_ = false;
+  std::vector<TaskId> Tasks_;
 };
 
 /// An entry host and the address at which its peers reach it.
--- a/lib/wire/src/cellfields.h
+++ b/lib/wire/src/cellfields.h
@@ -76,7 +76,7 @@
 }
 
 template <class A> void serialize(A &Fields, WorkerListed &V) {
-  Fields(V.Host_, V.FailureDomain_, V.Listed_);
+  Fields(V.Host_, V.FailureDomain_, V.Listed_, V.Closed_, V.Tasks_);
 }
 
 template <class A> void serialize(A &Fields, EntryHostListed &V) {
