Wait for starts that two new lives may hide

Cause: the agent's process and the worker were replaced at the same time. The holder knew that the earlier agent may have sent a start, and dropped it with the worker's earlier life all the same. Ruled out: the fence of the agent, which ended with its process. Change: starts that no list has shown outlast the worker's new life for as long as their permit.

--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -15,14 +15,20 @@
   return Runs;
 }
 
-/// Drops the runs of the worker's earlier life. Those that the report names may
-/// have reached the new one.
-void dropEarlierLife(Holder &State, const AgentReport &Report, Effects &Out) {
+/// Drops the runs of the worker's earlier life. Starts that the report names
+/// may have reached the new one, and those that an agent's process took with
+/// it.
+void dropEarlierLife(Holder &State, const AgentReport &Report,
+                     core::TimePoint Now, Effects &Out) {
   const std::set<RunId> Reported = reportedRuns(Report);
+  const bool Uncertain = Now < State.Workers_[Report.Host_].UncertainUntil_;
   for (auto It = State.Attempts_.begin(); It != State.Attempts_.end();) {
     auto Current = It++;
-    if (Current->second.Host_ == Report.Host_ &&
-        !Reported.count(Current->first))
+    const Attempt &Run = Current->second;
+    const bool MayHaveStarted =
+        Reported.count(Run.Id_) > 0 ||
+        (Uncertain && Run.State_ == AttemptState::Ordered);
+    if (Run.Host_ == Report.Host_ && !MayHaveStarted)
       dropAttempt(State, Current, "the worker started anew", Out);
   }
 }
@@ -47,7 +53,7 @@
   const std::int64_t Born = Report.Worker_ ? Report.Worker_->Born_ : 0;
   if (Born != 0 && Born != Before) {
     if (Before != 0)
-      dropEarlierLife(State, Report, Out);
+      dropEarlierLife(State, Report, Now, Out);
     Host.EndsHandled_ = 0;
     Host.EndsDurable_ = 0;
     // The append in flight covers ends of the earlier life only.
--- a/lib/cell/tests/holdertest.cpp
+++ b/lib/cell/tests/holdertest.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(closedWorkerHoldsBackOnlyItsTasks);
   CPPUNIT_TEST(leavingAndSilentWorkersAreClosed);
   CPPUNIT_TEST(closedWorkerIsOpenedBeforeItsNextStart);
+  CPPUNIT_TEST(startsAroundNewLivesOfAgentAndWorkerAreWaitedFor);
   CPPUNIT_TEST(domainOutGetsNoStart);
   CPPUNIT_TEST(occurrencesWaitForTheirTime);
   CPPUNIT_TEST_SUITE_END();
@@ -352,6 +353,23 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("j").size());
   }
 
+  /// Guards against two runs: an agent's process that ends takes its starts
+  /// with it, and they may have reached the worker's new incarnation.
+  void startsAroundNewLivesOfAgentAndWorkerAreWaitedFor() {
+    FakeCell Cell;
+    start(Cell, 1);
+    Cell.accept("j", oneStep(1, {1000, 1000, 1}));
+    Cell.step();
+    AgentReport &Agent = Cell.Agents_["w0"];
+    Agent.Running_.clear();
+    Agent.Process_ = 2;
+    Agent.Worker_->Born_ = 2;
+    Cell.run(1500ms);
+    CPPUNIT_ASSERT(Cell.runsOf("j").empty());
+    Cell.run(500ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("j").size());
+  }
+
   void domainOutGetsNoStart() {
     FakeCell Cell;
     Cell.addWorker("w0", "r0", "a");
