Lead agents to a new holder at once

Cause: an agent that has lost its entry host dials the next address it knows, among them hosts that were removed long ago; each costs the connect time-out of a second. A host that is not the holder names the holder even while it takes it for gone, so that agents dial it again and again, and says who the new one is only with the next report. Ruled out: the silence of 1.6 s itself, which has to outlast lost messages.

Change: agents are told of the hosts that were heard lately and of a holder only while it is not vacant, at once when either changes; the host that has just been lost is dialled last, and one that cannot be connected to is left alone for a while.

--- a/lib/cell/include/nutmegwell/cell/peers.h
+++ b/lib/cell/include/nutmegwell/cell/peers.h
@@ -59,6 +59,7 @@
 
 /// Tells an agent where the holder is.
 struct EntryInfo {
+  /// Address by entry host, of those that the sender has heard lately.
   std::map<std::string, std::string> Hosts_;
   /// Empty while no holder is known.
   std::string HolderAddress_;
--- a/lib/site/include/nutmegwell/site/agent.h
+++ b/lib/site/include/nutmegwell/site/agent.h
@@ -170,6 +170,9 @@
   std::size_t NextCandidate_ = 0;
   std::map<std::string, std::string> Hosts_;
   std::string HolderAddress_;
+  /// Address that could not be connected to, and until when it is left alone.
+  std::string Unreachable_;
+  core::TimePoint UnreachableUntil_{};
 
   std::uint64_t NextReport_ = 1;
   core::TimePoint NextReportAt_{};
--- a/lib/site/include/nutmegwell/site/entry.h
+++ b/lib/site/include/nutmegwell/site/entry.h
@@ -165,6 +165,8 @@
   /// Addresses by host, own one included, from records, peers and seeds.
   std::map<std::string, std::string> Hosts_;
   std::map<std::string, LinkId> Agents_;
+  /// What the connected agents were told last.
+  cell::EntryInfo Told_;
 
   store::Appender Own_;
   /// Writer of the tenure, from its claim on: the claim fences the writers of
--- a/lib/site/src/agent.cpp
+++ b/lib/site/src/agent.cpp
@@ -37,7 +37,12 @@
 }
 
 void dialNext(AgentState &State, core::TimePoint Now, AgentEffects &Out) {
-  const std::vector<std::string> Addresses = candidates(State);
+  std::vector<std::string> Addresses = candidates(State);
+  // A host that has just fallen silent is not tried again before the others.
+  if (Addresses.size() > 1)
+    Addresses.erase(
+        std::remove(Addresses.begin(), Addresses.end(), State.LinkAddress_),
+        Addresses.end());
   if (Addresses.empty())
     return;
   dial(State, Addresses[State.NextCandidate_++ % Addresses.size()], Now, Out);
@@ -45,12 +50,18 @@
 
 void onInfo(AgentState &State, const cell::EntryInfo &Info, core::TimePoint Now,
             AgentEffects &Out) {
-  for (const auto &[Host, Address] : Info.Hosts_)
-    State.Hosts_[Host] = Address;
+  State.Hosts_ = Info.Hosts_;
   if (Info.Term_ < State.Term_ || Info.HolderAddress_.empty())
     return;
   State.HolderAddress_ = Info.HolderAddress_;
-  if (Info.HolderAddress_ == State.LinkAddress_)
+  if (Info.HolderAddress_ == State.LinkAddress_) {
+    // A holder that has just begun waits for the first report.
+    State.News_ |= Info.Term_ > State.Term_;
+    return;
+  }
+  // Until its successor is known, the named holder may be one that has ended.
+  if (Info.HolderAddress_ == State.Unreachable_ &&
+      Now < State.UnreachableUntil_)
     return;
   State.NextCandidate_ = 1;
   dial(State, Info.HolderAddress_, Now, Out);
@@ -125,6 +136,10 @@
     return;
   if (State.LinkOpen_)
     Out.Decisions_.push_back({"entry_lost", {{"address", State.LinkAddress_}}});
+  if (!State.LinkOpen_) {
+    State.Unreachable_ = State.LinkAddress_;
+    State.UnreachableUntil_ = Now + State.Settings_.Policy_.EntrySilence_;
+  }
   State.LinkOpen_ = false;
   State.Link_ = 0;
   State.NextDial_ = Now + State.Settings_.Policy_.DialPause_;
--- a/lib/site/src/election.cpp
+++ b/lib/site/src/election.cpp
@@ -5,32 +5,6 @@
 
 namespace {
 
-/// Returns why the cell needs a new holder, or an empty text.
-std::string vacancy(const EntryState &State, core::TimePoint Now) {
-  const EntryPolicy &Policy = State.Settings_.Policy_;
-  if (State.View_.Term_ == 0)
-    return "no claim";
-  if (!State.View_.Claim_.Held_)
-    return "released";
-  if (State.HolderEnded_)
-    return "the holder's process ended";
-  const jobs::CellClaimed &Claim = State.View_.Claim_;
-  if (Claim.Host_ == State.Settings_.Host_) {
-    if (Claim.Process_ != State.Settings_.Process_)
-      return "an earlier process";
-    const bool Usable = State.Holder_ || State.HolderWriter_ ||
-                        State.View_.Term_ <= State.FencedTerm_;
-    return Usable ? "" : "the own claim has no writer";
-  }
-  if (Now - State.HolderHeard_ < Policy.HolderSilence_)
-    return {};
-  for (const auto &[Host, Other] : State.Peers_)
-    if (isFresh(State, Other, Now) && Other.Beat_.Term_ == State.View_.Term_ &&
-        Other.Beat_.HolderHeardAgo_ < Policy.HolderSilence_)
-      return {};
-  return "silent";
-}
-
 /// Returns how many hosts come before this one in the order of claims.
 int rankOf(const EntryState &State, core::TimePoint Now) {
   int Rank = 0;
@@ -158,6 +132,31 @@
 
 } // namespace
 
+std::string vacancy(const EntryState &State, core::TimePoint Now) {
+  const EntryPolicy &Policy = State.Settings_.Policy_;
+  if (State.View_.Term_ == 0)
+    return "no claim";
+  if (!State.View_.Claim_.Held_)
+    return "released";
+  if (State.HolderEnded_)
+    return "the holder's process ended";
+  const jobs::CellClaimed &Claim = State.View_.Claim_;
+  if (Claim.Host_ == State.Settings_.Host_) {
+    if (Claim.Process_ != State.Settings_.Process_)
+      return "an earlier process";
+    const bool Usable = State.Holder_ || State.HolderWriter_ ||
+                        State.View_.Term_ <= State.FencedTerm_;
+    return Usable ? "" : "the own claim has no writer";
+  }
+  if (Now - State.HolderHeard_ < Policy.HolderSilence_)
+    return {};
+  for (const auto &[Host, Other] : State.Peers_)
+    if (isFresh(State, Other, Now) && Other.Beat_.Term_ == State.View_.Term_ &&
+        Other.Beat_.HolderHeardAgo_ < Policy.HolderSilence_)
+      return {};
+  return "silent";
+}
+
 void holdElection(EntryState &State, core::TimePoint Now, jobs::WallTime Wall,
                   EntryEffects &Out) {
   const jobs::View &View = State.View_;
--- a/lib/site/src/entry.cpp
+++ b/lib/site/src/entry.cpp
@@ -1,30 +1,53 @@
 #include "parts.h"
 #include <algorithm>
+#include <utility>
 
 namespace nutmegwell::site {
 
 namespace {
 
+/// Returns what an agent needs to find the holder.
+cell::EntryInfo infoFor(const EntryState &State, core::TimePoint Now) {
+  cell::EntryInfo Info;
+  Info.Hosts_[State.Settings_.Host_] = State.Settings_.Address_;
+  for (const auto &[Host, Other] : State.Peers_)
+    if (isFresh(State, Other, Now))
+      Info.Hosts_[Host] = Other.Address_;
+  Info.Term_ = State.View_.Term_;
+  auto Address = State.Hosts_.find(State.View_.Claim_.Host_);
+  const bool Here = State.View_.Claim_.Host_ == State.Settings_.Host_;
+  // To dial a holder that is gone costs an agent a second.
+  if (vacancy(State, Now).empty() && Address != State.Hosts_.end() &&
+      (!Here || State.Holder_))
+    Info.HolderAddress_ = Address->second;
+  return Info;
+}
+
+/// Tells the connected agents of a new holder, which needs their reports before
+/// it can start anything, and of the hosts to turn to when this one is gone.
+void tellAgents(EntryState &State, core::TimePoint Now, EntryEffects &Out) {
+  cell::EntryInfo Info = infoFor(State, Now);
+  if (Info.HolderAddress_.empty() ||
+      (Info.Term_ == State.Told_.Term_ && Info.Hosts_ == State.Told_.Hosts_))
+    return;
+  State.Told_ = Info;
+  for (const auto &[Host, Link] : State.Agents_)
+    Out.Sends_.emplace_back(Link, Info);
+}
+
 /// Carries a message of an agent to the holder, or tells the agent who it is.
 void onAgent(EntryState &State, LinkId Link, const cell::AgentReport &Report,
              core::TimePoint Now, jobs::WallTime Wall, EntryEffects &Out) {
+  const bool NewLink = std::exchange(State.Agents_[Report.Host_], Link) != Link;
+  if (NewLink || !State.Holder_)
+    Out.Sends_.emplace_back(Link, infoFor(State, Now));
   if (State.Holder_) {
-    State.Agents_[Report.Host_] = Link;
     cell::Effects Effects;
     cell::onReport(*State.Holder_, Report, surroundingsOf(State, Now, Wall),
                    Effects);
     std::move(Effects.Decisions_.begin(), Effects.Decisions_.end(),
               std::back_inserter(Out.Decisions_));
-    return;
   }
-  cell::EntryInfo Info;
-  Info.Hosts_ = State.Hosts_;
-  Info.Term_ = State.View_.Term_;
-  auto Address = State.Hosts_.find(State.View_.Claim_.Host_);
-  if (State.View_.Claim_.Held_ && Address != State.Hosts_.end() &&
-      State.View_.Claim_.Host_ != State.Settings_.Host_)
-    Info.HolderAddress_ = Address->second;
-  Out.Sends_.emplace_back(Link, std::move(Info));
 }
 
 void runHolder(EntryState &State, core::TimePoint Now, jobs::WallTime Wall,
@@ -131,6 +154,7 @@
             EntryEffects &Out) {
   listSelf(State);
   holdElection(State, Now, Wall, Out);
+  tellAgents(State, Now, Out);
   runHolder(State, Now, Wall, Out);
   expireCalls(State, Now, Out);
   requestReads(State, Now, Out);
--- a/lib/site/src/parts.h
+++ b/lib/site/src/parts.h
@@ -38,6 +38,9 @@
 void onRelay(EntryState &State, const cell::RelayedRecords &Relay,
              core::TimePoint Now, EntryEffects &Out);
 
+/// Returns why the cell needs a new holder, or an empty text.
+std::string vacancy(const EntryState &State, core::TimePoint Now);
+
 /// Claims the cell when it is vacant, gives it up when it is lost.
 void holdElection(EntryState &State, core::TimePoint Now, jobs::WallTime Wall,
                   EntryEffects &Out);
--- a/lib/site/tests/agenttest.cpp
+++ b/lib/site/tests/agenttest.cpp
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(leaseFollowsTheReportThatIsAnswered);
   CPPUNIT_TEST(leaseOfASilentWorkerIsNotExtended);
   CPPUNIT_TEST(newIncarnationForgetsTheOldOne);
+  CPPUNIT_TEST(silentEntryIsNotDialledFirst);
+  CPPUNIT_TEST(newHolderAtTheSameAddressIsReportedToAtOnce);
   CPPUNIT_TEST(answerOfANewIncarnationEndsStarts);
   CPPUNIT_TEST(onlyListedEndsAreAcknowledged);
   CPPUNIT_TEST(startAroundANewIncarnationIsFenced);
@@ -251,6 +253,37 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t(2), State_.Worker_->Born_);
   }
 
+  /// Guards against a second spent on a host that is dark: the one that has
+  /// just fallen silent is dialled after the others.
+  void silentEntryIsNotDialledFirst() {
+    connect();
+    cell::EntryInfo Info;
+    Info.Hosts_ = {{"e0", "10.0.0.1:7000"}, {"e1", "10.0.0.2:7000"}};
+    Info.HolderAddress_ = "10.0.0.1:7000";
+    Info.Term_ = Term;
+    AgentEffects Told;
+    onAgentMessage(State_, Link, Info, Now_, Told);
+    collect(std::move(Told));
+    State_.NextCandidate_ = 0;
+    Now_ += 1601ms;
+    AgentEffects Out;
+    settle(State_, Now_, Out);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2:7000"), *Out.Dial_);
+  }
+
+  /// Guards against a new holder that waits for the next regular report.
+  void newHolderAtTheSameAddressIsReportedToAtOnce() {
+    connect();
+    Report_.reset();
+    cell::EntryInfo Info;
+    Info.HolderAddress_ = "10.0.0.1:7000";
+    Info.Term_ = Term + 1;
+    AgentEffects Out;
+    onAgentMessage(State_, Link, Info, Now_, Out);
+    collect(std::move(Out));
+    CPPUNIT_ASSERT(Report_);
+  }
+
   /// Guards against starts on an incarnation that was only seen in an answer.
   void answerOfANewIncarnationEndsStarts() {
     connect();
--- a/lib/site/tests/fakesite.h
+++ b/lib/site/tests/fakesite.h
@@ -74,6 +74,7 @@
   /// Adds a worker and starts its agent.
   void addWorker(const std::string &Host, const std::string &Domain,
                  double ClockRate);
+  AgentState &agent(const std::string &Host) { return Agents_.at(Host).State_; }
   FakeWorker &worker(const std::string &Host) { return Workers_.at(Host); }
   void startAgent(const std::string &Host);
   void killAgent(const std::string &Host);
--- a/lib/site/tests/sitetest.cpp
+++ b/lib/site/tests/sitetest.cpp
@@ -12,6 +12,8 @@
   CPPUNIT_TEST(stoppingHolderHandsOver);
   CPPUNIT_TEST(oneClaimAtATime);
   CPPUNIT_TEST(claimFencesTheEarlierHolder);
+  CPPUNIT_TEST(agentsFollowANewHolderAtOnce);
+  CPPUNIT_TEST(agentsAreToldOfLiveHostsOnly);
   CPPUNIT_TEST(jobIsKnownEverywhere);
   CPPUNIT_TEST(lostAnswersAcceptAJobOnce);
   CPPUNIT_TEST(refusedHostAppendsThroughAPeer);
@@ -62,6 +64,34 @@
     CPPUNIT_ASSERT(Site.holders()[0] != First);
   }
 
+  /// Guards against work that waits after a change of the holder: agents learn
+  /// of the new one from the host that they are connected to, not with their
+  /// next report.
+  void agentsFollowANewHolderAtOnce() {
+    FakeSite Site(3);
+    Site.addWorker("w0", "a", 1);
+    Site.run(3s);
+    Site.kill(Site.holders()[0]);
+    while (Site.holders().empty())
+      Site.run(10ms);
+    const EntryState &Holder = Site.entry(Site.holders()[0]);
+    Site.run(150ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Holder.Holder_->Workers_.size());
+    CPPUNIT_ASSERT(Holder.Holder_->Workers_.at("w0").Synced_);
+  }
+
+  /// Guards against a second or more spent on dialling hosts that are gone.
+  void agentsAreToldOfLiveHostsOnly() {
+    FakeSite Site(3);
+    Site.addWorker("w0", "a", 1);
+    Site.run(3s);
+    const std::string Gone = Site.holders()[0] == "e2" ? "e1" : "e2";
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Site.agent("w0").Hosts_.count(Gone));
+    Site.kill(Gone);
+    Site.run(3s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Site.agent("w0").Hosts_.count(Gone));
+  }
+
   /// Guards against tasks that run again: a record of the earlier holder that
   /// the store carries out after the new claim would say that they are done,
   /// and the new holder would not have read it.
