--- a/lib/site/src/agent.cpp
+++ b/lib/site/src/agent.cpp
@@ -38,7 +38,7 @@
 
 void dialNext(AgentState &State, core::TimePoint Now, AgentEffects &Out) {
   std::vector<std::string> Addresses = candidates(State);
-  // A host that has just fallen silent is not tried again before the others.
+  // A host that has just been lost is not tried again before the others.
   if (Addresses.size() > 1)
     Addresses.erase(
         std::remove(Addresses.begin(), Addresses.end(), State.LinkAddress_),
--- a/lib/site/src/entry.cpp
+++ b/lib/site/src/entry.cpp
@@ -26,6 +26,9 @@
 /// Tells the connected agents of a new holder, which needs their reports before
 /// it can start anything, and of the hosts to turn to when this one is gone.
 void tellAgents(EntryState &State, core::TimePoint Now, EntryEffects &Out) {
+  // Peers come and go by their beats.
+  if (State.View_.Term_ == State.Told_.Term_ && Now < State.NextBeat_)
+    return;
   cell::EntryInfo Info = infoFor(State, Now);
   if (Info.HolderAddress_.empty() ||
       (Info.Term_ == State.Told_.Term_ && Info.Hosts_ == State.Told_.Hosts_))
