--- a/lib/site/tests/fakesite.h
+++ b/lib/site/tests/fakesite.h
@@ -59,11 +59,8 @@
   /// Starts a host, or a new process of one that has ended.
   void start(const std::string &Host);
   void kill(const std::string &Host);
-  /// Asks a host to stop; drained tells when its process may end.
+  /// Asks a host to stop.
   void stop(const std::string &Host);
-  bool drained(const std::string &Host) const {
-    return isDrained(*Hosts_.at(Host));
-  }
   bool runs(const std::string &Host) const {
     return Hosts_.count(Host) + Agents_.count(Host) > 0;
   }
--- a/lib/site/tests/schedulestest.cpp
+++ b/lib/site/tests/schedulestest.cpp
@@ -45,8 +45,6 @@
     return history::describe(Run, history::checkSite(Run, Limits));
   }
 
-  std::size_t jobs() const { return Jobs_; }
-
   /// Faults that come without notice.
   void roughFault() {
     const std::string Entry = entryName(number(0, EntryHosts - 1));
