Accept a submission when its record is read

Cause: a submission was answered by its append alone, although the host had read the job's record and worked on it.

Change: reading the record answers the submission.

lostAnswersAcceptAJobOnce asserted that the caller has no answer while answers to appends are lost; that is what changes. It now asserts that the append is still being repeated then and ends once answers come, and that one copy is stored, as before. submissionIsAnsweredWithItsRecord fails without the change.

--- a/lib/site/src/callers.cpp
+++ b/lib/site/src/callers.cpp
@@ -258,14 +258,25 @@
   }
 }
 
-void onJobRecord(EntryState &State, const std::string &Job) {
-  for (auto &[Token, Call] : State.Calls_)
-    if (Call.Job_ == Job && Call.Append_ == 0 &&
-        Call.Request_.Kind_ == CallKind::Cancel) {
+void onJobRecord(EntryState &State, const std::string &Job, core::TimePoint Now,
+                 EntryEffects &Out) {
+  const Step At{State, Now, Out};
+  for (auto It = State.Calls_.begin(); It != State.Calls_.end();) {
+    WaitingCall &Call = It->second;
+    const CallKind Kind = Call.Request_.Kind_;
+    // What was read is durable, whatever became of the append's answer.
+    if (Call.Job_ == Job && Kind == CallKind::Submit) {
+      At.simple(Call.Request_, Job, ReplyKind::Accepted, "its record was read");
+      It = State.Calls_.erase(It);
+      continue;
+    }
+    if (Call.Job_ == Job && Call.Append_ == 0 && Kind == CallKind::Cancel) {
       Call.AnswerBy_ = Call.ArrivedAt_ + Call.Request_.Patience_ -
                        State.Settings_.Policy_.AnswerMargin_;
       Call.Append_ = append(State, Writer::Own, {jobs::JobCancelled{Job}});
     }
+    ++It;
+  }
 }
 
 } // namespace nutmegwell::site
--- a/lib/site/src/parts.h
+++ b/lib/site/src/parts.h
@@ -49,8 +49,10 @@
 void endCalls(EntryState &State, const store::AppendResult &Result,
               core::TimePoint Now, EntryEffects &Out);
 void expireCalls(EntryState &State, core::TimePoint Now, EntryEffects &Out);
-/// Answers calls that waited for the record of \p Job.
-void onJobRecord(EntryState &State, const std::string &Job);
+/// Answers submissions of \p Job and goes on with cancellations that waited for
+/// its record.
+void onJobRecord(EntryState &State, const std::string &Job, core::TimePoint Now,
+                 EntryEffects &Out);
 
 /// Returns true when \p Other was heard lately.
 bool isFresh(const EntryState &State, const Peer &Other, core::TimePoint Now);
--- a/lib/site/src/streams.cpp
+++ b/lib/site/src/streams.cpp
@@ -86,7 +86,7 @@
     noteClaim(State, ClaimBefore, TermBefore, InOrder, Now, Out);
   if (const auto *Job = std::get_if<jobs::JobAccepted>(&Stored.Value_)) {
     State.Accepted_.erase(Job->Job_);
-    onJobRecord(State, Job->Job_);
+    onJobRecord(State, Job->Job_, Now, Out);
   }
   // Pages come in the order of keys, so that this can follow its claim.
   if (State.View_.Settled_ == State.View_.Term_)
