--- a/lib/sched/src/guarantee.h
+++ b/lib/sched/src/guarantee.h
@@ -23,10 +23,10 @@
   std::size_t Owner_ = NoOwner;
 };
 
-/// The guaranteed blocks of a cell and who holds them, as virtual cells are
-/// bound to physical ones in HiveD (Zhao et al., OSDI 2020). A job is within
-/// its account's guarantee when it lies in blocks that are bound to the
-/// account; every other job borrows and may be preempted.
+/// The guaranteed blocks of a cell and who holds them, after the binding of
+/// cells in HiveD (Zhao et al., OSDI 2020). A job is within its account's
+/// guarantee when it lies in blocks that are bound to the account; every other
+/// job borrows and may be preempted.
 struct Guarantees {
   std::vector<Block> Blocks_;
   /// For each worker, the blocks on it.
