Wire both site roles in one place

Settings, log, loop, signals, seeds, metrics and the decoding of frames stood in both roles line for line. RoleProcess holds what a process of either role consists of, and three functions run it, take its seeds and take its frames. No behaviour changes; the lines that stood twice go.

--- a/lib/sitehost/src/agentrole.cpp
+++ b/lib/sitehost/src/agentrole.cpp
@@ -1,11 +1,6 @@
-#include "common.h"
-#include "control.h"
-#include "logwriter.h"
-#include "nutmegwell/aio/link.h"
 #include "nutmegwell/sitehost/roles.h"
 #include "nutmegwell/wire/cellbinary.h"
-#include "seedwatch.h"
-#include <csignal>
+#include "roleprocess.h"
 
 namespace nutmegwell::sitehost {
 
@@ -26,17 +21,16 @@
 public:
   AgentHost(const settings::Settings &Values, const SettingsReader &Reread,
             const std::function<AgentPorts(aio::Loop &)> &MakePorts)
-      : Values_(Values),
-        Log_(static_cast<std::size_t>(Values.count("log-queue")), All_),
-        Ports_(MakePorts(Loop_)),
-        Seeds_(Loop_, Reread, Log_, texts(Values.addresses("seeds")),
-               [this](std::vector<std::string> Seeds) {
-                 takeSeeds(std::move(Seeds));
+      : Process_(Values), Ports_(MakePorts(Process_.Loop_)),
+        Seeds_(Process_.Loop_, Reread, Process_.Log_,
+               texts(Values.addresses("seeds")),
+               [this](const std::vector<std::string> &Seeds) {
+                 takeSeeds(State_.Settings_, Seeds, Control_);
                }),
-        Links_(Loop_, aio::LinkLimits(), linkHandlers()),
-        State_(site::makeAgent(agentSettings(Values), Clock_.Now_())),
+        Links_(Process_.Loop_, aio::LinkLimits(), linkHandlers()),
+        State_(site::makeAgent(agentSettings(Values), Process_.Clock_.Now_())),
         Control_(
-            Clock_,
+            Process_.Clock_,
             [this](core::TimePoint Now, site::AgentEffects &Out) {
               site::settle(State_, Now, Out);
             },
@@ -44,22 +38,13 @@
 
   int run() {
     Notices_ = std::make_unique<aio::HttpServer>(
-        Loop_, addressOf(Values_.address("worker-listen")), aio::ServerLimits(),
+        Process_.Loop_, addressOf(Process_.Values_.address("worker-listen")),
+        aio::ServerLimits(),
         [this](net::HttpRequest Request, aio::Responder Respond) {
           onNotice(Request, Respond);
         });
-    Metrics_ = serveMetrics(Loop_, Values_, All_);
-    Loop_.onSignals({SIGTERM, SIGINT, SIGHUP},
-                    [this](int Signal) { onSignal(Signal); });
-    Log_.write({{"started",
-                 {{"role", "site-agent"},
-                  {"host", Values_.text("node")},
-                  {"process", std::to_string(State_.Settings_.Process_)}}}});
-    Seeds_.start(SeedLookInterval);
-    Control_.start();
-    Loop_.run();
-    Control_.stop();
-    Log_.write({{"stopped", {{"host", Values_.text("node")}}}});
+    runRole(Process_, "site-agent", State_.Settings_.Process_, Seeds_, Control_,
+            [this] { onStop(); });
     return 0;
   }
 
@@ -75,8 +60,8 @@
                 site::onLinkOpened(State_, Link, Now, Out);
               });
             },
-            [this](aio::LinkId Link, std::string Frame) {
-              onFrame(Link, std::move(Frame));
+            [this](aio::LinkId Link, const std::string &Frame) {
+              onFrame(Link, Frame);
             },
             [this](aio::LinkId Link) {
               if (Link != Link_)
@@ -87,14 +72,12 @@
             }};
   }
 
-  void onFrame(aio::LinkId Link, std::string Frame) {
-    auto Message = readFrame(Frame, All_);
-    if (!Message)
-      return Links_.close(Link);
-    Control_.post([this, Link, Message = *std::move(Message)](
-                      core::TimePoint Now, Effects &Out) {
-      site::onAgentMessage(State_, Link, Message, Now, Out);
-    });
+  void onFrame(aio::LinkId Link, const std::string &Frame) {
+    takeFrame(Process_, Links_, Link, Frame, Control_,
+              [this, Link](const cell::PeerMessage &Message,
+                           core::TimePoint Now, Effects &Out) {
+                site::onAgentMessage(State_, Link, Message, Now, Out);
+              });
   }
 
   /// The answer acknowledges the notice, so it waits until the control thread
@@ -118,11 +101,11 @@
   }
 
   void hand(Effects Out) {
-    Log_.write(std::move(Out.Decisions_));
+    Process_.Log_.write(std::move(Out.Decisions_));
     if (Out.Calls_.empty() && Out.Sends_.empty() && !Out.Dial_)
       return;
     auto Shared = std::make_shared<Effects>(std::move(Out));
-    Loop_.post([this, Shared] { carryOut(*Shared); });
+    Process_.Loop_.post([this, Shared] { carryOut(*Shared); });
   }
 
   void carryOut(Effects &Out) {
@@ -149,29 +132,14 @@
       Links_.close(Before);
   }
 
-  void onSignal(int Signal) {
-    if (Signal == SIGHUP)
-      return Seeds_.reload();
-    Loop_.stop();
-  }
-
-  void takeSeeds(std::vector<std::string> Seeds) {
-    Control_.post([this, Seeds = std::move(Seeds)](core::TimePoint, Effects &) {
-      State_.Settings_.Seeds_ = Seeds;
-    });
-  }
+  void onStop() { Process_.Loop_.stop(); }
 
-  const settings::Settings &Values_;
-  core::Clock Clock_ = core::bootClock();
-  metrics::Registry All_;
-  LogWriter Log_;
-  aio::Loop Loop_;
+  RoleProcess Process_;
   AgentPorts Ports_;
   // Traffic thread.
   SeedWatch Seeds_;
   aio::Links Links_;
   std::unique_ptr<aio::HttpServer> Notices_;
-  std::unique_ptr<aio::HttpServer> Metrics_;
   aio::LinkId Link_ = 0;
   // Control thread.
   site::AgentState State_;
--- a/lib/sitehost/src/entryrole.cpp
+++ b/lib/sitehost/src/entryrole.cpp
@@ -1,11 +1,6 @@
-#include "common.h"
-#include "control.h"
-#include "logwriter.h"
-#include "nutmegwell/aio/link.h"
 #include "nutmegwell/sitehost/roles.h"
 #include "nutmegwell/wire/cellbinary.h"
-#include "seedwatch.h"
-#include <csignal>
+#include "roleprocess.h"
 #include <map>
 
 namespace nutmegwell::sitehost {
@@ -31,18 +26,17 @@
 public:
   EntryHost(const settings::Settings &Values, const SettingsReader &Reread,
             const std::function<EntryPorts(aio::Loop &)> &MakePorts)
-      : Values_(Values),
-        Log_(static_cast<std::size_t>(Values.count("log-queue")), All_),
-        Ports_(MakePorts(Loop_)),
-        Seeds_(Loop_, Reread, Log_, texts(Values.addresses("seeds")),
-               [this](std::vector<std::string> Seeds) {
-                 takeSeeds(std::move(Seeds));
+      : Process_(Values), Ports_(MakePorts(Process_.Loop_)),
+        Seeds_(Process_.Loop_, Reread, Process_.Log_,
+               texts(Values.addresses("seeds")),
+               [this](const std::vector<std::string> &Seeds) {
+                 takeSeeds(State_.Settings_, Seeds, Control_);
                }),
-        Links_(Loop_, aio::LinkLimits(), linkHandlers()),
+        Links_(Process_.Loop_, aio::LinkLimits(), linkHandlers()),
         State_(site::makeEntry(entrySettings(Values), Ports_.Codec_,
-                               Clock_.Now_())),
+                               Process_.Clock_.Now_())),
         Control_(
-            Clock_,
+            Process_.Clock_,
             [this](core::TimePoint Now, site::EntryEffects &Out) {
               site::settle(State_, Now, wallNow(), Out);
               Ready_ = site::isReady(State_);
@@ -51,32 +45,22 @@
             [this](site::EntryEffects Out) { hand(std::move(Out)); }) {}
 
   int run() {
-    Links_.listen(addressOf(Values_.address("peers-listen")));
+    Links_.listen(addressOf(Process_.Values_.address("peers-listen")));
     aio::ServerLimits Limits;
     Callers_ = std::make_unique<aio::HttpServer>(
-        Loop_, addressOf(Values_.address("callers-listen")), Limits,
-        [this](net::HttpRequest Request, aio::Responder Respond) {
+        Process_.Loop_, addressOf(Process_.Values_.address("callers-listen")),
+        Limits, [this](net::HttpRequest Request, aio::Responder Respond) {
           onCall(std::move(Request), std::move(Respond));
         });
     Readiness_ = std::make_unique<aio::HttpServer>(
-        Loop_, addressOf(Values_.address("ready-listen")), Limits,
-        [this](net::HttpRequest, aio::Responder Respond) {
+        Process_.Loop_, addressOf(Process_.Values_.address("ready-listen")),
+        Limits, [this](net::HttpRequest, aio::Responder Respond) {
           net::HttpResponse Response;
           Response.Status_ = Ready_ ? 200 : 503;
           Respond(std::move(Response));
         });
-    Metrics_ = serveMetrics(Loop_, Values_, All_);
-    Loop_.onSignals({SIGTERM, SIGINT, SIGHUP},
-                    [this](int Signal) { onSignal(Signal); });
-    Log_.write({{"started",
-                 {{"role", "site-entry"},
-                  {"host", Values_.text("node")},
-                  {"process", std::to_string(State_.Settings_.Process_)}}}});
-    Seeds_.start(SeedLookInterval);
-    Control_.start();
-    Loop_.run();
-    Control_.stop();
-    Log_.write({{"stopped", {{"host", Values_.text("node")}}}});
+    runRole(Process_, "site-entry", State_.Settings_.Process_, Seeds_, Control_,
+            [this] { onStop(); });
     return 0;
   }
 
@@ -85,20 +69,18 @@
 
   aio::LinkHandlers linkHandlers() {
     return {[](aio::LinkId) {},
-            [this](aio::LinkId Link, std::string Frame) {
-              onFrame(Link, std::move(Frame));
+            [this](aio::LinkId Link, const std::string &Frame) {
+              onFrame(Link, Frame);
             },
             [this](aio::LinkId Link) { onClosed(Link); }};
   }
 
-  void onFrame(aio::LinkId Link, std::string Frame) {
-    auto Message = readFrame(Frame, All_);
-    if (!Message)
-      return Links_.close(Link);
-    Control_.post([this, Link, Message = *std::move(Message)](
-                      core::TimePoint Now, Effects &Out) {
-      site::onMessage(State_, Link, Message, Now, wallNow(), Out);
-    });
+  void onFrame(aio::LinkId Link, const std::string &Frame) {
+    takeFrame(Process_, Links_, Link, Frame, Control_,
+              [this, Link](const cell::PeerMessage &Message,
+                           core::TimePoint Now, Effects &Out) {
+                site::onMessage(State_, Link, Message, Now, wallNow(), Out);
+              });
   }
 
   void onClosed(aio::LinkId Link) {
@@ -127,13 +109,13 @@
 
   /// Hands the effects of a step to the traffic thread.
   void hand(Effects Out) {
-    Log_.write(std::move(Out.Decisions_));
+    Process_.Log_.write(std::move(Out.Decisions_));
     if (Out.Replies_.empty() && Out.Sends_.empty() && Out.SendsTo_.empty() &&
         Out.Appends_.empty() && Out.Reads_.empty() && Out.Newests_.empty() &&
         !Out.Question_)
       return;
     auto Shared = std::make_shared<Effects>(std::move(Out));
-    Loop_.post([this, Shared] { carryOut(*Shared); });
+    Process_.Loop_.post([this, Shared] { carryOut(*Shared); });
   }
 
   void carryOut(Effects &Out) {
@@ -170,7 +152,8 @@
     auto It = Responders_.find(Reply.Token_);
     if (It == Responders_.end())
       return;
-    All_.quantiles("nutmegwell_call_seconds", "Time to answer a caller",
+    Process_.All_
+        .quantiles("nutmegwell_call_seconds", "Time to answer a caller",
                    {{"outcome", site::name(Reply.Kind_)}})
         .observe(core::steadyClock().Now_() - It->second.ArrivedAt_,
                  core::steadyClock().Now_());
@@ -223,16 +206,15 @@
         });
   }
 
-  void onSignal(int Signal) {
-    if (Signal == SIGHUP)
-      return Seeds_.reload();
+  void onStop() {
     if (Stopping_) {
-      Log_.write({{"stopped_at_once",
-                   {{"in_flight", std::to_string(Callers_->inFlight())}}}});
-      return Loop_.stop();
+      Process_.Log_.write(
+          {{"stopped_at_once",
+            {{"in_flight", std::to_string(Callers_->inFlight())}}}});
+      return Process_.Loop_.stop();
     }
     Stopping_ = true;
-    StopAt_ = Clock_.Now_();
+    StopAt_ = Process_.Clock_.Now_();
     Control_.post([this](core::TimePoint, Effects &Out) {
       site::onStopAsked(State_, Out);
     });
@@ -247,18 +229,12 @@
     constexpr core::Duration BalancerNotices = std::chrono::milliseconds(2600);
     constexpr core::Duration KillMargin = std::chrono::milliseconds(500);
     constexpr core::Duration LookInterval = std::chrono::milliseconds(100);
-    const core::Duration Since = Clock_.Now_() - StopAt_;
+    const core::Duration Since = Process_.Clock_.Now_() - StopAt_;
     const bool Idle = Drained_ && Callers_->inFlight() == 0;
     if ((Idle && Since >= BalancerNotices) ||
-        Since >= Values_.duration("stop-grace") - KillMargin)
-      return Loop_.stop();
-    Loop_.after(LookInterval, [this] { watchDrain(); });
-  }
-
-  void takeSeeds(std::vector<std::string> Seeds) {
-    Control_.post([this, Seeds = std::move(Seeds)](core::TimePoint, Effects &) {
-      State_.Settings_.Seeds_ = Seeds;
-    });
+        Since >= Process_.Values_.duration("stop-grace") - KillMargin)
+      return Process_.Loop_.stop();
+    Process_.Loop_.after(LookInterval, [this] { watchDrain(); });
   }
 
   struct OpenCall {
@@ -266,18 +242,13 @@
     core::TimePoint ArrivedAt_;
   };
 
-  const settings::Settings &Values_;
-  core::Clock Clock_ = core::bootClock();
-  metrics::Registry All_;
-  LogWriter Log_;
-  aio::Loop Loop_;
+  RoleProcess Process_;
   EntryPorts Ports_;
   // Traffic thread.
   SeedWatch Seeds_;
   aio::Links Links_;
   std::unique_ptr<aio::HttpServer> Callers_;
   std::unique_ptr<aio::HttpServer> Readiness_;
-  std::unique_ptr<aio::HttpServer> Metrics_;
   std::map<std::string, aio::LinkId> Dialled_;
   std::map<site::CallToken, OpenCall> Responders_;
   site::CallToken NextToken_ = 1;
