Name the default times of settings and commands

They stood as literals in the tables of settings. Each is a constant with its unit and the page or sum that it rests on; values and ranges are the same.

--- a/lib/client/src/invocation.cpp
+++ b/lib/client/src/invocation.cpp
@@ -10,6 +10,14 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+namespace {
+
+/// Default of --timeout, as docs/callers.md states it; longer than the 20 s
+/// that a command asks an entry host to wait.
+constexpr seconds CallTimeout(30);
+
+} // namespace
+
 settings::SettingsSpecBuilder commandSettings(const std::string &Name,
                                               const std::string &Purpose,
                                               bool EntryRequired) {
@@ -19,7 +27,7 @@
   if (EntryRequired)
     Builder.required();
   Builder.flag("json", "prints JSON")
-      .duration("timeout", seconds(30), milliseconds(100), hours(24),
+      .duration("timeout", CallTimeout, milliseconds(100), hours(24),
                 "time for the answer of one entry host");
   return Builder;
 }
--- a/lib/client/src/jobcommands.cpp
+++ b/lib/client/src/jobcommands.cpp
@@ -19,6 +19,13 @@
 /// would be a loop on an entry host that does not wait.
 constexpr int MaxEarlyAnswers = 4;
 
+/// Default of --for, as docs/callers.md states it.
+constexpr minutes DefaultWait(10);
+/// Declared run time of a job that names none; a hint for the scheduler alone.
+constexpr minutes DeclaredTime(10);
+/// Longest run time that a job may declare, and longest wait for one.
+constexpr hours LongestJob(24 * 30);
+
 std::string formatIdLine(const model::Job &Job) {
   return core::toString(Job.Id_) + "\n";
 }
@@ -149,7 +156,7 @@
               "topology level within which all tasks must lie")
       .choice("class", {"urgent", "normal", "patient"}, "normal",
               "how soon the job should start")
-      .duration("declared", minutes(10), milliseconds(1), hours(24 * 30),
+      .duration("declared", DeclaredTime, milliseconds(1), LongestJob,
                 "run time that you expect; a hint");
   return {"submit", Builder.build(), runSubmit};
 }
@@ -160,7 +167,7 @@
       "Waits until a job has ended. Code 0: it finished; 1: it was "
       "refused; 4: it failed, was\ncancelled or has not ended in time.");
   Builder.arguments(1, 1, "JOB")
-      .duration("for", minutes(10), seconds(0), hours(24 * 30), "longest wait");
+      .duration("for", DefaultWait, seconds(0), LongestJob, "longest wait");
   return {"wait", Builder.build(), runWait};
 }
 
--- a/lib/settings/src/daemon.cpp
+++ b/lib/settings/src/daemon.cpp
@@ -9,6 +9,28 @@
 
 namespace {
 
+// Default times, as docs/design.md describes the protocol.
+
+/// Interval of the heartbeats on which the node states rest.
+constexpr seconds HeartbeatInterval(1);
+/// Two heartbeats may be lost, and half of one may be late.
+constexpr milliseconds SilentAfter(2500);
+/// Six heartbeats; the tasks of the node are lost from then on.
+constexpr seconds LapseAfter(6);
+/// Three times the 2 s after which a holder renews its claim.
+constexpr seconds CellLease(6);
+/// The start permit and the freshness of the holder's view of the log (1 s)
+/// must together stay within the 3 s in which a domain stops starting tasks.
+constexpr seconds StartPermit(2);
+/// Bound for the tasks of a worker that nobody reaches, in docs/design.md.
+constexpr seconds TaskLease(15);
+/// 4 appends a second for each writer, by the measurement in docs/design.md.
+constexpr milliseconds AppendInterval(250);
+/// Lets urgent work start within 5.7 s by preemption, see docs/operators.md.
+constexpr seconds CheckpointGrace(3);
+/// Latency objective of the burn report until an operator sets one.
+constexpr seconds ObjectiveLatency(1);
+
 void addPlace(SettingsSpecBuilder &Builder) {
   Builder
       .choice("role", {"entry", "agent"}, "",
@@ -54,27 +76,22 @@
 
 void addTimes(SettingsSpecBuilder &Builder) {
   Builder
-      .duration("heartbeat-interval", seconds(1), milliseconds(50), seconds(60),
-                "time between two heartbeats")
-      .duration("silent-after", milliseconds(2500), milliseconds(100),
-                minutes(5),
+      .duration("heartbeat-interval", HeartbeatInterval, milliseconds(50),
+                seconds(60), "time between two heartbeats")
+      .duration("silent-after", SilentAfter, milliseconds(100), minutes(5),
                 "a node that is silent for this long gets no new work")
-      .duration("lapse-after", seconds(6), milliseconds(200), minutes(10),
+      .duration("lapse-after", LapseAfter, milliseconds(200), minutes(10),
                 "a node that is silent for this long has lost its tasks")
-      .duration("cell-lease", seconds(6), milliseconds(200), minutes(10),
+      .duration("cell-lease", CellLease, milliseconds(200), minutes(10),
                 "validity of a cell's claim without renewal")
-      // The start permit and the freshness of the holder's view of the log
-      // (1 s) must together stay within the 3 s in which a domain stops
-      // starting tasks.
-      .duration("start-permit", seconds(2), milliseconds(100), seconds(2),
+      .duration("start-permit", StartPermit, milliseconds(100), StartPermit,
                 "validity of the permission to start tasks")
-      .duration("task-lease", seconds(15), seconds(1), minutes(10),
+      .duration("task-lease", TaskLease, seconds(1), minutes(10),
                 "validity of a running task without renewal")
-      .duration("append-interval", milliseconds(250), milliseconds(0),
-                seconds(1),
+      .duration("append-interval", AppendInterval, milliseconds(0), seconds(1),
                 "least time between two appends of renewals and request keys")
-      .duration("checkpoint-grace", seconds(3), milliseconds(0), minutes(10),
-                "time that a preempted task has for a checkpoint")
+      .duration("checkpoint-grace", CheckpointGrace, milliseconds(0),
+                minutes(10), "time that a preempted task has for a checkpoint")
       .shorter("heartbeat-interval", "silent-after")
       .shorter("heartbeat-interval", "start-permit")
       .shorter("silent-after", "lapse-after");
@@ -86,8 +103,8 @@
       .count("max-connections", 256, 1, 65536, "connections served at one time")
       .count("max-queue", 4096, 16, 1 << 20,
              "events that may wait for the control thread")
-      .duration("objective-latency", seconds(1), milliseconds(1), hours(24),
-                "burn report: a slower answer counts as an error")
+      .duration("objective-latency", ObjectiveLatency, milliseconds(1),
+                hours(24), "burn report: a slower answer counts as an error")
       .count("objective-errors", 100, 1, 100000,
              "burn report: errors that the objective allows")
       .unit("errors per 100000 requests")
--- a/lib/sitehost/src/sitesettings.cpp
+++ b/lib/sitehost/src/sitesettings.cpp
@@ -6,6 +6,15 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
+namespace {
+
+/// The least of the longest holds on the users' sheets.
+constexpr seconds MaxHold(6);
+/// The grace period on the users' sheets.
+constexpr seconds StopGrace(6);
+
+} // namespace
+
 settings::SettingsSpec siteSettings() {
   settings::SettingsSpecBuilder Builder(
       "nutmegwelld", "Runs a role of nutmegwell on the users' platform.");
@@ -40,9 +49,9 @@
       .address("store-address", "address of the platform's store")
       .requiredWhen("role", "site-entry");
   Builder
-      .duration("max-hold", seconds(6), milliseconds(500), minutes(10),
+      .duration("max-hold", MaxHold, milliseconds(500), minutes(10),
                 "longest task lease that a worker accepts")
-      .duration("stop-grace", seconds(6), milliseconds(500), minutes(10),
+      .duration("stop-grace", StopGrace, milliseconds(500), minutes(10),
                 "time between the signal to stop and the kill")
       .count("remote-penalty", 3, 1, 1000,
              "how many times as long a task takes away from its data")
