--- a/lib/cell/tests/holdertest.cpp
+++ b/lib/cell/tests/holdertest.cpp
@@ -272,6 +272,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), Cell.View_.Workers_.count("lost"));
   }
 
+  /// Fails unless a new job waits for the store, which is away, and starts with
+  /// its return.
+  static void expectStartOnlyWithTheStore(FakeCell &Cell) {
+    Cell.accept("j", oneStep(1, {1000, 1000, 1}));
+    Cell.run(1s);
+    CPPUNIT_ASSERT(Cell.runsOf("j").empty());
+    Cell.StoreWorks_ = true;
+    onAppended(Cell.Holder_);
+    Cell.run(300ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("j").size());
+  }
+
   /// Guards against a start that a next holder would not know to be possible.
   void givenUpWorkerIsListedAgainBeforeItsNextStart() {
     FakeCell Cell;
@@ -281,13 +293,7 @@
     Cell.run(7s);
     CPPUNIT_ASSERT(voidWorkers(Cell.Holder_) == std::vector<std::string>{"w0"});
     Cell.Agents_["w0"].WorkerHeard_ = true;
-    Cell.accept("j", oneStep(1, {1000, 1000, 1}));
-    Cell.run(1s);
-    CPPUNIT_ASSERT(Cell.runsOf("j").empty());
-    Cell.StoreWorks_ = true;
-    onAppended(Cell.Holder_);
-    Cell.run(300ms);
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("j").size());
+    expectStartOnlyWithTheStore(Cell);
   }
 
   /// Guards against all jobs waiting for a worker whose runs are known: only
@@ -344,13 +350,7 @@
     CPPUNIT_ASSERT(Cell.View_.Workers_.at("w0").Closed_);
     Cell.Agents_["w0"] = Silent;
     Cell.StoreWorks_ = false;
-    Cell.accept("j", oneStep(1, {1000, 1000, 1}));
-    Cell.run(1s);
-    CPPUNIT_ASSERT(Cell.runsOf("j").empty());
-    Cell.StoreWorks_ = true;
-    onAppended(Cell.Holder_);
-    Cell.run(300ms);
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("j").size());
+    expectStartOnlyWithTheStore(Cell);
   }
 
   /// Guards against two runs: an agent's process that ends takes its starts
--- a/lib/site/tests/sitetest.cpp
+++ b/lib/site/tests/sitetest.cpp
@@ -30,6 +30,18 @@
   CPPUNIT_TEST(cancelOfAJobOnItsWayIsNotLost);
   CPPUNIT_TEST_SUITE_END();
 
+  /// Kills the holder of a site that has run for 2 s and waits for another.
+  /// Returns its writer, as it was.
+  static store::Appender replaceHolder(FakeSite &Site) {
+    Site.run(2s);
+    const std::string First = Site.holders()[0];
+    const store::Appender Writer = *Site.entry(First).HolderWriter_;
+    Site.kill(First);
+    Site.run(2500ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Site.holders().size());
+    return Writer;
+  }
+
   static bool has(const std::optional<ReplyKind> &Answer, ReplyKind Kind) {
     return Answer && *Answer == Kind;
   }
@@ -45,11 +57,7 @@
   /// claims of 0.3 s each.
   void killedHolderIsReplaced() {
     FakeSite Site(3);
-    Site.run(2s);
-    const std::string First = Site.holders()[0];
-    Site.kill(First);
-    Site.run(2500ms);
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Site.holders().size());
+    replaceHolder(Site);
   }
 
   /// Guards against a gap in service around a planned stop.
@@ -109,12 +117,7 @@
   /// and the new holder would not have read it.
   void claimFencesTheEarlierHolder() {
     FakeSite Site(3);
-    Site.run(2s);
-    const std::string First = Site.holders()[0];
-    const store::Appender Writer = *Site.entry(First).HolderWriter_;
-    Site.kill(First);
-    Site.run(2500ms);
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Site.holders().size());
+    const store::Appender Writer = replaceHolder(Site);
     const store::AppendOutcome Late = Site.Store_.append(
         {Writer.Producer_, Writer.Epoch_, Writer.NextSequence_, {}});
     CPPUNIT_ASSERT(Late.Status_ == store::AppendStatus::Fenced);
