Return whole milliseconds as a duration

wholeMilliseconds gave a bare integer. It returns std::chrono::milliseconds, and the encodings and log lines that need a number take its count.

--- a/lib/agent/src/runtime.cpp
+++ b/lib/agent/src/runtime.cpp
@@ -48,7 +48,7 @@
   Body.addValue("id", Task.Id_);
   Body.addValue("command", Task.Command_);
   Body.addValue("accelerators", Task.Accelerators_);
-  Body.addValue("lease_ms", core::wholeMilliseconds(Task.Lease_));
+  Body.addValue("lease_ms", core::wholeMilliseconds(Task.Lease_).count());
   Body.addValue("checkpoint", Task.Checkpoint_);
   return statusOf(post(Client, "/tasks", Body), "start", Peer);
 }
@@ -56,7 +56,7 @@
 absl::Status stopTask(net::HttpClient &Client, const std::string &Peer,
                       const StopTask &Task) {
   SerializationInfo Body;
-  Body.addValue("grace_ms", core::wholeMilliseconds(Task.Grace_));
+  Body.addValue("grace_ms", core::wholeMilliseconds(Task.Grace_).count());
   return statusOf(post(Client, "/tasks/" + Task.Id_ + "/stop", Body), "stop",
                   Peer);
 }
@@ -66,7 +66,7 @@
                                                    const ListTasks &Wanted) {
   for (const std::string &Id : Wanted.Renew_) {
     SerializationInfo Body;
-    Body.addValue("lease_ms", core::wholeMilliseconds(Wanted.Lease_));
+    Body.addValue("lease_ms", core::wholeMilliseconds(Wanted.Lease_).count());
     // A task that is gone shows in the listing below.
     post(Client, "/tasks/" + Id + "/renew", Body).IgnoreError();
   }
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -216,7 +216,8 @@
          {{"task", toString(New.Id_.Task_)},
           {"run", std::to_string(Run)},
           {"host", HostName},
-          {"slack_ms", std::to_string(core::wholeMilliseconds(Work.Slack_))},
+          {"slack_ms",
+           std::to_string(core::wholeMilliseconds(Work.Slack_).count())},
           {"view", std::to_string(Around_.View_.Next_)},
           {"tables", std::to_string(Around_.Tables_.Version_)}}});
     State_.Attempts_.emplace(New.Id_, std::move(New));
--- a/lib/cell/src/workers.cpp
+++ b/lib/cell/src/workers.cpp
@@ -119,10 +119,12 @@
           {"run", std::to_string(Id.Run_)},
           {"host", Run.Host_},
           {"percent", std::to_string(Run.Percent_)},
-          {"since_ms", std::to_string(core::wholeMilliseconds(Around.Now_ -
-                                                              Run.ChangedAt_))},
-          {"ordered_ms_ago", std::to_string(core::wholeMilliseconds(
-                                 Around.Now_ - Run.OrderedAt_))}}});
+          {"since_ms",
+           std::to_string(
+               core::wholeMilliseconds(Around.Now_ - Run.ChangedAt_).count())},
+          {"ordered_ms_ago",
+           std::to_string(core::wholeMilliseconds(Around.Now_ - Run.OrderedAt_)
+                              .count())}}});
   }
   for (const RunId &Id : Stalled) {
     Attempt &Run = State.Attempts_.at(Id);
--- a/lib/core/include/nutmegwell/core/time.h
+++ b/lib/core/include/nutmegwell/core/time.h
@@ -11,9 +11,10 @@
 /// Monotonic time of one process; never compared between processes.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
-/// Returns \p Value in whole milliseconds, for encodings and log lines.
-inline std::int64_t wholeMilliseconds(Duration Value) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+/// Returns \p Value in whole milliseconds, rounded towards zero, for encodings
+/// and log lines.
+inline std::chrono::milliseconds wholeMilliseconds(Duration Value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Value);
 }
 
 /// Source of the current time; a test fills it with its own clock.
--- a/lib/logclient/src/httplog.cpp
+++ b/lib/logclient/src/httplog.cpp
@@ -110,7 +110,7 @@
     Request.Path_ = Path;
     Request.Query_ =
         "from=" + std::to_string(From) + "&max=" + std::to_string(Max) +
-        "&wait_ms=" + std::to_string(core::wholeMilliseconds(Wait));
+        "&wait_ms=" + std::to_string(core::wholeMilliseconds(Wait).count());
     auto Answer = Reads->call(Request, Settings.Timeout_ + Wait);
     if (!Answer.ok())
       return Answer.status();
--- a/lib/metrics/src/burnjson.cpp
+++ b/lib/metrics/src/burnjson.cpp
@@ -21,8 +21,10 @@
 
 std::string formatBurn(const BurnReport &Report) {
   SerializationInfo Root;
-  Root.addValue("short_ms", core::wholeMilliseconds(Report.Windows_.Short_));
-  Root.addValue("long_ms", core::wholeMilliseconds(Report.Windows_.Long_));
+  Root.addValue("short_ms",
+                core::wholeMilliseconds(Report.Windows_.Short_).count());
+  Root.addValue("long_ms",
+                core::wholeMilliseconds(Report.Windows_.Long_).count());
   SerializationInfo &Rows = Root.addMember("rows");
   Rows.setCategory(SerializationInfo::Array);
   for (const BurnRow &Row : Report.Rows_) {
@@ -31,7 +33,7 @@
     Out.addValue("service", Row.Service_);
     Out.addValue("allowed_errors", Row.Objective_.AllowedErrors_);
     Out.addValue("latency_ms",
-                 core::wholeMilliseconds(Row.Objective_.Latency_));
+                 core::wholeMilliseconds(Row.Objective_.Latency_).count());
     addWindow(Out.addMember("short"), Row.Short_);
     addWindow(Out.addMember("long"), Row.Long_);
     Out.addValue("alert", Row.Alert_);
--- a/lib/site/tests/fakeworker.cpp
+++ b/lib/site/tests/fakeworker.cpp
@@ -25,7 +25,7 @@
 }
 
 void FakeWorker::restart(core::TimePoint Now) {
-  Born_ = core::wholeMilliseconds(Now.time_since_epoch());
+  Born_ = core::wholeMilliseconds(Now.time_since_epoch()).count();
   BornAt_ = Now_ = Now;
   Sequence_ = 0;
   Draining_ = DrainNoted_ = Hanging_ = false;
@@ -48,7 +48,7 @@
 WorkerTime FakeWorker::clockAt(core::TimePoint Now) const {
   return WorkerTime(static_cast<std::int64_t>(
       ClockRate_ *
-      static_cast<double>(core::wholeMilliseconds(Now - BornAt_))));
+      static_cast<double>(core::wholeMilliseconds(Now - BornAt_).count())));
 }
 
 Announcement FakeWorker::announce(core::TimePoint Now) {
--- a/tests/soak/platformworker.cpp
+++ b/tests/soak/platformworker.cpp
@@ -81,18 +81,19 @@
   net::HttpRequest Request;
   Request.Method_ = "PUT";
   Request.Path_ = "/executors/" + Name_;
-  Request.Body_ =
-      Json{{"service", "service"},
-           {"address", "127.0.0.1"},
-           {"zone", Domain_},
-           {"state", "ready"},
-           {"born", core::wholeMilliseconds(BornAt_.time_since_epoch())},
-           {"sequence", Sequence_},
-           {"clock_ms", clock()},
-           {"capacity",
-            {{"cpu", 64000}, {"mem_mb", 131072}, {"gpu", Accelerators}}},
-           {"labels", {"a", "rack-" + Domain_}}}
-          .dump();
+  Request.Body_ = Json{
+      {"service", "service"},
+      {"address", "127.0.0.1"},
+      {"zone", Domain_},
+      {"state", "ready"},
+      {"born", core::wholeMilliseconds(BornAt_.time_since_epoch()).count()},
+      {"sequence", Sequence_},
+      {"clock_ms", clock()},
+      {"capacity", {{"cpu", 64000}, {"mem_mb", 131072}, {"gpu", Accelerators}}},
+      {"labels",
+       {"a",
+        "rack-" +
+            Domain_}}}.dump();
   Agent_.call(std::move(Request), std::chrono::seconds(1),
               [](const absl::StatusOr<net::HttpResponse> &) {});
 }
@@ -113,8 +114,9 @@
                                            bool Late) {
   const Json Body = Json::parse(Request.Body_);
   const std::int64_t Now = clock();
-  Json Answer = {{"clock_ms", Now},
-                 {"born", core::wholeMilliseconds(BornAt_.time_since_epoch())}};
+  Json Answer = {
+      {"clock_ms", Now},
+      {"born", core::wholeMilliseconds(BornAt_.time_since_epoch()).count()}};
   auto Refuse = [&](const char *Reason) {
     Answer["reason"] = Reason;
     return reply(409, Answer);
@@ -190,10 +192,11 @@
   for (const End &Row : Ended_)
     Ended.push_back(
         {Row.Number_, Row.Key_.first, Row.Key_.second, Row.How_, ""});
-  return Json{{"clock_ms", clock()},
-              {"born", core::wholeMilliseconds(BornAt_.time_since_epoch())},
-              {"running", Running},
-              {"ended", Ended}}
+  return Json{
+      {"clock_ms", clock()},
+      {"born", core::wholeMilliseconds(BornAt_.time_since_epoch()).count()},
+      {"running", Running},
+      {"ended", Ended}}
       .dump();
 }
 
