--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -10,10 +10,13 @@
 
 constexpr int MaxAttempts = 3;
 constexpr int FailingRuns = 2;
+constexpr milliseconds FailingRun(10);
+/// Goes on over the takeover.
+constexpr milliseconds LastRun(6800);
 constexpr char Job[] = "5c0e7a21d94b36f8";
 constexpr char Body[] =
     R"({"task_spec":"scoring","steps":[{"count":1,"cpu":1000,"mem_mb":256,)"
-    R"("gpu":1,"estimated_duration_ms":1000}]})";
+    R"("gpu":1,"estimated_duration_ms":6800}]})";
 /// 60 times the 4 ms that an answer of the store usually takes.
 constexpr milliseconds SlowAnswer(240);
 constexpr milliseconds UsualAnswer(4);
@@ -35,8 +38,8 @@
   const std::string Progress = std::string("p/") + Job;
   auto Plan = [&Starts](const std::string &, const std::string &,
                         const std::string &) {
-    return ++Starts <= FailingRuns ? RunPlan{milliseconds(30), true}
-                                   : RunPlan{milliseconds(1000), false};
+    return ++Starts <= FailingRuns ? RunPlan{FailingRun, true}
+                                   : RunPlan{LastRun, false};
   };
   Cluster Site(Log, 3, 4, MaxAttempts, Plan);
   if (!Site.waitReady())
