Review: read TROUBLE in the scripts and keep only cases in folders

Cause: the scripts left TROUBLE to the programs they start, and the folder of the stand-ins looked like a case. Change: run.sh reads TROUBLE and passes it on; the stand-ins lie in review/.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,7 +1,7 @@
 // Another writer sends one announcement of a service that the configuration
 // does not name to an agent whose executor runs a task.
 
-#include "../standins/cluster.h"
+#include "../cluster.h"
 #include <thread>
 
 using namespace review;
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,7 +1,7 @@
 // A task fails twice, both failures are recorded in one append, and the holder
 // is killed before it can acknowledge them.
 
-#include "../standins/cluster.h"
+#include "../cluster.h"
 #include <thread>
 
 using namespace review;
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for Source in review/standins/*.cpp; do
+for Source in review/*.cpp; do
   g++ -std=c++17 -O1 -Wall -Wextra -c "$Source" \
     -o "target/review/$(basename "$Source" .cpp).o" &
 done
--- a/review/standins/cluster.cpp
+++ b/review/cluster.cpp
@@ -330,15 +330,15 @@
   constexpr int Broken = 1;
   constexpr int CouldNotRun = 2;
   std::signal(SIGPIPE, SIG_IGN);
-  if (Argc < 2) {
-    std::cerr << "usage: " << Argv[0] << " FOLDER\n";
+  const std::string Disruption = Argc == 3 ? Argv[2] : "";
+  if (Disruption != "with" && Disruption != "without") {
+    std::cerr << "usage: " << Argv[0] << " FOLDER with|without\n";
     return CouldNotRun;
   }
   Record Log(Argv[1]);
-  const char *Trouble = std::getenv("TROUBLE");
   int Code = CouldNotRun;
   try {
-    const auto Result = Case(Log, !Trouble || std::string(Trouble) != "0");
+    const auto Result = Case(Log, Disruption == "with");
     if (Result)
       Code = *Result ? Held : Broken;
   } catch (const std::exception &Error) {
--- a/review/standins/cluster.h
+++ b/review/cluster.h
@@ -76,9 +76,9 @@
   std::vector<Node> Nodes_;
 };
 
-/// Runs \p Case with the folder of the case and whether the disruption is
-/// wanted, and turns its result into an exit code: whether the rule held, or
-/// nothing when the case could not run.
+/// Runs \p Case and turns its result into an exit code: whether the rule held,
+/// or nothing when the case could not run. The arguments are the folder of the
+/// case and whether it runs with or without its disruption.
 int runCase(int Argc, char **Argv,
             const std::function<std::optional<bool>(Record &, bool)> &Case);
 
