Verify an announced process before it becomes the worker

The worker got no work any more.

Cause: the agent took every announcement with a later `born` for a new incarnation of its worker. It discarded the lists of runs, and the holder gave the runs up ("the worker restarted"). The logs of agent and holder show these lines in one millisecond; the run was neither missing from a listing nor was its lease over, which rules out the other two ways of giving up a run. The service and the address of an announcement are no evidence: another writer can name any, and in the case the address was the worker's own.

Change: an announced process is a candidate. The agent asks the process at the worker's address, under the announced id; a refusal for another id or another `born` rejects the candidate, any other response makes it the worker. The known worker stays until then. A process is told apart by id and `born`, and the service of a known process cannot change. An unanswered call is repeated, and at most 4 candidates are kept for 2 s.

--- a/lib/site/include/nutmegwell/site/agent.h
+++ b/lib/site/include/nutmegwell/site/agent.h
@@ -51,6 +51,11 @@
   core::Duration LateMargin_ = std::chrono::milliseconds(150);
   /// Longest lease that a worker accepts.
   core::Duration MaxLease_ = std::chrono::seconds(6);
+  /// A process that has announced itself and could not be verified for this
+  /// long is forgotten. Workers announce themselves every 1.5 s.
+  core::Duration CandidateLifetime_ = std::chrono::seconds(2);
+  /// Maximum number of announced processes that are verified at a time.
+  std::size_t MaxCandidates_ = 4;
 };
 
 struct AgentSettings {
@@ -90,12 +95,18 @@
   core::Term Term_ = 0;
 };
 
+/// Asks the process at the worker's address whether it is the incarnation that
+/// the call is meant for. Changes nothing there but the highest term.
+struct IdentityCall {
+  core::Term Term_ = 0;
+};
+
 /// A call for the driver to make to the worker.
 struct WorkerCall {
   WorkerCallId Id_ = 0;
   /// Worker incarnation that the call is meant for; others refuse it.
   std::string WorkerId_;
-  std::variant<PollCall, StartCall, StopCall, PaceCall> Body_;
+  std::variant<PollCall, StartCall, StopCall, PaceCall, IdentityCall> Body_;
   core::Duration Timeout_{0};
 };
 
@@ -194,6 +205,19 @@
   /// A newer incarnation has responded to a call but not announced itself yet.
   bool Superseded_ = false;
 
+  /// A process that has announced itself and is not known to be the worker.
+  struct Candidate {
+    WorkerAnnouncement Announcement_;
+    core::TimePoint ReceivedAt_{};
+    /// Newest identity call, or 0 before the first.
+    WorkerCallId Call_ = 0;
+    core::TimePoint NextCallAt_{};
+  };
+  std::vector<Candidate> Candidates_;
+  /// Id and incarnation of the newest rejected candidate, whose repeated
+  /// announcements are not logged.
+  std::pair<std::string, std::int64_t> Rejected_;
+
   /// Connection to an entry host.
   std::uint64_t Link_ = 0;
   bool LinkOpen_ = false;
@@ -228,6 +252,9 @@
 
 /// Applies a worker's announcement, which the driver acknowledges afterwards.
 /// Once a draining worker has the acknowledgement, no start is sent to it.
+/// An announcement can come from another writer, so a new process becomes the
+/// worker only when the process at the worker's address confirms that it is the
+/// announced one.
 void onWorkerAnnounced(AgentState &State,
                        const WorkerAnnouncement &Announcement,
                        core::TimePoint Now, AgentEffects &Out);
--- a/lib/site/src/agent.cpp
+++ b/lib/site/src/agent.cpp
@@ -163,6 +163,7 @@
   fencePending(State, Now, Out);
   repeatStarts(State, Now, Out);
   detectWorkerEnd(State, Out);
+  verifyCandidates(State, Now, Out);
   pollWorker(State, Now, Out);
   if (!State.LinkOpen_)
     return;
--- a/lib/site/src/agentworker.cpp
+++ b/lib/site/src/agentworker.cpp
@@ -149,15 +149,23 @@
 
 } // namespace
 
-void callWorker(AgentState &State, decltype(WorkerCall::Body_) Body,
-                core::Duration Timeout, AgentEffects &Out) {
+WorkerCallId callProcess(AgentState &State, const std::string &WorkerId,
+                         decltype(WorkerCall::Body_) Body,
+                         core::Duration Timeout, AgentEffects &Out) {
   WorkerCall Call;
   Call.Id_ = State.NextCallId_++;
-  Call.WorkerId_ = State.Worker_ ? State.Worker_->Id_ : "";
+  Call.WorkerId_ = WorkerId;
   Call.Body_ = std::move(Body);
   Call.Timeout_ = Timeout;
   State.Calls_[Call.Id_] = Call;
   Out.Calls_.push_back(std::move(Call));
+  return State.NextCallId_ - 1;
+}
+
+void callWorker(AgentState &State, decltype(WorkerCall::Body_) Body,
+                core::Duration Timeout, AgentEffects &Out) {
+  callProcess(State, State.Worker_ ? State.Worker_->Id_ : "", std::move(Body),
+              Timeout, Out);
 }
 
 std::optional<WorkerTime> workerClockAt(const AgentState &State,
@@ -168,36 +176,53 @@
                                          When - State.WorkerClock_->second);
 }
 
+bool maySucceedWorker(const AgentState &State, const cell::WorkerInfo &Info) {
+  const std::int64_t Known =
+      State.Worker_ ? State.Worker_->WorkerIncarnation_ : 0;
+  return Info.WorkerIncarnation_ > std::max(Known, State.EndedIncarnation_);
+}
+
+void adoptWorker(AgentState &State, const WorkerAnnouncement &Announcement,
+                 core::TimePoint ReceivedAt, AgentEffects &Out) {
+  resetWorker(State);
+  Out.LogEvents_.push_back(
+      {"worker_announced",
+       {{"worker", Announcement.Info_.Id_},
+        {"service", Announcement.Info_.Service_},
+        {"born", std::to_string(Announcement.Info_.WorkerIncarnation_)},
+        {"sequence", std::to_string(Announcement.Sequence_)}}});
+  State.ReportNeeded_ = true;
+  State.AnnouncedSequence_ = Announcement.Sequence_;
+  State.Worker_ = Announcement.Info_;
+  State.WorkerClock_ = {Announcement.WorkerClock_, ReceivedAt};
+}
+
 void onWorkerAnnounced(AgentState &State,
                        const WorkerAnnouncement &Announcement,
                        core::TimePoint Now, AgentEffects &Out) {
-  if (Announcement.Info_.WorkerIncarnation_ <= State.EndedIncarnation_)
+  const cell::WorkerInfo &Info = Announcement.Info_;
+  if (!State.Worker_ || State.Worker_->Id_ != Info.Id_ ||
+      State.Worker_->WorkerIncarnation_ != Info.WorkerIncarnation_) {
+    if (maySucceedWorker(State, Info))
+      addCandidate(State, Announcement, Now);
     return;
-  const bool NewIncarnation =
-      !State.Worker_ || State.Worker_->WorkerIncarnation_ !=
-                            Announcement.Info_.WorkerIncarnation_;
-  if (NewIncarnation && State.Worker_ &&
-      Announcement.Info_.WorkerIncarnation_ < State.Worker_->WorkerIncarnation_)
-    return;
-  if (!NewIncarnation && Announcement.Sequence_ <= State.AnnouncedSequence_)
+  }
+  if (Announcement.Sequence_ <= State.AnnouncedSequence_)
     return;
-  if (NewIncarnation) {
-    resetWorker(State);
-    Out.LogEvents_.push_back(
-        {"worker_announced",
-         {{"worker", Announcement.Info_.Id_},
-          {"born", std::to_string(Announcement.Info_.WorkerIncarnation_)},
-          {"sequence", std::to_string(Announcement.Sequence_)}}});
-  } else if (Announcement.Info_.Draining_ && !State.Worker_->Draining_) {
+  // A worker keeps its service until it ends.
+  if (Info.Service_ != State.Worker_->Service_)
+    return rejectAnnouncement(
+        State, Announcement,
+        "the worker belongs to the service " + State.Worker_->Service_, Out);
+  if (Info.Draining_ && !State.Worker_->Draining_) {
     Out.LogEvents_.push_back(
         {"worker_draining",
-         {{"worker", Announcement.Info_.Id_},
+         {{"worker", Info.Id_},
           {"sequence", std::to_string(Announcement.Sequence_)}}});
     State.ReportNeeded_ = true;
   }
-  State.ReportNeeded_ |= NewIncarnation;
   State.AnnouncedSequence_ = Announcement.Sequence_;
-  State.Worker_ = Announcement.Info_;
+  State.Worker_ = Info;
   State.WorkerClock_ = {Announcement.WorkerClock_, Now};
 }
 
@@ -245,6 +270,8 @@
     return;
   const WorkerCall Call = std::move(It->second);
   State.Calls_.erase(It);
+  if (std::holds_alternative<IdentityCall>(Call.Body_))
+    return onIdentityResponse(State, Call, Response, Out);
   const auto *Poll = std::get_if<PollCall>(&Call.Body_);
   if (Poll && Call.Id_ == State.PollInFlight_) {
     State.PollInFlight_ = 0;
--- a/lib/site/tests/agentfixture.h
+++ b/lib/site/tests/agentfixture.h
@@ -17,6 +17,7 @@
   std::optional<WorkerCall> Poll_;
   std::optional<WorkerCall> Start_;
   std::optional<WorkerCall> Stop_;
+  std::optional<WorkerCall> Identity_;
   std::optional<cell::AgentReport> Report_;
   std::uint64_t OrderSequence_ = 0;
 
@@ -29,14 +30,25 @@
         Start_ = Call;
       if (std::holds_alternative<StopCall>(Call.Body_))
         Stop_ = Call;
+      if (std::holds_alternative<IdentityCall>(Call.Body_))
+        Identity_ = Call;
     }
     for (cell::PeerMessage &Message : Out.Sends_)
       if (auto *Report = std::get_if<cell::AgentReport>(&Message))
         Report_ = *Report;
   }
 
+  /// Delivers an announcement of the process that runs at the worker's address.
   void announce(bool Draining, std::uint64_t Sequence,
                 std::int64_t Incarnation = 1) {
+    announceUnverified(Draining, Sequence, Incarnation);
+    if (Identity_)
+      respondToIdentity(Incarnation);
+  }
+
+  /// Delivers an announcement and leaves the identity call unanswered.
+  void announceUnverified(bool Draining, std::uint64_t Sequence,
+                          std::int64_t Incarnation) {
     WorkerAnnouncement Announcement;
     Announcement.Info_.Id_ = "worker-" + std::to_string(Incarnation);
     Announcement.Info_.WorkerIncarnation_ = Incarnation;
@@ -49,6 +61,19 @@
     collect(std::move(Out));
   }
 
+  void respondToIdentity(std::int64_t Incarnation,
+                         std::optional<cell::RefusalKind> Refusal = {}) {
+    WorkerResponse Response;
+    Response.Id_ = Identity_->Id_;
+    Response.Answered_ = true;
+    Response.Refusal_ = Refusal;
+    Response.WorkerIncarnation_ = Incarnation;
+    Identity_.reset();
+    AgentEffects Out;
+    onWorkerResponse(State_, Response, Now_, Out);
+    collect(std::move(Out));
+  }
+
   void respondToPoll(WorkerTime Clock, WorkerRuns Runs = {}) {
     WorkerResponse Response;
     Response.Id_ = Poll_->Id_;
--- a/lib/site/tests/agentworkertest.cpp
+++ b/lib/site/tests/agentworkertest.cpp
@@ -19,6 +19,11 @@
   CPPUNIT_TEST(resetStartIsNotSentAgainAtOnce);
   CPPUNIT_TEST(startIsNotSentAgainAfterAStop);
   CPPUNIT_TEST(startIsNotSentAgainToADrainingWorker);
+  CPPUNIT_TEST(announcementOfAnotherWriterKeepsTheWorker);
+  CPPUNIT_TEST(wrongIncarnationKeepsTheWorker);
+  CPPUNIT_TEST(firstWorkerIsVerified);
+  CPPUNIT_TEST(lostIdentityResponseIsAskedForAgain);
+  CPPUNIT_TEST(unverifiedProcessesAreForgotten);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -191,6 +196,101 @@
     respondToStart(false, 0ms);
     CPPUNIT_ASSERT_EQUAL(First, Start_->Id_);
   }
+
+  /// Connects an agent whose worker has one run.
+  void connectWithRun() {
+    connect();
+    Now_ += 1s;
+    collect({});
+    WorkerRuns Runs;
+    Runs.Running_.push_back({run(), "", 0, 0});
+    respondToPoll(151ms, Runs);
+  }
+
+  /// Delivers an announcement of the known process with another service.
+  void announceOtherService(std::uint64_t Sequence) {
+    WorkerAnnouncement Announcement;
+    Announcement.Info_ = *State_.Worker_;
+    Announcement.Info_.Service_ = "otherservice";
+    Announcement.Sequence_ = Sequence;
+    AgentEffects Out;
+    onWorkerAnnounced(State_, Announcement, Now_, Out);
+    collect(std::move(Out));
+    CPPUNIT_ASSERT_EQUAL(std::string("service"), State_.Worker_->Service_);
+  }
+
+  void assertWorkerIsKept() {
+    Now_ += 1s;
+    collect({});
+    CPPUNIT_ASSERT_EQUAL(std::string("worker-1"), Report_->Worker_->Id_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Report_->Running_.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("worker-1"), Poll_->WorkerId_);
+  }
+
+  /// Guards against two runs of a task: an announcement that another writer has
+  /// sent to this agent must not end the runs of its worker.
+  void announcementOfAnotherWriterKeepsTheWorker() {
+    connectWithRun();
+    announceUnverified(false, 1, 2);
+    assertWorkerIsKept();
+    respondToIdentity(1, cell::RefusalKind::OtherIncarnation);
+    assertWorkerIsKept();
+    CPPUNIT_ASSERT(State_.Candidates_.empty());
+  }
+
+  /// Guards against the same where the announcement has the id of the worker
+  /// and a wrong time of its start.
+  void wrongIncarnationKeepsTheWorker() {
+    connectWithRun();
+    announceUnverified(false, 1, 2);
+    respondToIdentity(1);
+    assertWorkerIsKept();
+    announceUnverified(false, 9, 1);
+    announceOtherService(10);
+    assertWorkerIsKept();
+  }
+
+  /// Guards against an agent that takes another process for its first worker.
+  void firstWorkerIsVerified() {
+    State_ = makeAgentState({}, Now_);
+    announceUnverified(false, 1, 2);
+    CPPUNIT_ASSERT(!State_.Worker_);
+    respondToIdentity(1, cell::RefusalKind::OtherIncarnation);
+    CPPUNIT_ASSERT(!State_.Worker_);
+    announce(false, 1, 1);
+    CPPUNIT_ASSERT_EQUAL(std::string("worker-1"), State_.Worker_->Id_);
+  }
+
+  /// Guards against a new worker that stays unknown because one response was
+  /// lost, or because it does nothing for the term of a restarted agent.
+  void lostIdentityResponseIsAskedForAgain() {
+    connectWithRun();
+    announceUnverified(false, 1, 2);
+    const WorkerCallId First = Identity_->Id_;
+    Now_ += Identity_->Timeout_;
+    WorkerResponse Lost;
+    Lost.Id_ = First;
+    AgentEffects Out;
+    onWorkerResponse(State_, Lost, Now_, Out);
+    collect(std::move(Out));
+    CPPUNIT_ASSERT(Identity_->Id_ != First);
+    respondToIdentity(0, cell::RefusalKind::Fenced);
+    CPPUNIT_ASSERT_EQUAL(std::string("worker-2"), State_.Worker_->Id_);
+    CPPUNIT_ASSERT(Report_->Running_.empty());
+  }
+
+  /// Guards against calls without end for processes that do not respond, and
+  /// against state that grows with the number of other writers.
+  void unverifiedProcessesAreForgotten() {
+    connectWithRun();
+    const std::int64_t Many = 50;
+    for (std::int64_t I = 2; I < Many; ++I)
+      announceUnverified(false, 1, I);
+    CPPUNIT_ASSERT(State_.Candidates_.size() <= 4);
+    Now_ += 2001ms;
+    collect({});
+    CPPUNIT_ASSERT(State_.Candidates_.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentWorkerTest);
--- a/lib/site/tests/fakeagents.cpp
+++ b/lib/site/tests/fakeagents.cpp
@@ -169,8 +169,9 @@
   }
   schedule(Call.Timeout_, [Respond, NoResponse] { Respond(NoResponse); });
   std::uniform_real_distribution<double> Share(0, 1);
-  const bool Late = !std::holds_alternative<PollCall>(Call.Body_) &&
-                    Share(Random_) < LateOrderShare_;
+  const bool Order = !std::holds_alternative<PollCall>(Call.Body_) &&
+                     !std::holds_alternative<IdentityCall>(Call.Body_);
+  const bool Late = Order && Share(Random_) < LateOrderShare_;
   const bool Lost =
       LostResponseShare_ > 0 && Share(Random_) < LostResponseShare_;
   const int Steps =
--- a/lib/site/tests/fakeworker.cpp
+++ b/lib/site/tests/fakeworker.cpp
@@ -90,13 +90,16 @@
 void FakeWorker::handleCall(const WorkerCall &Call, bool Late,
                             core::TimePoint Now, Responder Reply) {
   Now_ = Now;
-  if (std::holds_alternative<PollCall>(Call.Body_))
+  const bool Addressed = Call.WorkerId_.empty() || Call.WorkerId_ == Host_;
+  if (Addressed && std::holds_alternative<PollCall>(Call.Body_))
     return poll(Call, Now, std::move(Reply));
   WorkerResponse Response = makeResponse(Call, Now);
   const auto *Start = std::get_if<StartCall>(&Call.Body_);
   const auto *Stop = std::get_if<StopCall>(&Call.Body_);
-  if ((Start && !acceptsTerm(Start->Term_)) ||
-      (Stop && !acceptsTerm(Stop->Term_)))
+  if (!Addressed)
+    Response.Refusal_ = cell::RefusalKind::OtherIncarnation;
+  else if ((Start && !acceptsTerm(Start->Term_)) ||
+           (Stop && !acceptsTerm(Stop->Term_)))
     Response.Refusal_ = cell::RefusalKind::Fenced;
   else if (Start)
     start(*Start, Late, Response);
