Count each failed run of a task once across holders

Cause: the progress of a task names the newest run whose failure was counted. A worker lists an end until it is acknowledged, so the next holder gets the ends of both runs again; it recognized the newest and counted the other. The log of the second holder shows it: task_ended for runs 4000002 and 4000001 with expected=no, then job_failed with failures=3 in the same millisecond, while the third run was still going. A stopped or expired run counted as a failure would have needed an end of the third run before that line, which rules it out.

Change: the runs counted before the newest are recorded as well, in a record of their own (f/ID.OCCURRENCE.STEP) before the progress in the same append. It is written only for a step with a task that failed twice. A comparison of run numbers is not enough: the end of an earlier run can arrive after that of a later one, and counts. Gangs, whose members share a run, had the same fault.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -175,6 +175,9 @@
 /// Progress of a job as the holder knows it, ahead of the durable records.
 struct LiveJob {
   jobs::JobProgress Progress_;
+  std::map<jobs::StepPosition, jobs::EarlierFailures> EarlierFailures_;
+  /// Steps whose earlier failures have yet to be recorded.
+  std::set<jobs::StepPosition> FailuresToRecord_;
   /// Earliest time of the job's next attempt at any task.
   core::TimePoint NotBefore_{};
   /// When this holder first considered the job.
--- a/lib/cell/src/ends.cpp
+++ b/lib/cell/src/ends.cpp
@@ -96,16 +96,36 @@
   finishIfDone(State, Target, Out);
 }
 
+/// Counts the failure of a run and returns true, unless it is counted already:
+/// the holder that recorded it may have ended before it could acknowledge the
+/// end.
+bool countFailure(LiveJob &Live, jobs::TaskProgress &Task, const TaskId &Id,
+                  RunNumber Run) {
+  if (Task.FailedRun_ == Run)
+    return false;
+  if (Task.FailedRun_ != 0) {
+    const jobs::StepPosition Step{Id.Occurrence_, Id.Step_};
+    std::vector<RunNumber> &Earlier = Live.EarlierFailures_[Step][Id.Index_];
+    if (std::find(Earlier.begin(), Earlier.end(), Run) != Earlier.end())
+      return false;
+    Earlier.push_back(Task.FailedRun_);
+    Live.FailuresToRecord_.insert(Step);
+  }
+  ++Task.Failures_;
+  Task.FailedRun_ = Run;
+  return true;
+}
+
 void applyFailure(Holder &State, const EndTarget &Target, const RunId &Id,
                   core::TimePoint Now, Effects &Out) {
   if (Target.Step_.LongRunning_)
     return;
-  jobs::TaskProgress &Task =
-      Target.Progress_.Tasks_[Target.Step_.Gang_ ? 0 : Id.Task_.Index_];
-  if (Task.Done_ || Task.FailedRun_ == Id.Run_)
+  TaskId Counted = Id.Task_;
+  if (Target.Step_.Gang_)
+    Counted.Index_ = 0;
+  jobs::TaskProgress &Task = Target.Progress_.Tasks_[Counted.Index_];
+  if (Task.Done_ || !countFailure(Target.Live_, Task, Counted, Id.Run_))
     return;
-  ++Task.Failures_;
-  Task.FailedRun_ = Id.Run_;
   State.JobsToRecord_.insert(Id.Task_.Job_);
   Target.Live_.NotBefore_ = Now + State.Policy_.RetryBackoff_;
   if (Task.Failures_ < Target.Job_.Accepted_.MaxAttempts_)
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -255,6 +255,7 @@
   auto [It, Added] = State.Jobs_.try_emplace(Job.Accepted_.Job_);
   if (Added) {
     It->second.Progress_ = Job.Progress_;
+    It->second.EarlierFailures_ = Job.EarlierFailures_;
     It->second.WaitingSince_ = Now;
   }
   return It->second;
--- a/lib/cell/src/orders.cpp
+++ b/lib/cell/src/orders.cpp
@@ -143,6 +143,16 @@
   State.ListingsToRecord_.clear();
 }
 
+/// Adds the progress of a job, after the failures that it does not name.
+void addProgress(const std::string &Job, LiveJob &Live, Effects &Out) {
+  if (!jobs::isFinal(Live.Progress_.State_))
+    for (const jobs::StepPosition &Step : Live.FailuresToRecord_)
+      Out.Append_.push_back(jobs::FailuresCounted{Job, Step.first, Step.second,
+                                                  Live.EarlierFailures_[Step]});
+  Live.FailuresToRecord_.clear();
+  Out.Append_.push_back(jobs::JobProgressed{Job, Live.Progress_});
+}
+
 void acknowledgeEnds(Worker &Host, std::uint64_t UpTo) {
   if (UpTo <= Host.EndsDurable_)
     return;
@@ -160,7 +170,7 @@
   for (const std::string &Job : State.JobsToRecord_) {
     auto It = State.Jobs_.find(Job);
     if (It != State.Jobs_.end())
-      Out.Append_.push_back(jobs::JobProgressed{Job, It->second.Progress_});
+      addProgress(Job, It->second, Out);
   }
   State.JobsToRecord_.clear();
   if (!State.SettledRecordQueued_ &&
--- a/lib/cell/tests/takeovertest.cpp
+++ b/lib/cell/tests/takeovertest.cpp
@@ -1,4 +1,5 @@
 #include "fakecell.h"
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace nutmegwell;
@@ -14,6 +15,9 @@
   CPPUNIT_TEST(newHolderAdoptsRuns);
   CPPUNIT_TEST(emptyWorkerDelaysNoJob);
   CPPUNIT_TEST(closedWorkerDelaysOnlyItsTasks);
+  CPPUNIT_TEST(recordedFailuresAreCountedOnce);
+  CPPUNIT_TEST(recordedGangFailuresAreCountedOnce);
+  CPPUNIT_TEST(onlyRepeatedFailuresHaveARecord);
   CPPUNIT_TEST_SUITE_END();
 
   /// Lists the worker "lost", for which no agent reports, and accepts a job
@@ -27,7 +31,87 @@
     Cell.acceptJob("old", oneStep(1, {1000, 1000, 1}));
   }
 
+  /// Lets every run of a job fail, and returns the ends by host.
+  static std::map<std::string, EndedTask> failRuns(FakeCell &Cell,
+                                                   const std::string &Job) {
+    std::map<std::string, EndedTask> Ends;
+    for (const RunId &Run : Cell.runsOf(Job)) {
+      const std::string Host = Cell.hostOf(Run);
+      Cell.endRun(Run, EndKind::Failed);
+      Ends[Host] = Cell.Agents_[Host].Ended_.back();
+    }
+    // The next attempt starts after the backoff.
+    Cell.runFor(300ms);
+    return Ends;
+  }
+
+  /// Checks that a job with two failures of three goes on after a takeover at
+  /// which the workers list both again, and that the third one ends it.
+  static void checkRelistedFailures(const jobs::JobSpec &Spec) {
+    FakeCell Cell;
+    startCell(Cell, 6);
+    Cell.acceptJob("j", Spec);
+    Cell.advance();
+    const auto First = failRuns(Cell, "j");
+    const auto Second = failRuns(Cell, "j");
+    CPPUNIT_ASSERT(!First.empty() && !Second.empty());
+    const std::vector<RunId> Third = Cell.runsOf("j");
+    Cell.claimCell(Cell.Now_);
+    for (const auto &Ends : {First, Second})
+      for (const auto &[Host, End] : Ends)
+        Cell.Agents_[Host].Ended_.push_back(End);
+    Cell.runFor(1s);
+    CPPUNIT_ASSERT(Cell.stateOf("j") == jobs::JobState::Running);
+    CPPUNIT_ASSERT(Cell.runsOf("j") == Third);
+    failRuns(Cell, "j");
+    CPPUNIT_ASSERT(Cell.stateOf("j") == jobs::JobState::Failed);
+  }
+
 public:
+  /// Guards against a job that fails before its last attempt: a worker lists an
+  /// end again when the holder has recorded it and ends before the worker has
+  /// the acknowledgement.
+  void recordedFailuresAreCountedOnce() {
+    checkRelistedFailures(oneStep(1, {1000, 1000, 1}));
+  }
+
+  /// Guards against the same for a gang, whose members share a run.
+  void recordedGangFailuresAreCountedOnce() {
+    checkRelistedFailures(jobs::JobSpecBuilder()
+                              .command("c")
+                              .step(2, {1000, 1000, 8}, 2s)
+                              .gang()
+                              .build());
+  }
+
+  /// Guards against a record for each failure, and against progress that is
+  /// durable without the failures that it counts.
+  void onlyRepeatedFailuresHaveARecord() {
+    FakeCell Cell;
+    startCell(Cell, 3);
+    Cell.acceptJob("j", oneStep(2, {1000, 1000, 1}));
+    Cell.advance();
+    failRuns(Cell, "j");
+    auto IsFailure = [](const jobs::Record &Record) {
+      return std::holds_alternative<jobs::FailuresCounted>(Record);
+    };
+    CPPUNIT_ASSERT(
+        std::none_of(Cell.Records_.begin(), Cell.Records_.end(), IsFailure));
+    const RunId Repeated = Cell.runsOf("j")[0];
+    const RunNumber First =
+        Cell.View_.Jobs_.at("j").Progress_.find(0, 0)->Tasks_[0].FailedRun_;
+    Cell.endRun(Repeated, EndKind::Failed);
+    Cell.Records_.clear();
+    Cell.runFor(300ms);
+    CPPUNIT_ASSERT(Cell.Records_.size() >= 2);
+    const auto *Failures =
+        std::get_if<jobs::FailuresCounted>(&Cell.Records_[0]);
+    CPPUNIT_ASSERT(Failures);
+    CPPUNIT_ASSERT((Failures->Runs_ == jobs::EarlierFailures{{0, {First}}}));
+    CPPUNIT_ASSERT(
+        std::holds_alternative<jobs::JobProgressed>(Cell.Records_[1]));
+  }
+
   /// Guards against two runs of a task: another host may have claimed the cell
   /// and extended the lease since the store last confirmed the tenure.
   void expiredLeaseIsConfirmedBeforeItsRunsAreGivenUp() {
--- a/lib/jobs/include/nutmegwell/jobs/progress.h
+++ b/lib/jobs/include/nutmegwell/jobs/progress.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace nutmegwell::jobs {
@@ -53,13 +54,22 @@
   bool Done_ = false;
   /// Attempts that failed.
   std::uint32_t Failures_ = 0;
-  /// Newest run whose failure was counted. The members of a gang share a run,
+  /// Run whose failure was counted last. The members of a gang share a run,
   /// which counts once, at the first task.
   RunNumber FailedRun_ = 0;
   /// Newest checkpoint; empty for none.
   std::string Checkpoint_;
 };
 
+/// Runs of a step's tasks whose failures were counted before
+/// TaskProgress::FailedRun_, by the index of the task. A worker lists the end
+/// of a run until it has the acknowledgement, also to the next holder, and the
+/// ends of different runs arrive in any order.
+using EarlierFailures = std::map<std::uint32_t, std::vector<RunNumber>>;
+
+/// Occurrence and number of a step within its job.
+using StepPosition = std::pair<std::uint32_t, std::uint32_t>;
+
 /// Tasks of one step of one occurrence.
 struct StepProgress {
   std::vector<TaskProgress> Tasks_;
--- a/lib/jobs/include/nutmegwell/jobs/records.h
+++ b/lib/jobs/include/nutmegwell/jobs/records.h
@@ -32,6 +32,15 @@
   JobProgress Progress_;
 };
 
+/// Earlier failures of a step's tasks; replaces the record before it. Belongs
+/// to the job's progress, which comes after it in the same append.
+struct FailuresCounted {
+  std::string Job_;
+  std::uint32_t Occurrence_ = 0;
+  std::uint32_t Step_ = 0;
+  EarlierFailures Runs_;
+};
+
 /// The host that holds the cell from this record on. The term of its tenure is
 /// the record's offset plus one.
 struct CellClaimed {
@@ -66,7 +75,7 @@
 
 using Record =
     std::variant<JobAccepted, JobCancelled, JobProgressed, CellClaimed,
-                 WorkerListed, EntryHostListed, TenureSettled>;
+                 WorkerListed, EntryHostListed, TenureSettled, FailuresCounted>;
 
 /// Returns the key under which the store keeps the newest record of this kind.
 std::string keyOf(const Record &Value);
--- a/lib/jobs/include/nutmegwell/jobs/view.h
+++ b/lib/jobs/include/nutmegwell/jobs/view.h
@@ -15,6 +15,7 @@
   /// ones.
   core::Offset AcceptedAt_ = 0;
   JobProgress Progress_;
+  std::map<StepPosition, EarlierFailures> EarlierFailures_;
   bool CancelRequested_ = false;
 
   /// Returns the state to report to callers.
--- a/lib/jobs/src/records.cpp
+++ b/lib/jobs/src/records.cpp
@@ -14,6 +14,10 @@
   std::string operator()(const JobProgressed &Value) const {
     return "p/" + Value.Job_;
   }
+  std::string operator()(const FailuresCounted &Value) const {
+    return "f/" + Value.Job_ + "." + std::to_string(Value.Occurrence_) + "." +
+           std::to_string(Value.Step_);
+  }
   std::string operator()(const CellClaimed &) const { return "h"; }
   std::string operator()(const TenureSettled &) const { return "s"; }
   std::string operator()(const WorkerListed &Value) const {
--- a/lib/jobs/src/view.cpp
+++ b/lib/jobs/src/view.cpp
@@ -35,6 +35,11 @@
     State_.Jobs_[Value.Job_].Progress_ = Value.Progress_;
   }
 
+  void operator()(const FailuresCounted &Value) const {
+    State_.Jobs_[Value.Job_]
+        .EarlierFailures_[{Value.Occurrence_, Value.Step_}] = Value.Runs_;
+  }
+
   void operator()(const CellClaimed &Value) const {
     if (Offset_ + 1 <= State_.Term_)
       return;
--- a/lib/wire/src/cellfields.h
+++ b/lib/wire/src/cellfields.h
@@ -69,6 +69,10 @@
   Fields(V.Job_, V.Progress_);
 }
 
+template <class A> void serialize(A &Fields, FailuresCounted &V) {
+  Fields(V.Job_, V.Occurrence_, V.Step_, V.Runs_);
+}
+
 template <class A> void serialize(A &Fields, CellClaimed &V) {
   Fields(V.Host_, V.HolderIncarnation_, V.Held_);
 }
