Send announcements of other writers to the agents of the soak

Change: after a tenth of its announcements a worker's agent gets one of another id and service with a later `born`, drawn apart from the other faults of the seed. The worker refuses calls that are meant for another id (421).

--- a/tests/soak/platformworker.cpp
+++ b/tests/soak/platformworker.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds MaxLease(3000);
 constexpr double ClockRate = 0.98;
 constexpr std::uint32_t Accelerators = 8;
+/// Share of announcements that one of another writer follows.
+constexpr double OtherWriterShare = 0.1;
 
 net::HttpResponse jsonResponse(unsigned Status, const Json &Body) {
   net::HttpResponse Response;
@@ -39,7 +41,8 @@
                                std::string Domain, HistoryRecorder &History,
                                std::uint64_t Seed)
     : Loop_(Owner), Name_(std::move(Name)), Domain_(std::move(Domain)),
-      History_(History), Random_(Seed), StartedAt_(core::steadyClock().Now_()),
+      History_(History), Random_(Seed), OtherWriterRandom_(Seed + 1),
+      StartedAt_(core::steadyClock().Now_()),
       Incarnation_(std::chrono::time_point_cast<core::Duration>(
           std::chrono::system_clock::now())),
       Server_(Owner, Listen, aio::ServerLimits(),
@@ -78,28 +81,42 @@
 }
 
 void PlatformWorker::announce() {
+  sendAnnouncement(Name_, "service", Incarnation_);
+  std::uniform_real_distribution<double> Share(0, 1);
+  if (Share(OtherWriterRandom_) < OtherWriterShare)
+    sendAnnouncement("other-" + Name_, "otherservice",
+                     std::chrono::time_point_cast<core::Duration>(
+                         std::chrono::system_clock::now()));
+}
+
+void PlatformWorker::sendAnnouncement(const std::string &Id,
+                                      const std::string &Service,
+                                      jobs::WallTime Incarnation) {
   net::HttpRequest Request;
   Request.Method_ = "PUT";
-  Request.Path_ = "/executors/" + Name_;
-  Request.Body_ =
-      Json{{"service", "service"},
-           {"address", "127.0.0.1"},
-           {"zone", Domain_},
-           {"state", "ready"},
-           {"born",
-            core::wholeMilliseconds(Incarnation_.time_since_epoch()).count()},
-           {"sequence", Sequence_},
-           {"clock_ms", workerClock().count()},
-           {"capacity",
-            {{"cpu", 64000}, {"mem_mb", 131072}, {"gpu", Accelerators}}},
-           {"labels", {"a", "rack-" + Domain_}}}
-          .dump();
+  Request.Path_ = "/executors/" + Id;
+  Request.Body_ = Json{
+      {"service", Service},
+      {"address", "127.0.0.1"},
+      {"zone", Domain_},
+      {"state", "ready"},
+      {"born", core::wholeMilliseconds(Incarnation.time_since_epoch()).count()},
+      {"sequence", Sequence_},
+      {"clock_ms", workerClock().count()},
+      {"capacity", {{"cpu", 64000}, {"mem_mb", 131072}, {"gpu", Accelerators}}},
+      {"labels",
+       {"a",
+        "rack-" +
+            Domain_}}}.dump();
   Agent_.call(std::move(Request), std::chrono::seconds(1),
               [](const absl::StatusOr<net::HttpResponse> &) {});
 }
 
 void PlatformWorker::handle(const net::HttpRequest &Request,
                             const aio::Responder &Respond) {
+  const std::string Expected = Request.header("X-Nutmegwell-Expected-Instance");
+  if (!Expected.empty() && Expected != Name_)
+    return Respond(jsonResponse(421, {{"clock_ms", workerClock().count()}}));
   if (Request.Path_ == "/hold")
     return handlePoll(Request, Respond);
   std::uniform_real_distribution<double> Share(0, 1);
--- a/tests/soak/platformworker.h
+++ b/tests/soak/platformworker.h
@@ -33,6 +33,8 @@
 /// is acknowledged. A task's spec is its accelerator count, a space and its run
 /// time in milliseconds; "fail" before the run time makes the run fail. Orders
 /// can be delayed and left unanswered, see setDelayedOrderShare().
+/// Announcements of another writer reach its agent now and then; it refuses
+/// calls that are meant for another worker.
 class PlatformWorker {
 public:
   PlatformWorker(aio::Loop &Owner, const net::Address &Listen,
@@ -55,6 +57,8 @@
 
   void tick();
   void announce();
+  void sendAnnouncement(const std::string &Id, const std::string &Service,
+                        jobs::WallTime Incarnation);
   void handle(const net::HttpRequest &Request, const aio::Responder &Respond);
   net::HttpResponse handleOrder(const net::HttpRequest &Request, bool Delayed);
   void startRun(const RunKey &Key, const std::string &Spec, bool Delayed);
@@ -72,6 +76,8 @@
   std::string Domain_;
   HistoryRecorder &History_;
   std::mt19937_64 Random_;
+  /// Apart from Random_, so that the order faults of a seed stay the same.
+  std::mt19937_64 OtherWriterRandom_;
   std::atomic<double> DelayedOrderShare_{0};
   core::TimePoint StartedAt_;
   jobs::WallTime Incarnation_;
