Say what the new fields and checks rest on

Cause: a newcomer could not tell from LiveJob and JobEntry which failures the new maps hold, nor why a refusal confirms an announced id. No behaviour changes.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -175,6 +175,7 @@
 /// Progress of a job as the holder knows it, ahead of the durable records.
 struct LiveJob {
   jobs::JobProgress Progress_;
+  /// Failures that Progress_ counts and does not name, by step.
   std::map<jobs::StepPosition, jobs::EarlierFailures> EarlierFailures_;
   /// Steps whose earlier failures have yet to be recorded.
   std::set<jobs::StepPosition> FailuresToRecord_;
--- a/lib/cell/src/orders.cpp
+++ b/lib/cell/src/orders.cpp
@@ -143,7 +143,8 @@
   State.ListingsToRecord_.clear();
 }
 
-/// Adds the progress of a job, after the failures that it does not name.
+/// Adds the progress of a job to the append, and before it the failures that it
+/// counts and does not name.
 void addProgress(const std::string &Job, LiveJob &Live, Effects &Out) {
   if (!jobs::isFinal(Live.Progress_.State_))
     for (const jobs::StepPosition &Step : Live.FailuresToRecord_)
--- a/lib/jobs/include/nutmegwell/jobs/view.h
+++ b/lib/jobs/include/nutmegwell/jobs/view.h
@@ -15,6 +15,7 @@
   /// ones.
   core::Offset AcceptedAt_ = 0;
   JobProgress Progress_;
+  /// Failures that Progress_ counts and does not name, by step.
   std::map<StepPosition, EarlierFailures> EarlierFailures_;
   bool CancelRequested_ = false;
 
--- a/lib/site/src/agentidentity.cpp
+++ b/lib/site/src/agentidentity.cpp
@@ -8,16 +8,18 @@
 
 namespace {
 
-bool isOfProcess(const AgentState::Candidate &Candidate,
-                 const cell::WorkerInfo &Info) {
+/// Returns whether \p Info is of the process that the candidate stands for.
+bool isSameProcess(const AgentState::Candidate &Candidate,
+                   const cell::WorkerInfo &Info) {
   const cell::WorkerInfo &Known = Candidate.Announcement_.Info_;
   return Known.Id_ == Info.Id_ &&
          Known.WorkerIncarnation_ == Info.WorkerIncarnation_;
 }
 
 /// Returns why the process that has sent \p Response is not the candidate, or
-/// an empty string. A process checks the id before anything else, so that any
-/// other refusal confirms it; such a response need not contain the incarnation.
+/// an empty string. Every other process refuses the call as meant for another
+/// one, so that any other refusal confirms the id; such a response need not
+/// contain the incarnation.
 std::string mismatch(const AgentState::Candidate &Candidate,
                      const WorkerResponse &Response) {
   if (Response.Refusal_ == cell::RefusalKind::OtherIncarnation)
@@ -52,7 +54,7 @@
                   core::TimePoint Now) {
   auto It = std::find_if(State.Candidates_.begin(), State.Candidates_.end(),
                          [&](const AgentState::Candidate &Candidate) {
-                           return isOfProcess(Candidate, Announcement.Info_);
+                           return isSameProcess(Candidate, Announcement.Info_);
                          });
   if (It == State.Candidates_.end()) {
     if (State.Candidates_.size() >= State.Settings_.Policy_.MaxCandidates_)
