Probe a quarantined worker beside the tasks that last there

Cause: after a quarantine isSchedulable gave a worker work only while nothing ran there. Each worker ran a task that lasts until its job is cancelled, so that it was never tried again. A probe that lasts had the same effect. The check came once for each round of placement, so that the "one task at a time" was a worker full of them.

Evidence: the holder logged worker_rests for all workers within 190 ms and nothing in the 56 s after it, though the quarantines ended after 3 s and 12 s.

Change: only runs ordered after the quarantine are probes. A worker gets one task or gang as a probe beside what runs there; its result counts as open for 3 s, then the next may follow. A run that ends well or has run for 12 s ends the probation. Guaranteed work does not wait for probes. Log events worker_probed and worker_recovered show what was not visible.

Nothing stored or sent changes.

--- a/lib/cell/include/nutmegwell/cell/workerhealth.h
+++ b/lib/cell/include/nutmegwell/cell/workerhealth.h
@@ -13,6 +13,9 @@
   /// Length of the first quarantine; doubles with each further failure.
   core::Duration InitialQuarantine_ = std::chrono::seconds(3);
   core::Duration MaxQuarantine_ = std::chrono::seconds(12);
+  /// Time after which a probe that is still running no longer delays the next
+  /// one. As long as a run without progress is tolerated.
+  core::Duration ProbeTime_ = std::chrono::seconds(3);
   /// Time for which placement prefers other workers after a failure.
   core::Duration FailureMemory_ = std::chrono::seconds(10);
 };
@@ -22,8 +25,6 @@
   std::uint32_t ConsecutiveFailures_ = 0;
   core::TimePoint LastFailureAt_{};
   core::TimePoint QuarantinedUntil_{};
-  /// Set from the start of a quarantine until a run succeeds.
-  bool Probing_ = false;
 };
 
 /// Records a run that succeeded.
@@ -34,11 +35,25 @@
 bool recordFailure(WorkerHealth &Worker, const QuarantinePolicy &Policy,
                    core::TimePoint Now);
 
-/// Returns true when the worker may get new work; \p Running is the number of
-/// its current runs. After a quarantine the worker gets one task at a time
-/// until one succeeds.
-bool isSchedulable(const WorkerHealth &Worker, const QuarantinePolicy &Policy,
-                   std::size_t Running, core::TimePoint Now);
+/// Returns true while the worker gets no new work because it has failed.
+bool isQuarantined(const WorkerHealth &Worker, const QuarantinePolicy &Policy,
+                   core::TimePoint Now);
+
+/// Returns true from the start of a quarantine until a run succeeds. After the
+/// quarantine such a worker gets one probe at a time: a task, or a whole gang.
+bool isOnProbation(const WorkerHealth &Worker, const QuarantinePolicy &Policy);
+
+/// Returns true while a run that the worker got at \p OrderedAt is a probe
+/// whose result is open. A run from before the quarantine is no probe, since it
+/// may last for hours. So may a probe, which is why its result counts as open
+/// for a limited time. \p Listed tells whether the worker runs it already.
+bool isOpenProbe(const WorkerHealth &Worker, const QuarantinePolicy &Policy,
+                 core::TimePoint OrderedAt, bool Listed, core::TimePoint Now);
+
+/// Returns true when a run that the worker got at \p OrderedAt and still has
+/// shows that the worker no longer fails what it gets.
+bool isProofOfHealth(const WorkerHealth &Worker, const QuarantinePolicy &Policy,
+                     core::TimePoint OrderedAt, core::TimePoint Now);
 
 /// Returns the number of consecutive failures, or 0 when the last one is not
 /// recent.
--- a/lib/cell/src/ends.cpp
+++ b/lib/cell/src/ends.cpp
@@ -176,10 +176,15 @@
 
 void updateWorkerHealth(Holder &State, Worker &Host, const EndedTask &End,
                         core::TimePoint Now, Effects &Out) {
-  if (End.Kind_ == EndKind::Done)
+  if (End.Kind_ == EndKind::Done) {
+    if (isOnProbation(Host.Health_, State.Policy_.Quarantine_))
+      Out.LogEvents_.push_back({"worker_recovered",
+                                {{"host", Host.Host_},
+                                 {"task", toString(End.Id_.Task_)},
+                                 {"run", std::to_string(End.Id_.Run_)}}});
     recordSuccess(Host.Health_);
-  else if (End.Kind_ == EndKind::Failed &&
-           recordFailure(Host.Health_, State.Policy_.Quarantine_, Now))
+  } else if (End.Kind_ == EndKind::Failed &&
+             recordFailure(Host.Health_, State.Policy_.Quarantine_, Now))
     Out.LogEvents_.push_back(
         {"worker_rests",
          {{"host", Host.Host_},
--- a/lib/cell/src/holdersteps.h
+++ b/lib/cell/src/holdersteps.h
@@ -80,6 +80,9 @@
 /// Stops runs that make no progress.
 void stopStalled(Holder &State, const HolderContext &Context, Effects &Out);
 
+/// Ends the probation of workers on which a probe has run for long.
+void endProbations(Holder &State, core::TimePoint Now, Effects &Out);
+
 /// Slows best-effort runs down where they disturb serving runs.
 void adjustPaces(Holder &State, const HolderContext &Context, Effects &Out);
 
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -41,6 +41,7 @@
         addTarget(Host);
     for (const auto &[Id, Run] : State_.Runs_)
       subtractResources(Run);
+    collectOpenProbes();
   }
 
   void placeUnit(const Unit &Work) {
@@ -96,14 +97,16 @@
       return false;
     if (Context_.OutOfServiceDomains_.count(Host.Info_->FailureDomain_))
       return false;
-    return isSchedulable(Host.Health_, State_.Policy_.Quarantine_,
-                         runsOn(Host.Host_), Context_.Now_);
+    return !isQuarantined(Host.Health_, State_.Policy_.Quarantine_,
+                          Context_.Now_);
   }
 
-  std::size_t runsOn(const std::string &Host) const {
-    return static_cast<std::size_t>(std::count_if(
-        State_.Runs_.begin(), State_.Runs_.end(),
-        [&](const auto &Row) { return Row.second.Host_ == Host; }));
+  void collectOpenProbes() {
+    for (const auto &[Id, Run] : State_.Runs_)
+      if (isOpenProbe(State_.Workers_[Run.Host_].Health_,
+                      State_.Policy_.Quarantine_, Run.OrderedAt_,
+                      Run.State_ == RunState::Running, Context_.Now_))
+        ProbedHosts_.insert(Run.Host_);
   }
 
   void addTarget(const Worker &Host) {
@@ -203,12 +206,26 @@
     LiveJob &Live = State_.Jobs_.at(Work.Job_->Accepted_.Job_);
     for (std::uint32_t I = 0; I < Work.Count_; ++I)
       orderStart(Work, Work.Index_ + I, Run, Targets[Chosen[I]].Host_, Live);
+    for (std::size_t I : Chosen)
+      noteProbe(Targets[I].Host_, Work);
     if (Live.Progress_.State_ == jobs::JobState::Queued) {
       Live.Progress_.State_ = jobs::JobState::Running;
       State_.JobsToRecord_.insert(Work.Job_->Accepted_.Job_);
     }
   }
 
+  /// Keeps further work off a worker on probation that has just got \p Work.
+  void noteProbe(const std::string &HostName, const Unit &Work) {
+    if (!isOnProbation(State_.Workers_.at(HostName).Health_,
+                       State_.Policy_.Quarantine_) ||
+        !ProbedHosts_.insert(HostName).second)
+      return;
+    Out_.LogEvents_.push_back({"worker_probed",
+                               {{"host", HostName},
+                                {"job", Work.Job_->Accepted_.Job_},
+                                {"step", std::to_string(Work.Step_)}}});
+  }
+
   RunNumber nextRun() {
     /// Run numbers set aside for each term. Terms are log offsets, so that a
     /// longer tenure runs over into the numbers of terms that nobody holds.
@@ -280,8 +297,9 @@
   }
 
   /// Excludes the workers on which \p Work must not run: those without an
-  /// approval, that of the run of which it is a copy, and those where it leaves
-  /// headroom. Work runs on the rack of its data in any case.
+  /// approval, that of the run of which it is a copy, those with an open probe,
+  /// and those where it leaves headroom. Work runs on the rack of its data in
+  /// any case. Guaranteed work does not wait for the result of a probe.
   void excludeTargets(const Unit &Work, std::vector<PlacementTarget> &Targets) {
     const bool Approvals = needsApproval(Work);
     const bool LeavesHeadroom = leavesHeadroom(Work, Targets);
@@ -290,6 +308,7 @@
     for (PlacementTarget &Target : Targets) {
       Target.Excluded_ =
           Target.Host_ == Work.OriginalHost_ ||
+          (!Work.Guaranteed_ && ProbedHosts_.count(Target.Host_) > 0) ||
           (LeavesHeadroom && Target.Rack_ != Work.spec().DataRack_ &&
            KeptRacks.count(Target.Rack_) > 0);
       if (!Approvals)
@@ -444,6 +463,8 @@
   Unit LastUnplaced_;
   /// Accounts whose urgent work is guaranteed, once it has been looked up.
   std::optional<std::set<std::string>> WithinGuarantee_;
+  /// Workers with a probe whose result is open.
+  std::set<std::string> ProbedHosts_;
   /// Racks on which less urgent work leaves headroom, by service.
   std::map<std::string, std::set<std::string>> HeadroomRacks_;
   /// Mean declared work of the jobs of a queue, by queue.
--- a/lib/cell/src/workerhealth.cpp
+++ b/lib/cell/src/workerhealth.cpp
@@ -3,10 +3,7 @@
 
 namespace nutmegwell::cell {
 
-void recordSuccess(WorkerHealth &Worker) {
-  Worker.ConsecutiveFailures_ = 0;
-  Worker.Probing_ = false;
-}
+void recordSuccess(WorkerHealth &Worker) { Worker.ConsecutiveFailures_ = 0; }
 
 bool recordFailure(WorkerHealth &Worker, const QuarantinePolicy &Policy,
                    core::TimePoint Now) {
@@ -19,15 +16,30 @@
   Worker.QuarantinedUntil_ =
       Now + std::min(Policy.MaxQuarantine_,
                      Policy.InitialQuarantine_ * (1 << Doublings));
-  Worker.Probing_ = true;
   return true;
 }
 
-bool isSchedulable(const WorkerHealth &Worker, const QuarantinePolicy &Policy,
-                   std::size_t Running, core::TimePoint Now) {
-  if (Worker.ConsecutiveFailures_ < Policy.ConsecutiveFailures_)
-    return true;
-  return Now >= Worker.QuarantinedUntil_ && Running == 0;
+bool isQuarantined(const WorkerHealth &Worker, const QuarantinePolicy &Policy,
+                   core::TimePoint Now) {
+  return isOnProbation(Worker, Policy) && Now < Worker.QuarantinedUntil_;
+}
+
+bool isOnProbation(const WorkerHealth &Worker, const QuarantinePolicy &Policy) {
+  return Worker.ConsecutiveFailures_ >= Policy.ConsecutiveFailures_;
+}
+
+bool isOpenProbe(const WorkerHealth &Worker, const QuarantinePolicy &Policy,
+                 core::TimePoint OrderedAt, bool Listed, core::TimePoint Now) {
+  return isOnProbation(Worker, Policy) &&
+         OrderedAt >= Worker.QuarantinedUntil_ &&
+         (!Listed || Now - OrderedAt < Policy.ProbeTime_);
+}
+
+bool isProofOfHealth(const WorkerHealth &Worker, const QuarantinePolicy &Policy,
+                     core::TimePoint OrderedAt, core::TimePoint Now) {
+  return isOnProbation(Worker, Policy) &&
+         OrderedAt >= Worker.QuarantinedUntil_ &&
+         Now - OrderedAt >= Policy.MaxQuarantine_;
 }
 
 unsigned failureScore(const WorkerHealth &Worker,
--- a/lib/cell/src/workers.cpp
+++ b/lib/cell/src/workers.cpp
@@ -68,6 +68,12 @@
   return Now >= End && State.TenureConfirmedAt_ >= End;
 }
 
+/// Returns whether the state of the worker's runs is up to date.
+bool isReporting(const Holder &State, const Worker &Host, core::TimePoint Now) {
+  return Host.Connected_ && Host.Reachable_ &&
+         Now - Host.LastReportAt_ <= State.Policy_.SuspectAfter_;
+}
+
 } // namespace
 
 void expireLeases(Holder &State, const HolderContext &Context, Effects &Out) {
@@ -106,10 +112,8 @@
   std::vector<RunId> Stalled;
   for (const auto &[Id, Run] : State.Runs_) {
     const Worker &Host = State.Workers_[Run.Host_];
-    const bool Reporting =
-        Host.Connected_ && Host.Reachable_ &&
-        Context.Now_ - Host.LastReportAt_ <= State.Policy_.SuspectAfter_;
-    if (Run.State_ != RunState::Running || Run.LongRunning_ || !Reporting)
+    if (Run.State_ != RunState::Running || Run.LongRunning_ ||
+        !isReporting(State, Host, Context.Now_))
       continue;
     auto Job = Context.View_.Jobs_.find(Id.Task_.Job_);
     const std::uint32_t Members =
@@ -152,6 +156,21 @@
   }
 }
 
+void endProbations(Holder &State, core::TimePoint Now, Effects &Out) {
+  const QuarantinePolicy &Policy = State.Policy_.Quarantine_;
+  for (const auto &[Id, Run] : State.Runs_) {
+    Worker &Host = State.Workers_[Run.Host_];
+    if (Run.State_ != RunState::Running || !isReporting(State, Host, Now) ||
+        !isProofOfHealth(Host.Health_, Policy, Run.OrderedAt_, Now))
+      continue;
+    recordSuccess(Host.Health_);
+    Out.LogEvents_.push_back({"worker_recovered",
+                              {{"host", Run.Host_},
+                               {"task", toString(Id.Task_)},
+                               {"run", std::to_string(Id.Run_)}}});
+  }
+}
+
 void applyCancels(Holder &State, const HolderContext &Context, Effects &Out) {
   for (const auto &[Name, Job] : Context.View_.Jobs_) {
     if (!Job.CancelRequested_ || Job.Accepted_.Job_.empty() ||
--- a/lib/cell/tests/placementtest.cpp
+++ b/lib/cell/tests/placementtest.cpp
@@ -210,15 +210,17 @@
     WorkerHealth Worker;
     core::TimePoint Now(1000s);
     CPPUNIT_ASSERT(!recordFailure(Worker, Policy, Now));
-    CPPUNIT_ASSERT(isSchedulable(Worker, Policy, 5, Now));
+    CPPUNIT_ASSERT(!isQuarantined(Worker, Policy, Now));
+    CPPUNIT_ASSERT(!isOpenProbe(Worker, Policy, Now, true, Now));
     CPPUNIT_ASSERT(recordFailure(Worker, Policy, Now));
-    CPPUNIT_ASSERT(!isSchedulable(Worker, Policy, 0, Now + 2999ms));
-    CPPUNIT_ASSERT(isSchedulable(Worker, Policy, 0, Now + 3s));
-    CPPUNIT_ASSERT(!isSchedulable(Worker, Policy, 1, Now + 3s));
+    CPPUNIT_ASSERT(isQuarantined(Worker, Policy, Now + 2999ms));
+    CPPUNIT_ASSERT(!isQuarantined(Worker, Policy, Now + 3s));
+    CPPUNIT_ASSERT(isOpenProbe(Worker, Policy, Now + 3s, true, Now + 3s));
     recordFailure(Worker, Policy, Now + 3s);
-    CPPUNIT_ASSERT(!isSchedulable(Worker, Policy, 0, Now + 8s));
+    CPPUNIT_ASSERT(isQuarantined(Worker, Policy, Now + 8s));
     recordSuccess(Worker);
-    CPPUNIT_ASSERT(isSchedulable(Worker, Policy, 5, Now + 8s));
+    CPPUNIT_ASSERT(!isQuarantined(Worker, Policy, Now + 8s));
+    CPPUNIT_ASSERT(!isOpenProbe(Worker, Policy, Now + 8s, true, Now + 8s));
   }
 };
 
