Attribute failures on many workers to the job

Jobs that arrive then wait, those within a guarantee as well.

Cause: each failed run counted only against its worker. Two runs of one job, of many that fail at once on every worker, quarantined each of them. Runs that failed after their job had failed counted as well.

Change: failures are kept by step. A step that has failed on two workers or more, and on more workers than those where its runs succeeded or outlived the failed ones, speaks against its job; its failures do not count for quarantines. The verdict is derived anew at each step of the holder, so that it follows new evidence, and ends with the job; one that completes was never at fault. Runs of ended jobs do not count. Placement still prefers workers without recent failures of any kind.

Nothing stored or sent changes.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -232,6 +232,9 @@
   /// Earliest time of the next request, after one that got no answer.
   core::TimePoint NextApprovalRequestAt_{};
 
+  /// Outcomes of the steps of unfinished jobs.
+  std::map<JobStep, StepOutcomes> StepOutcomes_;
+
   /// Jobs whose progress has yet to be recorded.
   std::set<std::string> JobsToRecord_;
   /// Listing changes that have yet to be recorded, by host.
--- a/lib/cell/include/nutmegwell/cell/workerhealth.h
+++ b/lib/cell/include/nutmegwell/cell/workerhealth.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "nutmegwell/core/time.h"
-#include <cstdint>
+#include "nutmegwell/cell/stepoutcomes.h"
+#include <map>
 
 namespace nutmegwell::cell {
 
@@ -20,21 +20,43 @@
   core::Duration FailureMemory_ = std::chrono::seconds(10);
 };
 
+/// Failures of the runs of one step on one worker.
+struct StepFailures {
+  std::uint32_t Count_ = 0;
+  core::TimePoint LastAt_{};
+};
+
 /// Failure history of one worker.
 struct WorkerHealth {
-  std::uint32_t ConsecutiveFailures_ = 0;
+  /// Failures since the last success, by step. Those of no step in particular
+  /// are under an empty job: refused starts, and failures for jobs that have
+  /// ended.
+  std::map<JobStep, StepFailures> Failures_;
+  /// When any run last failed.
   core::TimePoint LastFailureAt_{};
+  /// Number of Failures_ that are not attributed to their jobs.
+  std::uint32_t ConsecutiveFailures_ = 0;
   core::TimePoint QuarantinedUntil_{};
 };
 
-/// Records a run that succeeded.
+/// Records a run that succeeded, or that showed otherwise that the worker is
+/// sound.
 void recordSuccess(WorkerHealth &Worker);
 
-/// Records a run that failed, did not start or made no progress. Returns true
-/// when the worker is quarantined because of it.
-bool recordFailure(WorkerHealth &Worker, const QuarantinePolicy &Policy,
+/// Records a run of \p Step that failed, did not start or made no progress. It
+/// has no effect on the quarantine before updateQuarantine.
+void recordFailure(WorkerHealth &Worker, const JobStep &Step,
                    core::TimePoint Now);
 
+/// Counts the failures that speak against the worker and quarantines it when
+/// there are enough; those of \p JobsAtFault do not count.
+void updateQuarantine(WorkerHealth &Worker, const QuarantinePolicy &Policy,
+                      const std::set<JobStep> &JobsAtFault);
+
+/// Closes the account of a step whose job has ended: its failures are forgotten
+/// when they are attributed to the job, and remain the worker's otherwise.
+void settleFailures(WorkerHealth &Worker, const JobStep &Step, bool JobAtFault);
+
 /// Returns true while the worker gets no new work because it has failed.
 bool isQuarantined(const WorkerHealth &Worker, const QuarantinePolicy &Policy,
                    core::TimePoint Now);
@@ -55,8 +77,8 @@
 bool isProofOfHealth(const WorkerHealth &Worker, const QuarantinePolicy &Policy,
                      core::TimePoint OrderedAt, core::TimePoint Now);
 
-/// Returns the number of consecutive failures, or 0 when the last one is not
-/// recent.
+/// Returns the number of failures since the last success, whatever they are
+/// attributed to, or 0 when the last one is not recent.
 unsigned failureScore(const WorkerHealth &Worker,
                       const QuarantinePolicy &Policy, core::TimePoint Now);
 
--- a/lib/cell/src/ends.cpp
+++ b/lib/cell/src/ends.cpp
@@ -175,20 +175,18 @@
 }
 
 void updateWorkerHealth(Holder &State, Worker &Host, const EndedTask &End,
-                        core::TimePoint Now, Effects &Out) {
-  if (End.Kind_ == EndKind::Done) {
-    if (isOnProbation(Host.Health_, State.Policy_.Quarantine_))
-      Out.LogEvents_.push_back({"worker_recovered",
-                                {{"host", Host.Host_},
-                                 {"task", toString(End.Id_.Task_)},
-                                 {"run", std::to_string(End.Id_.Run_)}}});
-    recordSuccess(Host.Health_);
-  } else if (End.Kind_ == EndKind::Failed &&
-             recordFailure(Host.Health_, State.Policy_.Quarantine_, Now))
-    Out.LogEvents_.push_back(
-        {"worker_rests",
-         {{"host", Host.Host_},
-          {"bad_ends", std::to_string(Host.Health_.ConsecutiveFailures_)}}});
+                        core::TimePoint OrderedAt, core::TimePoint Now,
+                        Effects &Out) {
+  if (End.Kind_ == EndKind::Failed)
+    noteFailure(State, Host, End.Id_.Task_, OrderedAt, Now);
+  if (End.Kind_ != EndKind::Done)
+    return;
+  if (isOnProbation(Host.Health_, State.Policy_.Quarantine_))
+    Out.LogEvents_.push_back({"worker_recovered",
+                              {{"host", Host.Host_},
+                               {"task", toString(End.Id_.Task_)},
+                               {"run", std::to_string(End.Id_.Run_)}}});
+  noteSuccess(State, Host, End.Id_.Task_);
 }
 
 } // namespace
@@ -209,9 +207,11 @@
                                {"number", std::to_string(End.Number_)},
                                {"expected", Known ? "yes" : "no"}}});
     const bool Gang = Known && It->second.Gang_;
+    const core::TimePoint OrderedAt =
+        Known ? It->second.OrderedAt_ : Context.Now_;
     if (Known)
       State.Runs_.erase(It);
-    updateWorkerHealth(State, Host, End, Context.Now_, Out);
+    updateWorkerHealth(State, Host, End, OrderedAt, Context.Now_, Out);
     applyEnd(State, End, Context, Out);
     if (Gang && End.Kind_ != EndKind::Done)
       stopGang(State, End.Id_, "a gang member ended", Context.Now_, Out);
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -199,7 +199,7 @@
     if (Refusal.Kind_ == RefusalKind::NoTicket)
       removeApproval(State, Refusal.Id_, Host.Host_);
     if (Refusal.Kind_ == RefusalKind::Unhealthy)
-      recordFailure(Host.Health_, State.Policy_.Quarantine_, Now);
+      recordFailure(Host.Health_, JobStep(), Now);
   }
 }
 
--- a/lib/cell/src/holderloop.cpp
+++ b/lib/cell/src/holderloop.cpp
@@ -18,6 +18,7 @@
   applyCancels(State, Context, Out);
   stopStalled(State, Context, Out);
   endProbations(State, Context.Now_, Out);
+  updateQuarantines(State, Context.Now_, Out);
   repeatStops(State, Context.Now_);
   adjustPaces(State, Context, Out);
   schedule(State, Context, Out);
--- a/lib/cell/src/holdersteps.h
+++ b/lib/cell/src/holdersteps.h
@@ -80,6 +80,17 @@
 /// Stops runs that make no progress.
 void stopStalled(Holder &State, const HolderContext &Context, Effects &Out);
 
+/// Records a run that failed or made no progress for its worker and its step.
+void noteFailure(Holder &State, Worker &Host, const TaskId &Task,
+                 core::TimePoint OrderedAt, core::TimePoint Now);
+
+/// Records a run that succeeded for its worker and its step.
+void noteSuccess(Holder &State, Worker &Host, const TaskId &Task);
+
+/// Attributes the failures of each step to its job or to the workers, and
+/// updates the quarantines of the workers.
+void updateQuarantines(Holder &State, core::TimePoint Now, Effects &Out);
+
 /// Ends the probation of workers on which a probe has run for long.
 void endProbations(Holder &State, core::TimePoint Now, Effects &Out);
 
--- a/lib/cell/src/workerhealth.cpp
+++ b/lib/cell/src/workerhealth.cpp
@@ -3,20 +3,48 @@
 
 namespace nutmegwell::cell {
 
-void recordSuccess(WorkerHealth &Worker) { Worker.ConsecutiveFailures_ = 0; }
+void recordSuccess(WorkerHealth &Worker) { Worker = {}; }
 
-bool recordFailure(WorkerHealth &Worker, const QuarantinePolicy &Policy,
+void recordFailure(WorkerHealth &Worker, const JobStep &Step,
                    core::TimePoint Now) {
-  ++Worker.ConsecutiveFailures_;
-  Worker.LastFailureAt_ = Now;
-  if (Worker.ConsecutiveFailures_ < Policy.ConsecutiveFailures_)
-    return false;
-  const std::uint32_t Doublings = std::min<std::uint32_t>(
-      Worker.ConsecutiveFailures_ - Policy.ConsecutiveFailures_, 8);
+  StepFailures &Failures = Worker.Failures_[Step];
+  ++Failures.Count_;
+  Failures.LastAt_ = Worker.LastFailureAt_ = Now;
+}
+
+void updateQuarantine(WorkerHealth &Worker, const QuarantinePolicy &Policy,
+                      const std::set<JobStep> &JobsAtFault) {
+  StepFailures Counted;
+  for (const auto &[Step, Failures] : Worker.Failures_) {
+    if (JobsAtFault.count(Step) > 0)
+      continue;
+    Counted.Count_ += Failures.Count_;
+    Counted.LastAt_ = std::max(Counted.LastAt_, Failures.LastAt_);
+  }
+  Worker.ConsecutiveFailures_ = Counted.Count_;
+  Worker.QuarantinedUntil_ = {};
+  if (!isOnProbation(Worker, Policy))
+    return;
+  /// Limits the shift; MaxQuarantine_ is reached earlier.
+  constexpr std::uint32_t MaxDoublings = 8;
+  const std::uint32_t Doublings =
+      std::min(Counted.Count_ - Policy.ConsecutiveFailures_, MaxDoublings);
   Worker.QuarantinedUntil_ =
-      Now + std::min(Policy.MaxQuarantine_,
-                     Policy.InitialQuarantine_ * (1 << Doublings));
-  return true;
+      Counted.LastAt_ + std::min(Policy.MaxQuarantine_,
+                                 Policy.InitialQuarantine_ * (1 << Doublings));
+}
+
+void settleFailures(WorkerHealth &Worker, const JobStep &Step,
+                    bool JobAtFault) {
+  auto It = Worker.Failures_.find(Step);
+  if (It == Worker.Failures_.end())
+    return;
+  if (!JobAtFault) {
+    StepFailures &Own = Worker.Failures_[JobStep()];
+    Own.Count_ += It->second.Count_;
+    Own.LastAt_ = std::max(Own.LastAt_, It->second.LastAt_);
+  }
+  Worker.Failures_.erase(It);
 }
 
 bool isQuarantined(const WorkerHealth &Worker, const QuarantinePolicy &Policy,
@@ -44,10 +72,12 @@
 
 unsigned failureScore(const WorkerHealth &Worker,
                       const QuarantinePolicy &Policy, core::TimePoint Now) {
-  if (Worker.ConsecutiveFailures_ == 0 ||
-      Now - Worker.LastFailureAt_ > Policy.FailureMemory_)
+  if (Now - Worker.LastFailureAt_ > Policy.FailureMemory_)
     return 0;
-  return Worker.ConsecutiveFailures_;
+  unsigned Sum = 0;
+  for (const auto &[Step, Failures] : Worker.Failures_)
+    Sum += Failures.Count_;
+  return Sum;
 }
 
 } // namespace nutmegwell::cell
--- a/lib/cell/src/workers.cpp
+++ b/lib/cell/src/workers.cpp
@@ -147,8 +147,8 @@
     TaskRun &Run = State.Runs_.at(Id);
     if (Run.State_ != RunState::Running)
       continue;
-    recordFailure(State.Workers_[Run.Host_].Health_, State.Policy_.Quarantine_,
-                  Context.Now_);
+    noteFailure(State, State.Workers_[Run.Host_], Id.Task_, Run.OrderedAt_,
+                Context.Now_);
     if (Run.Gang_)
       stopGang(State, Id, "no progress", Context.Now_, Out);
     else
--- a/lib/cell/tests/placementtest.cpp
+++ b/lib/cell/tests/placementtest.cpp
@@ -209,14 +209,19 @@
     const QuarantinePolicy Policy;
     WorkerHealth Worker;
     core::TimePoint Now(1000s);
-    CPPUNIT_ASSERT(!recordFailure(Worker, Policy, Now));
+    auto Fail = [&](core::TimePoint At) {
+      recordFailure(Worker, {"j", 0}, At);
+      updateQuarantine(Worker, Policy, {});
+      return isOnProbation(Worker, Policy);
+    };
+    CPPUNIT_ASSERT(!Fail(Now));
     CPPUNIT_ASSERT(!isQuarantined(Worker, Policy, Now));
     CPPUNIT_ASSERT(!isOpenProbe(Worker, Policy, Now, true, Now));
-    CPPUNIT_ASSERT(recordFailure(Worker, Policy, Now));
+    CPPUNIT_ASSERT(Fail(Now));
     CPPUNIT_ASSERT(isQuarantined(Worker, Policy, Now + 2999ms));
     CPPUNIT_ASSERT(!isQuarantined(Worker, Policy, Now + 3s));
     CPPUNIT_ASSERT(isOpenProbe(Worker, Policy, Now + 3s, true, Now + 3s));
-    recordFailure(Worker, Policy, Now + 3s);
+    Fail(Now + 3s);
     CPPUNIT_ASSERT(isQuarantined(Worker, Policy, Now + 8s));
     recordSuccess(Worker);
     CPPUNIT_ASSERT(!isQuarantined(Worker, Policy, Now + 8s));
