Judge a run without progress by what is known of its length

Cause: a run counted as stalled after 3 s while its percentage, a whole number, was below 1. The same happened to runs that a new holder adopted at any percentage, to runs that had resumed from a checkpoint, since the first change of their percentage was taken for their pace, and to best-effort runs that the holder itself had paused.

Change: stallTimeout decides over plain structs. The run's own pace between two changes of its percentage goes first, then that of other runs of the step, then the declared time; the time doubles with each stop of the same task. run_stalled says what the decision rests on. The decision moves to a file of its own, and the runs of a step are judged together, once for each step and not for each run of it.

Nothing stored or sent changes.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -5,6 +5,7 @@
 #include "nutmegwell/cell/messages.h"
 #include "nutmegwell/cell/pace.h"
 #include "nutmegwell/cell/preempt.h"
+#include "nutmegwell/cell/stall.h"
 #include "nutmegwell/cell/workerhealth.h"
 #include "nutmegwell/core/logevent.h"
 #include "nutmegwell/jobs/tables.h"
@@ -44,13 +45,6 @@
   core::Duration CloseAfter_ = std::chrono::milliseconds(3000);
   /// A stop order is sent again when the run is still listed after this time.
   core::Duration StopResendInterval_ = std::chrono::milliseconds(500);
-  /// Time without progress after which a run is stopped when its rate of
-  /// progress is not known.
-  core::Duration StallTimeout_ = std::chrono::milliseconds(3000);
-  /// A run at 100% may continue for this many times the time that it took to
-  /// get there. Declared times are off by up to 0.9 in the site files, so that
-  /// the real time can be several times as long.
-  int OverrunFactor_ = 3;
   /// Delay before the next attempt of a failed task, so that reports of a
   /// failing worker arrive before the next placement.
   core::Duration RetryBackoff_ = std::chrono::milliseconds(100);
@@ -78,6 +72,7 @@
   /// Maximum number of copies per hundred runs, so that copies do not crowd out
   /// first attempts.
   std::size_t CopiesPerHundred_ = 5;
+  StallPolicy Stall_;
   QuarantinePolicy Quarantine_;
   PacePolicy Pace_;
   ApprovalLimits Approval_;
@@ -128,6 +123,12 @@
   core::TimePoint ProgressedAt_{};
   core::TimePoint StopSentAt_{};
   double Percent_ = 0;
+  /// Percentage with which the run was first listed: not 0 when it resumed, or
+  /// was adopted.
+  double ListedPercent_ = 0;
+  /// When the percentage changed first, and to what.
+  std::optional<core::TimePoint> FirstChangeAt_;
+  double FirstChangePercent_ = 0;
   std::string Checkpoint_;
 };
 
--- a/lib/cell/include/nutmegwell/cell/stepoutcomes.h
+++ b/lib/cell/include/nutmegwell/cell/stepoutcomes.h
@@ -2,6 +2,7 @@
 
 #include "nutmegwell/core/time.h"
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <tuple>
@@ -24,6 +25,9 @@
   std::set<std::string> SucceededOn_;
   /// Longest time from the order to the failure of a run.
   core::Duration LongestFailure_{0};
+  /// Runs that were stopped as stalled, by the index of the task, or at 0 for a
+  /// gang.
+  std::map<std::uint32_t, unsigned> Stalls_;
   /// The failures were last attributed to the job.
   bool JobAtFault_ = false;
 };
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -124,7 +124,7 @@
   Run.State_ = RunState::Running;
   Run.OrderedAt_ = Context.Now_;
   Run.ProgressedAt_ = Context.Now_;
-  Run.Percent_ = Task.Percent_;
+  Run.Percent_ = Run.ListedPercent_ = Task.Percent_;
   Run.Checkpoint_ = Task.Checkpoint_;
   auto Entry = Context.View_.Jobs_.find(Task.Id_.Task_.Job_);
   const bool JobKnown =
@@ -162,6 +162,15 @@
     stopRun(State, It->second, "no known job needs the run", Context.Now_, Out);
 }
 
+void applyProgress(TaskRun &Run, double Percent, core::TimePoint Now) {
+  Run.Percent_ = Percent;
+  Run.ProgressedAt_ = Now;
+  if (Run.FirstChangeAt_)
+    return;
+  Run.FirstChangeAt_ = Now;
+  Run.FirstChangePercent_ = Percent;
+}
+
 void applyRunning(Holder &State, Worker &Host, const AgentReport &Report,
                   const HolderContext &Context, Effects &Out) {
   Host.HasOrphanRun_ = false;
@@ -175,11 +184,10 @@
     if (Run.State_ == RunState::Ordered) {
       Run.State_ = RunState::Running;
       Run.ProgressedAt_ = Context.Now_;
+      Run.Percent_ = Run.ListedPercent_ = Task.Percent_;
     }
-    if (Run.Percent_ != Task.Percent_) {
-      Run.Percent_ = Task.Percent_;
-      Run.ProgressedAt_ = Context.Now_;
-    }
+    if (Run.Percent_ != Task.Percent_)
+      applyProgress(Run, Task.Percent_, Context.Now_);
     Run.Checkpoint_ = Task.Checkpoint_;
     Run.Usage_ = Task.Usage_;
   }
--- a/lib/cell/src/holdersteps.h
+++ b/lib/cell/src/holdersteps.h
@@ -74,6 +74,9 @@
 /// Sends stop orders again for runs that are still listed.
 void repeatStops(Holder &State, core::TimePoint Now);
 
+/// Returns whether the state of the worker's runs is up to date.
+bool isReporting(const Holder &State, const Worker &Host, core::TimePoint Now);
+
 /// Drops the runs of workers whose leases have expired.
 void expireLeases(Holder &State, const HolderContext &Context, Effects &Out);
 
--- a/lib/cell/src/workers.cpp
+++ b/lib/cell/src/workers.cpp
@@ -5,62 +5,6 @@
 
 namespace {
 
-/// Reported progress of a run, or of a whole gang.
-struct RunProgress {
-  bool AllRunning_ = true;
-  core::TimePoint OrderedAt_ = core::TimePoint::max();
-  /// When any member last made progress.
-  core::TimePoint ProgressedAt_{};
-  /// Lowest percentage of the members.
-  double Percent_ = 100;
-};
-
-void addMember(RunProgress &Sum, const TaskRun &Run) {
-  Sum.AllRunning_ &= Run.State_ == RunState::Running;
-  Sum.OrderedAt_ = std::min(Sum.OrderedAt_, Run.OrderedAt_);
-  Sum.ProgressedAt_ = std::max(Sum.ProgressedAt_, Run.ProgressedAt_);
-  Sum.Percent_ = std::min(Sum.Percent_, Run.Percent_);
-}
-
-RunProgress progressOf(const Holder &State, const TaskRun &Run,
-                       std::uint32_t Members) {
-  RunProgress Sum;
-  if (!Run.Gang_) {
-    addMember(Sum, Run);
-    return Sum;
-  }
-  const TaskId &Task = Run.Id_.Task_;
-  std::uint32_t Present = 0;
-  for (auto It = State.Runs_.lower_bound(
-           {{Task.Job_, Task.Occurrence_, Task.Step_, 0}, 0});
-       It != State.Runs_.end() && It->first.Task_.Job_ == Task.Job_ &&
-       It->first.Task_.Occurrence_ == Task.Occurrence_ &&
-       It->first.Task_.Step_ == Task.Step_;
-       ++It, ++Present)
-    addMember(Sum, It->second);
-  Sum.AllRunning_ &= Present >= Members;
-  return Sum;
-}
-
-/// Returns how long a run or gang may show no progress before it counts as
-/// stalled.
-core::Duration stallTimeout(const HolderPolicy &Policy,
-                            const RunProgress &Progress) {
-  /// Percentages are rounded and can lag by one report, so that the time of
-  /// four percent without a change is not yet a stall.
-  constexpr int StallPercent = 4;
-  const core::Duration Worked = Progress.ProgressedAt_ - Progress.OrderedAt_;
-  if (Progress.Percent_ < 1 || Worked <= core::Duration(0))
-    return Policy.StallTimeout_;
-  // The percentage refers to the declared work, which is often far off. At 100
-  // only the time taken so far indicates how long the rest may take.
-  if (Progress.Percent_ >= 100)
-    return std::max(Policy.StallTimeout_, Worked * Policy.OverrunFactor_);
-  const core::Duration TimePerPercent(static_cast<std::int64_t>(
-      static_cast<double>(Worked.count()) / Progress.Percent_));
-  return std::max(Policy.StallTimeout_, TimePerPercent * StallPercent);
-}
-
 /// Returns whether the leases up to \p End have expired. Until the store
 /// confirms that no other host had claimed the cell by then, another holder may
 /// have extended them and handled their runs' ends.
@@ -68,14 +12,13 @@
   return Now >= End && State.TenureConfirmedAt_ >= End;
 }
 
-/// Returns whether the state of the worker's runs is up to date.
+} // namespace
+
 bool isReporting(const Holder &State, const Worker &Host, core::TimePoint Now) {
   return Host.Connected_ && Host.Reachable_ &&
          Now - Host.LastReportAt_ <= State.Policy_.SuspectAfter_;
 }
 
-} // namespace
-
 void expireLeases(Holder &State, const HolderContext &Context, Effects &Out) {
   for (auto &[Name, Host] : State.Workers_) {
     const bool Silent = !Host.Reachable_ || Context.Now_ - Host.LastReportAt_ >
@@ -108,54 +51,6 @@
   }
 }
 
-void stopStalled(Holder &State, const HolderContext &Context, Effects &Out) {
-  std::vector<RunId> Stalled;
-  for (const auto &[Id, Run] : State.Runs_) {
-    const Worker &Host = State.Workers_[Run.Host_];
-    if (Run.State_ != RunState::Running || Run.LongRunning_ ||
-        !isReporting(State, Host, Context.Now_))
-      continue;
-    auto Job = Context.View_.Jobs_.find(Id.Task_.Job_);
-    const std::uint32_t Members =
-        Job != Context.View_.Jobs_.end()
-            ? Job->second.Accepted_.Spec_.Steps_[Id.Task_.Step_].Count_
-            : 1;
-    const RunProgress Progress = progressOf(State, Run, Members);
-    const core::TimePoint StalledAt =
-        Progress.ProgressedAt_ + stallTimeout(State.Policy_, Progress);
-    if (!Progress.AllRunning_)
-      continue;
-    if (Context.Now_ < StalledAt) {
-      Out.WakeAt_ = std::min(Out.WakeAt_, StalledAt);
-      continue;
-    }
-    Stalled.push_back(Id);
-    Out.LogEvents_.push_back(
-        {"run_stalled",
-         {{"task", toString(Id.Task_)},
-          {"run", std::to_string(Id.Run_)},
-          {"host", Run.Host_},
-          {"percent", std::to_string(Run.Percent_)},
-          {"since_ms", std::to_string(core::wholeMilliseconds(Context.Now_ -
-                                                              Run.ProgressedAt_)
-                                          .count())},
-          {"ordered_ms_ago",
-           std::to_string(core::wholeMilliseconds(Context.Now_ - Run.OrderedAt_)
-                              .count())}}});
-  }
-  for (const RunId &Id : Stalled) {
-    TaskRun &Run = State.Runs_.at(Id);
-    if (Run.State_ != RunState::Running)
-      continue;
-    noteFailure(State, State.Workers_[Run.Host_], Id.Task_, Run.OrderedAt_,
-                Context.Now_);
-    if (Run.Gang_)
-      stopGang(State, Id, "no progress", Context.Now_, Out);
-    else
-      stopRun(State, Run, "no progress", Context.Now_, Out);
-  }
-}
-
 void endProbations(Holder &State, core::TimePoint Now, Effects &Out) {
   const QuarantinePolicy &Policy = State.Policy_.Quarantine_;
   for (const auto &[Id, Run] : State.Runs_) {
