Deny a job only with a view that is new enough

Cause: a job that the view lacked was denied, queries at once and cancellations after 300 ms, whether or not the view was new enough to know it.

Evidence: call_answered with outcome "unknown job" at the partitioned host, with a view below the offset of the job's record. Ruled out: a lost record; the host shows the job as soon as its peers have relayed it.

Change: a denial needs a read of the store that was sent after the call arrived and reached the end of the stream, by this host or by a peer whose records it has. A peer's read is dated by the heartbeat that it acknowledges. Until then the call waits; the job's record answers it, and without either shortly before the caller's timeout the outcome is unknown (504). Waiting calls make the next read return at once and replace a read that the store may hold, at most ten times a second and host. Queries had the same fault. UnknownJobWait_ is gone.

--- a/lib/site/include/nutmegwell/site/entry.h
+++ b/lib/site/include/nutmegwell/site/entry.h
@@ -68,9 +68,6 @@
   core::Duration MaxUnfinishedAppend_ = std::chrono::milliseconds(700);
   /// A caller is answered this long before its own timeout.
   core::Duration AnswerMargin_ = std::chrono::milliseconds(150);
-  /// A cancellation of an unknown job waits this long for the job's record,
-  /// which another host may just have appended.
-  core::Duration UnknownJobWait_ = std::chrono::milliseconds(300);
   AdmissionPolicy Admission_;
   store::AppendPolicy Append_;
   cell::HolderPolicy Holder_;
@@ -116,6 +113,8 @@
   /// Send time of the newest read while it has no response. Responses to
   /// earlier reads that it repeats may still arrive.
   std::optional<core::TimePoint> ReadSentAt_;
+  /// How long the store may wait for a record before it responds to that read.
+  core::Duration ReadWait_{0};
   core::TimePoint NextReadAt_{};
   /// Reads since the last response, the newest one excluded.
   unsigned UnansweredReads_ = 0;
@@ -156,7 +155,7 @@
   core::TimePoint ArrivedAt_{};
   core::TimePoint AnswerBy_{};
   /// Append whose outcome decides the reply, or 0 while the request waits for
-  /// the job's record.
+  /// the job's record, or for a view that shows that there is none.
   store::AppendToken AppendToken_ = 0;
 };
 
--- a/lib/site/src/callers.cpp
+++ b/lib/site/src/callers.cpp
@@ -125,13 +125,13 @@
                          State.Settings_.Policy_.Admission_);
 }
 
-void query(const CallContext &Context, const CallerRequest &Request,
+void query(const CallContext &Context, CallerRequest Request,
            const std::string &Job) {
   if (const jobs::JobEntry *Entry = findJob(Context.State_, Job))
     return Context.replyState(Request, Job, Entry->reportedState());
   if (Context.State_.UnreadAccepted_.count(Job))
     return Context.replyState(Request, Job, jobs::JobState::Queued);
-  Context.replyWith(Request, Job, ReplyKind::UnknownJob);
+  Context.addWaitingCall(std::move(Request), Job);
 }
 
 void cancel(const CallContext &Context, CallerRequest Request,
@@ -139,9 +139,7 @@
   EntryState &State = Context.State_;
   const jobs::JobEntry *Entry = findJob(State, Job);
   if (!Entry && !State.UnreadAccepted_.count(Job)) {
-    WaitingCall &Call = Context.addWaitingCall(std::move(Request), Job);
-    Call.AnswerBy_ = std::min(
-        Call.AnswerBy_, Context.Now_ + State.Settings_.Policy_.UnknownJobWait_);
+    Context.addWaitingCall(std::move(Request), Job);
     return;
   }
   if (Entry &&
@@ -252,7 +250,7 @@
     return submit(Context, std::move(Request), Job, *Queue,
                   Account ? Account->Name_ : "", Wall);
   case RequestKind::Query:
-    return query(Context, Request, Job);
+    return query(Context, std::move(Request), Job);
   case RequestKind::Cancel:
     return cancel(Context, std::move(Request), Job);
   }
@@ -282,6 +280,21 @@
   }
 }
 
+void denyUnknownJobs(EntryState &State, core::TimePoint Now,
+                     EntryEffects &Out) {
+  const CallContext Context{State, Now, Out};
+  const core::TimePoint CompleteAsOf = viewCompleteAsOf(State);
+  for (auto It = State.Calls_.begin(); It != State.Calls_.end();) {
+    const WaitingCall &Call = It->second;
+    if (Call.AppendToken_ != 0 || Call.ArrivedAt_ >= CompleteAsOf) {
+      ++It;
+      continue;
+    }
+    Context.replyWith(Call.Request_, Call.Job_, ReplyKind::UnknownJob);
+    It = State.Calls_.erase(It);
+  }
+}
+
 void expireCalls(EntryState &State, core::TimePoint Now, EntryEffects &Out) {
   const CallContext Context{State, Now, Out};
   refuseUnsentAppends(Context);
@@ -292,11 +305,10 @@
       ++It;
       continue;
     }
-    if (Call.AppendToken_ == 0)
-      Context.replyWith(Call.Request_, Call.Job_, ReplyKind::UnknownJob);
-    else
-      Context.replyWith(Call.Request_, Call.Job_, ReplyKind::OutcomeUnknown,
-                        "the outcome of the append is not known yet");
+    Context.replyWith(Call.Request_, Call.Job_, ReplyKind::OutcomeUnknown,
+                      Call.AppendToken_ == 0
+                          ? "this host's records may be outdated"
+                          : "the outcome of the append is not known yet");
     It = State.Calls_.erase(It);
   }
 }
@@ -314,13 +326,16 @@
       It = State.Calls_.erase(It);
       continue;
     }
+    if (Call.Job_ == Job && Kind == RequestKind::Query) {
+      Context.replyState(Call.Request_, Job,
+                         findJob(State, Job)->reportedState());
+      It = State.Calls_.erase(It);
+      continue;
+    }
     if (Call.Job_ == Job && Call.AppendToken_ == 0 &&
-        Kind == RequestKind::Cancel) {
-      Call.AnswerBy_ = Call.ArrivedAt_ + Call.Request_.Timeout_ -
-                       State.Settings_.Policy_.AnswerMargin_;
+        Kind == RequestKind::Cancel)
       Call.AppendToken_ =
           queueAppend(State, Writer::Own, {jobs::JobCancelled{Job}});
-    }
     ++It;
   }
 }
--- a/lib/site/src/entrysteps.h
+++ b/lib/site/src/entrysteps.h
@@ -65,6 +65,15 @@
 void onRelayedRecords(EntryState &State, const cell::RelayedRecords &Relayed,
                       core::TimePoint Now, EntryEffects &Out);
 
+/// Returns a time as of which the view contains every job that had been
+/// accepted, by this host's own reads or those of peers.
+core::TimePoint viewCompleteAsOf(const EntryState &State);
+/// Returns true when a caller waits to learn whether a job exists.
+bool waitsForView(const EntryState &State);
+/// Returns true when a read that was sent at \p SentAt is too old for a caller
+/// who waits to learn whether a job exists.
+bool needsRead(const EntryState &State, core::TimePoint SentAt);
+
 /// Returns why the cell needs a new holder, or an empty string.
 std::string vacancyReason(const EntryState &State, core::TimePoint Now);
 
@@ -76,6 +85,9 @@
 /// Answers the callers that wait for the finished append.
 void completeCalls(EntryState &State, const store::AppendResult &Result,
                    core::TimePoint Now, EntryEffects &Out);
+/// Answers callers who asked about jobs that do not exist, as the view shows by
+/// now.
+void denyUnknownJobs(EntryState &State, core::TimePoint Now, EntryEffects &Out);
 /// Answers callers whose timeout is near, and refuses those whose append cannot
 /// be sent for now.
 void expireCalls(EntryState &State, core::TimePoint Now, EntryEffects &Out);
--- a/lib/site/src/streams.cpp
+++ b/lib/site/src/streams.cpp
@@ -137,12 +137,13 @@
 }
 
 /// Returns how long the store may wait for a new record before it responds. A
-/// host that has yet to catch up, or that has lost the store, needs a response
-/// whether or not there are new records.
+/// host that has yet to catch up, that has lost the store, or whose callers
+/// wait for its view, needs a response whether or not there are new records.
 core::Duration readWait(const EntryState &State, store::Stream Which) {
   const EntryPolicy &Policy = State.Settings_.Policy_;
   const StreamState &Stream = streamOf(State, Which);
-  if (!Stream.Synced_ || Stream.ReadsFailing_)
+  if (!Stream.Synced_ || Stream.ReadsFailing_ ||
+      (Which == store::Stream::Cell && waitsForView(State)))
     return core::Duration(0);
   return needsStreamAtOnce(State, Which) ? Policy.HolderReadWait_
                                          : Policy.ReadWait_;
@@ -159,7 +160,7 @@
     return;
   const EntryPolicy &Policy = State.Settings_.Policy_;
   const core::TimePoint Overdue =
-      *Stream.ReadSentAt_ + readWait(State, Which) + Policy.ReadRepeatDelay_;
+      *Stream.ReadSentAt_ + Stream.ReadWait_ + Policy.ReadRepeatDelay_;
   if (Now < Overdue) {
     Out.WakeAt_ = std::min(Out.WakeAt_, Overdue);
     return;
@@ -172,6 +173,14 @@
                       Now, Out);
 }
 
+/// Stops waiting for a read that the store may hold for long, when a caller
+/// needs one that was sent later.
+void supersedeHeldRead(const EntryState &State, StreamState &Stream) {
+  if (Stream.ReadSentAt_ && Stream.ReadWait_ > core::Duration(0) &&
+      needsRead(State, *Stream.ReadSentAt_))
+    Stream.ReadSentAt_.reset();
+}
+
 } // namespace
 
 /// Applies the deletion of keys that the pages of newest records lack.
@@ -296,6 +305,8 @@
   for (store::Stream Which : {store::Stream::Operator, store::Stream::Cell}) {
     StreamState &Stream = streamOf(State, Which);
     abandonOverdueRead(State, Which, Now, Out);
+    if (Which == store::Stream::Cell && Now >= Stream.NextReadAt_)
+      supersedeHeldRead(State, Stream);
     if (Stream.ReadSentAt_)
       continue;
     if (Now < Stream.NextReadAt_) {
@@ -304,11 +315,12 @@
     }
     const EntryPolicy &Policy = State.Settings_.Policy_;
     Stream.ReadSentAt_ = Now;
+    Stream.ReadWait_ = readWait(State, Which);
     if (!needsStreamAtOnce(State, Which))
       Stream.NextReadAt_ = Now + Policy.ReadSpacing_;
     if (Stream.NextOffsetValid_)
-      Out.Reads_.push_back({Which, Stream.NextOffset_, Now,
-                            readWait(State, Which), Policy.ReadTimeout_});
+      Out.Reads_.push_back({Which, Stream.NextOffset_, Now, Stream.ReadWait_,
+                            Policy.ReadTimeout_});
     else
       Out.NewestReads_.push_back({Which, ""});
   }
--- a/lib/site/tests/sitetest.cpp
+++ b/lib/site/tests/sitetest.cpp
@@ -28,6 +28,10 @@
   CPPUNIT_TEST(droppedHistoryIsReadFromTheNewestRecords);
   CPPUNIT_TEST(allHostsRestartFromTheStoreAlone);
   CPPUNIT_TEST(cancelOfAnUnreadJobIsNotLost);
+  CPPUNIT_TEST(refusedHostCancelsAJobOfAnotherHost);
+  CPPUNIT_TEST(isolatedHostDeniesNoJob);
+  CPPUNIT_TEST(queryWaitsForAJobOfAnotherHost);
+  CPPUNIT_TEST(refusedHostDeniesUnknownJobs);
   CPPUNIT_TEST_SUITE_END();
 
   static bool has(const std::optional<ReplyKind> &Answer, ReplyKind Kind) {
@@ -369,6 +373,74 @@
     CPPUNIT_ASSERT(has(Site.replyKind(Cancel), ReplyKind::Cancelled));
     CPPUNIT_ASSERT(has(Site.replyKind(Unknown), ReplyKind::UnknownJob));
   }
+
+  /// Guards against a cancellation that is answered as if the job did not
+  /// exist, by a host that the store refuses; the job would run on.
+  void refusedHostCancelsAJobOfAnotherHost() {
+    FakeSite Site(3);
+    Site.run(2s);
+    for (int I = 0; I < 8; ++I) {
+      const std::string Job = "j" + std::to_string(I);
+      Site.Store_.RefusedHosts_ = {"e1"};
+      const CallToken Submit = Site.call("e0", RequestKind::Submit, Job);
+      while (!Site.replyKind(Submit))
+        Site.run(10ms);
+      const CallToken Cancel = Site.call("e1", RequestKind::Cancel, Job);
+      Site.run(3s);
+      CPPUNIT_ASSERT(has(Site.replyKind(Cancel), ReplyKind::Cancelled));
+      CPPUNIT_ASSERT(Site.entry("e0").View_.Jobs_.at(Job).CancelRequested_);
+      Site.Store_.RefusedHosts_.clear();
+      Site.run(1s);
+    }
+  }
+
+  /// Guards against a wrong answer of a host that reaches neither the store nor
+  /// its peers: it cannot know that a job does not exist.
+  void isolatedHostDeniesNoJob() {
+    FakeSite Site(3);
+    Site.run(2s);
+    Site.Store_.RefusedHosts_ = {"e1"};
+    Site.isolate("e1");
+    const CallToken Submit = Site.call("e0", RequestKind::Submit, "j");
+    Site.run(100ms);
+    CPPUNIT_ASSERT(has(Site.replyKind(Submit), ReplyKind::Accepted));
+    const CallToken Query = Site.call("e1", RequestKind::Query, "j");
+    const CallToken Cancel = Site.call("e1", RequestKind::Cancel, "j");
+    Site.run(3s);
+    CPPUNIT_ASSERT(has(Site.replyKind(Query), ReplyKind::OutcomeUnknown));
+    CPPUNIT_ASSERT(has(Site.replyKind(Cancel), ReplyKind::OutcomeUnknown));
+  }
+
+  /// Guards against a query that is answered as if the job did not exist, right
+  /// after its acceptance by another host.
+  void queryWaitsForAJobOfAnotherHost() {
+    FakeSite Site(3);
+    Site.run(2s);
+    Site.Store_.RefusedHosts_ = {"e1"};
+    for (int I = 0; I < 8; ++I) {
+      const std::string Job = "j" + std::to_string(I);
+      const CallToken Submit = Site.call("e0", RequestKind::Submit, Job);
+      while (!Site.replyKind(Submit))
+        Site.run(10ms);
+      const CallToken Query = Site.call("e1", RequestKind::Query, Job);
+      Site.run(2s);
+      CPPUNIT_ASSERT(has(Site.replyKind(Query), ReplyKind::State));
+    }
+  }
+
+  /// Guards against callers that are left in doubt: a host that the store
+  /// refuses learns from a peer's read that a job does not exist.
+  void refusedHostDeniesUnknownJobs() {
+    FakeSite Site(3);
+    Site.run(2s);
+    Site.Store_.RefusedHosts_ = {"e1"};
+    Site.run(1s);
+    const CallToken Query = Site.call("e1", RequestKind::Query, "none");
+    const CallToken Cancel = Site.call("e1", RequestKind::Cancel, "none");
+    Site.run(2s);
+    CPPUNIT_ASSERT(has(Site.replyKind(Query), ReplyKind::UnknownJob));
+    CPPUNIT_ASSERT(has(Site.replyKind(Cancel), ReplyKind::UnknownJob));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SiteTest);
