Follow a worker that began at an earlier time of day

Cause: maySucceedWorker took only a later `born` for a new process of the worker.

Evidence: workerIsUsedAfterItsClockWasSetBack, a site whose only worker restarts with a time of day one minute back: no run of a job in 1 s, and the agent drops each announcement.

Change: any other `born` is a candidate that the process at the worker's address has to confirm. One that is not later has to be stated by the answer; a refusal without it leaves the question open. Superseded_ follows any other incarnation.

Nothing stored or sent changes.

--- a/lib/site/include/nutmegwell/site/agent.h
+++ b/lib/site/include/nutmegwell/site/agent.h
@@ -198,11 +198,11 @@
   core::TimePoint LastResponseAt_{};
   /// Consecutive polls whose connection was refused.
   unsigned RefusedPolls_ = 0;
-  /// Newest incarnation of the worker whose process has ended, or 0. Its late
-  /// announcements are ignored.
+  /// Incarnation of the worker whose process was the last to end, or 0. Its
+  /// late announcements are ignored.
   std::int64_t EndedIncarnation_ = 0;
   bool WorkerUnreachable_ = false;
-  /// A newer incarnation has responded to a call but not announced itself yet.
+  /// Another incarnation has responded to a call but not announced itself yet.
   bool Superseded_ = false;
 
   /// A process that has announced itself and is not known to be the worker.
--- a/lib/site/src/agentidentity.cpp
+++ b/lib/site/src/agentidentity.cpp
@@ -17,9 +17,9 @@
 }
 
 /// Returns why the process that has sent \p Response is not the candidate, or
-/// an empty string. Every other process refuses the call as meant for another
-/// one, so that any other refusal confirms the id; such a response need not
-/// contain the incarnation.
+/// an empty string. Every process with another id refuses the call as meant for
+/// another one, so that any other refusal confirms the id; such a response need
+/// not contain the incarnation.
 std::string mismatch(const AgentState::Candidate &Candidate,
                      const WorkerResponse &Response) {
   if (Response.Refusal_ == cell::RefusalKind::OtherIncarnation)
@@ -98,6 +98,12 @@
                          });
   if (It == State.Candidates_.end() || !Response.Answered_)
     return;
+  // The id may be that of an earlier process whose announcement was delayed. A
+  // later start rules that out, but a host's time of day can be set back.
+  if (Response.WorkerIncarnation_ == 0 &&
+      Response.Refusal_ != cell::RefusalKind::OtherIncarnation &&
+      !beganLater(State, It->Announcement_.Info_))
+    return;
   const AgentState::Candidate Candidate = std::move(*It);
   State.Candidates_.erase(It);
   const std::string Reason = mismatch(Candidate, Response);
--- a/lib/site/src/agentsteps.h
+++ b/lib/site/src/agentsteps.h
@@ -37,10 +37,13 @@
 void adoptWorker(AgentState &State, const WorkerAnnouncement &Announcement,
                  core::TimePoint ReceivedAt, AgentEffects &Out);
 
-/// Returns whether the announced process may follow the known worker: it began
-/// later, and the end of its process is not known.
+/// Returns whether the announced process may follow the known worker: it is
+/// another one, and its end is not known.
 bool maySucceedWorker(const AgentState &State, const cell::WorkerInfo &Info);
 
+/// Returns whether the announced process began later than the known worker.
+bool beganLater(const AgentState &State, const cell::WorkerInfo &Info);
+
 /// Returns a lower bound of the worker's clock at \p When, if it runs no slower
 /// than the host's, or nothing before its first reading.
 std::optional<WorkerTime> workerClockAt(const AgentState &State,
--- a/lib/site/src/agentworker.cpp
+++ b/lib/site/src/agentworker.cpp
@@ -177,9 +177,14 @@
 }
 
 bool maySucceedWorker(const AgentState &State, const cell::WorkerInfo &Info) {
-  const std::int64_t Known =
-      State.Worker_ ? State.Worker_->WorkerIncarnation_ : 0;
-  return Info.WorkerIncarnation_ > std::max(Known, State.EndedIncarnation_);
+  return Info.WorkerIncarnation_ != workerIncarnation(State) &&
+         Info.WorkerIncarnation_ != State.EndedIncarnation_;
+}
+
+bool beganLater(const AgentState &State, const cell::WorkerInfo &Info) {
+  return Info.WorkerIncarnation_ >
+         std::max(workerIncarnation(State).value_or(0),
+                  State.EndedIncarnation_);
 }
 
 void adoptWorker(AgentState &State, const WorkerAnnouncement &Announcement,
@@ -288,8 +293,7 @@
       Response.WorkerIncarnation_ != 0 && workerIncarnation(State) &&
       Response.WorkerIncarnation_ != *workerIncarnation(State);
   if (OtherIncarnation) {
-    State.Superseded_ |=
-        Response.WorkerIncarnation_ > *workerIncarnation(State);
+    State.Superseded_ = true;
     return;
   }
   if (Response.WorkerClock_ &&
--- a/lib/site/tests/agentworkertest.cpp
+++ b/lib/site/tests/agentworkertest.cpp
@@ -24,6 +24,10 @@
   CPPUNIT_TEST(firstWorkerIsVerified);
   CPPUNIT_TEST(lostIdentityResponseIsAskedForAgain);
   CPPUNIT_TEST(unverifiedProcessesAreForgotten);
+  CPPUNIT_TEST(workerThatBeganEarlierIsFollowed);
+  CPPUNIT_TEST(lateAnnouncementChangesNothing);
+  CPPUNIT_TEST(earlierBeginNeedsItsConfirmation);
+  CPPUNIT_TEST(endedWorkerIsFollowedByOneThatBeganEarlier);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -291,6 +295,64 @@
     collect({});
     CPPUNIT_ASSERT(State_.Candidates_.empty());
   }
+
+  /// Guards against a worker that is ignored for good: it has started again
+  /// after its host's time of day was set back.
+  void workerThatBeganEarlierIsFollowed() {
+    connect();
+    announce(false, 1, 9);
+    announce(false, 1, 4);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(4), Report_->Worker_->WorkerIncarnation_);
+    Now_ += 1s;
+    collect({});
+    respondToPoll(1050ms);
+    CPPUNIT_ASSERT_EQUAL(Term, Report_->Term_);
+  }
+
+  /// Guards against a running worker that is given up for an announcement of
+  /// its predecessor that was delayed on its way.
+  void lateAnnouncementChangesNothing() {
+    connect();
+    announce(false, 1, 9);
+    announceUnverified(false, 7, 1);
+    CPPUNIT_ASSERT(Identity_);
+    respondToIdentity(9);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(9), State_.Worker_->WorkerIncarnation_);
+    CPPUNIT_ASSERT(State_.Candidates_.empty());
+  }
+
+  /// Guards against the same where the predecessor had the same id: a response
+  /// that does not say when the process began does not tell the two apart.
+  void earlierBeginNeedsItsConfirmation() {
+    connect();
+    announce(false, 1, 9);
+    announceUnverified(false, 7, 4);
+    respondToIdentity(0, cell::RefusalKind::Fenced);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(9), State_.Worker_->WorkerIncarnation_);
+    Now_ += State_.Settings_.Policy_.OrderTimeout_;
+    collect({});
+    CPPUNIT_ASSERT(Identity_);
+    respondToIdentity(4);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(4), State_.Worker_->WorkerIncarnation_);
+  }
+
+  /// Guards against the same for a worker whose process had ended before.
+  void endedWorkerIsFollowedByOneThatBeganEarlier() {
+    connect();
+    announce(false, 1, 9);
+    for (int I = 0; I < 3; ++I) {
+      if (Poll_)
+        losePollResponse(true);
+      Now_ += 500ms;
+      collect({});
+    }
+    CPPUNIT_ASSERT(!State_.Worker_);
+    announceUnverified(false, 7, 9);
+    CPPUNIT_ASSERT(!Identity_);
+    announce(false, 1, 4);
+    CPPUNIT_ASSERT(State_.Worker_);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(4), State_.Worker_->WorkerIncarnation_);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentWorkerTest);
--- a/lib/site/tests/sitetest.cpp
+++ b/lib/site/tests/sitetest.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(isolatedHostDeniesNoJob);
   CPPUNIT_TEST(queryWaitsForAJobOfAnotherHost);
   CPPUNIT_TEST(refusedHostDeniesUnknownJobs);
+  CPPUNIT_TEST(workerIsUsedAfterItsClockWasSetBack);
   CPPUNIT_TEST_SUITE_END();
 
   static bool has(const std::optional<ReplyKind> &Answer, ReplyKind Kind) {
@@ -441,6 +442,25 @@
     CPPUNIT_ASSERT(has(Site.replyKind(Query), ReplyKind::UnknownJob));
     CPPUNIT_ASSERT(has(Site.replyKind(Cancel), ReplyKind::UnknownJob));
   }
+
+  /// Guards against a sound worker that gets no work any more: it has started
+  /// again with a time of day before its first start.
+  void workerIsUsedAfterItsClockWasSetBack() {
+    FakeSite Site(3);
+    Site.addWorker("w0", "a", 1);
+    Site.run(3s);
+    Site.worker("w0").restart(Site.Now_, 1min);
+    // Workers announce themselves every 1.5 s.
+    Site.run(3s);
+    const jobs::JobSpec Spec = jobs::JobSpecBuilder()
+                                   .command("100")
+                                   .step(1, {1000, 1000, 1}, 100ms)
+                                   .build();
+    Site.submit("e0", "j", Spec);
+    Site.run(1s);
+    CPPUNIT_ASSERT(Site.entry("e0").View_.Jobs_.at("j").reportedState() ==
+                   jobs::JobState::Completed);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SiteTest);
