Count starts that a restarted worker carries out late

A task starts again after its run on a silent worker was done (task-once).

Cause: w1 restarts under its id while a start order is under way. The start has a deadline on the earlier clock, is carried out 2.9 s late on the new one, and extends the leases there by the longest lease. The holder's bound counts its own grants only and gives the runs up 1.7 s before that lease ends.

Change: when a worker restarts under its id while a start is not listed, its leases count as extended until 12 s later, the longest delay of a call, and a longest lease. Restarts under another id or without such a start are bound as before.

A holder that takes over in between is not covered (docs/PROOFS.md). Nothing stored or sent changes.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -36,6 +36,9 @@
   core::Duration ClockMargin_ = std::chrono::milliseconds(200);
   /// Time from a start order until the worker refuses it as late.
   core::Duration StartPermit_ = std::chrono::milliseconds(1500);
+  /// Longest time after which a worker still carries out a call that got no
+  /// response; the platform's kinds of trouble delay calls by up to 12 s.
+  core::Duration MaxCallDelay_ = std::chrono::seconds(12);
   /// A worker that has not reported for this long gets no new work. Two report
   /// intervals, and one more for a lost report.
   core::Duration SuspectAfter_ = std::chrono::milliseconds(1500);
@@ -154,6 +157,11 @@
   /// Nothing that was started on the worker runs after this time unless its
   /// lease is extended again.
   core::TimePoint LeaseEnds_{};
+  /// Until this time, starts with a deadline on the clock of the worker's
+  /// earlier incarnation may still be carried out. Such a deadline lies far
+  /// ahead on the new clock, so that each extends the leases by the longest
+  /// lease.
+  core::TimePoint LateStartsUntil_{};
   std::uint64_t NextOrder_ = 1;
   std::uint64_t ProcessedOrders_ = 0;
   std::uint64_t EndsHandled_ = 0;
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -15,6 +15,15 @@
   return Runs;
 }
 
+/// Returns whether a start that was ordered on \p Host is not listed yet.
+bool hasOpenStart(const Holder &State, const std::string &Host) {
+  return std::any_of(State.Runs_.begin(), State.Runs_.end(),
+                     [&](const auto &Row) {
+                       return Row.second.Host_ == Host &&
+                              Row.second.State_ == RunState::Ordered;
+                     });
+}
+
 /// Drops the runs of the worker's earlier incarnation. Keeps starts that may
 /// have reached the new incarnation: those that the report names, and those
 /// that a restarted agent may have passed on before.
@@ -81,6 +90,10 @@
   const std::int64_t ReportedIncarnation =
       Report.Worker_ ? Report.Worker_->WorkerIncarnation_ : 0;
   if (ReportedIncarnation != 0 && ReportedIncarnation != KnownIncarnation) {
+    // A start for an earlier incarnation with another id is refused.
+    if (KnownIncarnation != 0 && Host.Info_->Id_ == Report.Worker_->Id_ &&
+        hasOpenStart(State, Host.Host_))
+      Host.LateStartsUntil_ = Now + State.Policy_.MaxCallDelay_;
     if (KnownIncarnation != 0)
       dropRunsOfEarlierIncarnation(State, Report, Now, Out);
     Host.EndsHandled_ = 0;
--- a/lib/cell/src/workers.cpp
+++ b/lib/cell/src/workers.cpp
@@ -12,6 +12,13 @@
   return Now >= End && State.TenureConfirmedAt_ >= End;
 }
 
+/// Returns the latest time at which tasks can run on a worker without contact.
+core::TimePoint lastLeaseEnd(const HolderPolicy &Policy, const Worker &Host) {
+  if (Host.LateStartsUntil_ == core::TimePoint())
+    return Host.LeaseEnds_;
+  return std::max(Host.LeaseEnds_, leaseBound(Policy, Host.LateStartsUntil_));
+}
+
 } // namespace
 
 bool isReporting(const Holder &State, const Worker &Host, core::TimePoint Now) {
@@ -24,7 +31,7 @@
     const bool Silent = !Host.Reachable_ || Context.Now_ - Host.LastReportAt_ >
                                                 State.Policy_.SuspectAfter_;
     if (!Silent || !Host.Synced_ ||
-        !isExpired(State, Host.LeaseEnds_, Context.Now_))
+        !isExpired(State, lastLeaseEnd(State.Policy_, Host), Context.Now_))
       continue;
     Host.Synced_ = false;
     std::vector<TaskRunMap::iterator> Lost;
--- a/lib/cell/tests/holdertest.cpp
+++ b/lib/cell/tests/holdertest.cpp
@@ -24,6 +24,8 @@
   CPPUNIT_TEST(drainingAndSilentWorkersAreClosed);
   CPPUNIT_TEST(closedWorkerIsReopenedBeforeItsNextStart);
   CPPUNIT_TEST(retryWaitsWhenAgentAndWorkerRestart);
+  CPPUNIT_TEST(lateStartExtendsTheLeasesOfARestartedWorker);
+  CPPUNIT_TEST(restartWithoutOpenStartsExtendsNoLease);
   CPPUNIT_TEST(domainOutGetsNoStart);
   CPPUNIT_TEST(occurrencesWaitForTheirTime);
   CPPUNIT_TEST_SUITE_END();
@@ -329,6 +331,44 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("j").size());
   }
 
+  /// Lets w0 restart under its id, with \p Open start orders that it has not
+  /// listed, takes up work and falls silent. Returns the time until that work
+  /// is given up.
+  static core::Duration silenceAfterRestart(std::uint32_t Open) {
+    FakeCell Cell;
+    startCell(Cell, 2);
+    if (Open > 0)
+      Cell.acceptJob("open", oneStep(Open, {1000, 1000, 1}));
+    Cell.advance();
+    AgentReport &Agent = Cell.Agents_["w0"];
+    Agent.Running_.clear();
+    Agent.Worker_->WorkerIncarnation_ = 2;
+    Cell.advance();
+    Cell.acceptJob("j", oneStep(1, {1000, 1000, 8}));
+    Cell.acceptJob("k", oneStep(1, {1000, 1000, 8}));
+    Cell.runFor(300ms);
+    CPPUNIT_ASSERT(!Agent.Running_.empty());
+    Cell.Agents_.erase("w0");
+    Cell.LogEvents_.clear();
+    const core::TimePoint Since = Cell.Now_;
+    while (!Cell.hasLogEvent("run_given_up") && Cell.Now_ - Since < 30s)
+      Cell.advance(100ms);
+    return Cell.Now_ - Since;
+  }
+
+  /// Guards against two runs of a task: a start that was sent to a worker after
+  /// its restart and before that was known has a deadline of the earlier clock,
+  /// and extends the leases there when it is carried out, up to 12 s late.
+  void lateStartExtendsTheLeasesOfARestartedWorker() {
+    CPPUNIT_ASSERT(silenceAfterRestart(1) >= 18s);
+    CPPUNIT_ASSERT(silenceAfterRestart(1) <= 19s);
+  }
+
+  /// Guards against tasks that wait for a late start although none can come.
+  void restartWithoutOpenStartsExtendsNoLease() {
+    CPPUNIT_ASSERT(silenceAfterRestart(0) <= 6500ms);
+  }
+
   /// Guards against starts in a failure domain that is out of service.
   void domainOutGetsNoStart() {
     FakeCell Cell;
