Bound the reads that callers need at once

Cause: a caller who asks about a job that the view lacks replaces the read that the store may hold by one that returns at once.

Change: NextPromptReadAt_ spaces such reads by ReadSpacing_ on every host; a held read goes on meanwhile. A call that arrives in the same step as its read is sent counts as before it, which saves the second read that each call took so far. Steps without a failed run are not attributed, and two files say what they are about.

--- a/lib/cell/src/attribution.cpp
+++ b/lib/cell/src/attribution.cpp
@@ -1,3 +1,6 @@
+// Whether failed runs speak against their job or against the workers, and the
+// quarantines that follow.
+
 #include "holdersteps.h"
 #include <algorithm>
 
@@ -29,6 +32,8 @@
 void attributeFailures(const Holder &State, const JobStep &Step,
                        StepOutcomes &Outcomes, core::TimePoint Now,
                        Effects &Out) {
+  if (Outcomes.FailedOn_.empty())
+    return;
   const std::set<std::string> OutlivedOn =
       hostsOutliving(State, Step, Outcomes.LongestFailure_, Now);
   // A job that completes was not at fault, on however many workers it failed.
--- a/lib/cell/src/stall.cpp
+++ b/lib/cell/src/stall.cpp
@@ -1,3 +1,5 @@
+// Runs that make no progress.
+
 #include "nutmegwell/cell/stall.h"
 #include "holdersteps.h"
 #include <algorithm>
--- a/lib/site/include/nutmegwell/site/entry.h
+++ b/lib/site/include/nutmegwell/site/entry.h
@@ -53,7 +53,7 @@
   core::Duration ReadRepeatDelay_ = std::chrono::milliseconds(250);
   /// Least time between two reads of a stream by a host that does not hold the
   /// cell, so that a busy stream does not cost every host a call for each
-  /// append.
+  /// append. Also between two reads that callers need at once.
   core::Duration ReadSpacing_ = std::chrono::milliseconds(100);
   /// A host asks a peer for records that it has lacked for this long, or for
   /// RelayDelayWhileFailing_ while its own reads fail.
@@ -115,6 +115,8 @@
   std::optional<core::TimePoint> ReadSentAt_;
   /// How long the store may wait for a record before it responds to that read.
   core::Duration ReadWait_{0};
+  /// When a read may next return at once because callers wait for it.
+  core::TimePoint NextPromptReadAt_{};
   core::TimePoint NextReadAt_{};
   /// Reads since the last response, the newest one excluded.
   unsigned UnansweredReads_ = 0;
--- a/lib/site/src/callers.cpp
+++ b/lib/site/src/callers.cpp
@@ -286,7 +286,7 @@
   const core::TimePoint CompleteAsOf = viewCompleteAsOf(State);
   for (auto It = State.Calls_.begin(); It != State.Calls_.end();) {
     const WaitingCall &Call = It->second;
-    if (Call.AppendToken_ != 0 || Call.ArrivedAt_ >= CompleteAsOf) {
+    if (Call.AppendToken_ != 0 || Call.ArrivedAt_ > CompleteAsOf) {
       ++It;
       continue;
     }
--- a/lib/site/src/freshness.cpp
+++ b/lib/site/src/freshness.cpp
@@ -33,7 +33,7 @@
 bool needsRead(const EntryState &State, core::TimePoint SentAt) {
   return std::any_of(
       State.Calls_.begin(), State.Calls_.end(), [&](const auto &Row) {
-        return waitsForView(Row.second) && Row.second.ArrivedAt_ >= SentAt;
+        return waitsForView(Row.second) && Row.second.ArrivedAt_ > SentAt;
       });
 }
 
--- a/lib/site/src/streams.cpp
+++ b/lib/site/src/streams.cpp
@@ -139,11 +139,14 @@
 /// Returns how long the store may wait for a new record before it responds. A
 /// host that has yet to catch up, that has lost the store, or whose callers
 /// wait for its view, needs a response whether or not there are new records.
-core::Duration readWait(const EntryState &State, store::Stream Which) {
+core::Duration readWait(const EntryState &State, store::Stream Which,
+                        core::TimePoint Now) {
   const EntryPolicy &Policy = State.Settings_.Policy_;
   const StreamState &Stream = streamOf(State, Which);
-  if (!Stream.Synced_ || Stream.ReadsFailing_ ||
-      (Which == store::Stream::Cell && waitsForView(State)))
+  const bool CallerWaits = Which == store::Stream::Cell &&
+                           Now >= Stream.NextPromptReadAt_ &&
+                           waitsForView(State);
+  if (!Stream.Synced_ || Stream.ReadsFailing_ || CallerWaits)
     return core::Duration(0);
   return needsStreamAtOnce(State, Which) ? Policy.HolderReadWait_
                                          : Policy.ReadWait_;
@@ -175,10 +178,15 @@
 
 /// Stops waiting for a read that the store may hold for long, when a caller
 /// needs one that was sent later.
-void supersedeHeldRead(const EntryState &State, StreamState &Stream) {
-  if (Stream.ReadSentAt_ && Stream.ReadWait_ > core::Duration(0) &&
-      needsRead(State, *Stream.ReadSentAt_))
+void supersedeHeldRead(const EntryState &State, StreamState &Stream,
+                       core::TimePoint Now, EntryEffects &Out) {
+  if (!Stream.ReadSentAt_ || Stream.ReadWait_ == core::Duration(0) ||
+      !needsRead(State, *Stream.ReadSentAt_))
+    return;
+  if (Now >= Stream.NextPromptReadAt_)
     Stream.ReadSentAt_.reset();
+  else
+    Out.WakeAt_ = std::min(Out.WakeAt_, Stream.NextPromptReadAt_);
 }
 
 } // namespace
@@ -305,8 +313,8 @@
   for (store::Stream Which : {store::Stream::Operator, store::Stream::Cell}) {
     StreamState &Stream = streamOf(State, Which);
     abandonOverdueRead(State, Which, Now, Out);
-    if (Which == store::Stream::Cell && Now >= Stream.NextReadAt_)
-      supersedeHeldRead(State, Stream);
+    if (Which == store::Stream::Cell)
+      supersedeHeldRead(State, Stream, Now, Out);
     if (Stream.ReadSentAt_)
       continue;
     if (Now < Stream.NextReadAt_) {
@@ -315,7 +323,9 @@
     }
     const EntryPolicy &Policy = State.Settings_.Policy_;
     Stream.ReadSentAt_ = Now;
-    Stream.ReadWait_ = readWait(State, Which);
+    Stream.ReadWait_ = readWait(State, Which, Now);
+    if (Stream.ReadWait_ == core::Duration(0))
+      Stream.NextPromptReadAt_ = Now + Policy.ReadSpacing_;
     if (!needsStreamAtOnce(State, Which))
       Stream.NextReadAt_ = Now + Policy.ReadSpacing_;
     if (Stream.NextOffsetValid_)
--- a/lib/site/tests/sitetest.cpp
+++ b/lib/site/tests/sitetest.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(isolatedHostDeniesNoJob);
   CPPUNIT_TEST(queryWaitsForAJobOfAnotherHost);
   CPPUNIT_TEST(refusedHostDeniesUnknownJobs);
+  CPPUNIT_TEST(unknownJobsCostFewReads);
   CPPUNIT_TEST(workerIsUsedAfterItsClockWasSetBack);
   CPPUNIT_TEST_SUITE_END();
 
@@ -443,6 +444,26 @@
     CPPUNIT_ASSERT(has(Site.replyKind(Cancel), ReplyKind::UnknownJob));
   }
 
+  /// Guards against a call to the store for each caller who asks about a job
+  /// that does not exist, also at the holder; all of them are answered soon.
+  void unknownJobsCostFewReads() {
+    FakeSite Site(3);
+    Site.run(2s);
+    Site.Store_.ReadCounts_.clear();
+    std::vector<CallToken> Calls;
+    for (int I = 0; I < 100; ++I) {
+      for (const char *Host : {"e0", "e1", "e2"})
+        Calls.push_back(Site.call(Host, RequestKind::Query, "none"));
+      Site.run(10ms);
+    }
+    // Operator and cell stream together; ten reads a second of each.
+    for (const auto &[Host, Count] : Site.Store_.ReadCounts_)
+      CPPUNIT_ASSERT(Count <= 24);
+    Site.run(400ms);
+    for (const CallToken Call : Calls)
+      CPPUNIT_ASSERT(has(Site.replyKind(Call), ReplyKind::UnknownJob));
+  }
+
   /// Guards against a sound worker that gets no work any more: it has started
   /// again with a time of day before its first start.
   void workerIsUsedAfterItsClockWasSetBack() {
