Refuse calls about unknown jobs while the store cannot be read

What callers saw: since a host that reads the store neither itself nor through a peer kept a query or cancellation of a job that it does not know until shortly before the caller's timeout, and answered 504 then.

Cause: the call waits for a view that is new enough, although this host knows that it will get none.

Change: such calls are refused at once (503 with Retry-After), so that the caller can ask another host; those that wait already are refused when the host loses its last path.

--- a/lib/site/src/callers.cpp
+++ b/lib/site/src/callers.cpp
@@ -280,17 +280,23 @@
   }
 }
 
-void denyUnknownJobs(EntryState &State, core::TimePoint Now,
-                     EntryEffects &Out) {
+void answerForUnknownJobs(EntryState &State, core::TimePoint Now,
+                          EntryEffects &Out) {
   const CallContext Context{State, Now, Out};
   const core::TimePoint CompleteAsOf = viewCompleteAsOf(State);
+  const bool CannotLearn = hasNoStorePath(State, Now);
   for (auto It = State.Calls_.begin(); It != State.Calls_.end();) {
     const WaitingCall &Call = It->second;
-    if (Call.AppendToken_ != 0 || Call.ArrivedAt_ > CompleteAsOf) {
+    const bool Denied = Call.ArrivedAt_ <= CompleteAsOf;
+    if (Call.AppendToken_ != 0 || (!Denied && !CannotLearn)) {
       ++It;
       continue;
     }
-    Context.replyWith(Call.Request_, Call.Job_, ReplyKind::UnknownJob);
+    if (Denied)
+      Context.replyWith(Call.Request_, Call.Job_, ReplyKind::UnknownJob);
+    else
+      Context.refuse(Call.Request_, Call.Job_,
+                     "this host cannot read the store");
     It = State.Calls_.erase(It);
   }
 }
--- a/lib/site/src/entry.cpp
+++ b/lib/site/src/entry.cpp
@@ -171,7 +171,7 @@
   advanceElection(State, Now, Wall, Out);
   sendEntryInfo(State, Now, Out);
   runHolder(State, Now, Wall, Out);
-  denyUnknownJobs(State, Now, Out);
+  answerForUnknownJobs(State, Now, Out);
   expireCalls(State, Now, Out);
   requestReads(State, Now, Out);
   requestRelays(State, Now, Out);
--- a/lib/site/src/entrysteps.h
+++ b/lib/site/src/entrysteps.h
@@ -86,8 +86,10 @@
 void completeCalls(EntryState &State, const store::AppendResult &Result,
                    core::TimePoint Now, EntryEffects &Out);
 /// Answers callers who asked about jobs that do not exist, as the view shows by
-/// now.
-void denyUnknownJobs(EntryState &State, core::TimePoint Now, EntryEffects &Out);
+/// now, and refuses all who ask about unknown jobs while this host cannot learn
+/// of any.
+void answerForUnknownJobs(EntryState &State, core::TimePoint Now,
+                          EntryEffects &Out);
 /// Answers callers whose timeout is near, and refuses those whose append cannot
 /// be sent for now.
 void expireCalls(EntryState &State, core::TimePoint Now, EntryEffects &Out);
