--- a/review/loopback/cases.cpp
+++ b/review/loopback/cases.cpp
@@ -217,6 +217,50 @@
                        : "the task ran once at a time");
 }
 
+/// A client hands in a job with many tasks; other clients' jobs follow.
+Outcome wideJob(const std::string &Folder, bool Trouble) {
+  constexpr Milliseconds AckTimeout(4000);
+  constexpr Milliseconds Length(500);
+  // Without trouble as many tasks as the largest step of the site file has.
+  const std::string Count = Trouble ? "10000" : "55";
+  const std::vector<std::string> Others = {
+      "2b6f1d83a5e9c471", "3c70e294b6fad582", "4d81f3a5c70be693"};
+  Deployment Site(Folder);
+  Site.addEntry("frontend-a-1", "a");
+  Site.addEntry("frontend-b-1", "b");
+  std::vector<Executor *> Executors;
+  for (const char *Rack : {"r1", "r1", "r2", "r2"})
+    Executors.push_back(&Site.addExecutor("a", {"a", Rack}));
+  if (!Site.start())
+    return notRun(Site, "the processes are not ready");
+  const std::string Step =
+      R"({"count":)" + Count +
+      R"(,"cpu":100,"mem_mb":16,"gpu":1,"estimated_duration_ms":60000})";
+  const std::string Job =
+      R"({"task_spec":"60000","steps":[)" + Step + "," + Step + "]}";
+  if (Site.request(Site.entry(0), "POST", "/queue/1a5e0c7294d8b360", Job)
+          .Status_ != 200)
+    return notRun(Site, "the wide job was not accepted");
+  std::this_thread::sleep_for(Milliseconds(2000));
+  for (const std::string &Other : Others)
+    if (Site.submit(Site.entry(1), Other, Length, R"({"gpu":0})").Status_ !=
+        200)
+      return notRun(Site, "a job was not accepted");
+  std::this_thread::sleep_for(FinishTime + AckTimeout + Reserve);
+  std::size_t Listed = 0;
+  for (const Executor *Each : Executors)
+    Listed += Each->endsListedFor(AckTimeout);
+  std::string States;
+  for (const std::string &Other : Others)
+    States += " " + Site.state(Site.entry(1), Other);
+  return verdict(Site, 5 * Listed <= Others.size(),
+                 std::to_string(Listed) + " of " +
+                     std::to_string(Others.size()) +
+                     " ends of the other jobs were not taken note of; the "
+                     "jobs are" +
+                     States);
+}
+
 } // namespace
 
 } // namespace loopback
@@ -231,7 +275,8 @@
       {"cancel-after-freeze", loopback::cancelAfterFreeze},
       {"zone-taken-back", loopback::zoneTakenBack},
       {"waiting-count", loopback::waitingCount},
-      {"start-after-restart", loopback::startAfterRestart}};
+      {"start-after-restart", loopback::startAfterRestart},
+      {"wide-job", loopback::wideJob}};
   const auto It = Cases.find(Arguments[1]);
   if (It == Cases.end()) {
     std::cerr << "unknown case " << Arguments[1] << "\n";
--- a/review/loopback/store.cpp
+++ b/review/loopback/store.cpp
@@ -13,6 +13,8 @@
 constexpr Milliseconds AnswerTime(4);
 constexpr std::size_t RecentAppends = 5;
 constexpr std::size_t PageSize = 500;
+/// `max_record_bytes` of the settings.
+constexpr std::size_t MaxRecordSize = 262144;
 
 long numberParameter(const std::string &Target, const char *Name) {
   const std::string Text = queryParameter(Target, Name);
@@ -24,6 +26,14 @@
     Bytes.push_back(static_cast<char>(Value >> Shift));
 }
 
+/// Returns the size of the record whose length begins at \p At.
+std::size_t recordSize(const std::string &Body, std::size_t At) {
+  std::size_t Size = 0;
+  for (std::size_t I = At; I < At + 4; ++I)
+    Size = Size << 8 | static_cast<unsigned char>(Body[I]);
+  return Size;
+}
+
 std::string base64(const std::string &Bytes) {
   static const char Alphabet[] =
       "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -97,6 +107,12 @@
 }
 
 Response Store::append(const std::string &Target, const std::string &Body) {
+  for (std::size_t At = 0; At + 4 < Body.size();) {
+    const std::size_t Size = recordSize(Body, At);
+    if (Size > MaxRecordSize)
+      return {400, Json{{"error", "a record is too large"}}.dump()};
+    At += 4 + Size;
+  }
   const std::string Name = queryParameter(Target, "topic");
   Topic &Log = Topics_[Name];
   Producer &Sender = Log.Producers_[queryParameter(Target, "producer")];
@@ -116,9 +132,8 @@
             Json{{"reason", "seq"}, {"sequence", Sender.NextSequence_}}.dump()};
   const std::size_t First = Log.Records_.size();
   for (std::size_t At = 0; At + 4 < Body.size();) {
-    std::size_t Size = 0;
-    for (int I = 0; I < 4; ++I)
-      Size = Size << 8 | static_cast<unsigned char>(Body[At++]);
+    const std::size_t Size = recordSize(Body, At);
+    At += 4;
     const std::size_t KeySize = static_cast<unsigned char>(Body[At]);
     Log.Records_.push_back({Body.substr(At + 1, KeySize),
                             Body.substr(At + 1 + KeySize, Size - 1 - KeySize)});
