--- a/review/loopback/cases.cpp
+++ b/review/loopback/cases.cpp
@@ -132,17 +132,19 @@
 }
 
 /// Executors turn unhealthy and refuse all starts; clients ask how many jobs
-/// wait.
+/// wait. Each job can run on one executor only.
 Outcome waitingCount(const std::string &Folder, bool Trouble) {
-  const std::vector<std::string> Jobs = {"1a5e0c7294d8b360", "2b6f1d83a5e9c471",
-                                         "3c70e294b6fad582",
-                                         "4d81f3a5c70be693"};
+  const std::map<std::string, std::string> JobsByLabel = {
+      {"a", "1a5e0c7294d8b360"},
+      {"b", "2b6f1d83a5e9c471"},
+      {"c", "3c70e294b6fad582"},
+      {"d", "4d81f3a5c70be693"}};
   Deployment Site(Folder);
   Site.addEntry("frontend-a-1", "a");
   Site.addEntry("frontend-b-1", "b");
   std::vector<Executor *> Executors;
-  for (const char *Rack : {"r1", "r1", "r2", "r2"})
-    Executors.push_back(&Site.addExecutor("a", {"a", Rack}));
+  for (const auto &[Label, Job] : JobsByLabel)
+    Executors.push_back(&Site.addExecutor("a", {Label, "r1"}));
   if (!Site.start())
     return notRun(Site, "the processes are not ready");
   if (Trouble) {
@@ -151,15 +153,18 @@
     for (Executor *Each : Executors)
       Each->setUnhealthy(true);
   }
-  for (const std::string &Job : Jobs)
-    if (Site.submit(Site.entry(0), Job, Milliseconds(20000)).Status_ != 200)
+  for (const auto &[Label, Job] : JobsByLabel)
+    if (Site.submit(Site.entry(0), Job, Milliseconds(20000),
+                    R"({"requirements":")" + Label + R"("})")
+            .Status_ != 200)
       return notRun(Site, "a job was not accepted");
   std::this_thread::sleep_for(VisibleTime + WaitingCountAge + Reserve);
   std::size_t Unbegun = 0;
-  for (const std::string &Job : Jobs)
-    Unbegun += std::none_of(
-        Executors.begin(), Executors.end(),
-        [&](const Executor *Each) { return Each->starts(Job + ".0.0.0") > 0; });
+  for (const auto &[Label, Job] : JobsByLabel)
+    Unbegun += std::none_of(Executors.begin(), Executors.end(),
+                            [Task = Job + ".0.0.0"](const Executor *Each) {
+                              return Each->starts(Task) > 0;
+                            });
   bool RuleHeld = true;
   for (std::size_t I = 0; I < 2; ++I) {
     const Answer Count = Site.request(Site.entry(I), "GET", "/queue/");
@@ -171,7 +176,8 @@
   }
   return verdict(Site, RuleHeld,
                  std::to_string(Unbegun) + " of " +
-                     std::to_string(Jobs.size()) + " jobs have not begun");
+                     std::to_string(JobsByLabel.size()) +
+                     " jobs have not begun");
 }
 
 /// An executor leaves a start without an answer, crashes and starts again under
@@ -217,50 +223,6 @@
                        : "the task ran once at a time");
 }
 
-/// A client hands in a job with many tasks; other clients' jobs follow.
-Outcome wideJob(const std::string &Folder, bool Trouble) {
-  constexpr Milliseconds AckTimeout(4000);
-  constexpr Milliseconds Length(500);
-  // Without trouble as many tasks as the largest step of the site file has.
-  const std::string Count = Trouble ? "10000" : "55";
-  const std::vector<std::string> Others = {
-      "2b6f1d83a5e9c471", "3c70e294b6fad582", "4d81f3a5c70be693"};
-  Deployment Site(Folder);
-  Site.addEntry("frontend-a-1", "a");
-  Site.addEntry("frontend-b-1", "b");
-  std::vector<Executor *> Executors;
-  for (const char *Rack : {"r1", "r1", "r2", "r2"})
-    Executors.push_back(&Site.addExecutor("a", {"a", Rack}));
-  if (!Site.start())
-    return notRun(Site, "the processes are not ready");
-  const std::string Step =
-      R"({"count":)" + Count +
-      R"(,"cpu":100,"mem_mb":16,"gpu":1,"estimated_duration_ms":60000})";
-  const std::string Job =
-      R"({"task_spec":"60000","steps":[)" + Step + "," + Step + "]}";
-  if (Site.request(Site.entry(0), "POST", "/queue/1a5e0c7294d8b360", Job)
-          .Status_ != 200)
-    return notRun(Site, "the wide job was not accepted");
-  std::this_thread::sleep_for(Milliseconds(2000));
-  for (const std::string &Other : Others)
-    if (Site.submit(Site.entry(1), Other, Length, R"({"gpu":0})").Status_ !=
-        200)
-      return notRun(Site, "a job was not accepted");
-  std::this_thread::sleep_for(FinishTime + AckTimeout + Reserve);
-  std::size_t Listed = 0;
-  for (const Executor *Each : Executors)
-    Listed += Each->endsListedFor(AckTimeout);
-  std::string States;
-  for (const std::string &Other : Others)
-    States += " " + Site.state(Site.entry(1), Other);
-  return verdict(Site, 5 * Listed <= Others.size(),
-                 std::to_string(Listed) + " of " +
-                     std::to_string(Others.size()) +
-                     " ends of the other jobs were not taken note of; the "
-                     "jobs are" +
-                     States);
-}
-
 } // namespace
 
 } // namespace loopback
@@ -275,8 +237,7 @@
       {"cancel-after-freeze", loopback::cancelAfterFreeze},
       {"zone-taken-back", loopback::zoneTakenBack},
       {"waiting-count", loopback::waitingCount},
-      {"start-after-restart", loopback::startAfterRestart},
-      {"wide-job", loopback::wideJob}};
+      {"start-after-restart", loopback::startAfterRestart}};
   const auto It = Cases.find(Arguments[1]);
   if (It == Cases.end()) {
     std::cerr << "unknown case " << Arguments[1] << "\n";
--- a/review/loopback/executor.cpp
+++ b/review/loopback/executor.cpp
@@ -94,14 +94,6 @@
   return It == Starts_.end() ? 0 : It->second;
 }
 
-std::size_t Executor::endsListedFor(Milliseconds Age) const {
-  std::lock_guard<std::recursive_mutex> Lock(Mutex_);
-  return static_cast<std::size_t>(
-      std::count_if(Ends_.begin(), Ends_.end(), [&](const End &Item) {
-        return Clock::now() - Item.ListedAt_ > Age;
-      }));
-}
-
 long Executor::clock() const {
   return std::chrono::duration_cast<Milliseconds>(Clock::now() - BornAt_)
       .count();
@@ -286,7 +278,7 @@
                                     std::to_string(Number) + ": " + How);
       long &Highest = HighestEnded_[Task];
       Highest = std::max(Highest, Number);
-      Ends_.push_back({NextEnd_++, Task, Number, How, Clock::now()});
+      Ends_.push_back({NextEnd_++, Task, Number, How});
       Runs_.erase(It);
       return;
     }
--- a/review/loopback/executor.h
+++ b/review/loopback/executor.h
@@ -52,10 +52,6 @@
   /// Returns the tasks that run.
   std::set<std::string> running() const;
 
-  /// Returns how many ends are listed and not acknowledged for longer than
-  /// \p Age.
-  std::size_t endsListedFor(Milliseconds Age) const;
-
   /// Returns how many starts of \p Task were carried out.
   int starts(const std::string &Task) const;
 
@@ -70,7 +66,6 @@
     std::string Task_;
     long Run_ = 0;
     std::string How_;
-    std::chrono::steady_clock::time_point ListedAt_;
   };
   struct Poll {
     Respond Send_;
