--- a/review/loopback/cases.cpp
+++ b/review/6/loopback/cases.cpp
@@ -86,9 +86,11 @@
   Executor &Second = Site.addExecutor("b", {"b", "r2"});
   if (!Site.start())
     return notRun(Site, "the processes are not ready");
-  const bool FirstHolds = Deployment::holdsCell(Site.entry(0));
-  if (FirstHolds == Deployment::holdsCell(Site.entry(1)))
-    return notRun(Site, "it is not clear which host holds the cell");
+  const long FirstTerm = Deployment::newestTerm(Site.entry(0));
+  const long SecondTerm = Deployment::newestTerm(Site.entry(1));
+  if (FirstTerm == SecondTerm)
+    return notRun(Site, "no host holds the cell");
+  const bool FirstHolds = FirstTerm > SecondTerm;
   Host &Holder = Site.entry(FirstHolds ? 0 : 1);
   Host &Other = Site.entry(FirstHolds ? 1 : 0);
   Site.record().write("case", Holder.Name_ + " holds the cell");
--- a/review/loopback/deployment.cpp
+++ b/review/6/loopback/deployment.cpp
@@ -263,12 +263,15 @@
       Limit);
 }
 
-bool Deployment::holdsCell(const Host &Target) {
+long Deployment::newestTerm(const Host &Target) {
   const std::string Log = readFile(Target.LogPath_);
+  const std::string Field = "\"term\":\"";
   const std::size_t Begun = Log.rfind("\"tenure_begun\"");
-  const std::size_t Ended = Log.rfind("\"tenure_ended\"");
-  return Begun != std::string::npos &&
-         (Ended == std::string::npos || Ended < Begun);
+  const std::size_t Term =
+      Begun == std::string::npos ? Begun : Log.find(Field, Begun);
+  return Term == std::string::npos
+             ? 0
+             : std::strtol(Log.c_str() + Term + Field.size(), nullptr, 10);
 }
 
 bool Deployment::start() {
--- a/review/loopback/deployment.h
+++ b/review/6/loopback/deployment.h
@@ -55,8 +55,9 @@
 
   bool waitReady(Host &Target, Milliseconds Limit);
 
-  /// Returns whether the log of an entry host shows that it holds the cell.
-  static bool holdsCell(const Host &Target);
+  /// Returns the term of the newest tenure that an entry host has logged, or 0.
+  /// The host with the highest one holds the cell.
+  static long newestTerm(const Host &Target);
 
   Host &entry(std::size_t Index) { return *Entries_[Index]; }
   Store &store() { return Store_; }
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 Out=target/review-2
 mkdir -p "$Out"
 Flags=(-std=c++17 -O1 -Wall -Wextra)
-for Source in review/loopback/*.cpp; do
+for Source in review/6/loopback/*.cpp; do
   g++ "${Flags[@]}" -c "$Source" -o "$Out/$(basename "$Source" .cpp).o" &
   Jobs+=($!)
 done
