Relay the removal of keys that a peer has not read

Callers saw jobs stay queued while workers of a failure domain were idle: the operator had taken the domain back into service, but the holder's host, which the store refused at that time, kept it out of service for good.

Cause: a peer answers a request for records with the newest record of each changed key. A peer that started after a key was removed, or that skipped the removal through pages of newest records, has no record of it, and the receiver continues behind it. The log of the case shows records_from_peer from=2 next=3 records=0 and no domain_in.

Change: a host keeps the offset from which it knows all removals. A request from before it is answered with the records of all keys, from offset 0, and the receiver removes the keys that the relay does not contain. Removals that pages show get the last offset before the pages, so that a later relay has them. A relay replaces pages that are still being read, since an older page restored removed keys.

Rolling restart: the encoding is unchanged. A process of the version before applies the records of all keys like any others and may still miss a removal; a new process that gets a relay from it can miss one as before.

--- a/lib/cell/include/nutmegwell/cell/peers.h
+++ b/lib/cell/include/nutmegwell/cell/peers.h
@@ -47,9 +47,12 @@
   core::Offset From_ = 0;
 };
 
-/// Newest records of the keys that changed from an offset on.
+/// Newest records of the keys that changed from an offset on. A key that the
+/// receiver has with an offset from From_ on, and that is missing here, was
+/// removed.
 struct RelayedRecords {
   store::Stream Stream_ = store::Stream::Operator;
+  /// At most the requested offset; 0 when the records are those of all keys.
   core::Offset From_ = 0;
   /// Offset after the newest record that the sender knows.
   core::Offset NextOffset_ = 0;
--- a/lib/site/include/nutmegwell/site/entry.h
+++ b/lib/site/include/nutmegwell/site/entry.h
@@ -110,6 +110,10 @@
   bool Synced_ = false;
   /// Newest record of each key, for peers that cannot read the store.
   std::map<std::string, store::KeyedRecord> NewestRecords_;
+  /// Offset from which NewestRecords_ has the removals of keys as well. Pages
+  /// of newest records lack keys that were removed before. The keys of the
+  /// cell's stream are never removed.
+  core::Offset RemovalsKnownFrom_ = 0;
   /// Send time of the newest read while it has no response. Responses to
   /// earlier reads that it repeats may still arrive.
   std::optional<core::TimePoint> ReadSentAt_;
@@ -275,6 +279,7 @@
 struct ReadNewestCall {
   store::Stream Stream_;
   std::string After_;
+  core::TimePoint SentAt_{};
 };
 
 /// Work for the driver after a step of the control state.
@@ -301,7 +306,8 @@
 void onRead(EntryState &State, const ReadCall &Call,
             const absl::StatusOr<store::ReadPage> &Page, core::TimePoint Now,
             EntryEffects &Out);
-void onNewestRead(EntryState &State, store::Stream Which,
+/// Processes the response to \p Call, or the error when there is none.
+void onNewestRead(EntryState &State, const ReadNewestCall &Call,
                   const absl::StatusOr<store::NewestRecordsPage> &Page,
                   core::TimePoint Now, EntryEffects &Out);
 void onAppend(EntryState &State,
--- a/lib/site/src/entrysteps.h
+++ b/lib/site/src/entrysteps.h
@@ -9,6 +9,19 @@
                       const store::KeyedRecord &Record, bool InOrder,
                       core::TimePoint Now, EntryEffects &Out);
 
+/// The keys of a stream that were changed within a range of offsets and still
+/// exist.
+struct KeyListing {
+  store::Stream Stream_ = store::Stream::Operator;
+  core::Offset From_ = 0;
+  core::Offset Until_ = 0;
+  std::set<std::string> Keys_;
+};
+
+/// Applies the removal of the keys that \p Listing shows to be missing.
+void dropMissingKeys(EntryState &State, const KeyListing &Listing,
+                     core::TimePoint Now, EntryEffects &Out);
+
 StreamState &streamOf(EntryState &State, store::Stream Which);
 
 /// Returns the name of a stream for logs.
--- a/lib/site/src/relays.cpp
+++ b/lib/site/src/relays.cpp
@@ -75,17 +75,20 @@
     return;
   cell::RelayedRecords Relay;
   Relay.Stream_ = Request.Stream_;
-  Relay.From_ = Request.From_;
+  // The peer may have keys whose removal this host has not read. Only a relay
+  // of all keys shows that they are gone.
+  Relay.From_ = Request.From_ < Stream.RemovalsKnownFrom_ ? 0 : Request.From_;
   Relay.NextOffset_ = Stream.NextOffset_;
   for (const auto &[Key, Record] : Stream.NewestRecords_)
-    if (Record.Offset_ >= Request.From_)
+    if (Record.Offset_ >= Relay.From_)
       Relay.Records_.push_back(Record);
   std::sort(Relay.Records_.begin(), Relay.Records_.end(),
             [](const auto &A, const auto &B) { return A.Offset_ < B.Offset_; });
   Out.LogEvents_.push_back(
       {"records_to_peer",
        {{"stream", name(Request.Stream_)},
-        {"from", std::to_string(Request.From_)},
+        {"asked", std::to_string(Request.From_)},
+        {"from", std::to_string(Relay.From_)},
         {"next", std::to_string(Stream.NextOffset_)},
         {"records", std::to_string(Relay.Records_.size())}}});
   Out.Sends_.emplace_back(Link, std::move(Relay));
@@ -99,8 +102,22 @@
       Relayed.NextOffset_ <= Stream.NextOffset_)
     return;
   const core::Offset Before = Stream.NextOffset_;
-  for (const store::KeyedRecord &Record : Relayed.Records_)
+  // The relay takes the place of pages that have not all been read.
+  if (!Stream.NextOffsetValid_) {
+    Stream.ReadSentAt_.reset();
+    Stream.ResumeOffset_.reset();
+  }
+  KeyListing Listing{Relayed.Stream_, Relayed.From_, Relayed.NextOffset_, {}};
+  for (const store::KeyedRecord &Record : Relayed.Records_) {
+    Listing.Keys_.insert(Record.Key_);
     applyStoreRecord(State, Relayed.Stream_, Record, false, Now, Out);
+  }
+  if (Relayed.Stream_ == store::Stream::Operator) {
+    dropMissingKeys(State, Listing, Now, Out);
+    // A relay of all keys lacks the removed ones, and so can any relay of a
+    // process that does not keep track of them.
+    Stream.RemovalsKnownFrom_ = Relayed.NextOffset_;
+  }
   Stream.NextOffset_ = Relayed.NextOffset_;
   Stream.Synced_ = true;
   Stream.NextOffsetValid_ = true;
--- a/lib/site/src/streams.cpp
+++ b/lib/site/src/streams.cpp
@@ -191,17 +191,16 @@
 
 } // namespace
 
-/// Applies the deletion of keys that the pages of newest records lack.
-void dropMissingKeys(EntryState &State, store::Stream Which,
+void dropMissingKeys(EntryState &State, const KeyListing &Listing,
                      core::TimePoint Now, EntryEffects &Out) {
-  StreamState &Stream = streamOf(State, Which);
   std::vector<store::KeyedRecord> Dropped;
-  for (const auto &[Key, Record] : Stream.NewestRecords_)
-    if (!Stream.PageKeys_.count(Key) && !Record.Value_.empty() &&
-        Record.Offset_ < *Stream.ResumeOffset_)
-      Dropped.push_back({Record.Offset_ + 1, Key, ""});
+  for (const auto &[Key, Record] :
+       streamOf(State, Listing.Stream_).NewestRecords_)
+    if (!Record.Value_.empty() && Record.Offset_ >= Listing.From_ &&
+        Record.Offset_ + 1 < Listing.Until_ && !Listing.Keys_.count(Key))
+      Dropped.push_back({Listing.Until_ - 1, Key, ""});
   for (const store::KeyedRecord &Record : Dropped)
-    applyStoreRecord(State, Which, Record, false, Now, Out);
+    applyStoreRecord(State, Listing.Stream_, Record, false, Now, Out);
 }
 
 const char *name(store::Stream Which) {
@@ -273,10 +272,14 @@
     cell::onTenureConfirmed(*State.Holder_, Call.SentAt_);
 }
 
-void onNewestRead(EntryState &State, store::Stream Which,
+void onNewestRead(EntryState &State, const ReadNewestCall &Call,
                   const absl::StatusOr<store::NewestRecordsPage> &Page,
                   core::TimePoint Now, EntryEffects &Out) {
+  const store::Stream Which = Call.Stream_;
   StreamState &Stream = streamOf(State, Which);
+  // A page that is older than a peer's records would restore removed keys.
+  if (Stream.NextOffsetValid_ || Stream.ReadSentAt_ != Call.SentAt_)
+    return;
   Stream.ReadSentAt_.reset();
   if (!Page.ok()) {
     recordReadFailure(State, Stream, Which, Page.status(), Now, Out);
@@ -296,11 +299,15 @@
   }
   if (Page->HasMore_ && !Page->Records_.empty()) {
     Stream.ReadSentAt_ = Now;
-    Out.NewestReads_.push_back({Which, Page->Records_.back().Key_});
+    Out.NewestReads_.push_back({Which, Page->Records_.back().Key_, Now});
     return;
   }
-  if (Which == store::Stream::Operator)
-    dropMissingKeys(State, Which, Now, Out);
+  if (Which == store::Stream::Operator) {
+    dropMissingKeys(State, {Which, 0, *Stream.ResumeOffset_, Stream.PageKeys_},
+                    Now, Out);
+    Stream.RemovalsKnownFrom_ =
+        std::max(Stream.RemovalsKnownFrom_, *Stream.ResumeOffset_);
+  }
   Stream.NextOffset_ = std::max(Stream.NextOffset_, *Stream.ResumeOffset_);
   if (Which == store::Stream::Cell)
     State.View_.NextOffset_ =
@@ -332,7 +339,7 @@
       Out.Reads_.push_back({Which, Stream.NextOffset_, Now, Stream.ReadWait_,
                             Policy.ReadTimeout_});
     else
-      Out.NewestReads_.push_back({Which, ""});
+      Out.NewestReads_.push_back({Which, "", Now});
   }
 }
 
--- a/lib/site/tests/fakesite.cpp
+++ b/lib/site/tests/fakesite.cpp
@@ -58,7 +58,8 @@
   if (Log == Records_.end())
     return Page;
   Page.EndOffset_ = Log->second.size();
-  if (From < FirstRetainedOffset_)
+  auto Retained = FirstRetainedOffsets_.find(Which);
+  if (Retained != FirstRetainedOffsets_.end() && From < Retained->second)
     return core::makeError(absl::StatusCode::kOutOfRange, "read", "store",
                            "dropped");
   for (core::Offset I = From; I < Page.EndOffset_; ++I)
@@ -241,14 +242,25 @@
           Store_.refuses(Host)
               ? absl::StatusOr<store::NewestRecordsPage>(refusal())
               : Store_.newest(Call.Stream_);
-      deliverResponse(
-          Host, Incarnation,
-          [this, Call, Page](EntryState &State, EntryEffects &Effects) {
-            onNewestRead(State, Call.Stream_, Page, Now_, Effects);
-          });
+      auto Delay = Store_.PageDelays_.find(Host);
+      if (Delay == Store_.PageDelays_.end())
+        return deliverNewest(Host, Incarnation, Call, Page);
+      schedule(Delay->second, [this, Host, Incarnation, Call, Page] {
+        deliverNewest(Host, Incarnation, Call, Page);
+      });
     });
 }
 
+void FakeSite::deliverNewest(
+    const std::string &Host, core::Incarnation Incarnation,
+    const ReadNewestCall &Call,
+    const absl::StatusOr<store::NewestRecordsPage> &Page) {
+  deliverResponse(Host, Incarnation,
+                  [this, Call, Page](EntryState &State, EntryEffects &Effects) {
+                    onNewestRead(State, Call, Page, Now_, Effects);
+                  });
+}
+
 void FakeSite::respondToRead(const std::string &Host,
                              core::Incarnation Incarnation,
                              const ReadCall &Call, core::TimePoint Until) {
--- a/lib/site/tests/fakesite.h
+++ b/lib/site/tests/fakesite.h
@@ -46,8 +46,22 @@
   std::map<std::string, std::size_t> ReadCounts_;
   /// If not zero, appends get no response and take effect after this delay.
   core::Duration ApplyDelay_{0};
-  /// Records at lower offsets are dropped, except the newest of each key.
-  core::Offset FirstRetainedOffset_ = 0;
+  /// Records of a stream at lower offsets are dropped, except the newest of
+  /// each key.
+  std::map<store::Stream, core::Offset> FirstRetainedOffsets_;
+  /// Time that the pages of newest records take to arrive, by host.
+  std::map<std::string, core::Duration> PageDelays_;
+
+  /// Drops all records except the newest of each key.
+  void dropHistory() {
+    for (const auto &[Which, Log] : Records_)
+      FirstRetainedOffsets_[Which] = Log.size();
+  }
+  /// Sets the first retained offset of all streams.
+  void dropRecordsBefore(core::Offset First) {
+    for (store::Stream Which : {store::Stream::Operator, store::Stream::Cell})
+      FirstRetainedOffsets_[Which] = First;
+  }
 
   bool refuses(const std::string &Host) const {
     return RefusedHosts_.count("*") || RefusedHosts_.count(Host);
@@ -154,6 +168,9 @@
   /// Responds to a read when a record is available, or at \p Until.
   void respondToRead(const std::string &Host, core::Incarnation Incarnation,
                      const ReadCall &Call, core::TimePoint Until);
+  void deliverNewest(const std::string &Host, core::Incarnation Incarnation,
+                     const ReadNewestCall &Call,
+                     const absl::StatusOr<store::NewestRecordsPage> &Page);
   void append(const std::string &Host, const AppendCall &Call);
   void sendToAgent(const std::string &From, LinkId Link,
                    const cell::PeerMessage &Message);
--- a/lib/site/tests/schedulestest.cpp
+++ b/lib/site/tests/schedulestest.cpp
@@ -39,8 +39,12 @@
       Past += Pause;
     }
     runDueActions(LoadTime);
+    for (const std::string &Domain : std::exchange(OutOfService_, {}))
+      Site_.setDomainOutOfService(Domain, false);
     Site_.run(RecoveryTime);
     queryAllJobs();
+    if (const std::string Host = hostWithOutdatedDomains(); !Host.empty())
+      return Host + " has outdated domains\n";
     const history::History Run =
         history::makeHistory(std::move(Site_.Events_), true);
     return history::describe(Run, history::checkSite(Run, Limits));
@@ -78,8 +82,8 @@
       Site_.Store_.ApplyDelay_ = randomNumber(10, 300) * 10ms;
       return runAfter(Span, [=] { Site_.Store_.ApplyDelay_ = 0ms; });
     case 8:
-      Site_.Store_.FirstRetainedOffset_ =
-          Site_.Store_.Records_[store::Stream::Cell].size();
+      Site_.Store_.dropRecordsBefore(
+          Site_.Store_.Records_[store::Stream::Cell].size());
       return;
     case 9:
       Site_.setLateOrders(0.3);
@@ -134,6 +138,32 @@
     });
   }
 
+  /// Takes a domain out of service or back in, or makes a host miss changes.
+  void changeDomainOrMissChanges() {
+    const std::string Entry = entryName(randomNumber(0, EntryHosts - 1));
+    switch (randomNumber(0, 7)) {
+    case 0:
+      Site_.pause(Entry);
+      return runAfter(randomNumber(100, 600) * 10ms,
+                      [=] { Site_.resume(Entry); });
+    case 1:
+      Site_.kill(Entry);
+      return restart(Entry);
+    case 2:
+    case 3:
+      Site_.Store_.RefusedHosts_.insert(Entry);
+      return runAfter(randomNumber(100, 600) * 10ms,
+                      [=] { Site_.Store_.RefusedHosts_.erase(Entry); });
+    default:
+      // Workers are in the domains "a" and "b" only.
+      const std::string Domain(1, static_cast<char>(randomNumber('a', 'z')));
+      const bool Out = OutOfService_.insert(Domain).second;
+      if (!Out)
+        OutOfService_.erase(Domain);
+      return Site_.setDomainOutOfService(Domain, Out);
+    }
+  }
+
   /// Performs a random planned operation.
   void performOperation() {
     const std::string Entry = entryName(randomNumber(0, EntryHosts - 1));
@@ -268,8 +298,18 @@
     Site_.run(1s);
   }
 
+  /// Returns the name of an entry host that has failure domains out of service
+  /// after all have returned, or an empty string.
+  std::string hostWithOutdatedDomains() {
+    for (int I = 0; I < EntryHosts; ++I)
+      if (!Site_.entry(entryName(I)).OutOfServiceDomains_.empty())
+        return entryName(I);
+    return {};
+  }
+
   std::mt19937_64 Random_;
   FakeSite Site_;
+  std::set<std::string> OutOfService_;
   std::vector<DelayedAction> DelayedActions_;
   std::string StoppingEntry_;
   std::size_t Jobs_ = 0;
@@ -308,6 +348,7 @@
   CPPUNIT_TEST(schedulesWithCrashes);
   CPPUNIT_TEST(schedulesWithCutLinks);
   CPPUNIT_TEST(schedulesWithOperations);
+  CPPUNIT_TEST(schedulesWithDomainChanges);
   CPPUNIT_TEST_SUITE_END();
 
   static void runSeeds(std::uint64_t First, void (Schedule::*Fault)(),
@@ -342,6 +383,14 @@
   void schedulesWithOperations() {
     runSeeds(2000, &Schedule::performOperation, operationBounds());
   }
+  /// Guards against hosts that keep a domain out of service for good after they
+  /// have missed its return.
+  void schedulesWithDomainChanges() {
+    history::Bounds Limits = faultBounds();
+    // Hosts without a path to the store learn of no change.
+    Limits.DomainOut_ = LoadTime + RecoveryTime;
+    runSeeds(5000, &Schedule::changeDomainOrMissChanges, Limits);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SchedulesTest);
--- a/lib/site/tests/sitetest.cpp
+++ b/lib/site/tests/sitetest.cpp
@@ -334,7 +334,7 @@
     Site.run(300ms);
     Site.Store_.publish("domain-a", "");
     Site.Store_.publish("tables", "5");
-    Site.Store_.FirstRetainedOffset_ = 1000;
+    Site.Store_.dropRecordsBefore(1000);
     Site.Store_.RefusedHosts_.clear();
     Site.run(500ms);
     CPPUNIT_ASSERT_EQUAL(core::Version(5), Site.entry("e1").Tables_->Version_);
--- a/lib/sitehost/src/entryrole.cpp
+++ b/lib/sitehost/src/entryrole.cpp
@@ -198,11 +198,10 @@
   void readNewest(const site::ReadNewestCall &Call) {
     Ports_.Store_.ReadNewest_(
         Call.Stream_, Call.After_, State_.Settings_.Policy_.ReadTimeout_,
-        [this,
-         Stream = Call.Stream_](absl::StatusOr<store::NewestRecordsPage> Page) {
-          Control_.post([this, Stream, Page = std::move(Page)](
+        [this, Call](absl::StatusOr<store::NewestRecordsPage> Page) {
+          Control_.post([this, Call, Page = std::move(Page)](
                             core::TimePoint Now, Effects &Out) {
-            site::onNewestRead(State_, Stream, Page, Now, Out);
+            site::onNewestRead(State_, Call, Page, Now, Out);
           });
         });
   }
