Record the cancellation of a job that is not known yet

Callers saw a task run to its end although the cancellation of its job had been answered with 410 more than 8 s before: the job's submission was on its way at a suspended entry host, which accepted it later.

Cause: a cancellation of a job that the view did not contain was answered and recorded nowhere, so that nothing ordered it before the submission. The logs show call_answered call=cancel outcome="unknown job" at one host and then call=submit outcome=accepted at the other.

Change: once a read shows that the job did not exist, the cancellation is appended, and the caller is answered 410 when the record is durable. A job whose acceptance follows its cancellation in the log is cancelled at every host; the fold had this already. A repeat adds no record. When the append fails, the caller gets 503 or 504.

Rolling restart: no format has changed.

--- a/lib/site/src/callers.cpp
+++ b/lib/site/src/callers.cpp
@@ -113,6 +113,10 @@
   return &It->second;
 }
 
+bool isKnown(const EntryState &State, const std::string &Job) {
+  return findJob(State, Job) || State.UnreadAccepted_.count(Job) > 0;
+}
+
 bool isStoreUsable(const EntryState &State, core::TimePoint Now) {
   return store::unfinishedFor(State.OwnWriter_, Now) <=
              State.Settings_.Policy_.MaxUnfinishedAppend_ &&
@@ -137,11 +141,11 @@
 void cancel(const CallContext &Context, CallerRequest Request,
             const std::string &Job) {
   EntryState &State = Context.State_;
-  const jobs::JobEntry *Entry = findJob(State, Job);
-  if (!Entry && !State.UnreadAccepted_.count(Job)) {
+  if (!isKnown(State, Job)) {
     Context.addWaitingCall(std::move(Request), Job);
     return;
   }
+  const jobs::JobEntry *Entry = findJob(State, Job);
   if (Entry &&
       (Entry->CancelRequested_ || jobs::isFinal(Entry->reportedState())))
     return Context.replyWith(Request, Job, ReplyKind::Cancelled);
@@ -154,7 +158,7 @@
             const std::string &Job, const jobs::Queue &Queue,
             const std::string &Account, jobs::WallTime Wall) {
   EntryState &State = Context.State_;
-  if (findJob(State, Job) || State.UnreadAccepted_.count(Job))
+  if (isKnown(State, Job))
     return Context.replyWith(Request, Job, ReplyKind::Accepted,
                              "already accepted");
   if (!Request.Spec_)
@@ -270,9 +274,12 @@
     const bool Submit = Call.Request_.Kind_ == RequestKind::Submit;
     if (Appended && Submit && !findJob(State, Call.Job_))
       State.UnreadAccepted_[Call.Job_].Job_ = Call.Job_;
-    if (Appended)
+    if (Appended && Submit)
+      Context.replyWith(Call.Request_, Call.Job_, ReplyKind::Accepted);
+    else if (Appended)
       Context.replyWith(Call.Request_, Call.Job_,
-                        Submit ? ReplyKind::Accepted : ReplyKind::Cancelled);
+                        isKnown(State, Call.Job_) ? ReplyKind::Cancelled
+                                                  : ReplyKind::UnknownJob);
     else
       Context.replyWith(Call.Request_, Call.Job_, ReplyKind::OutcomeUnknown,
                         Result.Outcome_.Reason_);
@@ -286,12 +293,21 @@
   const core::TimePoint CompleteAsOf = viewCompleteAsOf(State);
   const bool CannotLearn = hasNoStorePath(State, Now);
   for (auto It = State.Calls_.begin(); It != State.Calls_.end();) {
-    const WaitingCall &Call = It->second;
+    WaitingCall &Call = It->second;
     const bool Denied = Call.ArrivedAt_ <= CompleteAsOf;
     if (Call.AppendToken_ != 0 || (!Denied && !CannotLearn)) {
       ++It;
       continue;
     }
+    if (Denied && Call.Request_.Kind_ == RequestKind::Cancel &&
+        State.View_.EarlyCancels_.count(Call.Job_) == 0) {
+      // A submission of the job may still be in flight. The record cancels the
+      // job when it is accepted later.
+      Call.AppendToken_ =
+          queueAppend(State, Writer::Own, {jobs::JobCancelled{Call.Job_}});
+      ++It;
+      continue;
+    }
     if (Denied)
       Context.replyWith(Call.Request_, Call.Job_, ReplyKind::UnknownJob);
     else
--- a/lib/site/tests/schedulestest.cpp
+++ b/lib/site/tests/schedulestest.cpp
@@ -164,6 +164,36 @@
     }
   }
 
+  /// Submits a job to a host that may be suspended, refused by the store or cut
+  /// off, and cancels it at another host soon after.
+  void cancelNewJob() {
+    const int First = randomNumber(0, EntryHosts - 1);
+    const std::string Entry = entryName(First);
+    const std::string Other =
+        entryName((First + randomNumber(1, EntryHosts - 1)) % EntryHosts);
+    const core::Duration Span = randomNumber(10, 600) * 10ms;
+    switch (randomNumber(0, 3)) {
+    case 0:
+      Site_.pause(Entry);
+      runAfter(Span, [=] { Site_.resume(Entry); });
+      break;
+    case 1:
+      Site_.Store_.RefusedHosts_.insert(Entry);
+      runAfter(Span, [=] { Site_.Store_.RefusedHosts_.erase(Entry); });
+      break;
+    case 2:
+      Site_.isolate(Entry);
+      runAfter(Span, [=] { Site_.reconnect(Entry); });
+      break;
+    default:
+      break;
+    }
+    submit(Entry);
+    const std::string Job = "j" + std::to_string(Jobs_);
+    runAfter(randomNumber(1, 80) * 10ms,
+             [=] { Site_.call(Other, RequestKind::Cancel, Job); });
+  }
+
   /// Performs a random planned operation.
   void performOperation() {
     const std::string Entry = entryName(randomNumber(0, EntryHosts - 1));
@@ -349,6 +379,7 @@
   CPPUNIT_TEST(schedulesWithCutLinks);
   CPPUNIT_TEST(schedulesWithOperations);
   CPPUNIT_TEST(schedulesWithDomainChanges);
+  CPPUNIT_TEST(schedulesWithEarlyCancellations);
   CPPUNIT_TEST_SUITE_END();
 
   static void runSeeds(std::uint64_t First, void (Schedule::*Fault)(),
@@ -391,6 +422,11 @@
     Limits.DomainOut_ = LoadTime + RecoveryTime;
     runSeeds(5000, &Schedule::changeDomainOrMissChanges, Limits);
   }
+  /// Guards against jobs that run although they were cancelled, by callers who
+  /// were told that they do not exist.
+  void schedulesWithEarlyCancellations() {
+    runSeeds(6000, &Schedule::cancelNewJob, faultBounds());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SchedulesTest);
--- a/lib/site/tests/unknownjobtest.cpp
+++ b/lib/site/tests/unknownjobtest.cpp
@@ -14,6 +14,10 @@
   CPPUNIT_TEST(isolatedHostRefusesAtOnce);
   CPPUNIT_TEST(refusedHostDeniesUnknownJobs);
   CPPUNIT_TEST(unknownJobsCostFewReads);
+  CPPUNIT_TEST(cancellationHoldsForASubmissionAtAPausedHost);
+  CPPUNIT_TEST(cancellationHoldsForALateAppend);
+  CPPUNIT_TEST(unrecordedCancellationIsNotAcknowledged);
+  CPPUNIT_TEST(unknownJobIsCancelledOnce);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr int Jobs = 8;
@@ -43,6 +47,37 @@
     CPPUNIT_ASSERT(has(Site.replyKind(Cancel), Kind));
   }
 
+  /// Returns the specification of a job that the simulated worker can run.
+  static jobs::JobSpec runnableSpec() {
+    return jobs::JobSpecBuilder()
+        .command("100")
+        .step(1, {1000, 1000, 1}, 100ms)
+        .build();
+  }
+
+  /// Returns the number of records that cancel \p Job.
+  static std::size_t cancellations(FakeSite &Site, const std::string &Job) {
+    const auto &Log = Site.Store_.Records_[store::Stream::Cell];
+    return static_cast<std::size_t>(
+        std::count_if(Log.begin(), Log.end(), [&](const auto &Record) {
+          return Record.Key_ == jobs::keyOf(jobs::JobCancelled{Job});
+        }));
+  }
+
+  /// Checks that all hosts show \p Job as cancelled and that no task of it has
+  /// started.
+  static void expectCancelled(FakeSite &Site, const std::string &Job) {
+    for (const char *Host : {"e0", "e1", "e2"}) {
+      const auto &Known = Site.entry(Host).View_.Jobs_;
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), Known.count(Job));
+      CPPUNIT_ASSERT(Known.at(Job).reportedState() ==
+                     jobs::JobState::Cancelled);
+    }
+    for (const history::Event &Each : Site.Events_)
+      if (const auto *Start = std::get_if<history::RunStarted>(&Each.Body_))
+        CPPUNIT_ASSERT(Start->Id_.Job_ != Job);
+  }
+
   /// Cuts e1 off from the store and from its peers.
   static void isolate(FakeSite &Site) {
     Site.Store_.RefusedHosts_ = {"e1"};
@@ -129,6 +164,69 @@
     for (const CallToken Call : Calls)
       CPPUNIT_ASSERT(has(Site.replyKind(Call), ReplyKind::UnknownJob));
   }
+
+  /// Guards against a job that runs although its cancellation was acknowledged:
+  /// its submission was on its way at a host that was suspended.
+  void cancellationHoldsForASubmissionAtAPausedHost() {
+    FakeSite Site(3);
+    Site.addWorker("w0", "a", 1);
+    Site.run(3s);
+    Site.pause("e2");
+    Site.submit("e2", "j", runnableSpec());
+    const CallToken Cancel = Site.call("e1", RequestKind::Cancel, "j");
+    Site.run(1s);
+    CPPUNIT_ASSERT(has(Site.replyKind(Cancel), ReplyKind::UnknownJob));
+    Site.run(3s);
+    Site.resume("e2");
+    Site.run(3s);
+    expectCancelled(Site, "j");
+  }
+
+  /// Guards against the same when the append of the submission takes effect
+  /// after the cancellation.
+  void cancellationHoldsForALateAppend() {
+    FakeSite Site(3);
+    Site.addWorker("w0", "a", 1);
+    Site.run(3s);
+    Site.Store_.ApplyDelay_ = 5s;
+    Site.submit("e2", "j", runnableSpec());
+    Site.run(20ms);
+    Site.isolate("e2");
+    Site.Store_.RefusedHosts_ = {"e2"};
+    Site.Store_.ApplyDelay_ = 0s;
+    const CallToken Cancel = Site.call("e1", RequestKind::Cancel, "j");
+    Site.run(1s);
+    CPPUNIT_ASSERT(has(Site.replyKind(Cancel), ReplyKind::UnknownJob));
+    Site.run(5s);
+    Site.reconnect("e2");
+    Site.Store_.RefusedHosts_.clear();
+    Site.run(3s);
+    expectCancelled(Site, "j");
+  }
+
+  /// Guards against an acknowledged cancellation that a failure of the store
+  /// can undo.
+  void unrecordedCancellationIsNotAcknowledged() {
+    FakeSite Site(3);
+    Site.run(2s);
+    Site.Store_.ApplyDelay_ = 10s;
+    const CallToken Cancel = Site.call("e1", RequestKind::Cancel, "none");
+    Site.run(3s);
+    CPPUNIT_ASSERT(has(Site.replyKind(Cancel), ReplyKind::OutcomeUnknown));
+  }
+
+  /// Guards against a record for each repeat of a cancellation.
+  void unknownJobIsCancelledOnce() {
+    FakeSite Site(3);
+    Site.run(2s);
+    for (int I = 0; I < 5; ++I)
+      for (const char *Host : {"e0", "e1", "e2"}) {
+        const CallToken Cancel = Site.call(Host, RequestKind::Cancel, "none");
+        Site.run(500ms);
+        CPPUNIT_ASSERT(has(Site.replyKind(Cancel), ReplyKind::UnknownJob));
+      }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), cancellations(Site, "none"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UnknownJobTest);
