Report the end of a worker to a new holder

Callers saw accepted jobs with nothing running while most of the room was free: a holder's host was lost as three workers left, and the new holder waited for the leases of these workers until 16.4 s after its claim.

Cause: the new holder has not known these workers. A report without a worker, by which an agent states the end of the process, looks to it like the report of an agent that has just started and does not know whether its worker runs.

Change: an agent that has seen the end of its worker's process reports the term that it has adopted, without a worker, and at once when it adopts a term. The holder then stops waiting for the worker and records it as gone. An agent does not do so while a start without a response may still be carried out, which is 12 s, the longest delay of a call. earlier_runs_over has a reason.

Rolling restart: the encoding is unchanged. A holder of the version before ignores such a report, and an agent of the version before sends none; the wait remains.

--- a/lib/cell/include/nutmegwell/cell/messages.h
+++ b/lib/cell/include/nutmegwell/cell/messages.h
@@ -100,9 +100,11 @@
   core::Incarnation AgentIncarnation_ = 0;
   std::uint64_t Sequence_ = 0;
   /// Term that the worker has adopted and under which the lists were made; 0
-  /// before the first adoption.
+  /// before the first adoption. Without a worker, the term that the agent has
+  /// adopted since the worker's process ended, or 0 when it does not know that
+  /// nothing runs.
   core::Term Term_ = 0;
-  /// Absent until a worker has announced itself.
+  /// Absent until a worker has announced itself, and after it has ended.
   std::optional<WorkerInfo> Worker_;
   /// False while the worker does not respond to its agent; the lists are
   /// outdated then.
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -347,6 +347,15 @@
   return Names;
 }
 
+void endEarlierRuns(Holder &State, const std::string &Host,
+                    const std::string &Reason, Effects &Out) {
+  if (State.UnsyncedWorkers_.erase(Host) == 0)
+    return;
+  Out.LogEvents_.push_back(
+      {"earlier_runs_over", {{"host", Host}, {"reason", Reason}}});
+  State.ListingsToRecord_[Host] = Listing::Gone;
+}
+
 void onReport(Holder &State, const AgentReport &Report,
               const HolderContext &Context, Effects &Out) {
   Worker &Host = State.Workers_[Report.Host_];
@@ -378,8 +387,10 @@
   Host.Reachable_ = Report.WorkerReachable_;
   if (!Host.Reachable_)
     return;
-  if (Report.Term_ != State.Term_ || !Report.Worker_)
+  if (Report.Term_ != State.Term_)
     return;
+  if (!Report.Worker_)
+    return endEarlierRuns(State, Host.Host_, "the worker has ended", Out);
   if (!Host.Synced_) {
     Host.Synced_ = true;
     // An earlier holder may have granted a lease until just now.
--- a/lib/cell/src/holdersteps.h
+++ b/lib/cell/src/holdersteps.h
@@ -54,6 +54,11 @@
 void handleEnds(Holder &State, Worker &Host, const AgentReport &Report,
                 const HolderContext &Context, Effects &Out);
 
+/// Stops waiting for the runs of earlier holders on a worker, none of which is
+/// left.
+void endEarlierRuns(Holder &State, const std::string &Host,
+                    const std::string &Reason, Effects &Out);
+
 /// Drops a run that did not start or whose worker is gone, so that the task can
 /// be started again.
 void dropRun(Holder &State, TaskRunMap::iterator It, const std::string &Reason,
--- a/lib/cell/src/workers.cpp
+++ b/lib/cell/src/workers.cpp
@@ -44,18 +44,15 @@
       State.ListingsToRecord_[Name] = Listing::Gone;
     Host.Listed_ = Host.Closed_ = false;
   }
-  for (auto It = State.UnsyncedWorkers_.begin();
-       It != State.UnsyncedWorkers_.end();) {
-    if (!isExpired(State, It->second.RunsEndBy_, Context.Now_)) {
-      if (Context.Now_ < It->second.RunsEndBy_)
-        Out.WakeAt_ = std::min(Out.WakeAt_, It->second.RunsEndBy_);
-      ++It;
-      continue;
-    }
-    Out.LogEvents_.push_back({"earlier_runs_over", {{"host", It->first}}});
-    State.ListingsToRecord_[It->first] = Listing::Gone;
-    It = State.UnsyncedWorkers_.erase(It);
+  std::vector<std::string> Expired;
+  for (const auto &[Name, Unsynced] : State.UnsyncedWorkers_) {
+    if (isExpired(State, Unsynced.RunsEndBy_, Context.Now_))
+      Expired.push_back(Name);
+    else if (Context.Now_ < Unsynced.RunsEndBy_)
+      Out.WakeAt_ = std::min(Out.WakeAt_, Unsynced.RunsEndBy_);
   }
+  for (const std::string &Name : Expired)
+    endEarlierRuns(State, Name, "the leases have expired", Out);
 }
 
 void endProbations(Holder &State, core::TimePoint Now, Effects &Out) {
--- a/lib/cell/tests/fakecell.cpp
+++ b/lib/cell/tests/fakecell.cpp
@@ -89,7 +89,8 @@
     const std::string &Host = Entry.first;
     HolderOrders &Orders = Entry.second;
     AgentReport &Report = Agents_[Host];
-    Report.Term_ = Orders.Term_;
+    Report.Term_ =
+        Report.Worker_ || EndedWorkers_.count(Host) ? Orders.Term_ : 0;
     Report.ProcessedOrders_ = Orders.Sequence_;
     for (const StartOrder &Order : Orders.Starts_)
       Report.Running_.push_back({Order.Id_, Order.Checkpoint_, 0, 0});
--- a/lib/cell/tests/fakecell.h
+++ b/lib/cell/tests/fakecell.h
@@ -19,6 +19,8 @@
   Holder Holder_;
   /// Reports that the agents send next, by host.
   std::map<std::string, AgentReport> Agents_;
+  /// Hosts whose agents have seen the end of their worker's process.
+  std::set<std::string> EndedWorkers_;
   /// Orders, records and log events since the test last cleared them.
   std::vector<std::pair<std::string, HolderOrders>> Orders_;
   std::vector<jobs::Record> Records_;
--- a/lib/cell/tests/takeovertest.cpp
+++ b/lib/cell/tests/takeovertest.cpp
@@ -12,6 +12,9 @@
   CPPUNIT_TEST(earlierRunsEndOnlyWhenConfirmed);
   CPPUNIT_TEST(endOfAReconnectedWorkerIsConfirmed);
   CPPUNIT_TEST(newHolderWaitsForUnreachableWorkers);
+  CPPUNIT_TEST(newHolderDoesNotWaitForEndedWorkers);
+  CPPUNIT_TEST(newHolderWaitsForWorkersOfRestartedAgents);
+  CPPUNIT_TEST(workerThatEndsBeforeItIsSyncedDelaysNoJob);
   CPPUNIT_TEST(newHolderAdoptsRuns);
   CPPUNIT_TEST(emptyWorkerDelaysNoJob);
   CPPUNIT_TEST(closedWorkerDelaysOnlyItsTasks);
@@ -185,6 +188,47 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), Cell.View_.Workers_.count("lost"));
   }
 
+  /// Guards against jobs that wait for the leases of a worker whose process has
+  /// ended, as its agent tells the new holder.
+  void newHolderDoesNotWaitForEndedWorkers() {
+    FakeCell Cell;
+    prepareTakeover(Cell);
+    Cell.claimCell(Cell.Now_);
+    Cell.Agents_["lost"].Host_ = "lost";
+    Cell.EndedWorkers_ = {"lost"};
+    Cell.runFor(500ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("old").size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Cell.View_.Workers_.count("lost"));
+  }
+
+  /// Guards against two runs of a task: an agent that has just started does not
+  /// know its worker yet, which may be running the task.
+  void newHolderWaitsForWorkersOfRestartedAgents() {
+    FakeCell Cell;
+    prepareTakeover(Cell);
+    Cell.claimCell(Cell.Now_);
+    Cell.Agents_["lost"].Host_ = "lost";
+    Cell.runFor(6s);
+    CPPUNIT_ASSERT(Cell.runsOf("old").empty());
+  }
+
+  /// Guards against the wait for leases when a worker ends after the new holder
+  /// has heard of it, and before the worker has adopted the term.
+  void workerThatEndsBeforeItIsSyncedDelaysNoJob() {
+    FakeCell Cell;
+    prepareTakeover(Cell);
+    Cell.addWorker("lost", "r1");
+    Cell.claimCell(Cell.Now_);
+    Cell.Agents_["lost"].Term_ = 0;
+    Cell.advance();
+    Cell.Agents_["lost"].Worker_.reset();
+    Cell.Agents_["lost"].Term_ = 0;
+    Cell.EndedWorkers_ = {"lost"};
+    Cell.runFor(500ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("old").size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Cell.View_.Workers_.count("lost"));
+  }
+
   /// Guards against work that is discarded when the holder changes.
   void newHolderAdoptsRuns() {
     FakeCell Cell;
--- a/lib/site/include/nutmegwell/site/agent.h
+++ b/lib/site/include/nutmegwell/site/agent.h
@@ -49,6 +49,9 @@
   /// deadline on the worker's clock. Covers the slowest clock and a listing in
   /// transit.
   core::Duration LateMargin_ = std::chrono::milliseconds(150);
+  /// Longest time after which a worker still carries out a call that got no
+  /// response; the platform's kinds of trouble delay calls by up to 12 s.
+  core::Duration MaxCallDelay_ = std::chrono::seconds(12);
   /// Longest lease that a worker accepts.
   core::Duration MaxLease_ = std::chrono::seconds(6);
   /// A process that has announced itself and could not be verified for this
@@ -201,6 +204,9 @@
   /// Incarnation of the worker whose process was the last to end, or 0. Its
   /// late announcements are ignored.
   std::int64_t EndedIncarnation_ = 0;
+  /// Until this time, a start that got no response may still be carried out, by
+  /// the worker or by a process that follows it under the same id.
+  core::TimePoint LateStartsUntil_{};
   bool WorkerUnreachable_ = false;
   /// Another incarnation has responded to a call but not announced itself yet.
   bool Superseded_ = false;
--- a/lib/site/src/agent.cpp
+++ b/lib/site/src/agent.cpp
@@ -67,12 +67,22 @@
   dial(State, Info.HolderAddress_, Now, Out);
 }
 
+/// Returns the term under which the lists of runs are complete. Without a
+/// worker they are empty: once its process has ended, and no late start can
+/// reach the next one, nothing runs there under the orders of earlier terms.
+core::Term reportedTerm(const AgentState &State, core::TimePoint Now) {
+  if (State.Worker_)
+    return State.SyncedTerm_;
+  const bool Ended = State.EndedIncarnation_ != 0;
+  return Ended && Now >= State.LateStartsUntil_ ? State.Term_ : 0;
+}
+
 void sendReport(AgentState &State, core::TimePoint Now, AgentEffects &Out) {
   cell::AgentReport Report;
   Report.Host_ = State.Settings_.Host_;
   Report.AgentIncarnation_ = State.Settings_.Incarnation_;
   Report.Sequence_ = State.NextReportSequence_++;
-  Report.Term_ = State.SyncedTerm_;
+  Report.Term_ = reportedTerm(State, Now);
   Report.Worker_ = State.Worker_;
   Report.WorkerReachable_ = !State.WorkerUnreachable_;
   Report.ProcessedOrders_ = State.ProcessedOrders_;
--- a/lib/site/src/agentorders.cpp
+++ b/lib/site/src/agentorders.cpp
@@ -75,6 +75,8 @@
     // Poll under the new term without waiting for the poll in flight.
     State.PollInFlight_ = 0;
     State.NextPollAt_ = Now;
+    // A new holder waits to learn that no earlier run is left.
+    State.ReportNeeded_ |= !State.Worker_;
   }
   const bool SameWorker =
       State.Worker_ &&
--- a/lib/site/src/agentworker.cpp
+++ b/lib/site/src/agentworker.cpp
@@ -90,6 +90,9 @@
           {"deadline_worker_ms", std::to_string(Call.Deadline_.count())},
           {"error", Response.Error_}}});
     It->second.Repeat_ = Call;
+    State.LateStartsUntil_ =
+        std::max(State.LateStartsUntil_,
+                 It->second.SentAt_ + State.Settings_.Policy_.MaxCallDelay_);
     return;
   }
   State.ReportNeeded_ = true;
--- a/lib/site/tests/agentfixture.h
+++ b/lib/site/tests/agentfixture.h
@@ -124,8 +124,8 @@
     deliver(Orders);
   }
 
-  /// Connects to an entry host and has the worker adopt the term.
-  void connect() {
+  /// Connects to an entry host before a worker has announced itself.
+  void connectWithoutWorker() {
     AgentSettings Settings;
     Settings.Host_ = "w1";
     Settings.Seeds_ = {"10.0.0.1:7000"};
@@ -136,6 +136,11 @@
     AgentEffects Opened;
     onEntryLinkOpened(State_, Link, Now_, Opened);
     collect(std::move(Opened));
+  }
+
+  /// Connects to an entry host and has the worker adopt the term.
+  void connect() {
+    connectWithoutWorker();
     announce(false, 1);
     deliver(orders(Report_->Sequence_));
     respondToPoll(std::chrono::milliseconds(101));
--- a/lib/site/tests/agentworkertest.cpp
+++ b/lib/site/tests/agentworkertest.cpp
@@ -13,6 +13,9 @@
   CPPUNIT_TEST(refusedConnectionMakesAWorkerUnreachable);
   CPPUNIT_TEST(silentWorkerIsUnreachableInTime);
   CPPUNIT_TEST(endOfTheWorkerIsReported);
+  CPPUNIT_TEST(endOfTheWorkerIsReportedToANewHolder);
+  CPPUNIT_TEST(unansweredStartDelaysTheReportOfAnEnd);
+  CPPUNIT_TEST(agentWithoutAWorkerReportsNoTerm);
   CPPUNIT_TEST(unansweredStartIsSentAgain);
   CPPUNIT_TEST(refusedRepeatDoesNotHideAnEndedRun);
   CPPUNIT_TEST(refusedRepeatStaysPendingUntilItsDeadline);
@@ -109,6 +112,63 @@
     CPPUNIT_ASSERT(Report_->Worker_);
   }
 
+  /// Lets the worker's host refuse connections until the agent reports the end
+  /// of the worker.
+  void endWorker() {
+    for (int I = 0; I < 2; ++I) {
+      Now_ += 150ms;
+      collect({});
+      losePollResponse(true);
+    }
+    CPPUNIT_ASSERT(!Report_->Worker_);
+  }
+
+  /// Guards against a new holder that waits for the leases of a worker which
+  /// has ended: the agent reports the end under the new term at once.
+  void endOfTheWorkerIsReportedToANewHolder() {
+    connect();
+    endWorker();
+    const std::uint64_t Before = Report_->Sequence_;
+    deliver(orders(Report_->Sequence_, Term + 1));
+    CPPUNIT_ASSERT(Report_->Sequence_ > Before);
+    CPPUNIT_ASSERT(!Report_->Worker_);
+    CPPUNIT_ASSERT_EQUAL(core::Term(Term + 1), Report_->Term_);
+  }
+
+  /// Guards against two runs of a task: a start that the worker left unanswered
+  /// may be carried out by its next process, until 12 s after its last call.
+  void unansweredStartDelaysTheReportOfAnEnd() {
+    connect();
+    deliverStart(Report_->Sequence_);
+    Now_ += 300ms;
+    respondToStart(false, 0ms);
+    const core::TimePoint RepeatSentAt = Now_;
+    respondToStart(false, 0ms);
+    deliver(orders(Report_->Sequence_));
+    // The start is not repeated after its deadline.
+    Now_ += 1300ms;
+    collect({});
+    endWorker();
+    while (Now_ < RepeatSentAt + 12s) {
+      deliver(orders(Report_->Sequence_, Term + 1));
+      CPPUNIT_ASSERT_EQUAL(core::Term(0), Report_->Term_);
+      Now_ += 500ms;
+    }
+    deliver(orders(Report_->Sequence_, Term + 1));
+    CPPUNIT_ASSERT_EQUAL(core::Term(Term + 1), Report_->Term_);
+  }
+
+  /// Guards against two runs of a task: an agent that has not heard from a
+  /// worker yet does not know whether one runs.
+  void agentWithoutAWorkerReportsNoTerm() {
+    connectWithoutWorker();
+    deliver(orders(Report_->Sequence_));
+    Now_ += 1s;
+    collect({});
+    CPPUNIT_ASSERT(!Report_->Worker_);
+    CPPUNIT_ASSERT_EQUAL(core::Term(0), Report_->Term_);
+  }
+
   /// Guards against a gang that waits for a member until the start times out: a
   /// worker that leaves an order unanswered carries it out seconds later, when
   /// the start has expired. The repeat must not outlast the first call.
--- a/lib/site/tests/electiontest.cpp
+++ b/lib/site/tests/electiontest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(oneClaimAtATime);
   CPPUNIT_TEST(isolatedHolderStopsGranting);
   CPPUNIT_TEST(restartedHolderClaimsAtOnce);
+  CPPUNIT_TEST(workersThatLeaveWithTheHolderDelayNoJob);
   CPPUNIT_TEST_SUITE_END();
 
   /// Runs a site for 2 s, kills the holder and waits for another one. Returns
@@ -30,6 +31,15 @@
     return Writer;
   }
 
+  /// Returns the worker of each start so far.
+  static std::vector<std::string> startedOn(const FakeSite &Site) {
+    std::vector<std::string> Workers;
+    for (const history::Event &Each : Site.Events_)
+      if (const auto *Start = std::get_if<history::RunStarted>(&Each.Body_))
+        Workers.push_back(Start->Worker_);
+    return Workers;
+  }
+
 public:
   /// Guards against a cell without a holder, or with several, after the start.
   void oneHostHoldsTheCell() {
@@ -170,6 +180,30 @@
     Site.run(200ms);
     CPPUNIT_ASSERT(Site.holders() == std::vector<std::string>{Holder});
   }
+
+  /// Guards against jobs that wait for the leases of workers which have ended
+  /// while no host held the cell; users expect a start within 3 s.
+  void workersThatLeaveWithTheHolderDelayNoJob() {
+    FakeSite Site(3);
+    for (const char *Worker : {"w0", "w1", "w2", "w3"})
+      Site.addWorker(Worker, "a", 1);
+    Site.run(3s);
+    Site.submit("e0", "j",
+                jobs::JobSpecBuilder()
+                    .command("60000")
+                    .step(2, {1000, 1000, FakeWorkerAccelerators}, 1min)
+                    .build());
+    Site.run(1s);
+    const std::vector<std::string> First = startedOn(Site);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), First.size());
+    Site.kill(Site.holders()[0]);
+    for (const std::string &Worker : First)
+      Site.crashWorker(Worker);
+    while (Site.holders().empty())
+      Site.run(100ms);
+    Site.run(3s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), startedOn(Site).size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ElectionTest);
