Keep unanswered starts pending after the end of their worker

Callers saw two runs of a task at the same time: a worker left a start unanswered, crashed, came back under its id, and carried the start out when the task had been started on another worker.

Cause: the agent forgot all pending starts with the worker's process, because no call was in flight. A call that was given up can be carried out up to 12 s after it was sent, and the next process has no reason to refuse it: its clock begins at zero, and its id is the same.

Change: the agent remembers starts without a response for 12 s, reports them as pending after the end of the process, and sends the next process a stop for each. The holder keeps the runs that such a report names and records the worker as closed with their tasks. handleEmptyHost ends the wait when no process comes back, and expireLeases when the agent is lost as well.

Rolling restart: no format has changed.

--- a/lib/cell/include/nutmegwell/cell/messages.h
+++ b/lib/cell/include/nutmegwell/cell/messages.h
@@ -114,7 +114,8 @@
   std::uint64_t ProcessedOrders_ = 0;
   std::vector<RunningTask> Running_;
   std::vector<EndedTask> Ended_;
-  /// Starts whose outcome is not known yet.
+  /// Starts whose outcome is not known yet. Without a worker, those that its
+  /// next process may still carry out.
   std::vector<RunId> Pending_;
   std::vector<RefusedStart> Refused_;
 };
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -41,32 +41,55 @@
   }
 }
 
-/// Drops the runs of a worker whose process has ended, and stops the gangs that
-/// have lost a member. Nothing can start there before the worker has announced
-/// itself again.
-void handleWorkerEnd(Holder &State, Worker &Host, core::TimePoint Now,
-                     Effects &Out) {
-  Out.LogEvents_.push_back({"worker_ended", {{"host", Host.Host_}}});
-  std::vector<RunId> Lost;
+/// Ends the runs of a worker whose process has ended, and stops the gangs that
+/// have lost a member. Keeps the runs whose starts the worker's next process
+/// may still carry out, as the report tells, so that their tasks are not
+/// started elsewhere meanwhile.
+void handleWorkerEnd(Holder &State, Worker &Host, const AgentReport &Report,
+                     core::TimePoint Now, Effects &Out) {
+  const std::set<RunId> MayStart(Report.Pending_.begin(),
+                                 Report.Pending_.end());
+  std::vector<RunId> Ended;
   for (const auto &[Id, Run] : State.Runs_)
     if (Run.Host_ == Host.Host_)
-      Lost.push_back(Id);
-  for (const RunId &Id : Lost) {
+      Ended.push_back(Id);
+  std::size_t Kept = 0;
+  for (const RunId &Id : Ended) {
     const auto It = State.Runs_.find(Id);
     const bool Gang = It->second.Gang_;
-    dropRun(State, It, "the worker has ended", Out);
+    if (MayStart.count(Id)) {
+      It->second.State_ = RunState::Ordered;
+      ++Kept;
+    } else {
+      dropRun(State, It, "the worker has ended", Out);
+    }
     if (Gang)
       stopGang(State, Id, "a gang member's worker has ended", Now, Out);
   }
+  Out.LogEvents_.push_back(
+      {"worker_ended",
+       {{"host", Host.Host_}, {"late_starts", std::to_string(Kept)}}});
   if (Host.Listed_ || Host.Closed_ || State.ListingsToRecord_.count(Host.Host_))
-    State.ListingsToRecord_[Host.Host_] = Listing::Gone;
-  Host.Listed_ = Host.Closed_ = Host.Synced_ = false;
+    State.ListingsToRecord_[Host.Host_] =
+        Kept > 0 ? Listing::Closed : Listing::Gone;
+  if (Kept > 0)
+    Host.LateStartsUntil_ = Now + State.Policy_.MaxCallDelay_;
+  Host.Listed_ = Host.Synced_ = false;
+  Host.Closed_ = Kept > 0;
   Host.Info_.reset();
   Host.Starts_.clear();
   Host.Stops_.clear();
   Host.Paces_.clear();
 }
 
+/// Handles a report that no process of a worker runs on a host, and that none
+/// can carry out a start of an earlier one.
+void handleEmptyHost(Holder &State, Worker &Host, Effects &Out) {
+  endEarlierRuns(State, Host.Host_, "the worker has ended", Out);
+  if (!Host.Info_)
+    dropRunsOf(State, Host, "no process has carried out the start", Out);
+}
+
 /// Resets the state that ended with an earlier incarnation of the worker or of
 /// its agent when the report comes from a new one.
 void handleNewIncarnations(Holder &State, Worker &Host,
@@ -347,6 +370,23 @@
   return Names;
 }
 
+bool hasRuns(const Holder &State, const std::string &Host) {
+  return std::any_of(State.Runs_.begin(), State.Runs_.end(),
+                     [&](const auto &Row) { return Row.second.Host_ == Host; });
+}
+
+void dropRunsOf(Holder &State, Worker &Host, const std::string &Reason,
+                Effects &Out) {
+  for (auto It = State.Runs_.begin(); It != State.Runs_.end();) {
+    const auto Current = It++;
+    if (Current->second.Host_ == Host.Host_)
+      dropRun(State, Current, Reason, Out);
+  }
+  if (Host.Listed_ || Host.Closed_ || State.ListingsToRecord_.count(Host.Host_))
+    State.ListingsToRecord_[Host.Host_] = Listing::Gone;
+  Host.Listed_ = Host.Closed_ = Host.Synced_ = false;
+}
+
 void endEarlierRuns(Holder &State, const std::string &Host,
                     const std::string &Reason, Effects &Out) {
   if (State.UnsyncedWorkers_.erase(Host) == 0)
@@ -377,7 +417,7 @@
   // yet.
   if (!Report.Worker_ && Host.Info_ &&
       Host.InfoFrom_ == Report.AgentIncarnation_)
-    handleWorkerEnd(State, Host, Context.Now_, Out);
+    handleWorkerEnd(State, Host, Report, Context.Now_, Out);
   handleNewIncarnations(State, Host, Report, Context.Now_, Out);
   Host.LastReportSequence_ = Report.Sequence_;
   if (Host.Reachable_ != Report.WorkerReachable_)
@@ -390,7 +430,7 @@
   if (Report.Term_ != State.Term_)
     return;
   if (!Report.Worker_)
-    return endEarlierRuns(State, Host.Host_, "the worker has ended", Out);
+    return handleEmptyHost(State, Host, Out);
   if (!Host.Synced_) {
     Host.Synced_ = true;
     // An earlier holder may have granted a lease until just now.
--- a/lib/cell/src/holdersteps.h
+++ b/lib/cell/src/holdersteps.h
@@ -54,6 +54,14 @@
 void handleEnds(Holder &State, Worker &Host, const AgentReport &Report,
                 const HolderContext &Context, Effects &Out);
 
+/// Returns whether \p Host has runs.
+bool hasRuns(const Holder &State, const std::string &Host);
+
+/// Drops all runs of a worker, on which no task can be running any more, and
+/// records that.
+void dropRunsOf(Holder &State, Worker &Host, const std::string &Reason,
+                Effects &Out);
+
 /// Stops waiting for the runs of earlier holders on a worker, none of which is
 /// left.
 void endEarlierRuns(Holder &State, const std::string &Host,
--- a/lib/cell/src/workers.cpp
+++ b/lib/cell/src/workers.cpp
@@ -30,19 +30,11 @@
   for (auto &[Name, Host] : State.Workers_) {
     const bool Silent = !Host.Reachable_ || Context.Now_ - Host.LastReportAt_ >
                                                 State.Policy_.SuspectAfter_;
-    if (!Silent || !Host.Synced_ ||
+    // A worker that has ended keeps the runs that its next process may start.
+    if (!Silent || !(Host.Synced_ || hasRuns(State, Name)) ||
         !isExpired(State, lastLeaseEnd(State.Policy_, Host), Context.Now_))
       continue;
-    Host.Synced_ = false;
-    std::vector<TaskRunMap::iterator> Lost;
-    for (auto It = State.Runs_.begin(); It != State.Runs_.end(); ++It)
-      if (It->second.Host_ == Name)
-        Lost.push_back(It);
-    for (auto It : Lost)
-      dropRun(State, It, "the worker's lease expired without contact", Out);
-    if (Host.Listed_ || Host.Closed_ || State.ListingsToRecord_.count(Name))
-      State.ListingsToRecord_[Name] = Listing::Gone;
-    Host.Listed_ = Host.Closed_ = false;
+    dropRunsOf(State, Host, "the worker's lease expired without contact", Out);
   }
   std::vector<std::string> Expired;
   for (const auto &[Name, Unsynced] : State.UnsyncedWorkers_) {
--- a/lib/site/include/nutmegwell/site/agent.h
+++ b/lib/site/include/nutmegwell/site/agent.h
@@ -204,9 +204,9 @@
   /// Incarnation of the worker whose process was the last to end, or 0. Its
   /// late announcements are ignored.
   std::int64_t EndedIncarnation_ = 0;
-  /// Until this time, a start that got no response may still be carried out, by
-  /// the worker or by a process that follows it under the same id.
-  core::TimePoint LateStartsUntil_{};
+  /// Starts that got no response, and until when each may still be carried out,
+  /// by the worker or by a process that follows it under the same id.
+  std::map<cell::RunId, core::TimePoint> LateStarts_;
   bool WorkerUnreachable_ = false;
   /// Another incarnation has responded to a call but not announced itself yet.
   bool Superseded_ = false;
--- a/lib/site/src/agent.cpp
+++ b/lib/site/src/agent.cpp
@@ -70,11 +70,11 @@
 /// Returns the term under which the lists of runs are complete. Without a
 /// worker they are empty: once its process has ended, and no late start can
 /// reach the next one, nothing runs there under the orders of earlier terms.
-core::Term reportedTerm(const AgentState &State, core::TimePoint Now) {
+core::Term reportedTerm(const AgentState &State) {
   if (State.Worker_)
     return State.SyncedTerm_;
   const bool Ended = State.EndedIncarnation_ != 0;
-  return Ended && Now >= State.LateStartsUntil_ ? State.Term_ : 0;
+  return Ended && State.LateStarts_.empty() ? State.Term_ : 0;
 }
 
 void sendReport(AgentState &State, core::TimePoint Now, AgentEffects &Out) {
@@ -82,7 +82,7 @@
   Report.Host_ = State.Settings_.Host_;
   Report.AgentIncarnation_ = State.Settings_.Incarnation_;
   Report.Sequence_ = State.NextReportSequence_++;
-  Report.Term_ = reportedTerm(State, Now);
+  Report.Term_ = reportedTerm(State);
   Report.Worker_ = State.Worker_;
   Report.WorkerReachable_ = !State.WorkerUnreachable_;
   Report.ProcessedOrders_ = State.ProcessedOrders_;
@@ -173,6 +173,7 @@
   fencePending(State, Now, Out);
   repeatStarts(State, Now, Out);
   detectWorkerEnd(State, Out);
+  expireLateStarts(State, Now, Out);
   verifyCandidates(State, Now, Out);
   pollWorker(State, Now, Out);
   if (!State.LinkOpen_)
--- a/lib/site/src/agentorders.cpp
+++ b/lib/site/src/agentorders.cpp
@@ -98,6 +98,9 @@
   for (const cell::RunId &Id : Orders.Stops_) {
     if (auto It = State.Pending_.find(Id); It != State.Pending_.end())
       It->second.StopOrdered_ = true;
+    // No process runs, and the next one is sent a stop of each pending start.
+    if (!State.Worker_)
+      continue;
     callWorker(State, StopCall{Id, State.Term_},
                State.Settings_.Policy_.OrderTimeout_, Out);
   }
--- a/lib/site/src/agentsteps.h
+++ b/lib/site/src/agentsteps.h
@@ -57,9 +57,14 @@
 void repeatStarts(AgentState &State, core::TimePoint Now, AgentEffects &Out);
 
 /// Forgets a worker whose process has ended, so that the next report tells the
-/// holder that nothing runs there any more.
+/// holder that nothing runs there any more, and which starts a next process may
+/// still carry out.
 void detectWorkerEnd(AgentState &State, AgentEffects &Out);
 
+/// Forgets the starts without a response that no process carries out any more.
+void expireLateStarts(AgentState &State, core::TimePoint Now,
+                      AgentEffects &Out);
+
 /// Polls the worker when the next poll is due.
 void pollWorker(AgentState &State, core::TimePoint Now, AgentEffects &Out);
 
--- a/lib/site/src/agentworker.cpp
+++ b/lib/site/src/agentworker.cpp
@@ -79,6 +79,9 @@
 void onStartResponse(AgentState &State, const StartCall &Call,
                      const WorkerResponse &Response, core::TimePoint Now,
                      AgentEffects &Out) {
+  if (!Response.Answered_ && !Response.ConnectionRefused_)
+    State.LateStarts_[Call.Order_.Id_] =
+        Now + State.Settings_.Policy_.MaxCallDelay_;
   auto It = State.Pending_.find(Call.Order_.Id_);
   if (It == State.Pending_.end())
     return;
@@ -90,9 +93,6 @@
           {"deadline_worker_ms", std::to_string(Call.Deadline_.count())},
           {"error", Response.Error_}}});
     It->second.Repeat_ = Call;
-    State.LateStartsUntil_ =
-        std::max(State.LateStartsUntil_,
-                 It->second.SentAt_ + State.Settings_.Policy_.MaxCallDelay_);
     return;
   }
   State.ReportNeeded_ = true;
@@ -129,7 +129,8 @@
 
 /// Discards the state of an earlier incarnation of the worker. Pending starts
 /// stay, since one that was sent after the new incarnation began and before it
-/// announced itself runs there.
+/// announced itself runs there, and so may a late start whose deadline has
+/// passed on the earlier clock only.
 void resetWorker(AgentState &State) {
   State.WorkerClock_.reset();
   State.RunsListedAt_ = WorkerTime(0);
@@ -138,11 +139,19 @@
   State.Refused_.clear();
   State.AcknowledgedUpTo_ = 0;
   State.SyncedTerm_ = 0;
+  for (const auto &[Number, Call] : State.Calls_)
+    if (const auto *Start = std::get_if<StartCall>(&Call.Body_))
+      if (auto It = State.Pending_.find(Start->Order_.Id_);
+          It != State.Pending_.end())
+        State.LateStarts_[It->first] =
+            It->second.SentAt_ + State.Settings_.Policy_.MaxCallDelay_;
   State.Calls_.clear();
   State.PollInFlight_ = 0;
   State.UnansweredPolls_ = State.RefusedPolls_ = 0;
   State.WorkerUnreachable_ = false;
   State.Superseded_ = false;
+  for (const auto &[Id, Until] : State.LateStarts_)
+    State.Pending_.try_emplace(Id);
   for (auto &[Id, Start] : State.Pending_) {
     Start.Fencing_ = true;
     Start.Answered_ = false;
@@ -349,13 +358,32 @@
         {"running", std::to_string(State.Running_.size())}}});
   State.EndedIncarnation_ = State.Worker_->WorkerIncarnation_;
   State.Worker_.reset();
-  // No start is in flight, so that none can reach a later incarnation.
+  // Only a start that got no response can reach a later incarnation.
   State.Pending_.clear();
   resetWorker(State);
   State.ReportNeeded_ = true;
 }
 
+void expireLateStarts(AgentState &State, core::TimePoint Now,
+                      AgentEffects &Out) {
+  for (auto It = State.LateStarts_.begin(); It != State.LateStarts_.end();) {
+    if (Now < It->second) {
+      Out.WakeAt_ = std::min(Out.WakeAt_, It->second);
+      ++It;
+      continue;
+    }
+    // No listing of a worker can resolve the start.
+    if (!State.Worker_) {
+      State.Pending_.erase(It->first);
+      State.ReportNeeded_ = true;
+    }
+    It = State.LateStarts_.erase(It);
+  }
+}
+
 void fencePending(AgentState &State, core::TimePoint Now, AgentEffects &Out) {
+  if (!State.Worker_)
+    return;
   const core::Duration RepeatInterval = State.Settings_.Policy_.OrderTimeout_;
   for (auto &[Id, Start] : State.Pending_) {
     if (!Start.Fencing_ || Start.Answered_)
--- a/lib/site/tests/fakeagents.cpp
+++ b/lib/site/tests/fakeagents.cpp
@@ -176,11 +176,14 @@
       LostResponseShare_ > 0 && Share(Random_) < LostResponseShare_;
   const int Steps =
       Late ? MinLateSteps + static_cast<int>(Random_() % LateStepsRange) : 1;
-  // Orders that a worker has not carried out are lost when it restarts.
+  // By default, orders that a worker has not carried out are lost when it
+  // restarts.
   schedule(Steps * Step, [this, Host, Call, Respond, Late, Lost,
                           Incarnation = Workers_.at(Host).incarnation()] {
     FakeWorker &Worker = Workers_.at(Host);
-    if (Worker.incarnation() == Incarnation && !EndedWorkers_.count(Host))
+    const bool Delivered = Worker.incarnation() == Incarnation ||
+                           (Late && LateOrdersSurviveRestarts_);
+    if (Delivered && !EndedWorkers_.count(Host))
       Worker.handleCall(Call, Late, Now_,
                         Late || Lost ? [](const WorkerResponse &) {}
                                      : FakeWorker::Responder(Respond));
--- a/lib/site/tests/fakesite.h
+++ b/lib/site/tests/fakesite.h
@@ -104,6 +104,10 @@
   /// Sets the share of orders that workers carry out at once, but whose
   /// responses are lost.
   void setLostResponses(double Share) { LostResponseShare_ = Share; }
+  /// Lets late orders reach a worker that has restarted meanwhile.
+  void setLateOrdersSurviveRestarts(bool Value) {
+    LateOrdersSurviveRestarts_ = Value;
+  }
   /// Takes a failure domain out of service or back in.
   void setDomainOutOfService(const std::string &Domain, bool Out);
   /// Drops all messages to and from a host until reconnect.
@@ -198,6 +202,7 @@
   std::mt19937_64 Random_{1};
   double LateOrderShare_ = 0;
   double LostResponseShare_ = 0;
+  bool LateOrdersSurviveRestarts_ = false;
   LinkId NextLink_ = FirstAgentLink;
   /// Jobs and kinds of calls, and newest terms by entry host.
   std::map<CallToken, std::pair<std::string, RequestKind>> SentCalls_;
