--- a/lib/site/tests/schedulestest.cpp
+++ b/lib/site/tests/schedulestest.cpp
@@ -164,6 +164,19 @@
     }
   }
 
+  /// Makes some orders late and lets a worker end and start again meanwhile;
+  /// its next process carries out the late ones.
+  void restartWithLateOrders() {
+    const std::string Worker = workerName(randomNumber(0, WorkerHosts - 1));
+    Site_.setLateOrdersSurviveRestarts(true);
+    Site_.setLateOrders(0.5);
+    runAfter(300ms, [=] {
+      Site_.setLateOrders(0);
+      Site_.crashWorker(Worker);
+    });
+    runAfter(randomNumber(50, 800) * 10ms, [=] { Site_.startWorker(Worker); });
+  }
+
   /// Submits a job to a host that may be suspended, refused by the store or cut
   /// off, and cancels it at another host soon after.
   void cancelNewJob() {
@@ -380,6 +393,7 @@
   CPPUNIT_TEST(schedulesWithOperations);
   CPPUNIT_TEST(schedulesWithDomainChanges);
   CPPUNIT_TEST(schedulesWithEarlyCancellations);
+  CPPUNIT_TEST(schedulesWithLateRestarts);
   CPPUNIT_TEST_SUITE_END();
 
   static void runSeeds(std::uint64_t First, void (Schedule::*Fault)(),
@@ -427,6 +441,11 @@
   void schedulesWithEarlyCancellations() {
     runSeeds(6000, &Schedule::cancelNewJob, faultBounds());
   }
+  /// Guards against second runs of tasks whose first start the next process of
+  /// a worker carries out late.
+  void schedulesWithLateRestarts() {
+    runSeeds(7000, &Schedule::restartWithLateOrders, faultBounds());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SchedulesTest);
