Count a job as waiting until a task of it has started

Callers saw jobs as running, and a queue without waiting jobs, although workers had refused every start.

Cause: the holder set a job's state to running with the order of its first start, and never back when the start was refused.

Change: a job is running once a report lists a run of it, as running or as ended; also when a new holder adopts the run. The simulated workers of the cell's tests can refuse starts.

jobRunsToItsEnd expected the state running with the order, which rested on the fault. It now expects queued with the order and running with the next report, so it checks one state more than before.

--- a/lib/cell/src/ends.cpp
+++ b/lib/cell/src/ends.cpp
@@ -164,6 +164,7 @@
   LiveJob &Live = liveJob(State, Job, Context.Now_);
   if (jobs::isFinal(Live.Progress_.State_))
     return;
+  noteTaskStarted(State, Task.Job_, Live);
   const EndTarget Target{
       Job, Live, Job.Accepted_.Spec_.Steps_[Task.Step_],
       Live.Progress_.step(Job.Accepted_.Spec_, Task.Occurrence_, Task.Step_)};
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -177,6 +177,7 @@
     // send an order.
     Run.Pace_ = Run.BestEffort_ ? 0 : 100;
     LiveJob &Live = liveJob(State, Job, Context.Now_);
+    noteTaskStarted(State, Task.Id_.Task_.Job_, Live);
     const jobs::StepProgress *Progress =
         Live.Progress_.find(Task.Id_.Task_.Occurrence_, Task.Id_.Task_.Step_);
     const bool Done = Progress &&
@@ -217,6 +218,9 @@
       continue;
     }
     TaskRun &Run = It->second;
+    if (auto Job = State.Jobs_.find(Task.Id_.Task_.Job_);
+        Job != State.Jobs_.end())
+      noteTaskStarted(State, Job->first, Job->second);
     if (Run.State_ == RunState::Ordered) {
       Run.State_ = RunState::Running;
       Run.ProgressedAt_ = Context.Now_;
@@ -305,6 +309,13 @@
   return It->second;
 }
 
+void noteTaskStarted(Holder &State, const std::string &Job, LiveJob &Live) {
+  if (Live.Progress_.State_ != jobs::JobState::Queued)
+    return;
+  Live.Progress_.State_ = jobs::JobState::Running;
+  State.JobsToRecord_.insert(Job);
+}
+
 void dropRun(Holder &State, TaskRunMap::iterator It, const std::string &Reason,
              Effects &Out) {
   const TaskRun &Run = It->second;
--- a/lib/cell/src/holdersteps.h
+++ b/lib/cell/src/holdersteps.h
@@ -50,6 +50,10 @@
 /// records.
 LiveJob &liveJob(Holder &State, const jobs::JobEntry &Job, core::TimePoint Now);
 
+/// Records that a task of a job has started, after which the job no longer
+/// waits. An ordered start does not show that, since the worker may refuse it.
+void noteTaskStarted(Holder &State, const std::string &Job, LiveJob &Live);
+
 /// Processes the ends that a report lists and the holder has not handled yet.
 void handleEnds(Holder &State, Worker &Host, const AgentReport &Report,
                 const HolderContext &Context, Effects &Out);
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -208,10 +208,6 @@
       orderStart(Work, Work.Index_ + I, Run, Targets[Chosen[I]].Host_, Live);
     for (std::size_t I : Chosen)
       noteProbe(Targets[I].Host_, Work);
-    if (Live.Progress_.State_ == jobs::JobState::Queued) {
-      Live.Progress_.State_ = jobs::JobState::Running;
-      State_.JobsToRecord_.insert(Work.Job_->Accepted_.Job_);
-    }
   }
 
   /// Keeps further work off a worker on probation that has just got \p Work.
--- a/lib/cell/tests/fakecell.cpp
+++ b/lib/cell/tests/fakecell.cpp
@@ -93,7 +93,10 @@
         Report.Worker_ || EndedWorkers_.count(Host) ? Orders.Term_ : 0;
     Report.ProcessedOrders_ = Orders.Sequence_;
     for (const StartOrder &Order : Orders.Starts_)
-      Report.Running_.push_back({Order.Id_, Order.Checkpoint_, 0, 0});
+      if (RefusesStarts_)
+        Report.Refused_.push_back({Order.Id_, RefusalKind::Unhealthy});
+      else
+        Report.Running_.push_back({Order.Id_, Order.Checkpoint_, 0, 0});
     for (const RunId &Id : Orders.Stops_)
       endRun(Id, EndKind::Stopped);
     Report.Ended_.erase(
--- a/lib/cell/tests/fakecell.h
+++ b/lib/cell/tests/fakecell.h
@@ -27,6 +27,8 @@
   std::vector<core::LogEvent> LogEvents_;
   /// Open request to the approval service.
   std::optional<ApprovalRequest> ApprovalRequest_;
+  /// Workers refuse all starts as unhealthy.
+  bool RefusesStarts_ = false;
   /// A read of the store confirms the tenure at each step.
   bool TenureConfirmed_ = true;
   /// Appends become durable at once.
--- a/lib/cell/tests/holdertest.cpp
+++ b/lib/cell/tests/holdertest.cpp
@@ -8,6 +8,9 @@
 class HolderTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HolderTest);
   CPPUNIT_TEST(jobRunsToItsEnd);
+  CPPUNIT_TEST(jobWithRefusedStartsStaysQueued);
+  CPPUNIT_TEST(jobWhoseRunEndedAtOnceHasBegun);
+  CPPUNIT_TEST(adoptedRunHasBegun);
   CPPUNIT_TEST(stepsWaitForEarlierOnes);
   CPPUNIT_TEST(gangStartsWholeUnderOneRun);
   CPPUNIT_TEST(failedMemberStopsTheGang);
@@ -45,6 +48,8 @@
     Cell.acceptJob("j", oneStep(2, {1000, 1000, 1}));
     Cell.advance();
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), Cell.runsOf("j").size());
+    CPPUNIT_ASSERT(Cell.stateOf("j") == jobs::JobState::Queued);
+    Cell.advance();
     CPPUNIT_ASSERT(Cell.stateOf("j") == jobs::JobState::Running);
     for (const RunId &Id : Cell.runsOf("j"))
       Cell.endRun(Id, EndKind::Done);
@@ -52,6 +57,52 @@
     CPPUNIT_ASSERT(Cell.stateOf("j") == jobs::JobState::Completed);
   }
 
+  /// Guards against a job that is shown as running, and not counted as waiting,
+  /// although its workers have refused every start.
+  void jobWithRefusedStartsStaysQueued() {
+    FakeCell Cell;
+    startCell(Cell, 2);
+    Cell.RefusesStarts_ = true;
+    Cell.acceptJob("j", oneStep(1, {1000, 1000, 1}));
+    Cell.runFor(5s);
+    CPPUNIT_ASSERT(Cell.hasLogEvent("start_refused"));
+    CPPUNIT_ASSERT(Cell.stateOf("j") == jobs::JobState::Queued);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), jobs::waitingCount(Cell.View_, "q1"));
+    Cell.RefusesStarts_ = false;
+    Cell.runFor(10s);
+    CPPUNIT_ASSERT(Cell.stateOf("j") == jobs::JobState::Running);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), jobs::waitingCount(Cell.View_, "q1"));
+  }
+
+  /// Guards against a job that counts as waiting although a task has started:
+  /// the run ended before the worker listed it as running.
+  void jobWhoseRunEndedAtOnceHasBegun() {
+    FakeCell Cell;
+    startCell(Cell, 1);
+    Cell.acceptJob("j", oneStep(2, {1000, 1000, 1}));
+    Cell.advance();
+    for (const RunId &Id : Cell.runsOf("j"))
+      Cell.endRun(Id, EndKind::Failed);
+    Cell.advance();
+    CPPUNIT_ASSERT(Cell.stateOf("j") == jobs::JobState::Running);
+  }
+
+  /// Guards against the same when the holder that ordered the start ended
+  /// before it learned that the task had started.
+  void adoptedRunHasBegun() {
+    FakeCell Cell;
+    startCell(Cell, 1);
+    Cell.acceptJob("j", oneStep(1, {1000, 1000, 1}));
+    Cell.StoreAvailable_ = false;
+    Cell.advance();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("j").size());
+    CPPUNIT_ASSERT(Cell.stateOf("j") == jobs::JobState::Queued);
+    Cell.StoreAvailable_ = true;
+    Cell.claimCell(Cell.Now_);
+    Cell.runFor(300ms);
+    CPPUNIT_ASSERT(Cell.stateOf("j") == jobs::JobState::Running);
+  }
+
   /// Guards against a start before the steps that it depends on.
   void stepsWaitForEarlierOnes() {
     FakeCell Cell;
