--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -381,32 +381,6 @@
   return Names;
 }
 
-bool hasRuns(const Holder &State, const std::string &Host) {
-  return std::any_of(State.Runs_.begin(), State.Runs_.end(),
-                     [&](const auto &Row) { return Row.second.Host_ == Host; });
-}
-
-void dropRunsOf(Holder &State, Worker &Host, const std::string &Reason,
-                Effects &Out) {
-  for (auto It = State.Runs_.begin(); It != State.Runs_.end();) {
-    const auto Current = It++;
-    if (Current->second.Host_ == Host.Host_)
-      dropRun(State, Current, Reason, Out);
-  }
-  if (Host.Listed_ || Host.Closed_ || State.ListingsToRecord_.count(Host.Host_))
-    State.ListingsToRecord_[Host.Host_] = Listing::Gone;
-  Host.Listed_ = Host.Closed_ = Host.Synced_ = false;
-}
-
-void endEarlierRuns(Holder &State, const std::string &Host,
-                    const std::string &Reason, Effects &Out) {
-  if (State.UnsyncedWorkers_.erase(Host) == 0)
-    return;
-  Out.LogEvents_.push_back(
-      {"earlier_runs_over", {{"host", Host}, {"reason", Reason}}});
-  State.ListingsToRecord_[Host] = Listing::Gone;
-}
-
 void onReport(Holder &State, const AgentReport &Report,
               const HolderContext &Context, Effects &Out) {
   Worker &Host = State.Workers_[Report.Host_];
--- a/lib/cell/src/workers.cpp
+++ b/lib/cell/src/workers.cpp
@@ -26,6 +26,32 @@
          Now - Host.LastReportAt_ <= State.Policy_.SuspectAfter_;
 }
 
+bool hasRuns(const Holder &State, const std::string &Host) {
+  return std::any_of(State.Runs_.begin(), State.Runs_.end(),
+                     [&](const auto &Row) { return Row.second.Host_ == Host; });
+}
+
+void dropRunsOf(Holder &State, Worker &Host, const std::string &Reason,
+                Effects &Out) {
+  for (auto It = State.Runs_.begin(); It != State.Runs_.end();) {
+    const auto Current = It++;
+    if (Current->second.Host_ == Host.Host_)
+      dropRun(State, Current, Reason, Out);
+  }
+  if (Host.Listed_ || Host.Closed_ || State.ListingsToRecord_.count(Host.Host_))
+    State.ListingsToRecord_[Host.Host_] = Listing::Gone;
+  Host.Listed_ = Host.Closed_ = Host.Synced_ = false;
+}
+
+void endEarlierRuns(Holder &State, const std::string &Host,
+                    const std::string &Reason, Effects &Out) {
+  if (State.UnsyncedWorkers_.erase(Host) == 0)
+    return;
+  Out.LogEvents_.push_back(
+      {"earlier_runs_over", {{"host", Host}, {"reason", Reason}}});
+  State.ListingsToRecord_[Host] = Listing::Gone;
+}
+
 void expireLeases(Holder &State, const HolderContext &Context, Effects &Out) {
   for (auto &[Name, Host] : State.Workers_) {
     const bool Silent = !Host.Reachable_ || Context.Now_ - Host.LastReportAt_ >
--- a/lib/site/src/agentworker.cpp
+++ b/lib/site/src/agentworker.cpp
@@ -127,6 +127,19 @@
   State.NextPollAt_ = Now;
 }
 
+/// Counts the starts in flight as having got no response.
+void noteStartsInFlight(AgentState &State) {
+  for (const auto &[Number, Call] : State.Calls_) {
+    const auto *Start = std::get_if<StartCall>(&Call.Body_);
+    if (!Start)
+      continue;
+    auto It = State.Pending_.find(Start->Order_.Id_);
+    if (It != State.Pending_.end())
+      State.LateStarts_[It->first] =
+          It->second.SentAt_ + State.Settings_.Policy_.MaxCallDelay_;
+  }
+}
+
 /// Discards the state of an earlier incarnation of the worker. Pending starts
 /// stay, since one that was sent after the new incarnation began and before it
 /// announced itself runs there, and so may a late start whose deadline has
@@ -139,12 +152,7 @@
   State.Refused_.clear();
   State.AcknowledgedUpTo_ = 0;
   State.SyncedTerm_ = 0;
-  for (const auto &[Number, Call] : State.Calls_)
-    if (const auto *Start = std::get_if<StartCall>(&Call.Body_))
-      if (auto It = State.Pending_.find(Start->Order_.Id_);
-          It != State.Pending_.end())
-        State.LateStarts_[It->first] =
-            It->second.SentAt_ + State.Settings_.Policy_.MaxCallDelay_;
+  noteStartsInFlight(State);
   State.Calls_.clear();
   State.PollInFlight_ = 0;
   State.UnansweredPolls_ = State.RefusedPolls_ = 0;
--- a/lib/site/src/callers.cpp
+++ b/lib/site/src/callers.cpp
@@ -277,6 +277,8 @@
     if (Appended && Submit)
       Context.replyWith(Call.Request_, Call.Job_, ReplyKind::Accepted);
     else if (Appended)
+      // A job that did not exist when its cancellation arrived does not exist
+      // for the caller, although the record cancels it if it is accepted later.
       Context.replyWith(Call.Request_, Call.Job_,
                         isKnown(State, Call.Job_) ? ReplyKind::Cancelled
                                                   : ReplyKind::UnknownJob);
--- a/lib/site/tests/agentfixture.h
+++ b/lib/site/tests/agentfixture.h
@@ -157,6 +157,17 @@
     onWorkerResponse(State_, Lost, Now_, Out);
     collect(std::move(Out));
   }
+
+  /// Lets the worker's host refuse connections until the agent reports the end
+  /// of the worker.
+  void endWorker() {
+    for (int I = 0; I < 2; ++I) {
+      Now_ += std::chrono::milliseconds(150);
+      collect({});
+      losePollResponse(true);
+    }
+    CPPUNIT_ASSERT(!Report_->Worker_);
+  }
 };
 
 } // namespace nutmegwell::site
--- a/lib/site/tests/agentworkertest.cpp
+++ b/lib/site/tests/agentworkertest.cpp
@@ -112,17 +112,6 @@
     CPPUNIT_ASSERT(Report_->Worker_);
   }
 
-  /// Lets the worker's host refuse connections until the agent reports the end
-  /// of the worker.
-  void endWorker() {
-    for (int I = 0; I < 2; ++I) {
-      Now_ += 150ms;
-      collect({});
-      losePollResponse(true);
-    }
-    CPPUNIT_ASSERT(!Report_->Worker_);
-  }
-
   /// Guards against a new holder that waits for the leases of a worker which
   /// has ended: the agent reports the end under the new term at once.
   void endOfTheWorkerIsReportedToANewHolder() {
--- a/lib/site/tests/latestarttest.cpp
+++ b/lib/site/tests/latestarttest.cpp
@@ -19,17 +19,6 @@
   CPPUNIT_TEST(noCallIsMadeWithoutAProcess);
   CPPUNIT_TEST_SUITE_END();
 
-  /// Lets the worker's host refuse connections until the agent reports the end
-  /// of the worker.
-  void endWorker() {
-    for (int I = 0; I < 2; ++I) {
-      Now_ += 150ms;
-      collect({});
-      losePollResponse(true);
-    }
-    CPPUNIT_ASSERT(!Report_->Worker_);
-  }
-
   /// Sends a start that gets no response, and ends the worker after the start's
   /// deadline, up to which it is sent again. Returns when it was sent last.
   core::TimePoint endWorkerAfterUnansweredStart() {
