End the wait for a late start when the agent restarts

Found by reading the change again: when a worker ended with an unanswered start and its agent restarted before the start was resolved, the agent reported neither a worker nor a term, and the holder kept the run for good, since it only gave up runs of agents that were silent.

Change: the runs of a worker that has ended expire with the last possible lease, whether or not its agent reports. For that bound to hold, an agent that reports no worker gets no grant: it could extend the lease of a process that the holder does not know.

Rolling restart: no format has changed.

Measured: restartedAgentFreesTheTaskAfterTheLongestLease failed before and passes now.

--- a/lib/cell/src/orders.cpp
+++ b/lib/cell/src/orders.cpp
@@ -74,8 +74,9 @@
     Orders.Sequence_ = Host.NextOrder_++;
     Orders.ReportSequence_ = Host.LastReportSequence_;
     // Whether a worker that its agent cannot reach received an earlier
-    // extension is not known, so that its lease has to expire.
-    Orders.GrantsLease_ = Grant && Host.Reachable_;
+    // extension is not known, so that its lease has to expire. A process that
+    // the agent has not reported may run a start of the one before.
+    Orders.GrantsLease_ = Grant && Host.Reachable_ && Host.Info_;
     Orders.WorkerIncarnation_ = Host.Info_ ? Host.Info_->WorkerIncarnation_ : 0;
     Orders.AcknowledgedUpTo_ = Host.EndsDurable_;
     Orders.Starts_ = std::move(Host.Starts_);
--- a/lib/cell/src/workers.cpp
+++ b/lib/cell/src/workers.cpp
@@ -56,8 +56,10 @@
   for (auto &[Name, Host] : State.Workers_) {
     const bool Silent = !Host.Reachable_ || Context.Now_ - Host.LastReportAt_ >
                                                 State.Policy_.SuspectAfter_;
-    // A worker that has ended keeps the runs that its next process may start.
-    if (!Silent || !(Host.Synced_ || hasRuns(State, Name)) ||
+    // A worker that has ended keeps the runs that its next process may start,
+    // whose leases nobody extends, whether or not its agent reports.
+    const bool Ended = !Host.Info_;
+    if (!(Silent || Ended) || !(Host.Synced_ || hasRuns(State, Name)) ||
         !isExpired(State, lastLeaseEnd(State.Policy_, Host), Context.Now_))
       continue;
     dropRunsOf(State, Host, "the worker's lease expired without contact", Out);
--- a/lib/cell/tests/latestarttest.cpp
+++ b/lib/cell/tests/latestarttest.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(fencedStartFreesItsTask);
   CPPUNIT_TEST(expiredStartFreesItsTask);
   CPPUNIT_TEST(lostAgentFreesTheTaskAfterTheLongestLease);
+  CPPUNIT_TEST(restartedAgentFreesTheTaskAfterTheLongestLease);
   CPPUNIT_TEST(otherTasksOfTheWorkerDoNotWait);
   CPPUNIT_TEST(gangWaitsForItsLateMember);
   CPPUNIT_TEST(nextHolderKnowsTheLateStart);
@@ -97,6 +98,20 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("j").size());
   }
 
+  /// Guards against the same when the agent's next process reports neither a
+  /// worker nor a term.
+  void restartedAgentFreesTheTaskAfterTheLongestLease() {
+    FakeCell Cell;
+    const std::string Host = endWorkerOfPendingStart(Cell, oneTask());
+    Cell.advance();
+    Cell.Agents_[Host].AgentIncarnation_ = 2;
+    Cell.Agents_[Host].Pending_.clear();
+    Cell.runFor(18s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), startsOf(Cell, "j"));
+    Cell.runFor(1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.runsOf("j").size());
+  }
+
   /// Guards against work of an ended worker that waits without a reason.
   void otherTasksOfTheWorkerDoNotWait() {
     FakeCell Cell;
