Add the interfaces of the parts for hard load, and the speed model

Cause: the parts are built side by side and need fixed interfaces. Change: headers of the parts, settings that are off by default, and expect::SpeedModel, which tells worker speeds from the rates of sibling tasks.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegwell/cell/approval.h"
+#include "nutmegwell/cell/departure.h"
 #include "nutmegwell/cell/headroom.h"
 #include "nutmegwell/cell/messages.h"
 #include "nutmegwell/cell/pace.h"
@@ -82,6 +83,13 @@
   VictimChoice ChooseVictims_ = chooseVictims;
   PreemptionLimits Preemption_;
   HeadroomPolicy Headroom_;
+  DeparturePolicy Departure_;
+  /// Speeds of workers and run times of tasks are learned and used.
+  bool LearnRunTimes_ = false;
+  /// Accounts that have used less lately go first.
+  bool FairShares_ = false;
+  /// The first gang that does not fit keeps a place.
+  bool ReserveForGangs_ = false;
   /// Worst status with which urgent work preempts. Preemption delays other
   /// callers and discards work, which never pays off for a job whose result has
   /// become worthless.
--- /dev/null
+++ b/lib/expect/include/nutmegwell/expect/runtimes.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "nutmegwell/core/time.h"
+#include <cstddef>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace nutmegwell::expect {
+
+/// Weights and bounds of the run time model. Deviations are of natural
+/// logarithms.
+struct RunTimePolicy {
+  /// Standard deviation of declared times around the true work before any
+  /// sample; declared times are off by up to a factor of 1.9.
+  double DeclaredDeviation_ = 0.4;
+  /// Number of samples whose weight the starting point has.
+  double PriorWeight_ = 4;
+  /// Largest weight of all earlier samples, so that old ones decay.
+  double MaxWeight_ = 64;
+  /// Classes that are kept; beyond that, samples count for their queue only.
+  std::size_t MaxClasses_ = 4096;
+};
+
+/// Tasks whose run times are expected to be alike.
+struct TaskClass {
+  std::string Queue_;
+  std::string Account_;
+};
+
+/// Expected work of a task: its run time on a worker of ordinary speed near its
+/// data.
+struct ExpectedWork {
+  core::Duration Median_{0};
+  /// Standard deviation of ln(work).
+  double LogSpread_ = 0;
+  /// Weight of the samples behind the estimate; 0 when it is the declared time.
+  double Weight_ = 0;
+};
+
+/// Mean and spread of a logarithm, as a running sum with decaying weights.
+struct LogMoments {
+  double Weight_ = 0;
+  double Mean_ = 0;
+  double SquaredDeviation_ = 0;
+};
+
+/// Learned work of tasks, and errors of declared times, by queue and account.
+struct RunTimeModel {
+  struct Entry {
+    /// ln(work in seconds).
+    LogMoments Work_;
+    /// ln(work / declared time).
+    LogMoments DeclaredError_;
+  };
+
+  RunTimePolicy Policy_;
+  std::map<std::string, Entry> Queues_;
+  std::map<std::pair<std::string, std::string>, Entry> Classes_;
+};
+
+/// Adds the work of one finished task: its run time times the speed of its
+/// worker. \p Declared is zero when no time was declared.
+void recordWork(RunTimeModel &Model, const TaskClass &Class,
+                core::Duration Declared, core::Duration Work);
+
+/// Returns the expected work of a task, which combines the declared time with
+/// what the queue and the account have shown, weighted by their spreads.
+ExpectedWork expectedWork(const RunTimeModel &Model, const TaskClass &Class,
+                          core::Duration Declared);
+
+} // namespace nutmegwell::expect
--- /dev/null
+++ b/lib/expect/src/speeds.cpp
@@ -0,0 +1,213 @@
+#include "nutmegwell/expect/speeds.h"
+#include <algorithm>
+#include <cmath>
+
+namespace nutmegwell::expect {
+
+namespace {
+
+using Entry = SpeedModel::Entry;
+using StepRuns = SpeedModel::StepRuns;
+
+Entry &entryOf(SpeedModel &Model, const std::string &Worker) {
+  auto [It, Added] = Model.Workers_.try_emplace(Worker);
+  if (Added) {
+    const double Variance =
+        Model.Policy_.PriorDeviation_ * Model.Policy_.PriorDeviation_;
+    It->second.PriorVariance_ = It->second.Variance_ = Variance;
+  }
+  return It->second;
+}
+
+StepRuns &runsOf(Entry &Known, const std::string &Step, std::size_t MaxSteps) {
+  for (StepRuns &Runs : Known.Steps_)
+    if (Runs.Step_ == Step)
+      return Runs;
+  if (Known.Steps_.size() >= MaxSteps)
+    Known.Steps_.erase(Known.Steps_.begin());
+  Known.Steps_.push_back({Step, {}});
+  return Known.Steps_.back();
+}
+
+/// Mean of the log rates of a step's runs on one worker, and the number of runs
+/// that it is worth.
+struct Cell {
+  double Mean_ = 0;
+  double Weight_ = 0;
+};
+
+/// Sums over the workers of a step, from which the level of the step without
+/// one of them follows.
+struct StepSums {
+  double Precision_ = 0;
+  double WeightedLevel_ = 0;
+};
+
+/// One pass over all workers.
+class Refresh {
+public:
+  Refresh(SpeedModel &Model, core::TimePoint Now) : Model_(Model), Now_(Now) {}
+
+  void run() {
+    for (auto &[Name, Known] : Model_.Workers_)
+      for (const StepRuns &Runs : Known.Steps_)
+        add(Runs, Known, 1);
+    for (auto &[Name, Known] : Model_.Workers_)
+      update(Known);
+    anchor();
+  }
+
+private:
+  /// Adds the cell of \p Runs to the sums of its step, or removes it when
+  /// \p Sign is -1.
+  void add(const StepRuns &Runs, const Entry &Known, double Sign) {
+    const Cell Own = cellOf(Runs, Known);
+    if (Own.Weight_ <= 0)
+      return;
+    const double Precision =
+        1 / (runVariance() / Own.Weight_ + Known.Variance_);
+    StepSums &Sums = Steps_[Runs.Step_];
+    Sums.Precision_ += Sign * Precision;
+    Sums.WeightedLevel_ += Sign * Precision * (Own.Mean_ - Known.LogSpeed_);
+  }
+
+  /// Estimates the speed of a worker from the levels of its steps as the other
+  /// workers show them.
+  void update(Entry &Known) {
+    for (const StepRuns &Runs : Known.Steps_)
+      add(Runs, Known, -1);
+    double Precision = 1 / Known.PriorVariance_;
+    double Sum = Precision * Known.PriorLogSpeed_;
+    for (const StepRuns &Runs : Known.Steps_) {
+      const Cell Own = cellOf(Runs, Known);
+      const StepSums &Others = Steps_[Runs.Step_];
+      if (Own.Weight_ <= 0 || Others.Precision_ < MinPrecision)
+        continue;
+      const double Level = Others.WeightedLevel_ / Others.Precision_;
+      const double Each =
+          1 / (runVariance() / Own.Weight_ + 1 / Others.Precision_);
+      Precision += Each;
+      Sum += Each * (Own.Mean_ - Level);
+    }
+    Known.LogSpeed_ = Sum / Precision;
+    Known.Variance_ = 1 / Precision;
+    for (const StepRuns &Runs : Known.Steps_)
+      add(Runs, Known, 1);
+  }
+
+  /// Shifts all estimates so that the median worker has speed 1: samples tell
+  /// only differences, and a wrong starting point of one worker would shift the
+  /// others. With few workers the median is uncertain and counts less.
+  void anchor() {
+    constexpr double WorkersForHalf = 4;
+    std::vector<double> Speeds;
+    for (const auto &[Name, Known] : Model_.Workers_)
+      Speeds.push_back(Known.LogSpeed_);
+    if (Speeds.empty())
+      return;
+    const auto Count = static_cast<double>(Speeds.size());
+    const double Shift = medianOf(Speeds) * Count / (Count + WorkersForHalf);
+    for (auto &[Name, Known] : Model_.Workers_)
+      Known.LogSpeed_ -= Shift;
+  }
+
+  /// Runs far from the rest of the step's runs on the worker count as if they
+  /// were nearer.
+  Cell cellOf(const StepRuns &Runs, const Entry &Known) const {
+    const double Centre = centreOf(Runs);
+    const double Reach = Model_.Policy_.MaxResidual_ *
+                         std::sqrt(runVariance() + Known.Variance_);
+    Cell Result;
+    for (const SpeedModel::Run &Run : Runs.Runs_) {
+      const double Age =
+          std::chrono::duration<double>(Now_ - Run.At_) /
+          std::chrono::duration<double>(Model_.Policy_.HalfLife_);
+      const double Weight = std::exp2(-std::max(Age, 0.0));
+      Result.Mean_ +=
+          Weight * std::clamp(Run.LogRate_, Centre - Reach, Centre + Reach);
+      Result.Weight_ += Weight;
+    }
+    if (Result.Weight_ > 0)
+      Result.Mean_ /= Result.Weight_;
+    return Result;
+  }
+
+  static double centreOf(const StepRuns &Runs) {
+    std::vector<double> Values;
+    for (const SpeedModel::Run &Run : Runs.Runs_)
+      Values.push_back(Run.LogRate_);
+    return Values.empty() ? 0 : medianOf(std::move(Values));
+  }
+
+  /// Returns the median of at least one value.
+  static double medianOf(std::vector<double> Values) {
+    auto Middle =
+        Values.begin() + static_cast<std::ptrdiff_t>(Values.size() / 2);
+    std::nth_element(Values.begin(), Middle, Values.end());
+    return *Middle;
+  }
+
+  double runVariance() const {
+    return Model_.Policy_.RunDeviation_ * Model_.Policy_.RunDeviation_;
+  }
+
+  /// Precision below which only rounding errors are left of a step's sums.
+  static constexpr double MinPrecision = 1e-6;
+
+  SpeedModel &Model_;
+  core::TimePoint Now_;
+  std::map<std::string, StepSums> Steps_;
+};
+
+} // namespace
+
+void recordRate(SpeedModel &Model, const RateSample &Sample,
+                core::TimePoint Now) {
+  if (!std::isfinite(Sample.RatePerSecond_) || Sample.RatePerSecond_ <= 0)
+    return;
+  const double LogRate = std::log(Sample.RatePerSecond_);
+  StepRuns &Runs = runsOf(entryOf(Model, Sample.Worker_), Sample.Step_,
+                          Model.Policy_.StepsPerWorker_);
+  Model.Changed_ = true;
+  for (SpeedModel::Run &Run : Runs.Runs_)
+    if (Run.Task_ == Sample.Task_) {
+      Run.LogRate_ = LogRate;
+      Run.At_ = Now;
+      return;
+    }
+  if (Runs.Runs_.size() >= Model.Policy_.RunsPerStep_)
+    Runs.Runs_.erase(Runs.Runs_.begin());
+  Runs.Runs_.push_back({Sample.Task_, LogRate, Now});
+}
+
+void forgetWorker(SpeedModel &Model, const std::string &Worker) {
+  Model.Workers_.erase(Worker);
+  Model.Changed_ = true;
+}
+
+void restoreSpeed(SpeedModel &Model, const std::string &Worker,
+                  const WorkerSpeed &Known) {
+  if (!std::isfinite(Known.Speed_) || Known.Speed_ <= 0 ||
+      !std::isfinite(Known.LogError_) || Known.LogError_ <= 0)
+    return;
+  Entry &Restored = entryOf(Model, Worker);
+  Restored.PriorLogSpeed_ = Restored.LogSpeed_ = std::log(Known.Speed_);
+  Restored.PriorVariance_ = Restored.Variance_ =
+      Known.LogError_ * Known.LogError_;
+}
+
+void refreshSpeeds(SpeedModel &Model, core::TimePoint Now) {
+  if (!Model.Changed_)
+    return;
+  Model.Changed_ = false;
+  Refresh(Model, Now).run();
+}
+
+WorkerSpeed speedOf(const SpeedModel &Model, const std::string &Worker) {
+  auto It = Model.Workers_.find(Worker);
+  if (It == Model.Workers_.end())
+    return {1, Model.Policy_.PriorDeviation_};
+  return {std::exp(It->second.LogSpeed_), std::sqrt(It->second.Variance_)};
+}
+
+} // namespace nutmegwell::expect
--- a/lib/site/include/nutmegwell/site/entry.h
+++ b/lib/site/include/nutmegwell/site/entry.h
@@ -7,6 +7,7 @@
 #include "nutmegwell/jobs/view.h"
 #include "nutmegwell/site/admission.h"
 #include "nutmegwell/site/callers.h"
+#include "nutmegwell/site/loadadmission.h"
 #include "nutmegwell/store/appender.h"
 #include <functional>
 #include <map>
@@ -69,6 +70,7 @@
   /// A caller is answered this long before its own timeout.
   core::Duration AnswerMargin_ = std::chrono::milliseconds(150);
   AdmissionPolicy Admission_;
+  LoadAdmissionPolicy LoadAdmission_;
   store::AppendPolicy Append_;
   cell::HolderPolicy Holder_;
 };
--- a/lib/sitehost/src/entryrole.cpp
+++ b/lib/sitehost/src/entryrole.cpp
@@ -17,6 +17,13 @@
   Result.Policy_.Holder_.MaxLease_ = Values.duration("max-hold");
   Result.Policy_.Holder_.RemotePenalty_ =
       static_cast<double>(Values.count("remote-penalty"));
+  cell::HolderPolicy &Holder = Result.Policy_.Holder_;
+  Holder.LearnRunTimes_ = Values.flag("learn-run-times");
+  Holder.FairShares_ = Values.flag("fair-shares");
+  Holder.ReserveForGangs_ = Values.flag("reserve-for-gangs");
+  Holder.Departure_.Enabled_ = Values.flag("vacate-leaving-workers");
+  Holder.Departure_.StopTime_ = Values.duration("stop-time");
+  Result.Policy_.LoadAdmission_.Enabled_ = Values.flag("refuse-hopeless-jobs");
   return Result;
 }
 
--- a/lib/sitehost/src/sitesettings.cpp
+++ b/lib/sitehost/src/sitesettings.cpp
@@ -10,6 +10,8 @@
 
 /// The smallest of the maximum leases on the users' data sheets.
 constexpr seconds DefaultMaxLease(6);
+/// The longest stop of a run on the users' data sheets.
+constexpr milliseconds DefaultStopTime(900);
 /// The grace period on the users' data sheets.
 constexpr seconds DefaultStopGrace(6);
 
@@ -55,6 +57,18 @@
                 "time between the signal to stop and the kill")
       .count("remote-penalty", 3, 1, 1000,
              "factor by which a task takes longer on a rack without its data")
+      .duration("stop-time", DefaultStopTime, milliseconds(1), minutes(1),
+                "longest time that a worker takes to stop a run")
+      .flag("learn-run-times", "learn the speed of workers and the run time of "
+                               "tasks, and place work by them")
+      .flag("fair-shares", "let accounts that have used less lately go first "
+                           "among jobs of one priority")
+      .flag("reserve-for-gangs",
+            "keep a place for the first gang that does not fit")
+      .flag("refuse-hopeless-jobs",
+            "refuse jobs that would end after three times their objective")
+      .flag("vacate-leaving-workers", "stop runs that would be lost with a "
+                                      "draining worker")
       .choice("log-format", {"text", "json"}, "json", "format of log lines")
       .choice("log-level", {"error", "warning", "info"}, "info",
               "minimum level of log lines")
