Learn the run times of tasks by queue and account

Cause: declared run times are off by up to a factor of 1.9 either way, and the order of waiting work relies on them.

Change: runtimes.cpp keeps, for each queue and each account of a queue, the mean and spread of ln(work) and of ln(work / declared time), with decaying weights. An estimate combines the corrected declared time with the learned work by their variances. Samples count at most 2.5 deviations from the mean, because 3 in 100 tasks take 7 times as long. The number of queues and of classes is bounded; invalid works and declared times change nothing. Without a sample of the queue, the declared time is returned as it is.

--- a/lib/expect/include/nutmegwell/expect/runtimes.h
+++ b/lib/expect/include/nutmegwell/expect/runtimes.h
@@ -14,11 +14,20 @@
   /// Standard deviation of declared times around the true work before any
   /// sample; declared times are off by up to a factor of 1.9.
   double DeclaredDeviation_ = 0.4;
+  /// Standard deviation of ln(work) between the tasks of a class before any
+  /// sample. Wide, so that declared times count more until the tasks of a class
+  /// have shown that they are alike.
+  double WorkDeviation_ = 1;
   /// Number of samples whose weight the starting point has.
   double PriorWeight_ = 4;
   /// Largest weight of all earlier samples, so that old ones decay.
   double MaxWeight_ = 64;
+  /// Samples further from the mean than this many standard deviations count as
+  /// if they were this far, because a few tasks take several times as long as
+  /// their siblings.
+  double MaxResidual_ = 2.5;
   /// Classes that are kept; beyond that, samples count for their queue only.
+  /// Also the number of queues that are kept.
   std::size_t MaxClasses_ = 4096;
 };
 
@@ -59,13 +68,20 @@
   std::map<std::pair<std::string, std::string>, Entry> Classes_;
 };
 
+/// Longest work that is learned or expected; bounds the sums of callers of
+/// expectedWork.
+constexpr core::Duration MaxWork = std::chrono::hours(24 * 366);
+
 /// Adds the work of one finished task: its run time times the speed of its
-/// worker. \p Declared is zero when no time was declared.
+/// worker. \p Declared is zero when no time was declared. Ignores works that
+/// are not positive or above MaxWork, and negative declared times.
 void recordWork(RunTimeModel &Model, const TaskClass &Class,
                 core::Duration Declared, core::Duration Work);
 
 /// Returns the expected work of a task, which combines the declared time with
 /// what the queue and the account have shown, weighted by their spreads.
+/// Addresses queues whose declared times are off: without a sample of the
+/// queue, the declared time is returned as it is.
 ExpectedWork expectedWork(const RunTimeModel &Model, const TaskClass &Class,
                           core::Duration Declared);
 
