Learn run times from finished runs and order waiting work by them

Cause: the chains, slacks and objectives that order waiting work are those of declared times, which are off by up to a factor of 1.9.

Change: the holder records the run time of a completed task, from its order to its end, times the speed of its worker. A gang counts once, by its member with the lowest progress.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -9,6 +9,8 @@
 #include "nutmegwell/cell/stall.h"
 #include "nutmegwell/cell/workerhealth.h"
 #include "nutmegwell/core/logevent.h"
+#include "nutmegwell/expect/runtimes.h"
+#include "nutmegwell/expect/speeds.h"
 #include "nutmegwell/jobs/tables.h"
 #include "nutmegwell/jobs/view.h"
 #include <map>
@@ -140,6 +142,11 @@
   /// When the percentage changed first, and to what.
   std::optional<core::TimePoint> FirstChangeAt_;
   double FirstChangePercent_ = 0;
+  /// Longest time between two changes of the percentage.
+  core::Duration LongestGap_{0};
+  /// This holder has ordered the run without a checkpoint, so that the time
+  /// from the order to the end is that of the whole task.
+  bool FromStart_ = false;
   std::string Checkpoint_;
 };
 
@@ -252,6 +259,10 @@
   /// Outcomes of the steps of unfinished jobs.
   std::map<JobStep, StepOutcomes> StepOutcomes_;
 
+  expect::SpeedModel Speeds_;
+  /// Work of tasks, learned while HolderPolicy::LearnRunTimes_ is set.
+  expect::RunTimeModel RunTimes_;
+
   /// Jobs whose progress has yet to be recorded.
   std::set<std::string> JobsToRecord_;
   /// Listing changes that have yet to be recorded, by host.
--- a/lib/cell/src/ends.cpp
+++ b/lib/cell/src/ends.cpp
@@ -210,6 +210,8 @@
     const bool Gang = Known && It->second.Gang_;
     const core::TimePoint OrderedAt =
         Known ? It->second.OrderedAt_ : Context.Now_;
+    if (Known && End.Kind_ == EndKind::Done)
+      recordFinishedWork(State, It->second, Context);
     if (Known)
       State.Runs_.erase(It);
     updateWorkerHealth(State, Host, End, OrderedAt, Context.Now_, Out);
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -59,6 +59,7 @@
     const bool Gang = It->second.Gang_;
     if (MayStart.count(Id)) {
       It->second.State_ = RunState::Ordered;
+      It->second.FromStart_ = false;
       ++Kept;
     } else {
       dropRun(State, It, "the worker has ended", Out);
@@ -200,6 +201,8 @@
 }
 
 void applyProgress(TaskRun &Run, double Percent, core::TimePoint Now) {
+  if (Run.FirstChangeAt_)
+    Run.LongestGap_ = std::max(Run.LongestGap_, Now - Run.ProgressedAt_);
   Run.Percent_ = Percent;
   Run.ProgressedAt_ = Now;
   if (Run.FirstChangeAt_)
--- a/lib/cell/src/holdersteps.h
+++ b/lib/cell/src/holdersteps.h
@@ -58,6 +58,19 @@
 void handleEnds(Holder &State, Worker &Host, const AgentReport &Report,
                 const HolderContext &Context, Effects &Out);
 
+/// Records the work of a run that has completed its task, or the gang of which
+/// it is a member, for expectedRunTime. Addresses queues whose declared times
+/// are off. Runs whose time does not show the work of a task are ignored.
+void recordFinishedWork(Holder &State, const TaskRun &Run,
+                        const HolderContext &Context);
+
+/// Returns how long a task of \p Step is expected to take on a worker of
+/// ordinary speed near its data: the declared time, unless run times are
+/// learned.
+core::Duration expectedRunTime(const Holder &State,
+                               const jobs::JobAccepted &Job,
+                               const jobs::StepSpec &Step);
+
 /// Returns whether \p Host has runs.
 bool hasRuns(const Holder &State, const std::string &Host);
 
--- a/lib/cell/src/queue.cpp
+++ b/lib/cell/src/queue.cpp
@@ -28,12 +28,14 @@
   return Needs;
 }
 
-/// Returns, for each step, the longest chain of declared work from its start to
+/// Returns, for each step, the longest chain of expected work from its start to
 /// the end of the job.
-std::vector<core::Duration> longestChains(const jobs::JobSpec &Spec) {
+std::vector<core::Duration> longestChains(const Holder &State,
+                                          const jobs::JobAccepted &Job) {
+  const jobs::JobSpec &Spec = Job.Spec_;
   std::vector<core::Duration> Chain(Spec.Steps_.size());
   for (std::size_t I = Spec.Steps_.size(); I-- > 0;) {
-    Chain[I] += Spec.Steps_[I].Estimate_;
+    Chain[I] += expectedRunTime(State, Job, Spec.Steps_[I]);
     for (std::uint32_t Dependency : Spec.Steps_[I].DependsOn_)
       Chain[Dependency] = std::max(Chain[Dependency], Chain[I]);
   }
@@ -173,7 +175,7 @@
   JobScan(Holder &State, const HolderContext &Context, const JobEntry &Job,
           bool Guaranteed)
       : State_(State), Context_(Context), Job_(Job), Guaranteed_(Guaranteed),
-        Chains_(longestChains(Job.Accepted_.Spec_)),
+        Chains_(longestChains(State, Job.Accepted_)),
         Queue_(Context.Tables_.queue(Job.Accepted_.Queue_)) {}
 
   void collect(LiveJob &Live, std::vector<Unit> &Units, core::TimePoint &Wake) {
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -247,6 +247,7 @@
             .step(Work.Job_->Accepted_.Spec_, Work.Occurrence_, Work.Step_)
             .Tasks_[Step.Gang_ ? 0 : Index]
             .Checkpoint_;
+    New.FromStart_ = New.Checkpoint_.empty();
     Host.Starts_.push_back({New.Id_, Work.Job_->Accepted_.Spec_.Command_,
                             New.Checkpoint_, ticketFor(Work, Host)});
     Host.OrdersDue_ = true;
