Record learned speeds and read them at the begin of a tenure

Cause: a new holder would learn the speeds of workers anew, for which a worker needs several runs that share a step with runs elsewhere.

Change: the record LearnedSpeeds (key l/NUMBER, last alternative of jobs::Record, kind 8) holds up to 100 rows of host, worker incarnation, speed and error. The holder adds at most one to an append that it makes anyway, at most every 2 s, and only when a known speed differs from its row by more than its error; it chooses the record with the most changed rows. A worker without a row gets the first free one of the records 0 to N/100 for N existing workers, or the row of a worker that exists no more, and keeps its record from then on: the number of keys is at most the largest number of workers at one time, divided by 100 and rounded up. Rows of workers that have not reported give way only 6 s after the begin of a tenure. A new incarnation of a worker starts from the row that names it, else from nothing; the restored error is at least 0.1, so that it yields to about ten runs. Malformed rows are skipped, with one line speed_rows_ignored in a tenure.

No other record or message changes its encoding.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -6,6 +6,7 @@
 #include "nutmegwell/cell/messages.h"
 #include "nutmegwell/cell/pace.h"
 #include "nutmegwell/cell/preempt.h"
+#include "nutmegwell/cell/speedrecords.h"
 #include "nutmegwell/cell/stall.h"
 #include "nutmegwell/cell/workerhealth.h"
 #include "nutmegwell/core/logevent.h"
@@ -88,6 +89,11 @@
   DeparturePolicy Departure_;
   /// Speeds of workers and run times of tasks are learned and used.
   bool LearnRunTimes_ = false;
+  /// A speed counts as known when the standard error of its logarithm is at
+  /// most this. Half of the deviation between workers, so that speeds of 0.6,
+  /// 1.0 and 1.6 differ by more than their errors.
+  double KnownSpeedError_ = 0.2;
+  SpeedRecordPolicy SpeedRecords_;
   /// Accounts that have used less lately go first.
   bool FairShares_ = false;
   /// The first gang that does not fit keeps a place.
@@ -260,6 +266,7 @@
   std::map<JobStep, StepOutcomes> StepOutcomes_;
 
   expect::SpeedModel Speeds_;
+  SpeedRecords SpeedRecords_;
   /// Work of tasks, learned while HolderPolicy::LearnRunTimes_ is set.
   expect::RunTimeModel RunTimes_;
 
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -141,6 +141,8 @@
     Host.Info_ = Report.Worker_;
     Host.InfoFrom_ = Report.AgentIncarnation_;
   }
+  if (ReportedIncarnation != 0 && ReportedIncarnation != KnownIncarnation)
+    resetSpeed(State, Host);
 }
 
 /// Returns whether a report leaves open that the worker's known process goes
@@ -365,6 +367,9 @@
         Unsynced.Tasks_.emplace(Row.Tasks_.begin(), Row.Tasks_.end());
     }
   }
+  if (Policy.LearnRunTimes_)
+    State.SpeedRecords_ =
+        readSpeedRecords(Policy.SpeedRecords_, Context.View_.LearnedSpeeds_);
   return State;
 }
 
--- a/lib/cell/src/holdersteps.h
+++ b/lib/cell/src/holdersteps.h
@@ -71,6 +71,17 @@
                                const jobs::JobAccepted &Job,
                                const jobs::StepSpec &Step);
 
+/// Returns whether the speed of a worker is known well enough to decide by it.
+bool isSpeedKnown(const HolderPolicy &Policy, const expect::WorkerSpeed &Speed);
+
+/// Starts with what the records tell of a new incarnation of a worker, or with
+/// nothing.
+void resetSpeed(Holder &State, const Worker &Host);
+
+/// Adds the speeds that have changed most to an append that is made anyway.
+/// Addresses holders with much to append: it adds at most one record in 2 s.
+void collectSpeeds(Holder &State, core::TimePoint Now, Effects &Out);
+
 /// Returns whether \p Host has runs.
 bool hasRuns(const Holder &State, const std::string &Host);
 
--- a/lib/cell/src/orders.cpp
+++ b/lib/cell/src/orders.cpp
@@ -185,6 +185,7 @@
       acknowledgeEnds(Host, Host.EndsHandled_);
     return;
   }
+  collectSpeeds(State, Context.Now_, Out);
   State.AppendInFlight_ = true;
   State.EndsInFlight_.clear();
   for (auto &[Name, Host] : State.Workers_)
--- a/lib/cell/tests/fakecell.cpp
+++ b/lib/cell/tests/fakecell.cpp
@@ -28,8 +28,7 @@
                          const std::set<std::string> &EmptyWorkers) {
   const core::Offset At = View_.NextOffset_;
   jobs::applyRecord(View_, {At, jobs::CellClaimed{"me", 1, true}});
-  Holder_ =
-      beginTenure(HolderPolicy(), At, Now_, GrantsEnd, EmptyWorkers, context());
+  Holder_ = beginTenure(Policy_, At, Now_, GrantsEnd, EmptyWorkers, context());
 }
 
 void FakeCell::addWorker(const std::string &Host, const std::string &Rack,
--- a/lib/cell/tests/fakecell.h
+++ b/lib/cell/tests/fakecell.h
@@ -16,6 +16,8 @@
   std::set<std::string> OutOfServiceDomains_;
   core::TimePoint Now_{std::chrono::seconds(1000)};
   jobs::WallTime Wall_{std::chrono::seconds(5000)};
+  /// Policy of the next tenure.
+  HolderPolicy Policy_;
   Holder Holder_;
   /// Reports that the agents send next, by host.
   std::map<std::string, AgentReport> Agents_;
--- a/lib/jobs/include/nutmegwell/jobs/records.h
+++ b/lib/jobs/include/nutmegwell/jobs/records.h
@@ -73,9 +73,25 @@
   std::string Address_;
 };
 
-using Record =
-    std::variant<JobAccepted, JobCancelled, JobProgressed, CellClaimed,
-                 WorkerListed, EntryHostListed, TenureSettled, FailuresCounted>;
+/// Speed of one incarnation of a worker relative to the ordinary speed of the
+/// service's workers.
+struct LearnedSpeed {
+  std::string Host_;
+  std::int64_t WorkerIncarnation_ = 0;
+  double Speed_ = 1;
+  /// Standard error of ln(Speed_).
+  double LogError_ = 0;
+};
+
+/// Speeds of a part of the workers; replaces the record of the same number.
+struct LearnedSpeeds {
+  std::uint32_t Number_ = 0;
+  std::vector<LearnedSpeed> Workers_;
+};
+
+using Record = std::variant<JobAccepted, JobCancelled, JobProgressed,
+                            CellClaimed, WorkerListed, EntryHostListed,
+                            TenureSettled, FailuresCounted, LearnedSpeeds>;
 
 /// Returns the key under which the store keeps the newest record of this kind.
 std::string keyOf(const Record &Value);
--- a/lib/jobs/include/nutmegwell/jobs/view.h
+++ b/lib/jobs/include/nutmegwell/jobs/view.h
@@ -41,6 +41,8 @@
   std::map<std::string, core::Offset> ListedAt_;
   /// Addresses of the entry hosts, by host.
   std::map<std::string, std::string> EntryHosts_;
+  /// Speeds of workers by the number of their record.
+  std::map<std::uint32_t, std::vector<LearnedSpeed>> LearnedSpeeds_;
 };
 
 /// Applies \p Entry and returns true when it was new. A record below
--- a/lib/jobs/src/records.cpp
+++ b/lib/jobs/src/records.cpp
@@ -26,6 +26,9 @@
   std::string operator()(const EntryHostListed &Value) const {
     return "e/" + Value.Host_;
   }
+  std::string operator()(const LearnedSpeeds &Value) const {
+    return "l/" + std::to_string(Value.Number_);
+  }
 };
 
 } // namespace
--- a/lib/jobs/src/view.cpp
+++ b/lib/jobs/src/view.cpp
@@ -62,6 +62,10 @@
   void operator()(const EntryHostListed &Value) const {
     State_.EntryHosts_[Value.Host_] = Value.Address_;
   }
+
+  void operator()(const LearnedSpeeds &Value) const {
+    State_.LearnedSpeeds_[Value.Number_] = Value.Workers_;
+  }
 };
 
 } // namespace
--- a/lib/site/tests/sitetest.cpp
+++ b/lib/site/tests/sitetest.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(refusedHolderKeepsItsTenureThroughAPeer);
   CPPUNIT_TEST(droppedHistoryIsReadFromTheNewestRecords);
   CPPUNIT_TEST(allHostsRestartFromTheStoreAlone);
+  CPPUNIT_TEST(speedsOutlastARestartOfAllHosts);
   CPPUNIT_TEST(cancelOfAnUnreadJobIsNotLost);
   CPPUNIT_TEST(workerIsUsedAfterItsClockWasSetBack);
   CPPUNIT_TEST(lateStartRunsOnNoRestartedWorker);
@@ -360,6 +361,37 @@
                        ReplyKind::State));
   }
 
+  /// Guards against speeds that are learned anew when all entry hosts end at
+  /// the same time.
+  void speedsOutlastARestartOfAllHosts() {
+    FakeSite Site(3);
+    Site.addWorker("w0", "a", 1);
+    const auto Learn = [&] {
+      for (const char *Host : {"e0", "e1", "e2"})
+        Site.entry(Host).Settings_.Policy_.Holder_.LearnRunTimes_ = true;
+    };
+    Learn();
+    Site.run(3s);
+    cell::Holder &First = *Site.entry(Site.holders().at(0)).Holder_;
+    expect::restoreSpeed(First.Speeds_, "w0", {0.6, 0.1});
+    Site.submit("e1", "j",
+                jobs::JobSpecBuilder()
+                    .command("500")
+                    .step(1, {1000, 1000, 1}, 500ms)
+                    .build());
+    Site.run(3s);
+    for (const char *Host : {"e0", "e1", "e2"})
+      Site.kill(Host);
+    Site.run(500ms);
+    for (const char *Host : {"e0", "e1", "e2"})
+      Site.start(Host);
+    Learn();
+    Site.run(4s);
+    const cell::Holder &Next = *Site.entry(Site.holders().at(0)).Holder_;
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+        0.6, expect::speedOf(Next.Speeds_, "w0").Speed_, 1e-9);
+  }
+
   /// Guards against the reply that a job is unknown when another host has just
   /// accepted it.
   void cancelOfAnUnreadJobIsNotLost() {
--- a/lib/wire/src/cellfields.h
+++ b/lib/wire/src/cellfields.h
@@ -89,6 +89,14 @@
   Fields(V.Host_, V.Address_);
 }
 
+template <class A> void serialize(A &Fields, LearnedSpeed &V) {
+  Fields(V.Host_, V.WorkerIncarnation_, V.Speed_, V.LogError_);
+}
+
+template <class A> void serialize(A &Fields, LearnedSpeeds &V) {
+  Fields(V.Number_, V.Workers_);
+}
+
 } // namespace nutmegwell::jobs
 
 namespace nutmegwell::store {
--- a/lib/wire/tests/cellbinarytest.cpp
+++ b/lib/wire/tests/cellbinarytest.cpp
@@ -9,9 +9,13 @@
   CPPUNIT_TEST_SUITE(CellBinaryTest);
   CPPUNIT_TEST(progressKeepsItsEncoding);
   CPPUNIT_TEST(failuresSurviveRoundTrip);
+  CPPUNIT_TEST(speedsSurviveRoundTrip);
   CPPUNIT_TEST(unknownRecordsAreRejected);
   CPPUNIT_TEST_SUITE_END();
 
+  /// Position of the kind of a record in its encoding.
+  static constexpr std::size_t KindAt = 4;
+
   static jobs::JobProgressed sampleProgress() {
     jobs::JobProgressed Value;
     Value.Job_ = "j";
@@ -50,10 +54,26 @@
     CPPUNIT_ASSERT(Read.Runs_ == Value.Runs_);
   }
 
+  /// Guards against speeds that are lost in a restart of all processes, and
+  /// against a kind of record that shifts the numbers of the others.
+  void speedsSurviveRoundTrip() {
+    const jobs::LearnedSpeeds Value{3, {{"w0", 71, 0.625, 0.125}}};
+    const std::string Bytes = wire::encode(jobs::Record(Value));
+    CPPUNIT_ASSERT_EQUAL(8, int(Bytes[KindAt]));
+    const auto Decoded = wire::decodeRecord(Bytes);
+    CPPUNIT_ASSERT(Decoded.ok());
+    CPPUNIT_ASSERT_EQUAL(std::string("l/3"), jobs::keyOf(*Decoded));
+    const auto &Rows = std::get<jobs::LearnedSpeeds>(*Decoded).Workers_;
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Rows.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("w0"), Rows[0].Host_);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(71), Rows[0].WorkerIncarnation_);
+    CPPUNIT_ASSERT_EQUAL(0.625, Rows[0].Speed_);
+    CPPUNIT_ASSERT_EQUAL(0.125, Rows[0].LogError_);
+  }
+
   /// Guards against a record of a later version that ends the process or is
   /// taken for another kind.
   void unknownRecordsAreRejected() {
-    constexpr std::size_t KindAt = 4;
     std::string Bytes = wire::encode(jobs::Record(sampleProgress()));
     Bytes[KindAt] = std::variant_size_v<jobs::Record>;
     CPPUNIT_ASSERT(!wire::decodeRecord(Bytes).ok());
