Log and measure the speeds that the holder has learned

Cause: operators cannot see which workers are slow, nor how many speeds are known.

It logs speed_learned when the speed of a worker's incarnation is first known, and when it has changed by a quarter and by more than its error, with at most 20 lines a second, because the log queue holds 2,000. The effects carry the number of known speeds and the lowest and highest one; the control thread sets the gauges nutmegwell_known_speeds, nutmegwell_worker_speed_min and _max, which are atomics. Gauges are whole numbers, so that the speeds are in thousandths. They are zero once a tenure ends.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -237,6 +237,25 @@
 /// Attempts, ordered by task and run.
 using TaskRunMap = std::map<RunId, TaskRun>;
 
+/// Known speeds of workers, for metrics.
+struct SpeedFigures {
+  std::size_t Known_ = 0;
+  /// Lowest and highest known speed; 0 when none is known.
+  double Min_ = 0;
+  double Max_ = 0;
+};
+
+/// Speeds of workers that have been logged.
+struct SpeedLog {
+  struct Line {
+    std::int64_t WorkerIncarnation_ = 0;
+    double Speed_ = 1;
+  };
+  /// By host.
+  std::map<std::string, Line> Lines_;
+  core::TimePoint NextAt_{};
+};
+
 /// Control state of a cell's holder; exists only while the host holds the cell.
 struct Holder {
   HolderPolicy Policy_;
@@ -267,6 +286,7 @@
 
   expect::SpeedModel Speeds_;
   SpeedRecords SpeedRecords_;
+  SpeedLog SpeedLog_;
   /// Work of tasks, learned while HolderPolicy::LearnRunTimes_ is set.
   expect::RunTimeModel RunTimes_;
 
@@ -300,6 +320,8 @@
   /// Request to the approval service, which handles one at a time.
   std::optional<ApprovalRequest> ApprovalRequest_;
   std::vector<core::LogEvent> LogEvents_;
+  /// Set about once in a second while speeds are learned.
+  std::optional<SpeedFigures> SpeedFigures_;
   /// Time at which advanceHolder is to be called next.
   core::TimePoint WakeAt_ = core::TimePoint::max();
 };
--- a/lib/cell/src/expectations.cpp
+++ b/lib/cell/src/expectations.cpp
@@ -1,5 +1,6 @@
 #include "holdersteps.h"
 #include <algorithm>
+#include <cmath>
 
 namespace nutmegwell::cell {
 
@@ -83,6 +84,33 @@
                            });
 }
 
+/// Time between two looks at all speeds, for log and metrics.
+constexpr core::Duration SpeedReportInterval = std::chrono::seconds(1);
+
+/// Maximum number of lines of a look; the rest follows with the next ones. The
+/// log queue holds 2,000 lines.
+constexpr std::size_t MaxSpeedLines = 20;
+
+/// Factor by which a speed changes before it is logged again.
+constexpr double LoggedSpeedChange = 1.25;
+
+/// Returns whether a known speed differs enough from what was logged last.
+bool needsLine(const SpeedLog &Log, const Worker &Host,
+               const expect::WorkerSpeed &Speed) {
+  auto It = Log.Lines_.find(Host.Host_);
+  if (It == Log.Lines_.end() ||
+      It->second.WorkerIncarnation_ != Host.Info_->WorkerIncarnation_)
+    return true;
+  const double Change = std::abs(std::log(Speed.Speed_ / It->second.Speed_));
+  return Change >= std::log(LoggedSpeedChange) && Change > Speed.LogError_;
+}
+
+void add(SpeedFigures &Figures, double Speed) {
+  Figures.Min_ = Figures.Known_ == 0 ? Speed : std::min(Figures.Min_, Speed);
+  Figures.Max_ = std::max(Figures.Max_, Speed);
+  ++Figures.Known_;
+}
+
 bool isDone(const LiveJob &Live, const TaskId &Task) {
   const jobs::StepProgress *Progress =
       Live.Progress_.find(Task.Occurrence_, Task.Step_);
@@ -128,4 +156,29 @@
       .Median_;
 }
 
+void reportSpeeds(Holder &State, core::TimePoint Now, Effects &Out) {
+  SpeedLog &Log = State.SpeedLog_;
+  if (!State.Policy_.LearnRunTimes_ || Now < Log.NextAt_)
+    return;
+  Log.NextAt_ = Now + SpeedReportInterval;
+  SpeedFigures Figures;
+  std::size_t Lines = 0;
+  for (const auto &[Name, Host] : State.Workers_) {
+    const expect::WorkerSpeed Speed = expect::speedOf(State.Speeds_, Name);
+    if (!Host.Info_ || !isSpeedKnown(State.Policy_, Speed))
+      continue;
+    add(Figures, Speed.Speed_);
+    if (Lines >= MaxSpeedLines || !needsLine(Log, Host, Speed))
+      continue;
+    ++Lines;
+    Log.Lines_[Name] = {Host.Info_->WorkerIncarnation_, Speed.Speed_};
+    Out.LogEvents_.push_back({"speed_learned",
+                              {{"host", Name},
+                               {"worker", Host.Info_->Id_},
+                               {"speed", std::to_string(Speed.Speed_)},
+                               {"error", std::to_string(Speed.LogError_)}}});
+  }
+  Out.SpeedFigures_ = Figures;
+}
+
 } // namespace nutmegwell::cell
--- a/lib/cell/src/holderloop.cpp
+++ b/lib/cell/src/holderloop.cpp
@@ -22,6 +22,7 @@
   repeatStops(State, Context.Now_);
   adjustPaces(State, Context, Out);
   schedule(State, Context, Out);
+  reportSpeeds(State, Context.Now_, Out);
   collectRecords(State, Context, Out);
   collectOrders(State, Context.Now_, Out);
 }
--- a/lib/cell/src/holdersteps.h
+++ b/lib/cell/src/holdersteps.h
@@ -78,6 +78,11 @@
 /// nothing.
 void resetSpeed(Holder &State, const Worker &Host);
 
+/// Logs speeds that are first known or have changed by a quarter, and adds the
+/// figures for metrics. Addresses cells of many workers whose speeds become
+/// known at about the same time: the number of lines in a second is bounded.
+void reportSpeeds(Holder &State, core::TimePoint Now, Effects &Out);
+
 /// Adds the speeds that have changed most to an append that is made anyway.
 /// Addresses holders with much to append: it adds at most one record in 2 s.
 void collectSpeeds(Holder &State, core::TimePoint Now, Effects &Out);
--- a/lib/cell/tests/expectationstest.cpp
+++ b/lib/cell/tests/expectationstest.cpp
@@ -21,6 +21,9 @@
   CPPUNIT_TEST(pausedRunsDoNotCount);
   CPPUNIT_TEST(bestEffortRunsDoNotCount);
   CPPUNIT_TEST(learnedTimesOrderWaitingWork);
+  CPPUNIT_TEST(speedsAreLoggedWhenTheyChange);
+  CPPUNIT_TEST(logVolumeIsBounded);
+  CPPUNIT_TEST(figuresCoverKnownSpeeds);
   CPPUNIT_TEST(withoutTheSettingDeclaredTimesCount);
   CPPUNIT_TEST_SUITE_END();
 
@@ -60,6 +63,13 @@
                : It->second.Work_.Weight_;
   }
 
+  static std::ptrdiff_t speedLines(const FakeCell &Cell) {
+    return std::count_if(Cell.LogEvents_.begin(), Cell.LogEvents_.end(),
+                         [](const core::LogEvent &Line) {
+                           return Line.Event_ == "speed_learned";
+                         });
+  }
+
   static double learnedSeconds(const FakeCell &Cell) {
     return std::exp(Cell.Holder_.RunTimes_.Queues_.at("q1").Work_.Mean_);
   }
@@ -198,6 +208,59 @@
     CPPUNIT_ASSERT_EQUAL(std::string("long"), firstOfTwo(true));
   }
 
+  /// Guards against speeds that the operator cannot see, and against a line for
+  /// each small change of an estimate.
+  void speedsAreLoggedWhenTheyChange() {
+    FakeCell Cell;
+    startLearning(Cell, 1);
+    const auto LinesAfter = [&](double Speed, double Error) {
+      Cell.LogEvents_.clear();
+      expect::restoreSpeed(Cell.Holder_.Speeds_, "w0", {Speed, Error});
+      Cell.runFor(3s);
+      return speedLines(Cell);
+    };
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0), LinesAfter(0.6, 0.3));
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), LinesAfter(0.6, 0.2));
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0), LinesAfter(0.7, 0.1));
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), LinesAfter(0.8, 0.1));
+    Cell.Agents_["w0"].Worker_->WorkerIncarnation_ = 2;
+    Cell.advance();
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), LinesAfter(0.8, 0.1));
+  }
+
+  /// Guards against a log queue that drops other lines when the speeds of many
+  /// workers become known at once.
+  void logVolumeIsBounded() {
+    FakeCell Cell;
+    startLearning(Cell, 60);
+    for (const auto &[Host, Report] : Cell.Agents_)
+      expect::restoreSpeed(Cell.Holder_.Speeds_, Host, {0.6, 0.1});
+    Cell.LogEvents_.clear();
+    Cell.runFor(1s);
+    CPPUNIT_ASSERT(speedLines(Cell) <= 40);
+    Cell.runFor(5s);
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(60), speedLines(Cell));
+  }
+
+  /// Guards against metrics that include workers of unknown speed or workers
+  /// that have ended.
+  void figuresCoverKnownSpeeds() {
+    FakeCell Cell;
+    startLearning(Cell, 4);
+    expect::restoreSpeed(Cell.Holder_.Speeds_, "w0", {0.6, 0.1});
+    expect::restoreSpeed(Cell.Holder_.Speeds_, "w1", {1.6, 0.1});
+    expect::restoreSpeed(Cell.Holder_.Speeds_, "w2", {9, 0.3});
+    expect::restoreSpeed(Cell.Holder_.Speeds_, "w3", {0.1, 0.1});
+    Cell.Holder_.Workers_.at("w3").Info_.reset();
+    Effects Out;
+    Cell.Now_ += 2s;
+    advanceHolder(Cell.Holder_, Cell.context(), Out);
+    CPPUNIT_ASSERT(Out.SpeedFigures_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Out.SpeedFigures_->Known_);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.6, Out.SpeedFigures_->Min_, 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.6, Out.SpeedFigures_->Max_, 1e-9);
+  }
+
   /// Guards against samples that change an earlier deployment.
   void withoutTheSettingDeclaredTimesCount() {
     FakeCell Cell;
--- a/lib/site/include/nutmegwell/site/entry.h
+++ b/lib/site/include/nutmegwell/site/entry.h
@@ -295,6 +295,8 @@
   std::vector<ReadNewestCall> NewestReads_;
   std::optional<cell::ApprovalRequest> ApprovalRequest_;
   std::vector<core::LogEvent> LogEvents_;
+  /// New figures for metrics; zero when a tenure ends.
+  std::optional<cell::SpeedFigures> SpeedFigures_;
   core::TimePoint WakeAt_ = core::TimePoint::max();
 };
 
--- a/lib/site/src/election.cpp
+++ b/lib/site/src/election.cpp
@@ -72,6 +72,7 @@
   Out.LogEvents_.push_back(
       {"tenure_ended",
        {{"term", std::to_string(State.Holder_->Term_)}, {"reason", Reason}}});
+  Out.SpeedFigures_ = cell::SpeedFigures();
   State.Holder_.reset();
   State.HolderWriter_.reset();
 }
--- a/lib/site/src/writers.cpp
+++ b/lib/site/src/writers.cpp
@@ -72,6 +72,7 @@
     State.FencedTerm_ = State.Holder_->Term_;
     Out.LogEvents_.push_back(
         {"tenure_fenced", {{"term", std::to_string(State.FencedTerm_)}}});
+    Out.SpeedFigures_ = cell::SpeedFigures();
     State.Holder_.reset();
     State.HolderWriter_.reset();
     return;
--- a/lib/site/tests/fakesite.cpp
+++ b/lib/site/tests/fakesite.cpp
@@ -217,6 +217,8 @@
 }
 
 void FakeSite::applyEffects(const std::string &Host, EntryEffects &&Out) {
+  if (Out.SpeedFigures_)
+    SpeedFigures_[Host] = *Out.SpeedFigures_;
   std::move(Out.LogEvents_.begin(), Out.LogEvents_.end(),
             std::back_inserter(LogEvents_));
   for (const CallerReply &Reply : Out.Replies_) {
--- a/lib/site/tests/fakesite.h
+++ b/lib/site/tests/fakesite.h
@@ -142,6 +142,8 @@
   jobs::WallTime Wall_{std::chrono::seconds(5000)};
   std::map<CallToken, CallerReply> Replies_;
   std::vector<core::LogEvent> LogEvents_;
+  /// Figures for metrics that each entry host has given last.
+  std::map<std::string, cell::SpeedFigures> SpeedFigures_;
   /// Events at callers, workers, holders and the operator.
   std::vector<history::Event> Events_;
 
--- a/lib/site/tests/sitetest.cpp
+++ b/lib/site/tests/sitetest.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(droppedHistoryIsReadFromTheNewestRecords);
   CPPUNIT_TEST(allHostsRestartFromTheStoreAlone);
   CPPUNIT_TEST(speedsOutlastARestartOfAllHosts);
+  CPPUNIT_TEST(speedFiguresEndWithTheTenure);
   CPPUNIT_TEST(cancelOfAnUnreadJobIsNotLost);
   CPPUNIT_TEST(workerIsUsedAfterItsClockWasSetBack);
   CPPUNIT_TEST(lateStartRunsOnNoRestartedWorker);
@@ -392,6 +393,24 @@
         0.6, expect::speedOf(Next.Speeds_, "w0").Speed_, 1e-9);
   }
 
+  /// Guards against metrics of a host that is not the holder any more.
+  void speedFiguresEndWithTheTenure() {
+    FakeSite Site(3);
+    Site.addWorker("w0", "a", 1);
+    for (const char *Host : {"e0", "e1", "e2"})
+      Site.entry(Host).Settings_.Policy_.Holder_.LearnRunTimes_ = true;
+    Site.run(3s);
+    const std::string Holder = Site.holders().at(0);
+    expect::restoreSpeed(Site.entry(Holder).Holder_->Speeds_, "w0", {0.6, 0.1});
+    Site.run(2s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Site.SpeedFigures_.at(Holder).Known_);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.6, Site.SpeedFigures_.at(Holder).Min_, 1e-9);
+    Site.stop(Holder);
+    Site.run(2s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Site.SpeedFigures_.at(Holder).Known_);
+    CPPUNIT_ASSERT_EQUAL(0.0, Site.SpeedFigures_.at(Holder).Min_);
+  }
+
   /// Guards against the reply that a job is unknown when another host has just
   /// accepted it.
   void cancelOfAnUnreadJobIsNotLost() {
--- a/lib/sitehost/src/entryrole.cpp
+++ b/lib/sitehost/src/entryrole.cpp
@@ -1,6 +1,7 @@
 #include "nutmegwell/sitehost/roles.h"
 #include "nutmegwell/wire/cellbinary.h"
 #include "roleprocess.h"
+#include <cmath>
 #include <map>
 
 namespace nutmegwell::sitehost {
@@ -27,13 +28,39 @@
   return Result;
 }
 
+/// Gauges of the speeds that this host has learned as the cell's holder.
+struct SpeedGauges {
+  explicit SpeedGauges(metrics::Registry &Metrics)
+      : Known_(Metrics.gauge("nutmegwell_known_speeds",
+                             "Workers whose speed is known to this holder")),
+        Min_(Metrics.gauge("nutmegwell_worker_speed_min",
+                           "Lowest known speed of a worker, in thousandths of "
+                           "the ordinary speed")),
+        Max_(Metrics.gauge("nutmegwell_worker_speed_max",
+                           "Highest known speed of a worker, in thousandths "
+                           "of the ordinary speed")) {}
+
+  /// Thread-safe; takes no lock.
+  void set(const cell::SpeedFigures &Figures) {
+    constexpr double PerUnit = 1000;
+    Known_.set(static_cast<std::int64_t>(Figures.Known_));
+    Min_.set(std::llround(Figures.Min_ * PerUnit));
+    Max_.set(std::llround(Figures.Max_ * PerUnit));
+  }
+
+  metrics::Gauge &Known_;
+  metrics::Gauge &Min_;
+  metrics::Gauge &Max_;
+};
+
 /// Owns the sockets and threads of an entry host. Each group of members below
 /// names the thread that uses it.
 class EntryHost {
 public:
   EntryHost(const settings::Settings &Values, const SettingsReader &Reread,
             const std::function<EntryPorts(aio::Loop &)> &MakePorts)
-      : Process_(Values), Ports_(MakePorts(Process_.Loop_)),
+      : Process_(Values), SpeedGauges_(Process_.Metrics_),
+        Ports_(MakePorts(Process_.Loop_)),
         Seeds_(Process_.Loop_, Reread, Process_.Log_,
                toStrings(Values.addresses("seeds")),
                [this](const std::vector<std::string> &Seeds) {
@@ -117,6 +144,8 @@
   /// Hands the effects of a step from the control thread to the traffic thread.
   void postEffects(Effects Out) {
     Process_.Log_.write(std::move(Out.LogEvents_));
+    if (Out.SpeedFigures_)
+      SpeedGauges_.set(*Out.SpeedFigures_);
     if (Out.Replies_.empty() && Out.Sends_.empty() && Out.SendsTo_.empty() &&
         Out.Appends_.empty() && Out.Reads_.empty() &&
         Out.NewestReads_.empty() && !Out.ApprovalRequest_)
@@ -253,6 +282,8 @@
   };
 
   RoleProcess Process_;
+  // Set by the control thread.
+  SpeedGauges SpeedGauges_;
   EntryPorts Ports_;
   // Used by the traffic thread only.
   SeedWatch Seeds_;
