Discard speeds and rows of workers that are gone

Cause: the speed model kept workers whose process had ended, and a worker whose agent had gone kept its row of the records for the rest of the tenure, so that both grew with the names of workers that come and go.

Change: the end of a worker's process discards its speed. A worker counts as present while its process has reported and its agent is connected or its leases last; only present workers are recorded and counted in the metrics, and rows of others give way to new workers.

--- a/lib/cell/include/nutmegwell/cell/speedrecords.h
+++ b/lib/cell/include/nutmegwell/cell/speedrecords.h
@@ -46,7 +46,7 @@
 
 /// Speeds to be recorded, and the workers that exist.
 struct SpeedsToRecord {
-  /// Workers of which a process has reported.
+  /// Workers of which a process has reported that may still run.
   std::set<std::string> Workers_;
   /// Rows of those among them whose speeds are known.
   std::vector<jobs::LearnedSpeed> Known_;
--- a/lib/cell/src/expectations.cpp
+++ b/lib/cell/src/expectations.cpp
@@ -165,7 +165,7 @@
   std::size_t Lines = 0;
   for (const auto &[Name, Host] : State.Workers_) {
     const expect::WorkerSpeed Speed = expect::speedOf(State.Speeds_, Name);
-    if (!Host.Info_ || !isSpeedKnown(State.Policy_, Speed))
+    if (!isPresent(Host) || !isSpeedKnown(State.Policy_, Speed))
       continue;
     add(Figures, Speed.Speed_);
     if (Lines >= MaxSpeedLines || !needsLine(Log, Host, Speed))
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -78,6 +78,7 @@
   Host.Listed_ = Host.Synced_ = false;
   Host.Closed_ = Kept > 0;
   Host.Info_.reset();
+  forgetSpeed(State, Host.Host_);
   Host.Starts_.clear();
   Host.Stops_.clear();
   Host.Paces_.clear();
--- a/lib/cell/src/holdersteps.h
+++ b/lib/cell/src/holdersteps.h
@@ -74,6 +74,14 @@
 /// Returns whether the speed of a worker is known well enough to decide by it.
 bool isSpeedKnown(const HolderPolicy &Policy, const expect::WorkerSpeed &Speed);
 
+/// Returns whether a process of the worker has reported that may still run, so
+/// that its speed matters. False for a worker that was removed: its agent is
+/// gone and its leases have expired.
+bool isPresent(const Worker &Host);
+
+/// Discards the speed of a worker whose process has ended.
+void forgetSpeed(Holder &State, const std::string &Host);
+
 /// Starts with what the records tell of a new incarnation of a worker, or with
 /// nothing.
 void resetSpeed(Holder &State, const Worker &Host);
--- a/lib/cell/src/speedrecords.cpp
+++ b/lib/cell/src/speedrecords.cpp
@@ -149,10 +149,21 @@
   return Speed.LogError_ <= Policy.KnownSpeedError_;
 }
 
+bool isPresent(const Worker &Host) {
+  return Host.Info_ && (Host.Connected_ || Host.Synced_);
+}
+
+void forgetSpeed(Holder &State, const std::string &Host) {
+  if (!State.Policy_.LearnRunTimes_)
+    return;
+  expect::forgetWorker(State.Speeds_, Host);
+  State.SpeedLog_.Lines_.erase(Host);
+}
+
 void resetSpeed(Holder &State, const Worker &Host) {
   if (!State.Policy_.LearnRunTimes_)
     return;
-  expect::forgetWorker(State.Speeds_, Host.Host_);
+  forgetSpeed(State, Host.Host_);
   if (const auto Known =
           recordedSpeed(State.Policy_.SpeedRecords_, State.SpeedRecords_,
                         Host.Host_, Host.Info_->WorkerIncarnation_))
@@ -174,7 +185,7 @@
   SpeedsToRecord Current;
   Current.MayReplace_ = Now - State.BegunAt_ > State.Policy_.TenureValidity_;
   for (const auto &[Name, Host] : State.Workers_) {
-    if (!Host.Info_)
+    if (!isPresent(Host))
       continue;
     Current.Workers_.insert(Name);
     const expect::WorkerSpeed Speed = expect::speedOf(State.Speeds_, Name);
--- a/lib/cell/tests/expectationstest.cpp
+++ b/lib/cell/tests/expectationstest.cpp
@@ -251,7 +251,9 @@
     expect::restoreSpeed(Cell.Holder_.Speeds_, "w1", {1.6, 0.1});
     expect::restoreSpeed(Cell.Holder_.Speeds_, "w2", {9, 0.3});
     expect::restoreSpeed(Cell.Holder_.Speeds_, "w3", {0.1, 0.1});
-    Cell.Holder_.Workers_.at("w3").Info_.reset();
+    Cell.Agents_.erase("w3");
+    onAgentDisconnected(Cell.Holder_, "w3");
+    Cell.runFor(10s);
     Effects Out;
     Cell.Now_ += 2s;
     advanceHolder(Cell.Holder_, Cell.context(), Out);
--- a/lib/cell/tests/speedrecordstest.cpp
+++ b/lib/cell/tests/speedrecordstest.cpp
@@ -23,6 +23,8 @@
   CPPUNIT_TEST(takeoverWithHalfOfTheRecords);
   CPPUNIT_TEST(restartOfAllProcesses);
   CPPUNIT_TEST(rowOfAnotherIncarnationIsIgnored);
+  CPPUNIT_TEST(rowsOfRemovedWorkersGiveWay);
+  CPPUNIT_TEST(endOfAWorkerDiscardsItsSpeed);
   CPPUNIT_TEST(nothingIsRecordedWithoutTheSetting);
   CPPUNIT_TEST_SUITE_END();
 
@@ -284,6 +286,41 @@
     CPPUNIT_ASSERT_EQUAL(1, workersOfSpeed(Cell, 0.6));
   }
 
+  /// Guards against keys that grow with the names of workers that come and go
+  /// within one tenure, whose agents go with them.
+  void rowsOfRemovedWorkersGiveWay() {
+    FakeCell Cell;
+    Cell.Policy_.SpeedRecords_.MaxRows_ = 3;
+    startLearning(Cell, 3);
+    setSpeeds(Cell, 0.6);
+    Cell.runFor(7s);
+    causeAppend(Cell, "a");
+    Cell.Agents_.erase("w1");
+    onAgentDisconnected(Cell.Holder_, "w1");
+    Cell.runFor(10s);
+    Cell.addWorker("w9", "r0");
+    Cell.runFor(300ms);
+    setSpeeds(Cell, 0.6);
+    Cell.runFor(2s);
+    causeAppend(Cell, "b");
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.View_.LearnedSpeeds_.size());
+    std::set<std::string> Hosts;
+    for (const jobs::LearnedSpeed &Row : Cell.View_.LearnedSpeeds_.at(0))
+      Hosts.insert(Row.Host_);
+    CPPUNIT_ASSERT((Hosts == std::set<std::string>{"w0", "w2", "w9"}));
+  }
+
+  /// Guards against a model that grows with workers that have ended.
+  void endOfAWorkerDiscardsItsSpeed() {
+    FakeCell Cell;
+    startLearning(Cell, 2);
+    setSpeeds(Cell, 0.6);
+    Cell.Agents_["w0"].Worker_.reset();
+    Cell.EndedWorkers_ = {"w0"};
+    Cell.runFor(300ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Cell.Holder_.Speeds_.Workers_.size());
+  }
+
   /// Guards against records that a deployment without the setting writes.
   void nothingIsRecordedWithoutTheSetting() {
     FakeCell Cell;
