--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -6,9 +6,11 @@
 #include "nutmegwell/cell/messages.h"
 #include "nutmegwell/cell/pace.h"
 #include "nutmegwell/cell/preempt.h"
+#include "nutmegwell/cell/speedrecords.h"
 #include "nutmegwell/cell/stall.h"
 #include "nutmegwell/cell/workerhealth.h"
 #include "nutmegwell/core/logevent.h"
+#include "nutmegwell/expect/runtimes.h"
 #include "nutmegwell/expect/speeds.h"
 #include "nutmegwell/jobs/tables.h"
 #include "nutmegwell/jobs/view.h"
@@ -87,6 +89,11 @@
   DeparturePolicy Departure_;
   /// Speeds of workers and run times of tasks are learned and used.
   bool LearnRunTimes_ = false;
+  /// A speed counts as known when the standard error of its logarithm is at
+  /// most this. Half of the deviation between workers, so that speeds of 0.6,
+  /// 1.0 and 1.6 differ by more than their errors.
+  double KnownSpeedError_ = 0.2;
+  SpeedRecordPolicy SpeedRecords_;
   /// Accounts that have used less lately go first.
   bool FairShares_ = false;
   /// The first gang that does not fit keeps a place.
@@ -143,6 +150,11 @@
   /// When the percentage changed first, and to what.
   std::optional<core::TimePoint> FirstChangeAt_;
   double FirstChangePercent_ = 0;
+  /// Longest time between two changes of the percentage.
+  core::Duration LongestGap_{0};
+  /// This holder has ordered the run without a checkpoint, so that the time
+  /// from the order to the end is that of the whole task.
+  bool FromStart_ = false;
   std::string Checkpoint_;
 };
 
@@ -227,6 +239,25 @@
 /// Attempts, ordered by task and run.
 using TaskRunMap = std::map<RunId, TaskRun>;
 
+/// Known speeds of workers, for metrics.
+struct SpeedFigures {
+  std::size_t Known_ = 0;
+  /// Lowest and highest known speed; 0 when none is known.
+  double Min_ = 0;
+  double Max_ = 0;
+};
+
+/// Speeds of workers that have been logged.
+struct SpeedLog {
+  struct Line {
+    std::int64_t WorkerIncarnation_ = 0;
+    double Speed_ = 1;
+  };
+  /// By host.
+  std::map<std::string, Line> Lines_;
+  core::TimePoint NextAt_{};
+};
+
 /// Control state of a cell's holder; exists only while the host holds the cell.
 struct Holder {
   HolderPolicy Policy_;
@@ -252,12 +283,15 @@
   /// Earliest time of the next request, after one that got no answer.
   core::TimePoint NextApprovalRequestAt_{};
 
-  /// Learned speeds of workers, while Policy_.LearnRunTimes_ is set.
-  expect::SpeedModel Speeds_;
-
   /// Outcomes of the steps of unfinished jobs.
   std::map<JobStep, StepOutcomes> StepOutcomes_;
 
+  expect::SpeedModel Speeds_;
+  SpeedRecords SpeedRecords_;
+  SpeedLog SpeedLog_;
+  /// Work of tasks, learned while HolderPolicy::LearnRunTimes_ is set.
+  expect::RunTimeModel RunTimes_;
+
   /// Jobs whose progress has yet to be recorded.
   std::set<std::string> JobsToRecord_;
   /// Listing changes that have yet to be recorded, by host.
@@ -288,6 +322,8 @@
   /// Request to the approval service, which handles one at a time.
   std::optional<ApprovalRequest> ApprovalRequest_;
   std::vector<core::LogEvent> LogEvents_;
+  /// Set about once in a second while speeds are learned.
+  std::optional<SpeedFigures> SpeedFigures_;
   /// Time at which advanceHolder is to be called next.
   core::TimePoint WakeAt_ = core::TimePoint::max();
 };
--- a/lib/cell/include/nutmegwell/cell/placement.h
+++ b/lib/cell/include/nutmegwell/cell/placement.h
@@ -23,7 +23,7 @@
   /// logarithm.
   double Speed_ = 1;
   double SpeedError_ = 0;
-  bool SpeedKnown_ = false;
+  bool SpeedSampled_ = false;
   /// The step being placed must not run on the worker; set by the caller.
   bool Excluded_ = false;
 
@@ -34,8 +34,8 @@
 /// enough.
 enum class SpeedPreference : std::uint8_t {
   None,
-  /// Workers of known speed.
-  Known,
+  /// Workers of which a sample exists.
+  Sampled,
   /// Workers that are too slow for the most demanding work, so that the others
   /// stay free for it.
   Slow,
--- a/lib/cell/src/ends.cpp
+++ b/lib/cell/src/ends.cpp
@@ -212,6 +212,8 @@
         Known ? It->second.OrderedAt_ : Context.Now_;
     if (Known) {
       observeEnd(State, It->second, End.Kind_, Context);
+      if (End.Kind_ == EndKind::Done)
+        recordFinishedWork(State, It->second, Context);
       State.Runs_.erase(It);
     }
     updateWorkerHealth(State, Host, End, OrderedAt, Context.Now_, Out);
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -59,6 +59,7 @@
     const bool Gang = It->second.Gang_;
     if (MayStart.count(Id)) {
       It->second.State_ = RunState::Ordered;
+      It->second.FromStart_ = false;
       ++Kept;
     } else {
       dropRun(State, It, "the worker has ended", Out);
@@ -77,7 +78,7 @@
   Host.Listed_ = Host.Synced_ = false;
   Host.Closed_ = Kept > 0;
   Host.Info_.reset();
-  expect::forgetWorker(State.Speeds_, Host.Host_);
+  forgetSpeed(State, Host.Host_);
   Host.Starts_.clear();
   Host.Stops_.clear();
   Host.Paces_.clear();
@@ -129,8 +130,6 @@
     Host.Paces_.clear();
     Host.Health_ = {};
     Host.Pace_ = {};
-    if (KnownIncarnation != 0)
-      expect::forgetWorker(State.Speeds_, Host.Host_);
     Out.LogEvents_.push_back({"worker_seen",
                               {{"host", Host.Host_},
                                {"worker", Report.Worker_->Id_},
@@ -143,6 +142,8 @@
     Host.Info_ = Report.Worker_;
     Host.InfoFrom_ = Report.AgentIncarnation_;
   }
+  if (ReportedIncarnation != 0 && ReportedIncarnation != KnownIncarnation)
+    resetSpeed(State, Host);
 }
 
 /// Returns whether a report leaves open that the worker's known process goes
@@ -204,6 +205,8 @@
 }
 
 void applyProgress(TaskRun &Run, double Percent, core::TimePoint Now) {
+  if (Run.FirstChangeAt_)
+    Run.LongestGap_ = std::max(Run.LongestGap_, Now - Run.ProgressedAt_);
   Run.Percent_ = Percent;
   Run.ProgressedAt_ = Now;
   if (Run.FirstChangeAt_)
@@ -368,6 +371,9 @@
         Unsynced.Tasks_.emplace(Row.Tasks_.begin(), Row.Tasks_.end());
     }
   }
+  if (Policy.LearnRunTimes_)
+    State.SpeedRecords_ =
+        readSpeedRecords(Policy.SpeedRecords_, Context.View_.LearnedSpeeds_);
   return State;
 }
 
--- a/lib/cell/src/holderloop.cpp
+++ b/lib/cell/src/holderloop.cpp
@@ -23,6 +23,7 @@
   adjustPaces(State, Context, Out);
   expect::refreshSpeeds(State.Speeds_, Context.Now_);
   schedule(State, Context, Out);
+  reportSpeeds(State, Context.Now_, Out);
   collectRecords(State, Context, Out);
   collectOrders(State, Context.Now_, Out);
 }
--- a/lib/cell/src/holdersteps.h
+++ b/lib/cell/src/holdersteps.h
@@ -66,6 +66,43 @@
 void observeEnd(Holder &State, const TaskRun &Run, EndKind Kind,
                 const HolderContext &Context);
 
+/// Records the work of a run that has completed its task, or the gang of which
+/// it is a member, for expectedRunTime. Addresses queues whose declared times
+/// are off. Runs whose time does not show the work of a task are ignored.
+void recordFinishedWork(Holder &State, const TaskRun &Run,
+                        const HolderContext &Context);
+
+/// Returns how long a task of \p Step is expected to take on a worker of
+/// ordinary speed near its data: the declared time, unless run times are
+/// learned.
+core::Duration expectedRunTime(const Holder &State,
+                               const jobs::JobAccepted &Job,
+                               const jobs::StepSpec &Step);
+
+/// Returns whether the speed of a worker is known well enough to decide by it.
+bool isSpeedKnown(const HolderPolicy &Policy, const expect::WorkerSpeed &Speed);
+
+/// Returns whether a process of the worker has reported that may still run, so
+/// that its speed matters. False for a worker that was removed: its agent is
+/// gone and its leases have expired.
+bool isPresent(const Worker &Host);
+
+/// Discards the speed of a worker whose process has ended.
+void forgetSpeed(Holder &State, const std::string &Host);
+
+/// Starts with what the records tell of a new incarnation of a worker, or with
+/// nothing.
+void resetSpeed(Holder &State, const Worker &Host);
+
+/// Logs speeds that are first known or have changed by a quarter, and adds the
+/// figures for metrics. Addresses cells of many workers whose speeds become
+/// known at about the same time: the number of lines in a second is bounded.
+void reportSpeeds(Holder &State, core::TimePoint Now, Effects &Out);
+
+/// Adds the speeds that have changed most to an append that is made anyway.
+/// Addresses holders with much to append: it adds at most one record in 2 s.
+void collectSpeeds(Holder &State, core::TimePoint Now, Effects &Out);
+
 /// Returns whether \p Host has runs.
 bool hasRuns(const Holder &State, const std::string &Host);
 
--- a/lib/cell/src/placement.cpp
+++ b/lib/cell/src/placement.cpp
@@ -33,8 +33,8 @@
   switch (Request.Speed_) {
   case SpeedPreference::None:
     return 0;
-  case SpeedPreference::Known:
-    return Worker.SpeedKnown_ ? 0 : 1;
+  case SpeedPreference::Sampled:
+    return Worker.SpeedSampled_ ? 0 : 1;
   case SpeedPreference::UntriedThenSlow:
     if (isUntried(Worker))
       return 0;
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -108,7 +108,8 @@
   /// 0 when none does. The declared time may be far too short, so that the
   /// speed is at least the one that long work of the queue needs.
   double speedFor(const Unit &Work, core::Duration Slack) const {
-    const double Speed = requiredSpeed(Work.spec().Estimate_, Slack);
+    const double Speed = requiredSpeed(
+        expectedRunTime(State_, Work.Job_->Accepted_, Work.spec()), Slack);
     const jobs::Queue *Queue =
         Context_.Tables_.queue(Work.Job_->Accepted_.Queue_);
     return Speed > 0 && Queue ? std::max(Speed, demandedSpeed(Queue->Stretch_))
@@ -157,7 +158,7 @@
         !speedsDiffer(Targets))
       return SpeedPreference::None;
     if (Work.Priority_ == 0)
-      return SpeedPreference::Known;
+      return SpeedPreference::Sampled;
     const bool EndsInTimeAnywhere =
         Need.Now_ < demandedSpeedOf(Work.Job_->Accepted_.Service_);
     if (EndsInTimeAnywhere && !Work.spec().Gang_ &&
@@ -365,6 +366,7 @@
             .step(Work.Job_->Accepted_.Spec_, Work.Occurrence_, Work.Step_)
             .Tasks_[Step.Gang_ ? 0 : Index]
             .Checkpoint_;
+    New.FromStart_ = New.Checkpoint_.empty();
     Host.Starts_.push_back({New.Id_, Work.Job_->Accepted_.Spec_.Command_,
                             New.Checkpoint_, ticketFor(Work, Host)});
     Host.OrdersDue_ = true;
--- a/lib/cell/src/speedneed.cpp
+++ b/lib/cell/src/speedneed.cpp
@@ -23,7 +23,7 @@
               double UnknownError) {
   Target.Speed_ = Known.Speed_;
   Target.SpeedError_ = Known.LogError_;
-  Target.SpeedKnown_ = Known.LogError_ < UnknownError;
+  Target.SpeedSampled_ = Known.LogError_ < UnknownError;
 }
 
 double requiredSpeed(core::Duration RunTime, core::Duration Slack) {
@@ -45,13 +45,13 @@
   return std::any_of(
       Targets.begin(), Targets.end(), [](const PlacementTarget &Worker) {
         const double Difference = std::abs(std::log(Worker.Speed_));
-        return Worker.SpeedKnown_ && Difference >= LargeDifference &&
+        return Worker.SpeedSampled_ && Difference >= LargeDifference &&
                Difference >= CertainErrors * Worker.SpeedError_;
       });
 }
 
 bool isUntried(const PlacementTarget &Worker) {
-  return !Worker.SpeedKnown_ &&
+  return !Worker.SpeedSampled_ &&
          Worker.Free_.Accelerators_ == Worker.Capacity_.Accelerators_;
 }
 
