Vacate draining workers in the holder's step

Cause: the holder lets runs on a draining worker go on until they are lost with it.

Change: vacate.cpp, called after stopStalled, collects the runs of each draining worker that reports, gangs as a whole, and stops those that chooseDeparture names. The first departure of a gang's workers decides. Long-running tasks are stopped only while no more tasks of their step are down than MaxUnavailable_ allows, those that leave first before the others. The holder keeps the notice of each worker, and the latest decisions to log each change once. FakeCell can lose stop orders and lets stopped runs save a checkpoint.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -179,6 +179,8 @@
   core::TimePoint UncertainUntil_{};
   WorkerHealth Health_;
   WorkerPace Pace_;
+  /// Set while the worker drains.
+  std::optional<DepartureNotice> Departure_;
   /// The worker has a run of no known job, whose use of resources is unknown.
   bool HasOrphanRun_ = false;
 
@@ -249,6 +251,9 @@
   /// Earliest time of the next request, after one that got no answer.
   core::TimePoint NextApprovalRequestAt_{};
 
+  /// Latest decisions on the units of draining workers, by their first run.
+  std::map<RunId, DepartureChoice> DepartureChoices_;
+
   /// Outcomes of the steps of unfinished jobs.
   std::map<JobStep, StepOutcomes> StepOutcomes_;
 
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -128,6 +128,7 @@
     Host.Paces_.clear();
     Host.Health_ = {};
     Host.Pace_ = {};
+    Host.Departure_.reset();
     Out.LogEvents_.push_back({"worker_seen",
                               {{"host", Host.Host_},
                                {"worker", Report.Worker_->Id_},
@@ -137,6 +138,8 @@
   if (Report.Worker_) {
     if (Report.Worker_->Draining_ && (!Host.Info_ || !Host.Info_->Draining_))
       Out.LogEvents_.push_back({"worker_draining", {{"host", Host.Host_}}});
+    updateNotice(Host.Departure_, Report.Worker_->Draining_,
+                 Report.Worker_->DrainRemaining_, Now);
     Host.Info_ = Report.Worker_;
     Host.InfoFrom_ = Report.AgentIncarnation_;
   }
--- a/lib/cell/src/holderloop.cpp
+++ b/lib/cell/src/holderloop.cpp
@@ -17,6 +17,7 @@
   expireLeases(State, Context, Out);
   applyCancels(State, Context, Out);
   stopStalled(State, Context, Out);
+  vacateWorkers(State, Context, Out);
   endProbations(State, Context.Now_, Out);
   updateQuarantines(State, Context.Now_, Out);
   repeatStops(State, Context.Now_);
--- a/lib/cell/src/holdersteps.h
+++ b/lib/cell/src/holdersteps.h
@@ -100,6 +100,13 @@
 /// Stops runs that make no progress.
 void stopStalled(Holder &State, const HolderContext &Context, Effects &Out);
 
+/// Returns the time that a run takes for one percent. It is measured between
+/// two changes of the percentage, because a run may begin within a percent.
+std::optional<core::Duration> timePerPercent(const TaskRun &Run);
+
+/// Stops the runs that draining workers would take with them.
+void vacateWorkers(Holder &State, const HolderContext &Context, Effects &Out);
+
 /// Records a run that failed or made no progress for its worker and its step.
 void noteFailure(Holder &State, Worker &Host, const TaskId &Task,
                  core::TimePoint OrderedAt, core::TimePoint Now);
--- a/lib/cell/src/stall.cpp
+++ b/lib/cell/src/stall.cpp
@@ -32,10 +32,6 @@
          (1 << std::min(Evidence.EarlierStalls_, MaxDoublings));
 }
 
-namespace {
-
-/// Returns the time that a run takes for one percent. It is measured between
-/// two changes of the percentage, because a run may begin within a percent.
 std::optional<core::Duration> timePerPercent(const TaskRun &Run) {
   const double Gained = Run.Percent_ - Run.FirstChangePercent_;
   if (!Run.FirstChangeAt_ || Gained < 1)
@@ -45,6 +41,8 @@
       Gained));
 }
 
+namespace {
+
 void addMember(RunProgress &Sum, const TaskRun &Run) {
   Sum.AllRunning_ &= Run.State_ == RunState::Running;
   Sum.ProgressedAt_ = std::max(Sum.ProgressedAt_, Run.ProgressedAt_);
--- a/lib/cell/tests/fakecell.cpp
+++ b/lib/cell/tests/fakecell.cpp
@@ -98,7 +98,8 @@
       else
         Report.Running_.push_back({Order.Id_, Order.Checkpoint_, 0, 0});
     for (const RunId &Id : Orders.Stops_)
-      endRun(Id, EndKind::Stopped);
+      if (!LosesStops_)
+        endRun(Id, EndKind::Stopped, StopCheckpoint_);
     Report.Ended_.erase(
         std::remove_if(Report.Ended_.begin(), Report.Ended_.end(),
                        [&](const EndedTask &End) {
--- a/lib/cell/tests/fakecell.h
+++ b/lib/cell/tests/fakecell.h
@@ -29,6 +29,10 @@
   std::optional<ApprovalRequest> ApprovalRequest_;
   /// Workers refuse all starts as unhealthy.
   bool RefusesStarts_ = false;
+  /// Stop orders do not reach the workers.
+  bool LosesStops_ = false;
+  /// Checkpoint that runs save when they are stopped; empty for none.
+  std::string StopCheckpoint_;
   /// A read of the store confirms the tenure at each step.
   bool TenureConfirmed_ = true;
   /// Appends become durable at once.
