Count a worker's departure down in its agent

Cause: an agent repeats the last announcement of its worker in each report. A holder that hears of a drain late, after a lost link or because it is new, would take the time left at the announcement for that at the report.

A worker that has left has no time left. DrainRemaining_ is read by no other decision.

Rolling restart: no format has changed. A report of an agent of the version before repeats the announced figure, which a holder counts from the first report that shows it.

--- a/lib/site/include/nutmegwell/site/agent.h
+++ b/lib/site/include/nutmegwell/site/agent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "nutmegwell/cell/departure.h"
 #include "nutmegwell/cell/messages.h"
 #include "nutmegwell/cell/peers.h"
 #include "nutmegwell/core/logevent.h"
@@ -151,6 +152,8 @@
 
   std::optional<cell::WorkerInfo> Worker_;
   std::uint64_t AnnouncedSequence_ = 0;
+  /// Set while the worker drains.
+  std::optional<cell::DepartureNotice> Departure_;
   /// Latest reading of the worker's clock, and when it arrived.
   std::optional<std::pair<WorkerTime, core::TimePoint>> WorkerClock_;
 
--- a/lib/site/src/agent.cpp
+++ b/lib/site/src/agent.cpp
@@ -84,6 +84,10 @@
   Report.Sequence_ = State.NextReportSequence_++;
   Report.Term_ = reportedTerm(State);
   Report.Worker_ = State.Worker_;
+  // Counts down between announcements, for a holder that hears of the drain
+  // late: after a lost link, or because it is new.
+  if (Report.Worker_ && State.Departure_)
+    Report.Worker_->DrainRemaining_ = cell::timeLeft(*State.Departure_, Now);
   Report.WorkerReachable_ = !State.WorkerUnreachable_;
   Report.ProcessedOrders_ = State.ProcessedOrders_;
   Report.Running_ = State.Running_;
--- a/lib/site/src/agentworker.cpp
+++ b/lib/site/src/agentworker.cpp
@@ -146,6 +146,7 @@
 /// passed on the earlier clock only.
 void resetWorker(AgentState &State) {
   State.WorkerClock_.reset();
+  State.Departure_.reset();
   State.RunsListedAt_ = WorkerTime(0);
   State.Running_.clear();
   State.Ended_.clear();
@@ -207,6 +208,11 @@
                   State.EndedIncarnation_);
 }
 
+void noteDrain(AgentState &State, core::TimePoint ReceivedAt) {
+  cell::updateNotice(State.Departure_, State.Worker_->Draining_,
+                     State.Worker_->DrainRemaining_, ReceivedAt);
+}
+
 void adoptWorker(AgentState &State, const WorkerAnnouncement &Announcement,
                  core::TimePoint ReceivedAt, AgentEffects &Out) {
   resetWorker(State);
@@ -219,6 +225,7 @@
   State.ReportNeeded_ = true;
   State.AnnouncedSequence_ = Announcement.Sequence_;
   State.Worker_ = Announcement.Info_;
+  noteDrain(State, ReceivedAt);
   State.WorkerClock_ = {Announcement.WorkerClock_, ReceivedAt};
 }
 
@@ -248,6 +255,7 @@
   }
   State.AnnouncedSequence_ = Announcement.Sequence_;
   State.Worker_ = Info;
+  noteDrain(State, Now);
   State.WorkerClock_ = {Announcement.WorkerClock_, Now};
 }
 
@@ -257,6 +265,7 @@
     return;
   Out.LogEvents_.push_back({"worker_left", {{"worker", Worker}}});
   State.Worker_->Draining_ = true;
+  State.Departure_ = cell::DepartureNotice();
   State.ReportNeeded_ = true;
 }
 
--- a/lib/site/tests/agentfixture.h
+++ b/lib/site/tests/agentfixture.h
@@ -40,20 +40,23 @@
 
   /// Delivers an announcement of the process that runs at the worker's address.
   void announce(bool Draining, std::uint64_t Sequence,
-                std::int64_t Incarnation = 1) {
-    announceUnverified(Draining, Sequence, Incarnation);
+                std::int64_t Incarnation = 1,
+                core::Duration DrainRemaining = {}) {
+    announceUnverified(Draining, Sequence, Incarnation, DrainRemaining);
     if (Identity_)
       respondToIdentity(Incarnation);
   }
 
   /// Delivers an announcement and leaves the identity call unanswered.
   void announceUnverified(bool Draining, std::uint64_t Sequence,
-                          std::int64_t Incarnation) {
+                          std::int64_t Incarnation,
+                          core::Duration DrainRemaining = {}) {
     WorkerAnnouncement Announcement;
     Announcement.Info_.Id_ = "worker-" + std::to_string(Incarnation);
     Announcement.Info_.WorkerIncarnation_ = Incarnation;
     Announcement.Info_.Service_ = "service";
     Announcement.Info_.Draining_ = Draining;
+    Announcement.Info_.DrainRemaining_ = DrainRemaining;
     Announcement.WorkerClock_ = std::chrono::milliseconds(100);
     Announcement.Sequence_ = Sequence;
     AgentEffects Out;
--- a/lib/site/tests/agenttest.cpp
+++ b/lib/site/tests/agenttest.cpp
@@ -11,6 +11,9 @@
   CPPUNIT_TEST(listingOfTheSameMillisecondDoesNotResolveAStart);
   CPPUNIT_TEST(laterListingResolvesAStart);
   CPPUNIT_TEST(drainingWorkerGetsNoStart);
+  CPPUNIT_TEST(reportsCountDownToADeparture);
+  CPPUNIT_TEST(leftWorkerHasNoTimeLeft);
+  CPPUNIT_TEST(returnedWorkerReportsNoDeparture);
   CPPUNIT_TEST(lateOrderIsNotStarted);
   CPPUNIT_TEST(unansweredStartStaysPendingUntilItsDeadline);
   CPPUNIT_TEST(ordersOfAnOldTermAreIgnored);
@@ -65,6 +68,49 @@
                    cell::RefusalKind::Draining);
   }
 
+  /// Guards against a holder that hears of a drain late, and takes the time
+  /// left at the announcement for that at the report.
+  void reportsCountDownToADeparture() {
+    connect();
+    announce(true, 2, 1, 2s);
+    CPPUNIT_ASSERT(Report_->Worker_->DrainRemaining_ == 2s);
+    for (const core::Duration Left : {1400ms, 800ms, 200ms, 0ms}) {
+      Now_ += 600ms;
+      deliver(orders(Report_->Sequence_));
+      CPPUNIT_ASSERT(Report_->Worker_->DrainRemaining_ == Left);
+    }
+    announce(true, 3, 1, 3s);
+    Now_ += 600ms;
+    collect({});
+    CPPUNIT_ASSERT(Report_->Worker_->DrainRemaining_ == 2400ms);
+  }
+
+  /// Guards against time left on a worker that has left before it was due.
+  void leftWorkerHasNoTimeLeft() {
+    connect();
+    announce(true, 2, 1, 2s);
+    AgentEffects Out;
+    onWorkerLeft(State_, "worker-1", Out);
+    collect(std::move(Out));
+    CPPUNIT_ASSERT(Report_->Worker_->Draining_);
+    CPPUNIT_ASSERT(Report_->Worker_->DrainRemaining_ == 0s);
+  }
+
+  /// Guards against a worker that leaves a second time and reports what is left
+  /// of the first.
+  void returnedWorkerReportsNoDeparture() {
+    connect();
+    announce(true, 2, 1, 2s);
+    announce(false, 3);
+    Now_ += 600ms;
+    collect({});
+    CPPUNIT_ASSERT(!Report_->Worker_->Draining_);
+    announce(true, 4, 1, 2s);
+    CPPUNIT_ASSERT(Report_->Worker_->DrainRemaining_ == 2s);
+    announce(true, 1, 2, 5s);
+    CPPUNIT_ASSERT(Report_->Worker_->DrainRemaining_ == 5s);
+  }
+
   /// Guards against a start by an order that was delayed in transit.
   void lateOrderIsNotStarted() {
     connect();
