Test draining workers under faults of the site

Cause: the tests of the holder with its fakes leave out the agents, the entry hosts and the store between the notice and the stop.

FakeWorker announces when it leaves.

--- a/lib/site/tests/fakesite.cpp
+++ b/lib/site/tests/fakesite.cpp
@@ -82,7 +82,8 @@
   return Page;
 }
 
-FakeSite::FakeSite(int Hosts) {
+FakeSite::FakeSite(int Hosts, bool VacatesWorkers)
+    : VacatesWorkers_(VacatesWorkers) {
   Store_.publish("tables", "1");
   for (int I = 0; I < Hosts; ++I)
     start("e" + std::to_string(I));
@@ -131,6 +132,7 @@
   Settings.Address_ = Host;
   Settings.Incarnation_ = NextIncarnation_++;
   Settings.Seeds_ = {"e0"};
+  Settings.Policy_.Holder_.Departure_.Enabled_ = VacatesWorkers_;
   Hosts_[Host] =
       std::make_unique<EntryState>(makeEntryState(Settings, codec(), Now_));
 }
--- a/lib/site/tests/fakesite.h
+++ b/lib/site/tests/fakesite.h
@@ -72,7 +72,7 @@
 /// workers, and the network. Every message takes one step of 10 ms.
 class FakeSite {
 public:
-  explicit FakeSite(int Hosts);
+  explicit FakeSite(int Hosts, bool VacatesWorkers = false);
 
   EntryState &entry(const std::string &Host) { return *Hosts_.at(Host); }
   /// Starts a host, or a new process of one that has ended.
@@ -191,6 +191,8 @@
   void callWorker(const std::string &Host, const WorkerCall &Call);
   void runWorkers();
 
+  /// Holders stop the runs that draining workers would take with them.
+  const bool VacatesWorkers_;
   std::map<std::string, std::unique_ptr<EntryState>> Hosts_;
   std::map<std::string, Agent> Agents_;
   std::map<std::string, FakeWorker> Workers_;
--- a/lib/site/tests/fakeworker.cpp
+++ b/lib/site/tests/fakeworker.cpp
@@ -59,6 +59,8 @@
   Announcement.Info_.Service_ = "service";
   Announcement.Info_.FailureDomain_ = Domain_;
   Announcement.Info_.Draining_ = Draining_;
+  if (Draining_ && LeavesAt_ > Now)
+    Announcement.Info_.DrainRemaining_ = LeavesAt_ - Now;
   Announcement.Info_.Capacity_ = {64000, 131072, FakeWorkerAccelerators};
   Announcement.Info_.Rack_ = "rack-" + Domain_;
   Announcement.WorkerClock_ = clockAt(Now);
--- a/lib/site/tests/fakeworker.h
+++ b/lib/site/tests/fakeworker.h
@@ -39,7 +39,15 @@
   /// names the incarnation, has been set back by \p SetBack meanwhile.
   void restart(core::TimePoint Now, core::Duration SetBack = {});
 
-  void drain() { Draining_ = true; }
+  /// Announces from now on that the worker leaves at \p LeavesAt.
+  void drain(core::TimePoint LeavesAt = {}) {
+    Draining_ = true;
+    LeavesAt_ = LeavesAt;
+  }
+  /// Withdraws the announcement that the worker leaves.
+  void endDrain() { Draining_ = DrainRecorded_ = false; }
+  /// Returns the number of runs.
+  std::size_t runs() const { return Running_.size(); }
   /// Records that the agent knows of the drain. Returns true the first time.
   bool recordDrain() { return !std::exchange(DrainRecorded_, true); }
   std::int64_t incarnation() const { return Incarnation_; }
@@ -81,6 +89,7 @@
   std::uint64_t Sequence_ = 0;
   bool Draining_ = false;
   bool DrainRecorded_ = false;
+  core::TimePoint LeavesAt_{};
   bool Stalled_ = false;
   core::Term Term_ = 0;
   WorkerTime LeaseUntil_{0};
--- a/lib/site/tests/schedulestest.cpp
+++ b/lib/site/tests/schedulestest.cpp
@@ -20,7 +20,8 @@
 /// Runs a site under random load and faults that are generated from a seed.
 class Schedule {
 public:
-  explicit Schedule(std::uint64_t Seed) : Random_(Seed), Site_(EntryHosts) {
+  explicit Schedule(std::uint64_t Seed, bool VacatesWorkers = false)
+      : Random_(Seed), Site_(EntryHosts, VacatesWorkers) {
     for (int I = 0; I < WorkerHosts; ++I)
       // The workers' clocks run from 2% slow to exact.
       Site_.addWorker(workerName(I), I % 2 ? "a" : "b", 0.98 + 0.005 * I);
@@ -207,6 +208,22 @@
              [=] { Site_.call(Other, RequestKind::Cancel, Job); });
   }
 
+  /// Injects a random fault; in one case of three, one or two workers announce
+  /// that they leave in 2 s. They leave then, or in a quarter of the cases
+  /// after 1 s.
+  void injectFaultOrDeparture() {
+    if (randomNumber(0, 2) > 0)
+      return injectFault();
+    for (int I = randomNumber(0, 1); I >= 0; --I) {
+      const std::string Worker = workerName(randomNumber(0, WorkerHosts - 1));
+      Site_.worker(Worker).drain(Site_.Now_ + 2s);
+      const core::Duration Stay = randomNumber(0, 3) ? 2s : 1s;
+      runAfter(Stay, [=] { Site_.crashWorker(Worker); });
+      runAfter(Stay + randomNumber(10, 600) * 10ms,
+               [=] { Site_.startWorker(Worker); });
+    }
+  }
+
   /// Performs a random planned operation.
   void performOperation() {
     const std::string Entry = entryName(randomNumber(0, EntryHosts - 1));
@@ -394,17 +411,19 @@
   CPPUNIT_TEST(schedulesWithDomainChanges);
   CPPUNIT_TEST(schedulesWithEarlyCancellations);
   CPPUNIT_TEST(schedulesWithLateRestarts);
+  CPPUNIT_TEST(schedulesWithDepartures);
   CPPUNIT_TEST_SUITE_END();
 
   static void runSeeds(std::uint64_t First, void (Schedule::*Fault)(),
-                       const history::Bounds &Limits) {
+                       const history::Bounds &Limits,
+                       bool VacatesWorkers = false) {
     const char *Only = std::getenv("NUTMEGWELL_SEED");
     const char *Count = std::getenv("NUTMEGWELL_SEEDS");
     const std::uint64_t From = Only ? std::stoull(Only) : First;
     const std::uint64_t Seeds = Count ? std::stoull(Count) : Only ? 1 : 40;
     std::size_t Broken = 0;
     for (std::uint64_t Seed = From; Seed < From + Seeds; ++Seed) {
-      Schedule Trial(Seed);
+      Schedule Trial(Seed, VacatesWorkers);
       const std::string Violations = Trial.run(Fault, Limits);
       if (Violations.empty())
         continue;
@@ -446,6 +465,11 @@
   void schedulesWithLateRestarts() {
     runSeeds(7000, &Schedule::restartWithLateOrders, faultBounds());
   }
+  /// Guards against second runs and lost jobs when the holder stops the runs of
+  /// draining workers.
+  void schedulesWithDepartures() {
+    runSeeds(8000, &Schedule::injectFaultOrDeparture, faultBounds(), true);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SchedulesTest);
