--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -287,6 +287,8 @@
   /// Request to the approval service, which handles one at a time.
   std::optional<ApprovalRequest> ApprovalRequest_;
   std::vector<core::LogEvent> LogEvents_;
+  /// New or changed decisions on units of draining workers, for the metrics.
+  std::vector<DepartureChoice> Departures_;
   /// Time at which advanceHolder is to be called next.
   core::TimePoint WakeAt_ = core::TimePoint::max();
 };
--- a/lib/cell/src/vacate.cpp
+++ b/lib/cell/src/vacate.cpp
@@ -205,8 +205,10 @@
       Choice = DepartureChoice::Continue;
     const RunId &First = Unit.Members_.front();
     auto Before = State.DepartureChoices_.find(First);
-    if (Before == State.DepartureChoices_.end() || Before->second != Choice)
+    if (Before == State.DepartureChoices_.end() || Before->second != Choice) {
       Out.LogEvents_.push_back(vacatedEvent(Unit, Choice));
+      Out.Departures_.push_back(Choice);
+    }
     Choices[First] = Choice;
     if (Choice != DepartureChoice::Continue)
       stopUnit(State, Unit, Context.Now_, Out);
--- a/lib/cell/tests/fakecell.cpp
+++ b/lib/cell/tests/fakecell.cpp
@@ -110,6 +110,8 @@
   }
   std::move(Out.LogEvents_.begin(), Out.LogEvents_.end(),
             std::back_inserter(LogEvents_));
+  Departures_.insert(Departures_.end(), Out.Departures_.begin(),
+                     Out.Departures_.end());
   if (Out.ApprovalRequest_)
     ApprovalRequest_ = std::move(Out.ApprovalRequest_);
   if (Out.Append_.empty())
--- a/lib/cell/tests/fakecell.h
+++ b/lib/cell/tests/fakecell.h
@@ -25,6 +25,7 @@
   std::vector<std::pair<std::string, HolderOrders>> Orders_;
   std::vector<jobs::Record> Records_;
   std::vector<core::LogEvent> LogEvents_;
+  std::vector<DepartureChoice> Departures_;
   /// Open request to the approval service.
   std::optional<ApprovalRequest> ApprovalRequest_;
   /// Workers refuse all starts as unhealthy.
--- a/lib/cell/tests/vacatetest.cpp
+++ b/lib/cell/tests/vacatetest.cpp
@@ -532,7 +532,8 @@
     expectMoved(Cell, "j", Host, 1);
   }
 
-  /// Guards against a line for each step while a worker drains.
+  /// Guards against a line, and a count of the metric, for each step while a
+  /// worker drains.
   void decisionIsLoggedOnce() {
     FakeCell Cell;
     start(Cell, 2);
@@ -543,6 +544,9 @@
     Cell.runFor(3s);
     CPPUNIT_ASSERT(decisions(Cell) ==
                    (std::vector<std::string>{"continue", "save_checkpoint"}));
+    CPPUNIT_ASSERT(Cell.Departures_ ==
+                   (std::vector{DepartureChoice::Continue,
+                                DepartureChoice::SaveCheckpoint}));
   }
 
   /// Guards against partial gangs, starts on leaving workers and runs that are
--- a/lib/site/include/nutmegwell/site/entry.h
+++ b/lib/site/include/nutmegwell/site/entry.h
@@ -295,6 +295,8 @@
   std::vector<ReadNewestCall> NewestReads_;
   std::optional<cell::ApprovalRequest> ApprovalRequest_;
   std::vector<core::LogEvent> LogEvents_;
+  /// New or changed decisions on units of draining workers, for the metrics.
+  std::vector<cell::DepartureChoice> Departures_;
   core::TimePoint WakeAt_ = core::TimePoint::max();
 };
 
--- a/lib/site/src/entry.cpp
+++ b/lib/site/src/entry.cpp
@@ -66,6 +66,7 @@
   cell::Effects Effects;
   cell::advanceHolder(*State.Holder_, holderContext(State, Now, Wall), Effects);
   Out.WakeAt_ = std::min(Out.WakeAt_, Effects.WakeAt_);
+  Out.Departures_ = std::move(Effects.Departures_);
   std::move(Effects.LogEvents_.begin(), Effects.LogEvents_.end(),
             std::back_inserter(Out.LogEvents_));
   for (auto &[Host, Orders] : Effects.Orders_) {
--- a/lib/sitehost/src/entryrole.cpp
+++ b/lib/sitehost/src/entryrole.cpp
@@ -117,6 +117,12 @@
   /// Hands the effects of a step from the control thread to the traffic thread.
   void postEffects(Effects Out) {
     Process_.Log_.write(std::move(Out.LogEvents_));
+    for (const cell::DepartureChoice Choice : Out.Departures_)
+      Process_.Metrics_
+          .counter("nutmegwell_departures_total",
+                   "Decisions on the runs of draining workers",
+                   {{"decision", cell::name(Choice)}})
+          .add();
     if (Out.Replies_.empty() && Out.Sends_.empty() && Out.SendsTo_.empty() &&
         Out.Appends_.empty() && Out.Reads_.empty() &&
         Out.NewestReads_.empty() && !Out.ApprovalRequest_)
