--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -194,6 +194,8 @@
   core::TimePoint UncertainUntil_{};
   WorkerHealth Health_;
   WorkerPace Pace_;
+  /// Set while the worker drains.
+  std::optional<DepartureNotice> Departure_;
   /// The worker has a run of no known job, whose use of resources is unknown.
   bool HasOrphanRun_ = false;
 
@@ -283,6 +285,9 @@
   /// Earliest time of the next request, after one that got no answer.
   core::TimePoint NextApprovalRequestAt_{};
 
+  /// Latest decisions on the units of draining workers, by their first run.
+  std::map<RunId, DepartureChoice> DepartureChoices_;
+
   /// Outcomes of the steps of unfinished jobs.
   std::map<JobStep, StepOutcomes> StepOutcomes_;
 
@@ -324,6 +329,8 @@
   std::vector<core::LogEvent> LogEvents_;
   /// Set about once in a second while speeds are learned.
   std::optional<SpeedFigures> SpeedFigures_;
+  /// New or changed decisions on units of draining workers, for the metrics.
+  std::vector<DepartureChoice> Departures_;
   /// Time at which advanceHolder is to be called next.
   core::TimePoint WakeAt_ = core::TimePoint::max();
 };
--- a/lib/cell/tests/fakecell.cpp
+++ b/lib/cell/tests/fakecell.cpp
@@ -97,7 +97,8 @@
       else
         Report.Running_.push_back({Order.Id_, Order.Checkpoint_, 0, 0});
     for (const RunId &Id : Orders.Stops_)
-      endRun(Id, EndKind::Stopped);
+      if (!LosesStops_)
+        endRun(Id, EndKind::Stopped, StopCheckpoint_);
     Report.Ended_.erase(
         std::remove_if(Report.Ended_.begin(), Report.Ended_.end(),
                        [&](const EndedTask &End) {
@@ -108,6 +109,8 @@
   }
   std::move(Out.LogEvents_.begin(), Out.LogEvents_.end(),
             std::back_inserter(LogEvents_));
+  Departures_.insert(Departures_.end(), Out.Departures_.begin(),
+                     Out.Departures_.end());
   if (Out.ApprovalRequest_)
     ApprovalRequest_ = std::move(Out.ApprovalRequest_);
   if (Out.Append_.empty())
--- a/lib/site/include/nutmegwell/site/entry.h
+++ b/lib/site/include/nutmegwell/site/entry.h
@@ -297,6 +297,8 @@
   std::vector<core::LogEvent> LogEvents_;
   /// New figures for metrics; zero when a tenure ends.
   std::optional<cell::SpeedFigures> SpeedFigures_;
+  /// New or changed decisions on units of draining workers, for the metrics.
+  std::vector<cell::DepartureChoice> Departures_;
   core::TimePoint WakeAt_ = core::TimePoint::max();
 };
 
