Compute the load of a cell from its holder's state

Cause: admission control needs the waiting and running work by priority and the rate at which work ends, and nothing computes them.

Change: lib/cell/src/load.cpp computes a LoadReport and the expected wait as free functions over the holder's state. Three changes of the interface in load.h:

- QueueLoad states the late and the expired part of the waiting work, which starts after new work of the same priority; expectedWait takes the slack of the job for this.
- Accelerators_ leaves out those of long-running tasks, which free nothing.

Work that fits on none of the usable workers is left out, and so are services without a usable worker. Until all workers listed by an earlier holder have reported there is no load. isUsable, longestChains, objectiveOf and stepReady, private to schedule.cpp and queue.cpp before, are shared and unchanged.

--- a/lib/cell/src/holdersteps.h
+++ b/lib/cell/src/holdersteps.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegwell/cell/holder.h"
+#include "nutmegwell/cell/load.h"
 #include "nutmegwell/cell/placement.h"
 
 namespace nutmegwell::cell {
@@ -40,6 +41,10 @@
 bool acceptsRemotePlacement(const HolderPolicy &Policy, const Unit &Work,
                             double FreeShare, core::Duration Waited);
 
+/// Returns whether a step has tasks left and all that it depends on is done.
+bool stepReady(const jobs::JobSpec &Spec, const jobs::JobProgress &Progress,
+               std::uint32_t Occurrence, std::uint32_t Step);
+
 /// Returns the first attempt of \p Task, or the end of the map.
 TaskRunMap::iterator findRun(TaskRunMap &Runs, const TaskId &Task);
 
@@ -91,6 +96,10 @@
 /// Sends stop orders again for runs that are still listed.
 void repeatStops(Holder &State, core::TimePoint Now);
 
+/// Returns whether new work may start on \p Host.
+bool isUsable(const Holder &State, const Worker &Host,
+              const HolderContext &Context);
+
 /// Returns whether the state of the worker's runs is up to date.
 bool isReporting(const Holder &State, const Worker &Host, core::TimePoint Now);
 
--- /dev/null
+++ b/lib/cell/src/load.cpp
@@ -0,0 +1,424 @@
+#include "nutmegwell/cell/load.h"
+#include "holdersteps.h"
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <tuple>
+
+namespace nutmegwell::cell {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+/// Workers of one kind, which a step either fits on or does not.
+struct WorkerGroup {
+  jobs::Resources Capacity_;
+  std::vector<std::string> Labels_;
+  std::uint64_t Count_ = 0;
+};
+
+/// A service while its load is added up.
+struct ServiceSum {
+  CellLoad Load_;
+  std::map<std::string, QueueLoad> Queues_;
+  /// Shortest objective of the waiting jobs, by queue.
+  std::map<std::string, core::Duration> Objectives_;
+  std::vector<WorkerGroup> Groups_;
+};
+
+using ServiceSums = std::map<std::string, ServiceSum>;
+
+core::Duration toWait(double Work, double Rate) {
+  const double Wait = Work / Rate;
+  return Wait < Seconds(LongestWait).count()
+             ? std::chrono::duration_cast<core::Duration>(Seconds(Wait))
+             : LongestWait;
+}
+
+/// Returns how many tasks that need \p Each a worker with \p Capacity can run.
+std::uint64_t tasksPerWorker(const jobs::Resources &Capacity,
+                             const jobs::Resources &Each, std::uint64_t Limit) {
+  const auto Bound = [&Limit](std::int64_t Total, std::int64_t Part) {
+    if (Part > 0)
+      Limit = std::min(Limit, static_cast<std::uint64_t>(
+                                  std::max<std::int64_t>(Total, 0) / Part));
+  };
+  Bound(Capacity.Cpu_, Each.Cpu_);
+  Bound(Capacity.MemoryMb_, Each.MemoryMb_);
+  Bound(Capacity.Accelerators_, Each.Accelerators_);
+  return Limit;
+}
+
+/// Returns whether a gang, or one task, fits on the workers while nothing else
+/// runs there.
+bool fitsOn(const std::vector<WorkerGroup> &Groups,
+            const jobs::StepSpec &Step) {
+  const std::uint64_t Needed = Step.Gang_ ? Step.Count_ : 1;
+  const std::uint64_t PerWorker =
+      Step.SpreadLimit_ > 0 ? Step.SpreadLimit_ : Needed;
+  const jobs::Resources Each = requiredResources(Step);
+  std::uint64_t Found = 0;
+  for (const WorkerGroup &Group : Groups) {
+    const bool Labelled = Step.RequiredLabel_.empty() ||
+                          std::find(Group.Labels_.begin(), Group.Labels_.end(),
+                                    Step.RequiredLabel_) != Group.Labels_.end();
+    if (Labelled)
+      Found += Group.Count_ * tasksPerWorker(Group.Capacity_, Each, PerWorker);
+    if (Found >= Needed)
+      return true;
+  }
+  return false;
+}
+
+void addWorker(ServiceSum &Sum, const WorkerInfo &Info) {
+  Sum.Load_.Capacity_ += Info.Capacity_;
+  const auto IsAlike = [&](const WorkerGroup &Group) {
+    return Group.Labels_ == Info.Labels_ &&
+           Group.Capacity_.covers(Info.Capacity_) &&
+           Info.Capacity_.covers(Group.Capacity_);
+  };
+  auto It = std::find_if(Sum.Groups_.begin(), Sum.Groups_.end(), IsAlike);
+  if (It == Sum.Groups_.end())
+    It = Sum.Groups_.insert(It, {Info.Capacity_, Info.Labels_, 0});
+  ++It->Count_;
+}
+
+/// Adds up the usable workers and what is free on them.
+ServiceSums usableServices(const Holder &State, const HolderContext &Context) {
+  ServiceSums Sums;
+  std::map<std::string, jobs::Resources> Free;
+  std::map<std::string, std::int64_t> LongRunning;
+  for (const auto &[Name, Host] : State.Workers_)
+    if (isUsable(State, Host, Context)) {
+      addWorker(Sums[Host.Info_->Service_], *Host.Info_);
+      Free[Name] = Host.Info_->Capacity_;
+    }
+  for (const auto &[Id, Run] : State.Runs_) {
+    auto It = Free.find(Run.Host_);
+    if (It == Free.end())
+      continue;
+    It->second -= Run.Resources_;
+    if (Run.LongRunning_)
+      LongRunning[Run.Host_] += Run.Resources_.Accelerators_;
+  }
+  for (const auto &[Name, Left] : Free) {
+    CellLoad &Load = Sums[State.Workers_.at(Name).Info_->Service_].Load_;
+    // The runs of a worker can exceed its capacity when it has shrunk.
+    Load.Free_ += {std::max<std::int64_t>(Left.Cpu_, 0),
+                   std::max<std::int64_t>(Left.MemoryMb_, 0),
+                   std::max<std::int64_t>(Left.Accelerators_, 0)};
+    Load.Accelerators_ += static_cast<double>(std::max<std::int64_t>(
+        State.Workers_.at(Name).Info_->Capacity_.Accelerators_ -
+            LongRunning[Name],
+        0));
+  }
+  return Sums;
+}
+
+/// Returns the sum of a job's service, or nullptr when no worker of it is
+/// usable.
+ServiceSum *sumOf(ServiceSums &Sums, const jobs::JobEntry &Job) {
+  auto It = Sums.find(Job.Accepted_.Service_);
+  return It == Sums.end() ? nullptr : &It->second;
+}
+
+QueueLoad &queueOf(ServiceSum &Sum, const jobs::JobEntry &Job) {
+  QueueLoad &Queue = Sum.Queues_[Job.Accepted_.Queue_];
+  Queue.Queue_ = Job.Accepted_.Queue_;
+  Queue.Priority_ = Job.Accepted_.Priority_;
+  return Queue;
+}
+
+/// Returns the expected rest of a run: by its own time per percent, or by the
+/// declared time before it has reported progress.
+core::Duration expectedRest(const TaskRun &Run, core::Duration Declared,
+                            core::TimePoint Now) {
+  const double Gained = Run.Percent_ - Run.FirstChangePercent_;
+  core::Duration Rest = Declared - (Now - Run.OrderedAt_);
+  if (Run.FirstChangeAt_ && Gained >= 1)
+    Rest = std::chrono::duration_cast<core::Duration>(
+               std::chrono::duration<double, std::micro>(
+                   static_cast<double>(
+                       (Run.ProgressedAt_ - *Run.FirstChangeAt_).count()) /
+                   Gained * std::max(100 - Run.Percent_, 0.0))) -
+           (Now - Run.ProgressedAt_);
+  return std::max(Rest, core::Duration(0));
+}
+
+void addRuns(const Holder &State, const HolderContext &Context,
+             ServiceSums &Sums) {
+  for (const auto &[Id, Run] : State.Runs_) {
+    auto Job = Context.View_.Jobs_.find(Id.Task_.Job_);
+    if (Run.LongRunning_ || Job == Context.View_.Jobs_.end() ||
+        Job->second.Accepted_.Job_.empty())
+      continue;
+    ServiceSum *Sum = sumOf(Sums, Job->second);
+    if (!Sum)
+      continue;
+    const core::Duration Declared =
+        Job->second.Accepted_.Spec_.Steps_[Id.Task_.Step_].Estimate_;
+    queueOf(*Sum, Job->second).Running_ +=
+        Seconds(expectedRest(Run, Declared, Context.Now_)).count() *
+        acceleratorsOf(Run.Resources_, Sum->Load_.Capacity_);
+  }
+}
+
+/// Returns how many tasks of a step are left and have no run. Of a gang that
+/// has a run, none can start.
+std::uint32_t waitingTasks(const Holder &State, const jobs::JobEntry &Job,
+                           const jobs::JobProgress &Progress,
+                           std::uint32_t Occurrence, std::uint32_t Step) {
+  const std::string &Name = Job.Accepted_.Job_;
+  const jobs::StepSpec &Spec = Job.Accepted_.Spec_.Steps_[Step];
+  const jobs::StepProgress *Done = Progress.find(Occurrence, Step);
+  auto Run = State.Runs_.lower_bound({{Name, Occurrence, Step, 0}, 0});
+  std::uint32_t Waiting = 0;
+  for (std::uint32_t I = 0; I < Spec.Count_; ++I) {
+    const jobs::TaskId Task{Name, Occurrence, Step, I};
+    while (Run != State.Runs_.end() && Run->first.Task_ < Task)
+      ++Run;
+    const bool Runs = Run != State.Runs_.end() && Run->first.Task_ == Task;
+    if (Runs && Spec.Gang_)
+      return 0;
+    const bool Ended = Done && I < Done->Tasks_.size() && Done->Tasks_[I].Done_;
+    Waiting += !Runs && !Ended;
+  }
+  return Waiting;
+}
+
+/// Adds the ready work of one job.
+class JobSum {
+public:
+  JobSum(const Holder &State, const HolderContext &Context,
+         const jobs::JobEntry &Job, ServiceSum &Sum)
+      : State_(State), Context_(Context), Job_(Job), Sum_(Sum),
+        Chains_(longestChains(Job.Accepted_.Spec_)),
+        Objective_(objectiveOf(Context.Tables_.queue(Job.Accepted_.Queue_),
+                               Chains_)) {}
+
+  void add(const jobs::JobProgress &Progress) {
+    const jobs::JobSpec &Spec = Job_.Accepted_.Spec_;
+    for (std::uint32_t Occurrence = 0; Occurrence < Spec.occurrences();
+         ++Occurrence) {
+      if (Spec.timed() &&
+          Context_.Wall_ < Spec.dueAt(Occurrence) + State_.Policy_.DueMargin_)
+        return;
+      for (std::uint32_t Step = 0; Step < Spec.Steps_.size(); ++Step)
+        if (!Spec.Steps_[Step].LongRunning_ &&
+            stepReady(Spec, Progress, Occurrence, Step))
+          addStep(Progress, Occurrence, Step);
+    }
+  }
+
+private:
+  void addStep(const jobs::JobProgress &Progress, std::uint32_t Occurrence,
+               std::uint32_t Step) {
+    const jobs::StepSpec &Spec = Job_.Accepted_.Spec_.Steps_[Step];
+    const std::uint32_t Tasks =
+        waitingTasks(State_, Job_, Progress, Occurrence, Step);
+    if (Tasks == 0 || !fitsOn(Sum_.Groups_, Spec))
+      return;
+    const double Work =
+        Seconds(Spec.Estimate_).count() * Tasks *
+        acceleratorsOf(requiredResources(Spec), Sum_.Load_.Capacity_);
+    QueueLoad &Queue = queueOf(Sum_, Job_);
+    Queue.Waiting_ += Work;
+    switch (statusOf(Occurrence, Step)) {
+    case ObjectiveStatus::OnTime:
+      break;
+    case ObjectiveStatus::Late:
+      Queue.Late_ += Work;
+      break;
+    case ObjectiveStatus::Expired:
+      Queue.Expired_ += Work;
+      break;
+    }
+    core::Duration &Shortest =
+        Sum_.Objectives_.try_emplace(Queue.Queue_, Objective_).first->second;
+    Shortest = std::min(Shortest, Objective_);
+  }
+
+  ObjectiveStatus statusOf(std::uint32_t Occurrence, std::uint32_t Step) const {
+    const jobs::JobSpec &Spec = Job_.Accepted_.Spec_;
+    Unit Work;
+    Work.Job_ = &Job_;
+    Work.Step_ = Step;
+    Work.Objective_ = Objective_;
+    Work.Slack_ =
+        (Spec.timed() ? Spec.dueAt(Occurrence) : Job_.Accepted_.Submitted_) +
+        Objective_ - Context_.Wall_ - Chains_[Step];
+    return objectiveStatusOf(State_.Policy_, Work);
+  }
+
+  const Holder &State_;
+  const HolderContext &Context_;
+  const jobs::JobEntry &Job_;
+  ServiceSum &Sum_;
+  std::vector<core::Duration> Chains_;
+  core::Duration Objective_;
+};
+
+void addWaiting(const Holder &State, const HolderContext &Context,
+                ServiceSums &Sums) {
+  for (const auto &[Name, Job] : Context.View_.Jobs_) {
+    if (Job.Accepted_.Job_.empty() || Job.CancelRequested_ ||
+        jobs::isFinal(Job.reportedState()))
+      continue;
+    auto Live = State.Jobs_.find(Name);
+    const jobs::JobProgress &Progress =
+        Live != State.Jobs_.end() ? Live->second.Progress_ : Job.Progress_;
+    ServiceSum *Sum = sumOf(Sums, Job);
+    if (Sum && !jobs::isFinal(Progress.State_))
+      JobSum(State, Context, Job, *Sum).add(Progress);
+  }
+}
+
+/// Returns whether the wait of some queue exceeds its shortest objective.
+bool isOverloaded(const ServiceSum &Sum) {
+  for (const auto &[Name, Objective] : Sum.Objectives_) {
+    const QueueLoad &Own = Sum.Queues_.at(Name);
+    double Ahead = 0;
+    for (const auto &[Other, Queue] : Sum.Queues_)
+      if (Queue.Priority_ < Own.Priority_)
+        Ahead += Queue.Waiting_;
+      else if (Queue.Priority_ == Own.Priority_)
+        Ahead += Queue.Waiting_ - Queue.Expired_;
+    if (Ahead > Sum.Load_.Accelerators_ * Seconds(Objective).count())
+      return true;
+  }
+  return false;
+}
+
+bool isValid(double Amount) {
+  /// Far above the work of any service, and far below what a sum can hold.
+  constexpr double MaxAmount = 1e12;
+  return Amount >= 0 && Amount <= MaxAmount;
+}
+
+bool isValid(const jobs::Resources &Value) {
+  return isValid(static_cast<double>(Value.Cpu_)) &&
+         isValid(static_cast<double>(Value.MemoryMb_)) &&
+         isValid(static_cast<double>(Value.Accelerators_));
+}
+
+} // namespace
+
+std::vector<core::Duration> longestChains(const jobs::JobSpec &Spec) {
+  std::vector<core::Duration> Chain(Spec.Steps_.size());
+  for (std::size_t I = Spec.Steps_.size(); I-- > 0;) {
+    Chain[I] += Spec.Steps_[I].Estimate_;
+    for (std::uint32_t Dependency : Spec.Steps_[I].DependsOn_)
+      Chain[Dependency] = std::max(Chain[Dependency], Chain[I]);
+  }
+  return Chain;
+}
+
+core::Duration objectiveOf(const jobs::Queue *Queue,
+                           const std::vector<core::Duration> &Chains) {
+  core::Duration Longest(0);
+  for (core::Duration Chain : Chains)
+    Longest = std::max(Longest, Chain);
+  if (!Queue)
+    return Longest;
+  return Queue->StartAllowance_ +
+         core::Duration(static_cast<std::int64_t>(
+             static_cast<double>(Longest.count()) * Queue->Stretch_));
+}
+
+double acceleratorsOf(const jobs::Resources &Need,
+                      const jobs::Resources &Capacity) {
+  const auto Share = [](std::int64_t Part, std::int64_t Total) {
+    return Total > 0 ? static_cast<double>(Part) / static_cast<double>(Total)
+                     : 0;
+  };
+  const double Largest =
+      std::max({Share(Need.Cpu_, Capacity.Cpu_),
+                Share(Need.MemoryMb_, Capacity.MemoryMb_),
+                Share(Need.Accelerators_, Capacity.Accelerators_)});
+  return Largest * static_cast<double>(Capacity.Accelerators_);
+}
+
+double acceleratorWork(const jobs::JobSpec &Spec,
+                       const jobs::Resources &Capacity) {
+  double Sum = 0;
+  for (const jobs::StepSpec &Step : Spec.Steps_)
+    Sum += Seconds(Step.Estimate_).count() * Step.Count_ *
+           acceleratorsOf(requiredResources(Step), Capacity);
+  return Sum;
+}
+
+jobs::Resources largestUnit(const jobs::JobSpec &Spec) {
+  jobs::Resources Largest;
+  for (const jobs::StepSpec &Step : Spec.Steps_) {
+    const jobs::Resources Unit =
+        requiredResources(Step).times(Step.Gang_ ? Step.Count_ : 1);
+    Largest = {std::max(Largest.Cpu_, Unit.Cpu_),
+               std::max(Largest.MemoryMb_, Unit.MemoryMb_),
+               std::max(Largest.Accelerators_, Unit.Accelerators_)};
+  }
+  return Largest;
+}
+
+core::Duration expectedWait(const CellLoad &Load, int Priority,
+                            const jobs::Resources &Need, core::Duration Slack) {
+  if (Load.Free_.covers(Need))
+    return core::Duration(0);
+  if (Load.Accelerators_ <= 0 ||
+      acceleratorsOf(Need, Load.Capacity_) > Load.Accelerators_)
+    return LongestWait;
+  double OnTime = 0;
+  double Late = 0;
+  for (const QueueLoad &Queue : Load.Queues_) {
+    if (Queue.Priority_ < Priority)
+      OnTime += Queue.Waiting_;
+    if (Queue.Priority_ != Priority)
+      continue;
+    OnTime += std::max(Queue.Waiting_ - Queue.Late_ - Queue.Expired_, 0.0);
+    Late += Queue.Late_;
+  }
+  const core::Duration Wait = toWait(OnTime, Load.Accelerators_);
+  return Wait <= Slack ? Wait : toWait(OnTime + Late, Load.Accelerators_);
+}
+
+LoadReport makeLoadReport(const std::string &Host, const Holder &State,
+                          const HolderContext &Context) {
+  LoadReport Report;
+  Report.Host_ = Host;
+  Report.Term_ = State.Term_;
+  if (!State.UnsyncedWorkers_.empty())
+    return Report;
+  ServiceSums Sums = usableServices(State, Context);
+  addRuns(State, Context, Sums);
+  addWaiting(State, Context, Sums);
+  for (auto &[Service, Sum] : Sums) {
+    Report.Overloaded_ |= isOverloaded(Sum);
+    Sum.Load_.Service_ = Service;
+    for (auto &[Name, Queue] : Sum.Queues_)
+      Sum.Load_.Queues_.push_back(std::move(Queue));
+    Report.Services_.push_back(std::move(Sum.Load_));
+  }
+  return Report;
+}
+
+bool isValid(const LoadReport &Report) {
+  /// Far above the rows of any tables.
+  constexpr std::size_t MaxRows = 4096;
+  /// Allows for sums that round differently.
+  constexpr double Rounding = 1 + 1e-6;
+  if (Report.Services_.size() > MaxRows)
+    return false;
+  for (const CellLoad &Load : Report.Services_) {
+    if (!isValid(Load.Accelerators_) || !isValid(Load.Capacity_) ||
+        !isValid(Load.Free_) || Load.Queues_.size() > MaxRows)
+      return false;
+    for (const QueueLoad &Queue : Load.Queues_)
+      if (!isValid(Queue.Waiting_) || !isValid(Queue.Late_) ||
+          !isValid(Queue.Expired_) || !isValid(Queue.Running_) ||
+          Queue.Late_ + Queue.Expired_ > Queue.Waiting_ * Rounding)
+        return false;
+  }
+  return true;
+}
+
+} // namespace nutmegwell::cell
--- a/lib/cell/src/queue.cpp
+++ b/lib/cell/src/queue.cpp
@@ -28,39 +28,6 @@
   return Needs;
 }
 
-/// Returns, for each step, the longest chain of declared work from its start to
-/// the end of the job.
-std::vector<core::Duration> longestChains(const jobs::JobSpec &Spec) {
-  std::vector<core::Duration> Chain(Spec.Steps_.size());
-  for (std::size_t I = Spec.Steps_.size(); I-- > 0;) {
-    Chain[I] += Spec.Steps_[I].Estimate_;
-    for (std::uint32_t Dependency : Spec.Steps_[I].DependsOn_)
-      Chain[Dependency] = std::max(Chain[Dependency], Chain[I]);
-  }
-  return Chain;
-}
-
-/// Returns the time after a job's arrival within which it should end.
-core::Duration objectiveOf(const jobs::Queue *Queue,
-                           const std::vector<core::Duration> &Chains) {
-  core::Duration Longest(0);
-  for (core::Duration Chain : Chains)
-    Longest = std::max(Longest, Chain);
-  if (!Queue)
-    return Longest;
-  return Queue->StartAllowance_ +
-         core::Duration(static_cast<std::int64_t>(
-             static_cast<double>(Longest.count()) * Queue->Stretch_));
-}
-
-bool stepReady(const jobs::JobSpec &Spec, const jobs::JobProgress &Progress,
-               std::uint32_t Occurrence, std::uint32_t Step) {
-  for (std::uint32_t Dependency : Spec.Steps_[Step].DependsOn_)
-    if (!Progress.stepDone(Occurrence, Dependency))
-      return false;
-  return !Progress.stepDone(Occurrence, Step);
-}
-
 /// Adds a copy of a task whose only run is far behind its declared time.
 void addCopy(const Holder &State, Unit Work, core::TimePoint Now,
              std::vector<Unit> &Units) {
@@ -221,6 +188,14 @@
 
 } // namespace
 
+bool stepReady(const jobs::JobSpec &Spec, const jobs::JobProgress &Progress,
+               std::uint32_t Occurrence, std::uint32_t Step) {
+  for (std::uint32_t Dependency : Spec.Steps_[Step].DependsOn_)
+    if (!Progress.stepDone(Occurrence, Dependency))
+      return false;
+  return !Progress.stepDone(Occurrence, Step);
+}
+
 std::set<std::string> accountsWithinGuarantee(const Holder &State,
                                               const HolderContext &Context) {
   std::set<std::string> Names;
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -37,7 +37,7 @@
   Placer(Holder &State, const HolderContext &Context, Effects &Out)
       : State_(State), Context_(Context), Out_(Out) {
     for (auto &[Name, Host] : State_.Workers_)
-      if (isUsable(Host))
+      if (isUsable(State_, Host, Context_))
         addTarget(Host);
     for (const auto &[Id, Run] : State_.Runs_)
       subtractResources(Run);
@@ -89,18 +89,6 @@
            State_.Jobs_.at(Work.Job_->Accepted_.Job_).WaitingSince_;
   }
 
-  bool isUsable(const Worker &Host) const {
-    if (!Host.Connected_ || !Host.Synced_ || !Host.Listed_ || !Host.Info_ ||
-        !Host.Reachable_ || Host.HasOrphanRun_ || Host.Info_->Draining_)
-      return false;
-    if (Context_.Now_ - Host.LastReportAt_ > State_.Policy_.SuspectAfter_)
-      return false;
-    if (Context_.OutOfServiceDomains_.count(Host.Info_->FailureDomain_))
-      return false;
-    return !isQuarantined(Host.Health_, State_.Policy_.Quarantine_,
-                          Context_.Now_);
-  }
-
   void collectOpenProbes() {
     for (const auto &[Id, Run] : State_.Runs_)
       if (isOpenProbe(State_.Workers_[Run.Host_].Health_,
--- a/lib/cell/src/workers.cpp
+++ b/lib/cell/src/workers.cpp
@@ -21,6 +21,18 @@
 
 } // namespace
 
+bool isUsable(const Holder &State, const Worker &Host,
+              const HolderContext &Context) {
+  if (!Host.Connected_ || !Host.Synced_ || !Host.Listed_ || !Host.Info_ ||
+      !Host.Reachable_ || Host.HasOrphanRun_ || Host.Info_->Draining_)
+    return false;
+  if (Context.Now_ - Host.LastReportAt_ > State.Policy_.SuspectAfter_)
+    return false;
+  if (Context.OutOfServiceDomains_.count(Host.Info_->FailureDomain_))
+    return false;
+  return !isQuarantined(Host.Health_, State.Policy_.Quarantine_, Context.Now_);
+}
+
 bool isReporting(const Holder &State, const Worker &Host, core::TimePoint Now) {
   return Host.Connected_ && Host.Reachable_ &&
          Now - Host.LastReportAt_ <= State.Policy_.SuspectAfter_;
