Decide at an entry host which jobs the load makes hopeless

Cause: in an overload every job is accepted, waits, and ends when it is worth nothing to its caller, who could have gone elsewhere.

Changes of the input in loadadmission.h: the job's needs are jobs::Resources, as in load.h, and the host states what it has admitted that the report lacks. It assumes that every entry host admits as much, so that the hosts together do not admit more than the room of one report.

--- a/lib/site/include/nutmegwell/site/loadadmission.h
+++ b/lib/site/include/nutmegwell/site/loadadmission.h
@@ -30,12 +30,20 @@
   /// Expected run time of the job and its objective, both from its arrival.
   core::Duration RunTime_{0};
   core::Duration Objective_{0};
-  double Accelerators_ = 0;
+  /// Resources of the largest part of the job that starts as a whole.
+  jobs::Resources Needs_;
   /// Time since the caller's first attempt.
   core::Duration Waited_{0};
-  /// Absent without a report of the newest term.
+  /// Absent without a report of the newest term, and while that term's holder
+  /// is not overloaded.
   std::optional<cell::CellLoad> Load_;
   core::Duration ReportAge_{0};
+  /// Work that this host has admitted and that the report lacks, of the job's
+  /// and more urgent priorities, in accelerator-seconds.
+  double AdmittedWork_ = 0;
+  /// Resources that all work needs which this host has admitted and the report
+  /// lacks.
+  jobs::Resources AdmittedNeeds_;
   /// Entry hosts that admit work, this one included.
   unsigned EntryHosts_ = 1;
 };
@@ -45,7 +53,9 @@
 ///
 /// Load pattern: more work than the cell can end in time, for longer than
 /// callers wait. Work that would end too late is refused before it waits, and
-/// callers come back spread over the time in which room gets free.
+/// callers come back spread over the time in which room gets free. Every entry
+/// host has the same report, so that each assumes that the others admit as much
+/// as it does itself, and takes one part in EntryHosts_ of the room.
 std::optional<core::Duration>
 refuseForLoad(const LoadAdmissionPolicy &Policy,
               const LoadAdmissionInput &Submission);
