Count the time until running work ends in the expected wait

Cause: on a full cell whose waiting work is all late, a new job was expected to start at once, so that one without slack counted as on time and was admitted before a long queue of late jobs.

Change: the wait is at least the time in which enough of the running work ends.

--- a/lib/cell/include/nutmegwell/cell/load.h
+++ b/lib/cell/include/nutmegwell/cell/load.h
@@ -77,8 +77,9 @@
 jobs::Resources largestUnit(const jobs::JobSpec &Spec);
 
 /// Returns how long a job of \p Priority that arrives now is expected to wait
-/// for \p Need: the work before it divided by the rate at which work ends. Zero
-/// while enough is free; LongestWait when the usable workers have too little.
+/// for \p Need: the work before it divided by the rate at which work ends, and
+/// at least the time in which enough of the running work ends. Zero while
+/// enough is free; LongestWait when the usable workers have too little.
 ///
 /// The work before it is that of more urgent priorities and that of its own
 /// priority which meets its objective. After \p Slack the job is late itself,
--- a/lib/cell/src/load.cpp
+++ b/lib/cell/src/load.cpp
@@ -369,7 +369,9 @@
     return LongestWait;
   double OnTime = 0;
   double Late = 0;
+  double Running = 0;
   for (const QueueLoad &Queue : Load.Queues_) {
+    Running += Queue.Running_;
     if (Queue.Priority_ < Priority)
       OnTime += Queue.Waiting_;
     if (Queue.Priority_ != Priority)
@@ -377,8 +379,16 @@
     OnTime += std::max(Queue.Waiting_ - Queue.Late_ - Queue.Expired_, 0.0);
     Late += Queue.Late_;
   }
-  const core::Duration Wait = toWait(OnTime, Load.Accelerators_);
-  return Wait <= Slack ? Wait : toWait(OnTime + Late, Load.Accelerators_);
+  // Runs with a mean rest end evenly over twice that time, so that half of the
+  // accelerators are free after it.
+  const double Share =
+      acceleratorsOf(Need, Load.Capacity_) / Load.Accelerators_;
+  const double UntilFree = Running * std::min(1.0, 2 * Share);
+  const core::Duration Wait =
+      toWait(std::max(OnTime, UntilFree), Load.Accelerators_);
+  return Wait <= Slack
+             ? Wait
+             : toWait(std::max(OnTime + Late, UntilFree), Load.Accelerators_);
 }
 
 LoadReport makeLoadReport(const std::string &Host, const Holder &State,
