Send the holder's load to the other entry hosts

Cause: only the holder knows the load; the other entry hosts decide on most submissions.

Change: LoadReport is the last alternative of cell::PeerMessage. A host keeps the report of the newest term with its time of receipt; a report that is malformed, of an earlier term or of a host that does not hold the cell changes nothing and is logged (load_report_invalid). load_reported is logged where the state changes.

Rolling restart: without the flag nothing is sent and nothing changes. A process of the version before closes the link on which it receives a report, and the sender dials again at its next message. In an overload this happens every 250 ms to each link from the holder to an older host, and messages that were in flight on the link are lost and repeated as after any lost link. Set the flag when all entry hosts run this version, and clear it before going back.

--- a/lib/cell/include/nutmegwell/cell/peers.h
+++ b/lib/cell/include/nutmegwell/cell/peers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "nutmegwell/cell/load.h"
 #include "nutmegwell/cell/messages.h"
 #include "nutmegwell/store/recordstore.h"
 #include <map>
@@ -83,6 +84,6 @@
 using PeerMessage =
     std::variant<EntryHeartbeat, RelayedRecords, ForwardedAppendRequest,
                  ForwardedAppendResponse, EntryInfo, AgentReport, HolderOrders,
-                 RecordsRequest>;
+                 RecordsRequest, LoadReport>;
 
 } // namespace nutmegwell::cell
--- a/lib/site/include/nutmegwell/site/entry.h
+++ b/lib/site/include/nutmegwell/site/entry.h
@@ -8,6 +8,7 @@
 #include "nutmegwell/site/admission.h"
 #include "nutmegwell/site/callers.h"
 #include "nutmegwell/site/loadadmission.h"
+#include "nutmegwell/site/loadreports.h"
 #include "nutmegwell/store/appender.h"
 #include <functional>
 #include <map>
@@ -253,6 +254,8 @@
   /// Term before the newest claim.
   core::Term PreviousTerm_ = 0;
 
+  KnownLoad Load_;
+
   bool OwnAddressRecorded_ = false;
   bool Stopping_ = false;
   /// When a stopping holder releases the cell although the store fails.
--- a/lib/site/src/entry.cpp
+++ b/lib/site/src/entry.cpp
@@ -132,6 +132,8 @@
     onForwardedAppendResponse(State, *Response, Now, Out);
   else if (const auto *Report = std::get_if<cell::AgentReport>(&Message))
     onAgentReport(State, Link, *Report, Now, Wall, Out);
+  else if (const auto *Load = std::get_if<cell::LoadReport>(&Message))
+    onLoadReport(State, *Load, Now, Out);
 }
 
 void onApprovalResponse(EntryState &State, const cell::ApprovalRequest &Request,
@@ -176,6 +178,7 @@
   requestReads(State, Now, Out);
   requestRelays(State, Now, Out);
   requestAppends(State, Now, Out);
+  reportLoad(State, Now, Wall, Out);
   sendHeartbeats(State, Now, Out);
 }
 
--- a/lib/site/src/entrysteps.h
+++ b/lib/site/src/entrysteps.h
@@ -60,6 +60,18 @@
                                const cell::ForwardedAppendResponse &Response,
                                core::TimePoint Now, EntryEffects &Out);
 
+/// Adds the holder's load report to \p Out when a heartbeat is due, while the
+/// cell is overloaded and once after that.
+void reportLoad(EntryState &State, core::TimePoint Now, jobs::WallTime Wall,
+                EntryEffects &Out);
+/// Keeps a load report unless it is malformed or of an earlier term.
+void onLoadReport(EntryState &State, const cell::LoadReport &Report,
+                  core::TimePoint Now, EntryEffects &Out);
+/// Returns the load of a service by the report of the newest term, or nullptr
+/// while that term's holder is not known to be overloaded.
+const cell::CellLoad *reportedLoad(const EntryState &State,
+                                   const std::string &Service);
+
 void onHeartbeat(EntryState &State, const cell::EntryHeartbeat &Heartbeat,
                  core::TimePoint Now, EntryEffects &Out);
 
--- a/lib/wire/src/cellfields.h
+++ b/lib/wire/src/cellfields.h
@@ -183,4 +183,16 @@
   Fields(V.Hosts_, V.HolderAddress_, V.Term_);
 }
 
+template <class A> void serialize(A &Fields, QueueLoad &V) {
+  Fields(V.Queue_, V.Priority_, V.Waiting_, V.Late_, V.Expired_, V.Running_);
+}
+
+template <class A> void serialize(A &Fields, CellLoad &V) {
+  Fields(V.Service_, V.Queues_, V.Accelerators_, V.Capacity_, V.Free_);
+}
+
+template <class A> void serialize(A &Fields, LoadReport &V) {
+  Fields(V.Host_, V.Term_, V.Overloaded_, V.Services_);
+}
+
 } // namespace nutmegwell::cell
--- a/lib/wire/tests/cellbinarytest.cpp
+++ b/lib/wire/tests/cellbinarytest.cpp
@@ -10,6 +10,9 @@
   CPPUNIT_TEST(progressKeepsItsEncoding);
   CPPUNIT_TEST(failuresSurviveRoundTrip);
   CPPUNIT_TEST(unknownRecordsAreRejected);
+  CPPUNIT_TEST(loadReportSurvivesRoundTrip);
+  CPPUNIT_TEST(truncatedLoadReportsAreRejected);
+  CPPUNIT_TEST(kindsOfMessagesKeepTheirNumbers);
   CPPUNIT_TEST_SUITE_END();
 
   static jobs::JobProgressed sampleProgress() {
@@ -24,6 +27,16 @@
     return Value;
   }
 
+  static cell::LoadReport sampleReport() {
+    cell::CellLoad Load;
+    Load.Service_ = "s";
+    Load.Queues_ = {{"q", 1, 30, 20, 5, 7}};
+    Load.Accelerators_ = 16;
+    Load.Capacity_ = {64000, 1000, 16};
+    Load.Free_ = {1, 2, 3};
+    return {"e1", 12, true, {Load}};
+  }
+
 public:
   /// Guards against a progress record that hosts of the version before cannot
   /// read.
@@ -58,6 +71,60 @@
     Bytes[KindAt] = std::variant_size_v<jobs::Record>;
     CPPUNIT_ASSERT(!wire::decodeRecord(Bytes).ok());
   }
+
+  /// Guards against numbers that change places on their way.
+  void loadReportSurvivesRoundTrip() {
+    const std::string Bytes = wire::encode(cell::PeerMessage(sampleReport()));
+    const auto Decoded = wire::decodePeerMessage(Bytes);
+    CPPUNIT_ASSERT(Decoded.ok());
+    const auto &Read = std::get<cell::LoadReport>(*Decoded);
+    CPPUNIT_ASSERT_EQUAL(std::string("e1"), Read.Host_);
+    CPPUNIT_ASSERT_EQUAL(core::Term(12), Read.Term_);
+    CPPUNIT_ASSERT(Read.Overloaded_);
+    const cell::CellLoad &Load = Read.Services_.at(0);
+    CPPUNIT_ASSERT_EQUAL(std::string("s"), Load.Service_);
+    CPPUNIT_ASSERT_EQUAL(16.0, Load.Accelerators_);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(64000), Load.Capacity_.Cpu_);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(3), Load.Free_.Accelerators_);
+    const cell::QueueLoad &Queue = Load.Queues_.at(0);
+    CPPUNIT_ASSERT_EQUAL(std::string("q"), Queue.Queue_);
+    CPPUNIT_ASSERT_EQUAL(1, Queue.Priority_);
+    CPPUNIT_ASSERT_EQUAL(30.0, Queue.Waiting_);
+    CPPUNIT_ASSERT_EQUAL(20.0, Queue.Late_);
+    CPPUNIT_ASSERT_EQUAL(5.0, Queue.Expired_);
+    CPPUNIT_ASSERT_EQUAL(7.0, Queue.Running_);
+  }
+
+  /// Guards against a forged count that ends the process or allocates much.
+  void truncatedLoadReportsAreRejected() {
+    const std::string Bytes = wire::encode(cell::PeerMessage(sampleReport()));
+    for (std::size_t Size = 0; Size < Bytes.size(); ++Size)
+      CPPUNIT_ASSERT(!wire::decodePeerMessage(Bytes.substr(0, Size)).ok());
+    // The count of services follows the kind, the host, the term and the flag.
+    constexpr std::size_t CountAt = 4 + 4 + (4 + 2) + 8 + 1;
+    std::string Forged = Bytes;
+    CPPUNIT_ASSERT_EQUAL('\1', Forged[CountAt]);
+    Forged.replace(CountAt, 4, "\xff\xff\xff\xff");
+    CPPUNIT_ASSERT(!wire::decodePeerMessage(Forged).ok());
+  }
+
+  /// Guards against a new kind of message that shifts the others, which hosts
+  /// of the version before would misread.
+  void kindsOfMessagesKeepTheirNumbers() {
+    constexpr std::size_t KindAt = 4;
+    const auto KindOf = [](const cell::PeerMessage &Message) {
+      return static_cast<int>(wire::encode(Message)[KindAt]);
+    };
+    CPPUNIT_ASSERT_EQUAL(0, KindOf(cell::EntryHeartbeat()));
+    CPPUNIT_ASSERT_EQUAL(1, KindOf(cell::RelayedRecords()));
+    CPPUNIT_ASSERT_EQUAL(2, KindOf(cell::ForwardedAppendRequest()));
+    CPPUNIT_ASSERT_EQUAL(3, KindOf(cell::ForwardedAppendResponse()));
+    CPPUNIT_ASSERT_EQUAL(4, KindOf(cell::EntryInfo()));
+    CPPUNIT_ASSERT_EQUAL(5, KindOf(cell::AgentReport()));
+    CPPUNIT_ASSERT_EQUAL(6, KindOf(cell::HolderOrders()));
+    CPPUNIT_ASSERT_EQUAL(7, KindOf(cell::RecordsRequest()));
+    CPPUNIT_ASSERT_EQUAL(8, KindOf(cell::LoadReport()));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CellBinaryTest);
