Refuse hopeless jobs at the entry host

Cause: an entry host that knows that a job would end after three times its objective still accepts it, and its caller waits for nothing.

Change: a submission is refused before anything is appended when the store takes appends and the reported load makes the job hopeless. Jobs that are known, in flight or were answered without an outcome by this host are not refused, nor are timed and long-running jobs. A refused caller that returns to the same host keeps its first arrival as JobAccepted::Submitted_. The admitted jobs that the next report may lack count until this host has read their records. All that is kept is bounded by number (4,096) and age (60 s, admitted jobs 2 s). CallerReply states the cause of a refusal.

An account's guarantee counts as needed only by the jobs that wait according to the view, since those that run may have ended: more jobs are admitted than the guarantee covers, none of those that it covers is refused.

--- a/lib/site/include/nutmegwell/site/callers.h
+++ b/lib/site/include/nutmegwell/site/callers.h
@@ -48,13 +48,27 @@
 
 const char *name(ReplyKind Kind);
 
+/// Why a request was refused.
+enum class RefusalCause : std::uint8_t {
+  None,
+  /// The host has not read the tables and records yet.
+  NotSynced,
+  /// The store cannot be used.
+  Store,
+  /// The job would end too late because of the load.
+  Load
+};
+
+const char *name(RefusalCause Cause);
+
 struct CallerReply {
   CallToken Token_ = 0;
   ReplyKind Kind_ = ReplyKind::Refused;
   jobs::JobState State_ = jobs::JobState::Queued;
   std::size_t WaitingJobs_ = 0;
-  /// With Refused: the time after which the caller should retry.
+  /// With Refused: the time after which the caller should retry, and why.
   core::Duration RetryAfter_{0};
+  RefusalCause Cause_ = RefusalCause::None;
   std::string Message_;
 };
 
--- a/lib/site/src/callers.cpp
+++ b/lib/site/src/callers.cpp
@@ -29,6 +29,20 @@
   return "unknown";
 }
 
+const char *name(RefusalCause Cause) {
+  switch (Cause) {
+  case RefusalCause::None:
+    return "none";
+  case RefusalCause::NotSynced:
+    return "not_synced";
+  case RefusalCause::Store:
+    return "store";
+  case RefusalCause::Load:
+    return "load";
+  }
+  return "unknown";
+}
+
 namespace {
 
 const char *nameOf(RequestKind Kind) {
@@ -68,14 +82,30 @@
   }
 
   void refuse(const CallerRequest &Request, const std::string &Job,
-              std::string Reason) const {
+              RefusalCause Cause, std::string Reason) const {
+    refuse(Request, Job, Cause, std::move(Reason),
+           State_.Settings_.Policy_.Admission_.RetryAfter_);
+  }
+
+  void refuse(const CallerRequest &Request, const std::string &Job,
+              RefusalCause Cause, std::string Reason,
+              core::Duration RetryAfter) const {
     CallerReply Reply;
     Reply.Kind_ = ReplyKind::Refused;
-    Reply.RetryAfter_ = State_.Settings_.Policy_.Admission_.RetryAfter_;
+    Reply.RetryAfter_ = RetryAfter;
+    Reply.Cause_ = Cause;
     Reply.Message_ = std::move(Reason);
     reply(Request, Job, std::move(Reply));
   }
 
+  /// Answers a request that may have taken effect.
+  void replyUnknown(const WaitingCall &Call, std::string Reason) const {
+    if (Call.Request_.Kind_ == RequestKind::Submit)
+      noteUnknownOutcome(State_, Call.Job_, Now_);
+    replyWith(Call.Request_, Call.Job_, ReplyKind::OutcomeUnknown,
+              std::move(Reason));
+  }
+
   void replyWith(const CallerRequest &Request, const std::string &Job,
                  ReplyKind Kind, std::string Message = {}) const {
     CallerReply Reply;
@@ -156,7 +186,7 @@
 
 void submit(const CallContext &Context, CallerRequest Request,
             const std::string &Job, const jobs::Queue &Queue,
-            const std::string &Account, jobs::WallTime Wall) {
+            const jobs::Account *Account, jobs::WallTime Wall) {
   EntryState &State = Context.State_;
   if (isKnown(State, Job))
     return Context.replyWith(Request, Job, ReplyKind::Accepted,
@@ -170,17 +200,27 @@
       Context.addWaitingCall(std::move(Request), Job).AppendToken_ = Shared;
       return;
     }
-  if (admission(State, core::Duration(0), Request.Timeout_, Context.Now_) ==
-      Admission::Refuse)
-    return Context.refuse(Request, Job, "the store does not answer");
+  const Admission ByStore =
+      admission(State, core::Duration(0), Request.Timeout_, Context.Now_);
+  if (ByStore == Admission::Refuse)
+    return Context.refuse(Request, Job, RefusalCause::Store,
+                          "the store does not answer");
+  const NewSubmission Submission{Job, Queue, Account, *Request.Spec_};
+  if (ByStore == Admission::Append)
+    if (const auto RetryAfter =
+            refusalForLoad(State, Submission, Context.Now_, Wall))
+      return Context.refuse(Request, Job, RefusalCause::Load,
+                            "the load is so high that the job would end too "
+                            "late",
+                            *RetryAfter);
   jobs::JobAccepted Record;
   Record.Job_ = Job;
   Record.Queue_ = Queue.Name_;
   Record.Service_ = Queue.Service_;
-  Record.Account_ = Account;
+  Record.Account_ = Account ? Account->Name_ : "";
   Record.Priority_ = Queue.Priority_;
   Record.MaxAttempts_ = Queue.MaxAttempts_;
-  Record.Submitted_ = Wall;
+  Record.Submitted_ = noteAdmitted(State, Submission, Context.Now_, Wall);
   Record.Spec_ = *std::move(Request.Spec_);
   Request.Spec_.reset();
   WaitingCall &Call = Context.addWaitingCall(std::move(Request), Job);
@@ -198,7 +238,8 @@
     auto Current = It++;
     if (Current->second.AppendToken_ != Token)
       continue;
-    Context.refuse(Current->second.Request_, Current->second.Job_, Reason);
+    Context.refuse(Current->second.Request_, Current->second.Job_,
+                   RefusalCause::Store, Reason);
     Calls.erase(Current);
   }
 }
@@ -234,7 +275,7 @@
                      EntryEffects &Out) {
   const CallContext Context{State, Now, Out};
   if (!State.Tables_ || !State.CellStream_.Synced_)
-    return Context.refuse(Request, "",
+    return Context.refuse(Request, "", RefusalCause::NotSynced,
                           "this host has not read the tables and records yet");
   const jobs::Queue *Queue = State.Tables_->route(Request.Host_, Request.Path_);
   if (!Queue)
@@ -251,8 +292,7 @@
   }
   switch (Request.Kind_) {
   case RequestKind::Submit:
-    return submit(Context, std::move(Request), Job, *Queue,
-                  Account ? Account->Name_ : "", Wall);
+    return submit(Context, std::move(Request), Job, *Queue, Account, Wall);
   case RequestKind::Query:
     return query(Context, std::move(Request), Job);
   case RequestKind::Cancel:
@@ -283,8 +323,7 @@
                         isKnown(State, Call.Job_) ? ReplyKind::Cancelled
                                                   : ReplyKind::UnknownJob);
     else
-      Context.replyWith(Call.Request_, Call.Job_, ReplyKind::OutcomeUnknown,
-                        Result.Outcome_.Reason_);
+      Context.replyUnknown(Call, Result.Outcome_.Reason_);
     It = State.Calls_.erase(It);
   }
 }
@@ -313,7 +352,7 @@
     if (Denied)
       Context.replyWith(Call.Request_, Call.Job_, ReplyKind::UnknownJob);
     else
-      Context.refuse(Call.Request_, Call.Job_,
+      Context.refuse(Call.Request_, Call.Job_, RefusalCause::Store,
                      "this host cannot read the store");
     It = State.Calls_.erase(It);
   }
@@ -329,10 +368,10 @@
       ++It;
       continue;
     }
-    Context.replyWith(Call.Request_, Call.Job_, ReplyKind::OutcomeUnknown,
-                      Call.AppendToken_ == 0
-                          ? "this host's records may be outdated"
-                          : "the outcome of the append is not known yet");
+    Context.replyUnknown(Call,
+                         Call.AppendToken_ == 0
+                             ? "this host's records may be outdated"
+                             : "the outcome of the append is not known yet");
     It = State.Calls_.erase(It);
   }
 }
--- a/lib/site/src/entrysteps.h
+++ b/lib/site/src/entrysteps.h
@@ -67,10 +67,29 @@
 /// Keeps a load report unless it is malformed or of an earlier term.
 void onLoadReport(EntryState &State, const cell::LoadReport &Report,
                   core::TimePoint Now, EntryEffects &Out);
-/// Returns the load of a service by the report of the newest term, or nullptr
-/// while that term's holder is not known to be overloaded.
-const cell::CellLoad *reportedLoad(const EntryState &State,
-                                   const std::string &Service);
+/// A submission of an unknown job, after the checks that do not depend on the
+/// load.
+struct NewSubmission {
+  const std::string &Job_;
+  const jobs::Queue &Queue_;
+  /// Absent for an anonymous caller.
+  const jobs::Account *Account_ = nullptr;
+  const jobs::JobSpec &Spec_;
+};
+
+/// Returns the time after which the caller should return when the load makes
+/// the job hopeless, and remembers the caller's first arrival; returns nothing
+/// when the job is to be admitted.
+std::optional<core::Duration> refusalForLoad(EntryState &State,
+                                             const NewSubmission &Submission,
+                                             core::TimePoint Now,
+                                             jobs::WallTime Wall);
+/// Notes a job that is admitted, and returns when it arrived first.
+jobs::WallTime noteAdmitted(EntryState &State, const NewSubmission &Submission,
+                            core::TimePoint Now, jobs::WallTime Wall);
+/// Notes that a submission of \p Job is answered without an outcome.
+void noteUnknownOutcome(EntryState &State, const std::string &Job,
+                        core::TimePoint Now);
 
 void onHeartbeat(EntryState &State, const cell::EntryHeartbeat &Heartbeat,
                  core::TimePoint Now, EntryEffects &Out);
--- a/lib/site/tests/fakesite.cpp
+++ b/lib/site/tests/fakesite.cpp
@@ -100,7 +100,8 @@
     return EncodedRecords_.at(Bytes);
   };
   // The key "tables" holds a version; other keys name a failure domain. Version
-  // 9 removes the key of the account "acme".
+  // 8 makes the queue urgent and guarantees "acme" two tasks. Version 9 removes
+  // the key of the account "acme".
   Codec.DecodeOperator_ =
       [](const store::KeyedRecord &Record) -> absl::StatusOr<OperatorChange> {
     if (Record.Key_ != "tables")
@@ -112,11 +113,13 @@
     Queue.Host_ = "site";
     Queue.PathPrefix_ = "/q/";
     Queue.Service_ = "service";
-    Queue.Priority_ = 1;
+    Queue.Priority_ = Tables.Version_ == 8 ? 0 : 1;
     Queue.MaxAttempts_ = FakeAttempts;
     Tables.Queues_.push_back(Queue);
     jobs::Account Account;
     Account.Name_ = "acme";
+    if (Tables.Version_ == 8)
+      Account.GuaranteedAccelerators_ = 2 * FakeTaskAccelerators;
     if (Tables.Version_ != 9)
       Account.Keys_.push_back("key");
     Tables.Accounts_.push_back(Account);
