Reduce the time that computing the load takes

Cause: with 533 workers, 4,264 runs and 1,500 waiting jobs, a report took 4.48 ms (p50 of 400) on a busy host, much of it for look-ups by name in ordered maps.

Change: workers are kept in a list that ends at the first ones that are enough, free resources in a hash map, and the job of adjacent runs is looked up once.

--- a/lib/cell/src/load.cpp
+++ b/lib/cell/src/load.cpp
@@ -1,9 +1,9 @@
 #include "nutmegwell/cell/load.h"
 #include "holdersteps.h"
 #include <algorithm>
-#include <cmath>
 #include <map>
-#include <tuple>
+#include <string_view>
+#include <unordered_map>
 
 namespace nutmegwell::cell {
 
@@ -11,20 +11,13 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/// Workers of one kind, which a step either fits on or does not.
-struct WorkerGroup {
-  jobs::Resources Capacity_;
-  std::vector<std::string> Labels_;
-  std::uint64_t Count_ = 0;
-};
-
 /// A service while its load is added up.
 struct ServiceSum {
   CellLoad Load_;
   std::map<std::string, QueueLoad> Queues_;
   /// Shortest objective of the waiting jobs, by queue.
   std::map<std::string, core::Duration> Objectives_;
-  std::vector<WorkerGroup> Groups_;
+  std::vector<const WorkerInfo *> Workers_;
 };
 
 using ServiceSums = std::map<std::string, ServiceSum>;
@@ -51,67 +44,62 @@
 }
 
 /// Returns whether a gang, or one task, fits on the workers while nothing else
-/// runs there.
-bool fitsOn(const std::vector<WorkerGroup> &Groups,
+/// runs there. Ends at the first workers that are enough.
+bool fitsOn(const std::vector<const WorkerInfo *> &Workers,
             const jobs::StepSpec &Step) {
   const std::uint64_t Needed = Step.Gang_ ? Step.Count_ : 1;
   const std::uint64_t PerWorker =
       Step.SpreadLimit_ > 0 ? Step.SpreadLimit_ : Needed;
   const jobs::Resources Each = requiredResources(Step);
   std::uint64_t Found = 0;
-  for (const WorkerGroup &Group : Groups) {
-    const bool Labelled = Step.RequiredLabel_.empty() ||
-                          std::find(Group.Labels_.begin(), Group.Labels_.end(),
-                                    Step.RequiredLabel_) != Group.Labels_.end();
-    if (Labelled)
-      Found += Group.Count_ * tasksPerWorker(Group.Capacity_, Each, PerWorker);
+  for (const WorkerInfo *Worker : Workers) {
+    const std::vector<std::string> &Labels = Worker->Labels_;
+    if (Step.RequiredLabel_.empty() ||
+        std::find(Labels.begin(), Labels.end(), Step.RequiredLabel_) !=
+            Labels.end())
+      Found += tasksPerWorker(Worker->Capacity_, Each, PerWorker);
     if (Found >= Needed)
       return true;
   }
   return false;
 }
 
-void addWorker(ServiceSum &Sum, const WorkerInfo &Info) {
-  Sum.Load_.Capacity_ += Info.Capacity_;
-  const auto IsAlike = [&](const WorkerGroup &Group) {
-    return Group.Labels_ == Info.Labels_ &&
-           Group.Capacity_.covers(Info.Capacity_) &&
-           Info.Capacity_.covers(Group.Capacity_);
-  };
-  auto It = std::find_if(Sum.Groups_.begin(), Sum.Groups_.end(), IsAlike);
-  if (It == Sum.Groups_.end())
-    It = Sum.Groups_.insert(It, {Info.Capacity_, Info.Labels_, 0});
-  ++It->Count_;
-}
+/// A usable worker while its free resources are added up.
+struct WorkerRoom {
+  CellLoad *Load_ = nullptr;
+  jobs::Resources Free_;
+  /// Accelerators without those of long-running tasks.
+  std::int64_t Accelerators_ = 0;
+};
 
 /// Adds up the usable workers and what is free on them.
 ServiceSums usableServices(const Holder &State, const HolderContext &Context) {
   ServiceSums Sums;
-  std::map<std::string, jobs::Resources> Free;
-  std::map<std::string, std::int64_t> LongRunning;
+  std::unordered_map<std::string_view, WorkerRoom> Rooms;
   for (const auto &[Name, Host] : State.Workers_)
     if (isUsable(State, Host, Context)) {
-      addWorker(Sums[Host.Info_->Service_], *Host.Info_);
-      Free[Name] = Host.Info_->Capacity_;
+      const jobs::Resources &Capacity = Host.Info_->Capacity_;
+      ServiceSum &Sum = Sums[Host.Info_->Service_];
+      Sum.Load_.Capacity_ += Capacity;
+      Sum.Workers_.push_back(&*Host.Info_);
+      Rooms[Name] = {&Sum.Load_, Capacity, Capacity.Accelerators_};
     }
   for (const auto &[Id, Run] : State.Runs_) {
-    auto It = Free.find(Run.Host_);
-    if (It == Free.end())
+    auto Room = Rooms.find(Run.Host_);
+    if (Room == Rooms.end())
       continue;
-    It->second -= Run.Resources_;
+    Room->second.Free_ -= Run.Resources_;
     if (Run.LongRunning_)
-      LongRunning[Run.Host_] += Run.Resources_.Accelerators_;
+      Room->second.Accelerators_ -= Run.Resources_.Accelerators_;
   }
-  for (const auto &[Name, Left] : Free) {
-    CellLoad &Load = Sums[State.Workers_.at(Name).Info_->Service_].Load_;
-    // The runs of a worker can exceed its capacity when it has shrunk.
-    Load.Free_ += {std::max<std::int64_t>(Left.Cpu_, 0),
-                   std::max<std::int64_t>(Left.MemoryMb_, 0),
-                   std::max<std::int64_t>(Left.Accelerators_, 0)};
-    Load.Accelerators_ += static_cast<double>(std::max<std::int64_t>(
-        State.Workers_.at(Name).Info_->Capacity_.Accelerators_ -
-            LongRunning[Name],
-        0));
+  // The runs of a worker can exceed its capacity when that has shrunk.
+  constexpr std::int64_t None = 0;
+  for (const auto &[Name, Room] : Rooms) {
+    Room.Load_->Free_ +=
+        {std::max(Room.Free_.Cpu_, None), std::max(Room.Free_.MemoryMb_, None),
+         std::max(Room.Free_.Accelerators_, None)};
+    Room.Load_->Accelerators_ +=
+        static_cast<double>(std::max(Room.Accelerators_, None));
   }
   return Sums;
 }
@@ -148,8 +136,11 @@
 
 void addRuns(const Holder &State, const HolderContext &Context,
              ServiceSums &Sums) {
+  // The runs of a job are adjacent.
+  auto Job = Context.View_.Jobs_.end();
   for (const auto &[Id, Run] : State.Runs_) {
-    auto Job = Context.View_.Jobs_.find(Id.Task_.Job_);
+    if (Job == Context.View_.Jobs_.end() || Job->first != Id.Task_.Job_)
+      Job = Context.View_.Jobs_.find(Id.Task_.Job_);
     if (Run.LongRunning_ || Job == Context.View_.Jobs_.end() ||
         Job->second.Accepted_.Job_.empty())
       continue;
@@ -173,12 +164,16 @@
   const jobs::StepSpec &Spec = Job.Accepted_.Spec_.Steps_[Step];
   const jobs::StepProgress *Done = Progress.find(Occurrence, Step);
   auto Run = State.Runs_.lower_bound({{Name, Occurrence, Step, 0}, 0});
+  const auto InStep = [&] {
+    return Run != State.Runs_.end() && Run->first.Task_.Step_ == Step &&
+           Run->first.Task_.Occurrence_ == Occurrence &&
+           Run->first.Task_.Job_ == Name;
+  };
   std::uint32_t Waiting = 0;
   for (std::uint32_t I = 0; I < Spec.Count_; ++I) {
-    const jobs::TaskId Task{Name, Occurrence, Step, I};
-    while (Run != State.Runs_.end() && Run->first.Task_ < Task)
+    while (InStep() && Run->first.Task_.Index_ < I)
       ++Run;
-    const bool Runs = Run != State.Runs_.end() && Run->first.Task_ == Task;
+    const bool Runs = InStep() && Run->first.Task_.Index_ == I;
     if (Runs && Spec.Gang_)
       return 0;
     const bool Ended = Done && I < Done->Tasks_.size() && Done->Tasks_[I].Done_;
@@ -217,7 +212,7 @@
     const jobs::StepSpec &Spec = Job_.Accepted_.Spec_.Steps_[Step];
     const std::uint32_t Tasks =
         waitingTasks(State_, Job_, Progress, Occurrence, Step);
-    if (Tasks == 0 || !fitsOn(Sum_.Groups_, Spec))
+    if (Tasks == 0 || !fitsOn(Sum_.Workers_, Spec))
       return;
     const double Work =
         Seconds(Spec.Estimate_).count() * Tasks *
