Test handovers and held callers against refusals by load

Cause: no test failed when a report of the term before a handover was used, or when a caller that is held in a store outage was refused because of the load.

Result: site-entry-test passes with 70 cases; the first fault now fails handoverAdmits (checked by removing the comparison of terms).

--- a/lib/site/tests/loadrefusaltest.cpp
+++ b/lib/site/tests/loadrefusaltest.cpp
@@ -88,6 +88,7 @@
   CPPUNIT_TEST(lostLinkAdmits);
   CPPUNIT_TEST(pausedHolderAdmits);
   CPPUNIT_TEST(takeoverAdmits);
+  CPPUNIT_TEST(handoverAdmits);
   CPPUNIT_TEST(storeOutageIsAnsweredAsBefore);
   CPPUNIT_TEST(guaranteedJobIsAdmitted);
   CPPUNIT_TEST(timedAndLongRunningJobsAreAdmitted);
@@ -230,7 +231,24 @@
     CPPUNIT_ASSERT(Loaded.refuses(New, "y"));
   }
 
-  /// Guards against a store outage that is answered as an overload.
+  /// Guards against refusals by a recent report of a holder that has handed the
+  /// cell over.
+  void handoverAdmits() {
+    LoadedSite Loaded;
+    Loaded.overload();
+    CPPUNIT_ASSERT(Loaded.refuses(Loaded.Other_, "x"));
+    const EntryState &Entry = Loaded.Site_.entry(Loaded.Other_);
+    const core::Term Term = Entry.View_.Term_;
+    Loaded.Site_.stop(Loaded.Holder_);
+    while (Entry.View_.Term_ == Term)
+      Loaded.Site_.run(10ms);
+    CPPUNIT_ASSERT(Loaded.Site_.Now_ - Entry.Load_.ReceivedAt_ < 1s);
+    const CallToken Token = Loaded.submit(Loaded.Other_, "x");
+    CPPUNIT_ASSERT(Loaded.Site_.replyKind(Token) != ReplyKind::Refused);
+  }
+
+  /// Guards against a store outage that is answered as an overload: a caller
+  /// without time to return is held, others are refused.
   void storeOutageIsAnsweredAsBefore() {
     LoadedSite Loaded;
     Loaded.overload();
@@ -240,6 +258,9 @@
     CPPUNIT_ASSERT(Reply.Kind_ == ReplyKind::Refused);
     CPPUNIT_ASSERT(Reply.Cause_ == RefusalCause::Store);
     CPPUNIT_ASSERT(Reply.RetryAfter_ == 1s);
+    const CallToken Held =
+        Loaded.Site_.submit(Loaded.Holder_, "y", jobOf(1s), 1s);
+    CPPUNIT_ASSERT(!Loaded.Site_.replyKind(Held));
   }
 
   /// Guards against a broken guarantee, and against an account that floods the
