--- a/lib/sitehost/src/entryrole.cpp
+++ b/lib/sitehost/src/entryrole.cpp
@@ -166,6 +166,11 @@
                    {{"outcome", site::name(Reply.Kind_)}})
         .observe(core::steadyClock().Now_() - It->second.ArrivedAt_,
                  core::steadyClock().Now_());
+    if (Reply.Kind_ == site::ReplyKind::Refused)
+      Process_.Metrics_
+          .counter("nutmegwell_refused_calls_total", "Refused calls by cause",
+                   {{"cause", site::name(Reply.Cause_)}})
+          .add();
     It->second.Respond_(Ports_.EncodeReply_(Reply));
     OpenCalls_.erase(It);
   }
