--- a/lib/cell/src/expectations.cpp
+++ b/lib/cell/src/expectations.cpp
@@ -1,4 +1,5 @@
 #include "holdersteps.h"
+#include "nutmegwell/cell/load.h"
 #include <algorithm>
 #include <cmath>
 
@@ -146,6 +147,14 @@
                          std::min<decltype(Work)>(Work, expect::MaxWork)));
 }
 
+std::vector<core::Duration> expectedChains(const Holder &State,
+                                           const jobs::JobAccepted &Job) {
+  std::vector<core::Duration> RunTimes;
+  for (const jobs::StepSpec &Step : Job.Spec_.Steps_)
+    RunTimes.push_back(expectedRunTime(State, Job, Step));
+  return longestChains(Job.Spec_, RunTimes);
+}
+
 core::Duration expectedRunTime(const Holder &State,
                                const jobs::JobAccepted &Job,
                                const jobs::StepSpec &Step) {
