--- a/lib/share/include/nutmegwell/share/usage.h
+++ b/lib/share/include/nutmegwell/share/usage.h
@@ -9,8 +9,8 @@
 struct UsagePolicy {
   /// Time after which usage counts half.
   core::Duration HalfLife_ = std::chrono::seconds(30);
-  /// Accounts whose usages differ by less than this share of the service rank
-  /// equal, so that a small lead does not override the objectives of jobs.
+  /// Usages are compared in steps of this share of the service, so that a small
+  /// lead seldom overrides the objectives of jobs.
   double RankStep_ = 0.05;
 };
 
