Order units of accounts by their recent usage

Change: under FairShares_, the holder keeps a ledger for each service and sets the dominant shares on each step. Within guarantee, priority and status, units go by the usage rank of their account while units of two accounts wait that could not be placed at the last decision; units that have waited longer than three times their objective go before late ones. One decision tries 64 units of an account in vain at most; placed and guaranteed units do not count. isUsable moves out of class Placer, since the capacity counts usable workers only.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -11,6 +11,7 @@
 #include "nutmegwell/core/logevent.h"
 #include "nutmegwell/jobs/tables.h"
 #include "nutmegwell/jobs/view.h"
+#include "nutmegwell/share/usage.h"
 #include <map>
 #include <optional>
 #include <set>
@@ -88,6 +89,10 @@
   bool LearnRunTimes_ = false;
   /// Accounts that have used less lately go first.
   bool FairShares_ = false;
+  /// Under FairShares_, the number of units of an account that one decision
+  /// tries in vain. Each costs a search of all racks; alike units of a step
+  /// count once.
+  unsigned MaxTriesOfAccount_ = 64;
   /// The first gang that does not fit keeps a place.
   bool ReserveForGangs_ = false;
   /// Worst status with which urgent work preempts. Preemption delays other
@@ -221,6 +226,13 @@
   std::optional<std::set<TaskId>> Tasks_;
 };
 
+/// Use of a service by client accounts.
+struct ServiceAccounts {
+  share::UsageLedger Ledger_;
+  /// Accounts with units that could not be placed at the last decision.
+  std::set<std::string> Waiting_;
+};
+
 /// Attempts, ordered by task and run.
 using TaskRunMap = std::map<RunId, TaskRun>;
 
@@ -243,6 +255,10 @@
   /// Listed workers that may still run tasks of an earlier holder, by host.
   std::map<std::string, UnsyncedWorker> UnsyncedWorkers_;
 
+  /// Use by accounts, by service; empty unless the policy has FairShares_. A
+  /// new holder starts without it.
+  std::map<std::string, ServiceAccounts> Accounts_;
+
   /// Answers of the approval service, by step.
   std::map<StepId, StepApprovals> Approvals_;
   bool ApprovalInFlight_ = false;
--- a/lib/cell/src/holderloop.cpp
+++ b/lib/cell/src/holderloop.cpp
@@ -1,4 +1,4 @@
-#include "holdersteps.h"
+#include "accountorder.h"
 #include <algorithm>
 
 namespace nutmegwell::cell {
@@ -21,6 +21,7 @@
   updateQuarantines(State, Context.Now_, Out);
   repeatStops(State, Context.Now_);
   adjustPaces(State, Context, Out);
+  updateUsage(State, Context);
   schedule(State, Context, Out);
   collectRecords(State, Context, Out);
   collectOrders(State, Context.Now_, Out);
--- a/lib/cell/src/holdersteps.h
+++ b/lib/cell/src/holdersteps.h
@@ -18,9 +18,16 @@
   core::Duration Slack_{0};
   /// Time after the job's arrival within which it should end.
   core::Duration Objective_{0};
+  /// When the job arrived, or when the occurrence was due.
+  jobs::WallTime Begin_{};
   int Priority_ = 0;
   /// The account's guarantee covers this job.
   bool Guaranteed_ = false;
+  /// Rank of the account by recent usage, 0 while it competes with no other.
+  int UsageRank_ = 0;
+  /// The unit has waited so long that it precedes late ones; never set while
+  /// its account competes with no other.
+  bool Overdue_ = false;
   /// Host of the run that this unit copies; empty for a first attempt.
   std::string OriginalHost_;
 
@@ -94,6 +101,10 @@
 /// Returns whether the state of the worker's runs is up to date.
 bool isReporting(const Holder &State, const Worker &Host, core::TimePoint Now);
 
+/// Returns whether tasks may be placed on \p Host.
+bool isUsable(const HolderPolicy &Policy, const Worker &Host,
+              const HolderContext &Context);
+
 /// Drops the runs of workers whose leases have expired.
 void expireLeases(Holder &State, const HolderContext &Context, Effects &Out);
 
--- a/lib/cell/src/queue.cpp
+++ b/lib/cell/src/queue.cpp
@@ -1,4 +1,4 @@
-#include "holdersteps.h"
+#include "accountorder.h"
 #include <algorithm>
 
 namespace nutmegwell::cell {
@@ -150,7 +150,8 @@
 }
 
 /// Orders units for placement: first attempts before copies, then guaranteed
-/// and urgent work, then the work whose start still benefits its caller most.
+/// and urgent work, then the work whose start still benefits its caller most,
+/// then that of accounts that have used less lately.
 bool precedes(const HolderPolicy &Policy, const Unit &A, const Unit &B) {
   if (A.OriginalHost_.empty() != B.OriginalHost_.empty())
     return A.OriginalHost_.empty();
@@ -158,10 +159,12 @@
     return A.Guaranteed_;
   if (A.Priority_ != B.Priority_)
     return A.Priority_ < B.Priority_;
-  const ObjectiveStatus StatusA = objectiveStatusOf(Policy, A);
-  const ObjectiveStatus StatusB = objectiveStatusOf(Policy, B);
+  const int StatusA = objectiveOrder(Policy, A);
+  const int StatusB = objectiveOrder(Policy, B);
   if (StatusA != StatusB)
     return StatusA < StatusB;
+  if (A.UsageRank_ != B.UsageRank_)
+    return A.UsageRank_ < B.UsageRank_;
   if (A.Slack_ != B.Slack_)
     return A.Slack_ < B.Slack_;
   return A.Job_->Accepted_.Job_ < B.Job_->Accepted_.Job_;
@@ -204,10 +207,11 @@
     Work.Priority_ = Job_.Accepted_.Priority_;
     Work.Guaranteed_ = Guaranteed_;
     const jobs::JobSpec &Spec = Job_.Accepted_.Spec_;
-    const jobs::WallTime Begin =
+    Work.Begin_ =
         Spec.timed() ? Spec.dueAt(Occurrence) : Job_.Accepted_.Submitted_;
     Work.Objective_ = objectiveOf(Queue_, Chains_);
-    Work.Slack_ = Begin + Work.Objective_ - Context_.Wall_ - Chains_[Step];
+    Work.Slack_ =
+        Work.Begin_ + Work.Objective_ - Context_.Wall_ - Chains_[Step];
     return Work;
   }
 
@@ -281,6 +285,7 @@
                             WithinGuarantee.count(Job.Accepted_.Account_) > 0;
     JobScan(State, Context, Job, Guaranteed).collect(Live, Units, Wake);
   }
+  rankUnits(State, Context, Units);
   std::sort(Units.begin(), Units.end(), [&](const Unit &A, const Unit &B) {
     return precedes(State.Policy_, A, B);
   });
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -1,4 +1,4 @@
-#include "holdersteps.h"
+#include "accountorder.h"
 #include "nutmegwell/cell/preempt.h"
 #include <algorithm>
 
@@ -37,7 +37,7 @@
   Placer(Holder &State, const HolderContext &Context, Effects &Out)
       : State_(State), Context_(Context), Out_(Out) {
     for (auto &[Name, Host] : State_.Workers_)
-      if (isUsable(Host))
+      if (isUsable(State_.Policy_, Host, Context_))
         addTarget(Host);
     for (const auto &[Id, Run] : State_.Runs_)
       subtractResources(Run);
@@ -46,7 +46,8 @@
 
   void placeUnit(const Unit &Work) {
     // Tasks of a step are alike: when one cannot be placed, none can.
-    if (isAlike(Work, LastUnplaced_))
+    if (isAlike(Work, LastUnplaced_) ||
+        triesExhausted(State_.Policy_, Unplaced_, Work))
       return;
     PlacementRequest Request = requestFor(Work);
     countSameStep(Work, targetsOf(Work));
@@ -61,10 +62,13 @@
         return;
     }
     LastUnplaced_ = Work;
+    countUnplaced(Work, Unplaced_);
     if (needsApproval(Work))
       requestApproval(State_, Work, targetsOf(Work), Context_, Out_);
   }
 
+  const UnplacedUnits &unplaced() const { return Unplaced_; }
+
 private:
   /// Returns true for tasks of one step, and for copies of one run.
   static bool isAlike(const Unit &A, const Unit &B) {
@@ -89,18 +93,6 @@
            State_.Jobs_.at(Work.Job_->Accepted_.Job_).WaitingSince_;
   }
 
-  bool isUsable(const Worker &Host) const {
-    if (!Host.Connected_ || !Host.Synced_ || !Host.Listed_ || !Host.Info_ ||
-        !Host.Reachable_ || Host.HasOrphanRun_ || Host.Info_->Draining_)
-      return false;
-    if (Context_.Now_ - Host.LastReportAt_ > State_.Policy_.SuspectAfter_)
-      return false;
-    if (Context_.OutOfServiceDomains_.count(Host.Info_->FailureDomain_))
-      return false;
-    return !isQuarantined(Host.Health_, State_.Policy_.Quarantine_,
-                          Context_.Now_);
-  }
-
   void collectOpenProbes() {
     for (const auto &[Id, Run] : State_.Runs_)
       if (isOpenProbe(State_.Workers_[Run.Host_].Health_,
@@ -457,6 +449,7 @@
   Effects &Out_;
   /// Last unit that could not be placed.
   Unit LastUnplaced_;
+  UnplacedUnits Unplaced_;
   /// Accounts whose urgent work is guaranteed, once it has been looked up.
   std::optional<std::set<std::string>> WithinGuarantee_;
   /// Workers with a probe whose result is open.
@@ -477,10 +470,11 @@
     return;
   const std::vector<Unit> Units = readyUnits(State, Context, Out.WakeAt_);
   if (Units.empty())
-    return;
+    return recordWaitingAccounts(State, {});
   Placer WorkPlacer(State, Context, Out);
   for (const Unit &Work : Units)
     WorkPlacer.placeUnit(Work);
+  recordWaitingAccounts(State, WorkPlacer.unplaced());
 }
 
 } // namespace nutmegwell::cell
--- a/lib/cell/src/workers.cpp
+++ b/lib/cell/src/workers.cpp
@@ -26,6 +26,18 @@
          Now - Host.LastReportAt_ <= State.Policy_.SuspectAfter_;
 }
 
+bool isUsable(const HolderPolicy &Policy, const Worker &Host,
+              const HolderContext &Context) {
+  if (!Host.Connected_ || !Host.Synced_ || !Host.Listed_ || !Host.Info_ ||
+      !Host.Reachable_ || Host.HasOrphanRun_ || Host.Info_->Draining_)
+    return false;
+  if (Context.Now_ - Host.LastReportAt_ > Policy.SuspectAfter_)
+    return false;
+  if (Context.OutOfServiceDomains_.count(Host.Info_->FailureDomain_))
+    return false;
+  return !isQuarantined(Host.Health_, Policy.Quarantine_, Context.Now_);
+}
+
 bool hasRuns(const Holder &State, const std::string &Host) {
   return std::any_of(State.Runs_.begin(), State.Runs_.end(),
                      [&](const auto &Row) { return Row.second.Host_ == Host; });
