Keep a place for the first gang that does not fit

Change: under ReserveForGangs_, each decision computes for the first gang in order that does not fit the workers where it fits earliest, by the expected ends of runs; later units use them only if their declared time ends before. The search is linear in workers and releases. Nothing is stored but what the log has shown, for reservation_made and reservation_used. timePerPercent moves from stall.cpp to releases.cpp, where expected ends use it as well. A gang gets no reservation when it would start after three times its objective rather than after the objective itself, since a gang that narrow work keeps waiting is soon late and still worth something. Result: a gang of three starts within 2.5 s beside narrow work that without the flag keeps it waiting for the whole 20 s of the test; it also starts when runs take twice or half the declared time, and when a worker of the reservation drains or falls silent (cell-gang-wait-test, 13 cases). A generated test finds reservations to agree with placement (cell-reservation-test, 9 cases). The existing cell tests and replay-test pass unchanged.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -233,6 +233,14 @@
   std::set<std::string> Waiting_;
 };
 
+/// What the log has shown of reservations for gangs; no decision uses it.
+struct ReservationLog {
+  /// Gang for which the last decision made a reservation, by service.
+  std::map<std::string, TaskId> Newest_;
+  /// Waiting gangs whose first reservation was logged.
+  std::set<TaskId> Logged_;
+};
+
 /// Attempts, ordered by task and run.
 using TaskRunMap = std::map<RunId, TaskRun>;
 
@@ -259,6 +267,8 @@
   /// new holder starts without it.
   std::map<std::string, ServiceAccounts> Accounts_;
 
+  ReservationLog Reservations_;
+
   /// Answers of the approval service, by step.
   std::map<StepId, StepApprovals> Approvals_;
   bool ApprovalInFlight_ = false;
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -1,5 +1,7 @@
 #include "accountorder.h"
+#include "gangreservations.h"
 #include "nutmegwell/cell/preempt.h"
+#include "releases.h"
 #include <algorithm>
 
 namespace nutmegwell::cell {
@@ -52,6 +54,8 @@
     PlacementRequest Request = requestFor(Work);
     countSameStep(Work, targetsOf(Work));
     excludeTargets(Work, targetsOf(Work));
+    if (!ignoresReservation(Work))
+      excludeReserved(Reserved_, Work, Context_.Now_, targetsOf(Work));
     Request.AllowRemote_ = allowRemote(Work, targetsOf(Work));
     if (startOrPreempt(Work, Request))
       return;
@@ -63,11 +67,14 @@
     }
     LastUnplaced_ = Work;
     countUnplaced(Work, Unplaced_);
+    if (wantsReservation(State_.Policy_, Reserved_, Work, Context_.Now_))
+      reserveFor(Work, Request);
     if (needsApproval(Work))
       requestApproval(State_, Work, targetsOf(Work), Context_, Out_);
   }
 
   const UnplacedUnits &unplaced() const { return Unplaced_; }
+  const GangReservations &reserved() const { return Reserved_; }
 
 private:
   /// Returns true for tasks of one step, and for copies of one run.
@@ -87,6 +94,30 @@
     return mayPreempt(Work) && preemptFor(Work, Request);
   }
 
+  /// Work that may preempt ignores the reservation as well: it would otherwise
+  /// stop other runs although reserved workers are free.
+  bool ignoresReservation(const Unit &Work) const {
+    return Work.Guaranteed_ || mayPreempt(Work);
+  }
+
+  void reserveFor(const Unit &Work, const PlacementRequest &Request) {
+    const std::vector<PlacementTarget> &Targets = targetsOf(Work);
+    recordReservation(
+        Reserved_, Work,
+        reserveForGang(
+            Request, Targets,
+            expectedReleases(State_.Runs_, rests(), Targets, Context_.Now_),
+            latestUsefulStart(State_.Policy_, Work, Context_.Now_)));
+  }
+
+  /// Returns the expected rests of the runs that existed when this decision
+  /// first needed them.
+  const ExpectedRests &rests() {
+    if (!Rests_)
+      Rests_ = expectedRests(State_, Context_);
+    return *Rests_;
+  }
+
   /// Returns how long the holder has known the job of \p Work.
   core::Duration waitingTime(const Unit &Work) const {
     return Context_.Now_ -
@@ -450,6 +481,8 @@
   /// Last unit that could not be placed.
   Unit LastUnplaced_;
   UnplacedUnits Unplaced_;
+  GangReservations Reserved_;
+  std::optional<ExpectedRests> Rests_;
   /// Accounts whose urgent work is guaranteed, once it has been looked up.
   std::optional<std::set<std::string>> WithinGuarantee_;
   /// Workers with a probe whose result is open.
@@ -463,6 +496,14 @@
       Index_;
 };
 
+/// Records what the decision leaves waiting.
+void recordWaiting(Holder &State, const UnplacedUnits &Unplaced,
+                   const GangReservations &Reserved,
+                   const HolderContext &Context, Effects &Out) {
+  recordWaitingAccounts(State, Unplaced);
+  logReservations(State, Reserved, Context, Out);
+}
+
 } // namespace
 
 void schedule(Holder &State, const HolderContext &Context, Effects &Out) {
@@ -470,11 +511,12 @@
     return;
   const std::vector<Unit> Units = readyUnits(State, Context, Out.WakeAt_);
   if (Units.empty())
-    return recordWaitingAccounts(State, {});
+    return recordWaiting(State, {}, {}, Context, Out);
   Placer WorkPlacer(State, Context, Out);
   for (const Unit &Work : Units)
     WorkPlacer.placeUnit(Work);
-  recordWaitingAccounts(State, WorkPlacer.unplaced());
+  recordWaiting(State, WorkPlacer.unplaced(), WorkPlacer.reserved(), Context,
+                Out);
 }
 
 } // namespace nutmegwell::cell
--- a/lib/cell/src/stall.cpp
+++ b/lib/cell/src/stall.cpp
@@ -1,7 +1,7 @@
 // Runs that make no progress.
 
 #include "nutmegwell/cell/stall.h"
-#include "holdersteps.h"
+#include "releases.h"
 #include <algorithm>
 
 namespace nutmegwell::cell {
@@ -34,17 +34,6 @@
 
 namespace {
 
-/// Returns the time that a run takes for one percent. It is measured between
-/// two changes of the percentage, because a run may begin within a percent.
-std::optional<core::Duration> timePerPercent(const TaskRun &Run) {
-  const double Gained = Run.Percent_ - Run.FirstChangePercent_;
-  if (!Run.FirstChangeAt_ || Gained < 1)
-    return std::nullopt;
-  return core::Duration(static_cast<std::int64_t>(
-      static_cast<double>((Run.ProgressedAt_ - *Run.FirstChangeAt_).count()) /
-      Gained));
-}
-
 void addMember(RunProgress &Sum, const TaskRun &Run) {
   Sum.AllRunning_ &= Run.State_ == RunState::Running;
   Sum.ProgressedAt_ = std::max(Sum.ProgressedAt_, Run.ProgressedAt_);
