Leave runs that end soon to end instead of preempting them

Change: under ReserveForGangs_ and outside guarantees, a run whose progress says that it ends within the stop time or in the last fifth of its run time is no victim. Room that is free within the stop time counts as being freed, so that nothing else is stopped for the same unit. Declared times alone keep no run, since they are off by up to 1.9 times, nor does a run without recent progress. The cost of a victim stays the work that it must repeat. Result: cell-victim-rest-test passes (9 cases), among them the same load with and without the flag. The holder, queue, sharing, preempt, reclaim, headroom, order and gang wait tests of cell and replay-test pass unchanged.

--- a/lib/cell/include/nutmegwell/cell/preempt.h
+++ b/lib/cell/include/nutmegwell/cell/preempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegwell/cell/placement.h"
+#include "nutmegwell/core/time.h"
 #include <vector>
 
 namespace nutmegwell::cell {
@@ -37,6 +38,15 @@
 double discardableWork(const PreemptionLimits &Limits, double OwnWork,
                        double MeanWork, bool OnTime);
 
+/// Returns whether a run that has run for \p Ran and is expected to take
+/// \p Rest more is too close to its end to be stopped: it ends before the stop,
+/// which takes \p StopTime, or within the last fifth of its run time.
+///
+/// Load pattern: urgent gangs that keep arriving on a full cell. Among the runs
+/// that they stop, some would have ended before the gang could start.
+bool isNearlyDone(core::Duration Rest, core::Duration Ran,
+                  core::Duration StopTime);
+
 /// Returns the indices of victims whose stop lets \p Request be placed with
 /// little lost work, or an empty list when no set of victims does. \p Targets
 /// holds the resources that are free or being freed.
--- a/lib/cell/src/preempt.cpp
+++ b/lib/cell/src/preempt.cpp
@@ -154,6 +154,14 @@
                    (1 - Limits.FixedWorthShare_) * OwnWork);
 }
 
+bool isNearlyDone(core::Duration Rest, core::Duration Ran,
+                  core::Duration StopTime) {
+  /// Part of the run time from which the work that a repeat costs outweighs the
+  /// time that the urgent unit gains.
+  constexpr int LastPart = 5;
+  return Rest <= StopTime || Rest * LastPart <= Ran + Rest;
+}
+
 std::vector<std::size_t>
 chooseVictims(const PlacementRequest &Request,
               const std::vector<PlacementTarget> &Targets,
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -343,7 +343,8 @@
   bool preemptFor(const Unit &Work, const PlacementRequest &Request) {
     std::vector<PlacementTarget> Targets = targetsOf(Work);
     for (const auto &[Id, Run] : State_.Runs_)
-      if (Run.State_ == RunState::Stopping)
+      if (Run.State_ == RunState::Stopping ||
+          (!Work.Guaranteed_ && endsBeforeStop(Run)))
         returnResources(Run, Work, Targets);
     if (reserveFreed(Work, Request, Targets))
       return true;
@@ -361,6 +362,9 @@
       for (const auto &[Worker, Freed] : Candidates[I].FreedResources_)
         Targets[Worker].Free_ += Freed;
     }
+    // Stopped runs end earlier than expected so far.
+    if (!Chosen.empty())
+      Rests_.reset();
     return !Chosen.empty() && reserveFreed(Work, Request, Targets);
   }
 
@@ -415,9 +419,36 @@
     return Candidates;
   }
 
-  /// Returns true for less urgent runs, and for runs that borrow what the
-  /// account of \p Work is guaranteed.
+  /// Returns the rest of a run as measured by its progress, where preemption
+  /// weighs it.
+  std::optional<core::Duration> measuredRest(const TaskRun &Run) {
+    if (!State_.Policy_.ReserveForGangs_)
+      return std::nullopt;
+    auto It = rests().find(&Run);
+    if (It == rests().end() || !It->second.Measured_)
+      return std::nullopt;
+    return It->second.Rest_;
+  }
+
+  /// Returns whether \p Run is expected to end before a stop would free its
+  /// resources.
+  bool endsBeforeStop(const TaskRun &Run) {
+    const auto Rest = measuredRest(Run);
+    return Rest && *Rest <= State_.Policy_.Departure_.StopTime_;
+  }
+
+  /// Returns whether \p Run ends so soon that a stop would mostly repeat work.
+  bool endsSoon(const TaskRun &Run) {
+    const auto Rest = measuredRest(Run);
+    return Rest && isNearlyDone(*Rest, Context_.Now_ - Run.OrderedAt_,
+                                State_.Policy_.Departure_.StopTime_);
+  }
+
+  /// Returns true for less urgent runs that do not end soon, and for runs that
+  /// borrow what the account of \p Work is guaranteed.
   bool mayStop(const TaskRun &Run, const Unit &Work) {
+    if (!Work.Guaranteed_ && endsSoon(Run))
+      return false;
     if (Run.Priority_ != Work.Priority_ || !Work.Guaranteed_)
       return Run.Priority_ > Work.Priority_;
     if (!WithinGuarantee_)
