--- a/bench/replay/main.cpp
+++ b/bench/replay/main.cpp
@@ -2,6 +2,7 @@
 // emulated workers, and compares policies. Prints one line a figure.
 
 #include "baselines.h"
+#include "decisioncost.h"
 #include "report.h"
 #include <algorithm>
 #include <fstream>
@@ -22,6 +23,8 @@
     "  --seeds K     number of seeds, each played under each policy (5)\n"
     "  --threads N   days played at a time (2)\n"
     "  --policy-only leaves the baselines out\n"
+    "  --decision-cost prints the processor time of decisions at 533 workers\n"
+    "                and 1,000 waiting jobs\n"
     "  --plot FILE   writes a plot of the last day as SVG\n";
 
 struct Options {
@@ -29,6 +32,7 @@
   std::uint64_t Seeds_ = 5;
   std::uint64_t Threads_ = 2;
   bool PolicyOnly_ = false;
+  bool DecisionCost_ = false;
   std::string Plot_;
   std::vector<std::string> Days_;
 };
@@ -38,6 +42,7 @@
                          {"seeds", required_argument, nullptr, 'n'},
                          {"threads", required_argument, nullptr, 't'},
                          {"policy-only", no_argument, nullptr, 'o'},
+                         {"decision-cost", no_argument, nullptr, 'c'},
                          {"plot", required_argument, nullptr, 'p'},
                          {nullptr, 0, nullptr, 0}};
   for (int Flag = 0; (Flag = getopt_long(Argc, Argv, "", Long, nullptr)) != -1;)
@@ -54,6 +59,9 @@
     case 'o':
       Result.PolicyOnly_ = true;
       break;
+    case 'c':
+      Result.DecisionCost_ = true;
+      break;
     case 'p':
       Result.Plot_ = optarg;
       break;
@@ -62,7 +70,8 @@
     }
   for (int I = optind; I < Argc; ++I)
     Result.Days_.emplace_back(Argv[I]);
-  return !Result.Days_.empty() && Result.Seeds_ > 0 && Result.Threads_ > 0;
+  return (Result.DecisionCost_ || !Result.Days_.empty()) && Result.Seeds_ > 0 &&
+         Result.Threads_ > 0;
 }
 
 /// Returns the policies to compare, the product's own first.
@@ -74,12 +83,23 @@
   Near.RemoteMinFreeShare_ = 2;
   cell::HolderPolicy InOrder = Own;
   InOrder.ChooseVictims_ = chooseVictimsInOrder;
+  cell::HolderPolicy Fair = Own;
+  Fair.FairShares_ = true;
+  cell::HolderPolicy Reserving = Own;
+  Reserving.ReserveForGangs_ = true;
+  // The time of a stop that the user documentation allows for these workers.
+  Reserving.Departure_.StopTime_ = std::chrono::milliseconds(200);
+  cell::HolderPolicy Both = Reserving;
+  Both.FairShares_ = true;
   cell::HolderPolicy None = Own;
   None.ChooseVictims_ = chooseNoVictims;
   return {{"policy", Own},
           {"lost_preempts", Lost},
           {"near_first", Near},
           {"victims_in_order", InOrder},
+          {"fair_shares", Fair},
+          {"reserve_for_gangs", Reserving},
+          {"fair_and_reserving", Both},
           {"no_preemption", None}};
 }
 
@@ -127,6 +147,28 @@
   return Rows.front().second.Broken_ == 0;
 }
 
+void printDecisionCost() {
+  constexpr std::size_t Workers = 533;
+  constexpr std::size_t WaitingJobs = 1000;
+  // Few, since each takes about a second.
+  constexpr std::size_t Decisions = 5;
+  DecisionTimes Baseline;
+  for (const auto &[Name, Policy] : policies()) {
+    if (Name != "policy" && Name.find("fair") == std::string::npos &&
+        Name.find("reserv") == std::string::npos)
+      continue;
+    const DecisionTimes Times =
+        measureDecisions(Workers, WaitingJobs, Decisions, Policy);
+    if (Baseline.empty())
+      Baseline = Times;
+    for (const auto &[Figure, At] :
+         {std::pair("p50", Decisions / 2), {"max", Decisions - 1}})
+      std::cout << "decision_cost." << Name << "." << Figure
+                << " value=" << Times[At].count()
+                << " baseline=" << Baseline[At].count() << " unit=us\n";
+  }
+}
+
 } // namespace
 
 int main(int Argc, char **Argv) {
@@ -135,6 +177,8 @@
     std::cerr << Usage;
     return 2;
   }
+  if (Chosen.DecisionCost_)
+    printDecisionCost();
   bool Ok = true;
   for (const std::string &Path : Chosen.Days_)
     Ok = replayDay(Path, Chosen) && Ok;
