Show the recent usage of accounts as a metric

Change: once a second the holder hands the usages of all accounts over as an effect; the control thread of an entry host sets a gauge for each, and sets those of accounts that have left, or of a tenure that has ended, to 0.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -266,6 +266,8 @@
   /// Use by accounts, by service; empty unless the policy has FairShares_. A
   /// new holder starts without it.
   std::map<std::string, ServiceAccounts> Accounts_;
+  /// When the usages were last handed to the metrics.
+  core::TimePoint UsagesShownAt_{};
 
   ReservationLog Reservations_;
 
@@ -300,6 +302,14 @@
   jobs::WallTime Wall_;
 };
 
+/// Recent usage of a service by an account.
+struct AccountUsage {
+  std::string Service_;
+  std::string Account_;
+  /// Dominant share of the service, from 0 to 1.
+  double Usage_ = 0;
+};
+
 /// Actions that a control step requests from its driver.
 struct Effects {
   std::vector<std::pair<std::string, HolderOrders>> Orders_;
@@ -308,6 +318,8 @@
   /// Request to the approval service, which handles one at a time.
   std::optional<ApprovalRequest> ApprovalRequest_;
   std::vector<core::LogEvent> LogEvents_;
+  /// Usages of all accounts for the metrics, when they are due.
+  std::optional<std::vector<AccountUsage>> AccountUsages_;
   /// Time at which advanceHolder is to be called next.
   core::TimePoint WakeAt_ = core::TimePoint::max();
 };
--- a/lib/cell/src/accountorder.cpp
+++ b/lib/cell/src/accountorder.cpp
@@ -79,9 +79,22 @@
          Now - Work.Begin_ > Work.Objective_ * Policy.LateFactor_;
 }
 
+/// Hands the usages to the metrics, which are read every few seconds.
+void showUsages(Holder &State, core::TimePoint Now, Effects &Out) {
+  constexpr core::Duration Interval = std::chrono::seconds(1);
+  if (Now < State.UsagesShownAt_ + Interval)
+    return;
+  State.UsagesShownAt_ = Now;
+  std::vector<AccountUsage> &Usages = Out.AccountUsages_.emplace();
+  for (const auto &[Service, Known] : State.Accounts_)
+    for (const auto &[Account, Entry] : Known.Ledger_.Accounts_)
+      Usages.push_back(
+          {Service, Account, share::usageOf(Known.Ledger_, Account, Now)});
+}
+
 } // namespace
 
-void updateUsage(Holder &State, const HolderContext &Context) {
+void updateUsage(Holder &State, const HolderContext &Context, Effects &Out) {
   if (!State.Policy_.FairShares_)
     return;
   const HeldResources Held = heldByAccount(State.Runs_, Context.View_);
@@ -102,6 +115,7 @@
     else
       ++It;
   }
+  showUsages(State, Context.Now_, Out);
 }
 
 void rankUnits(const Holder &State, const HolderContext &Context,
--- a/lib/cell/src/accountorder.h
+++ b/lib/cell/src/accountorder.h
@@ -10,8 +10,8 @@
 namespace nutmegwell::cell {
 
 /// Updates the recent usage of each service by account from the runs that hold
-/// its resources.
-void updateUsage(Holder &State, const HolderContext &Context);
+/// its resources, and hands the usages to the metrics once a second.
+void updateUsage(Holder &State, const HolderContext &Context, Effects &Out);
 
 /// Sets the usage rank of \p Units, and marks those that have waited longer
 /// than their objective allows. Changes nothing for a service unless units of
--- a/lib/cell/src/holderloop.cpp
+++ b/lib/cell/src/holderloop.cpp
@@ -21,7 +21,7 @@
   updateQuarantines(State, Context.Now_, Out);
   repeatStops(State, Context.Now_);
   adjustPaces(State, Context, Out);
-  updateUsage(State, Context);
+  updateUsage(State, Context, Out);
   schedule(State, Context, Out);
   collectRecords(State, Context, Out);
   collectOrders(State, Context.Now_, Out);
--- a/lib/cell/tests/ordertest.cpp
+++ b/lib/cell/tests/ordertest.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(accountsThatDoNotWaitKeepTheOrder);
   CPPUNIT_TEST(ledgerIsEmptyAfterATakeover);
   CPPUNIT_TEST(usageCountsTheLargestShareOfAnyResource);
+  CPPUNIT_TEST(usagesAreHandedOverOnceASecond);
   CPPUNIT_TEST(triesOfAnAccountAreBounded);
   CPPUNIT_TEST(guaranteedUnitsAreAlwaysTried);
   CPPUNIT_TEST_SUITE_END();
@@ -227,6 +228,28 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0 / 3, Current("memory"), 0.001);
   }
 
+  /// Guards against metrics that cost each step, or that never come.
+  void usagesAreHandedOverOnceASecond() {
+    start(1, true);
+    Cell_.acceptJob("running", wholeWorker(60s), "q1", "heavy");
+    Cell_.runFor(10s);
+    std::size_t Snapshots = 0;
+    for (int I = 0; I < 30; ++I) {
+      Cell_.Now_ += 100ms;
+      Effects Out;
+      onTenureConfirmed(Cell_.Holder_, Cell_.Now_);
+      advanceHolder(Cell_.Holder_, Cell_.context(), Out);
+      if (!Out.AccountUsages_)
+        continue;
+      ++Snapshots;
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), Out.AccountUsages_->size());
+      CPPUNIT_ASSERT_EQUAL(std::string("heavy"),
+                           Out.AccountUsages_->front().Account_);
+      CPPUNIT_ASSERT(Out.AccountUsages_->front().Usage_ > 0.1);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Snapshots);
+  }
+
   /// Guards against the cost of an account with many jobs that do not fit: its
   /// 65th job is not tried, although it would fit, and that of another account
   /// is.
--- a/lib/site/include/nutmegwell/site/entry.h
+++ b/lib/site/include/nutmegwell/site/entry.h
@@ -295,6 +295,9 @@
   std::vector<ReadNewestCall> NewestReads_;
   std::optional<cell::ApprovalRequest> ApprovalRequest_;
   std::vector<core::LogEvent> LogEvents_;
+  /// Usages of all accounts for the metrics, when they are due; empty once this
+  /// host no longer holds the cell.
+  std::optional<std::vector<cell::AccountUsage>> AccountUsages_;
   core::TimePoint WakeAt_ = core::TimePoint::max();
 };
 
--- a/lib/site/src/election.cpp
+++ b/lib/site/src/election.cpp
@@ -73,6 +73,7 @@
       {"tenure_ended",
        {{"term", std::to_string(State.Holder_->Term_)}, {"reason", Reason}}});
   State.Holder_.reset();
+  Out.AccountUsages_.emplace();
   State.HolderWriter_.reset();
 }
 
--- a/lib/site/src/entry.cpp
+++ b/lib/site/src/entry.cpp
@@ -74,6 +74,8 @@
       Out.Sends_.emplace_back(Link->second, std::move(Orders));
   }
   Out.ApprovalRequest_ = std::move(Effects.ApprovalRequest_);
+  if (Effects.AccountUsages_)
+    Out.AccountUsages_ = std::move(Effects.AccountUsages_);
   if (!Effects.Append_.empty())
     State.HolderAppendToken_ =
         queueAppend(State, Writer::Holder, Effects.Append_);
--- a/lib/site/src/writers.cpp
+++ b/lib/site/src/writers.cpp
@@ -73,6 +73,7 @@
     Out.LogEvents_.push_back(
         {"tenure_fenced", {{"term", std::to_string(State.FencedTerm_)}}});
     State.Holder_.reset();
+    Out.AccountUsages_.emplace();
     State.HolderWriter_.reset();
     return;
   }
--- a/lib/sitehost/src/entryrole.cpp
+++ b/lib/sitehost/src/entryrole.cpp
@@ -1,6 +1,7 @@
 #include "nutmegwell/sitehost/roles.h"
 #include "nutmegwell/wire/cellbinary.h"
 #include "roleprocess.h"
+#include "usagegauges.h"
 #include <map>
 
 namespace nutmegwell::sitehost {
@@ -117,6 +118,8 @@
   /// Hands the effects of a step from the control thread to the traffic thread.
   void postEffects(Effects Out) {
     Process_.Log_.write(std::move(Out.LogEvents_));
+    if (Out.AccountUsages_)
+      UsageGauges_.show(*Out.AccountUsages_);
     if (Out.Replies_.empty() && Out.Sends_.empty() && Out.SendsTo_.empty() &&
         Out.Appends_.empty() && Out.Reads_.empty() &&
         Out.NewestReads_.empty() && !Out.ApprovalRequest_)
@@ -266,6 +269,8 @@
   core::TimePoint StopRequestedAt_{};
   // The control thread's state; the traffic thread reads only its policy.
   site::EntryState State_;
+  // Used by the control thread only.
+  UsageGauges UsageGauges_{Process_.Metrics_};
   // Written by the control thread, read by the traffic thread.
   std::atomic<bool> Ready_{false};
   std::atomic<bool> Drained_{false};
