Merge the order between accounts and the reservations for gangs

Change: workers kept for a gang are excluded in every search of a place; one function tells usable workers.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -14,6 +14,7 @@
 #include "nutmegwell/expect/speeds.h"
 #include "nutmegwell/jobs/tables.h"
 #include "nutmegwell/jobs/view.h"
+#include "nutmegwell/share/usage.h"
 #include <map>
 #include <optional>
 #include <set>
@@ -96,6 +97,10 @@
   SpeedRecordPolicy SpeedRecords_;
   /// Accounts that have used less lately go first.
   bool FairShares_ = false;
+  /// Under FairShares_, the number of units of an account that one decision
+  /// tries in vain. Each costs a search of all racks; alike units of a step
+  /// count once.
+  unsigned MaxTriesOfAccount_ = 64;
   /// The first gang that does not fit keeps a place.
   bool ReserveForGangs_ = false;
   /// Worst status with which urgent work preempts. Preemption delays other
@@ -238,6 +243,21 @@
   std::optional<std::set<TaskId>> Tasks_;
 };
 
+/// Use of a service by client accounts.
+struct ServiceAccounts {
+  share::UsageLedger Ledger_;
+  /// Accounts with units that could not be placed at the last decision.
+  std::set<std::string> Waiting_;
+};
+
+/// What the log has shown of reservations for gangs; no decision uses it.
+struct ReservationLog {
+  /// Gang for which the last decision made a reservation, by service.
+  std::map<std::string, TaskId> Newest_;
+  /// Waiting gangs whose first reservation was logged.
+  std::set<TaskId> Logged_;
+};
+
 /// Attempts, ordered by task and run.
 using TaskRunMap = std::map<RunId, TaskRun>;
 
@@ -279,6 +299,14 @@
   /// Listed workers that may still run tasks of an earlier holder, by host.
   std::map<std::string, UnsyncedWorker> UnsyncedWorkers_;
 
+  /// Use by accounts, by service; empty unless the policy has FairShares_. A
+  /// new holder starts without it.
+  std::map<std::string, ServiceAccounts> Accounts_;
+  /// When the usages were last handed to the metrics.
+  core::TimePoint UsagesShownAt_{};
+
+  ReservationLog Reservations_;
+
   /// Answers of the approval service, by step.
   std::map<StepId, StepApprovals> Approvals_;
   bool ApprovalInFlight_ = false;
@@ -319,6 +347,14 @@
   jobs::WallTime Wall_;
 };
 
+/// Recent usage of a service by an account.
+struct AccountUsage {
+  std::string Service_;
+  std::string Account_;
+  /// Dominant share of the service, from 0 to 1.
+  double Usage_ = 0;
+};
+
 /// Actions that a control step requests from its driver.
 struct Effects {
   std::vector<std::pair<std::string, HolderOrders>> Orders_;
@@ -331,6 +367,8 @@
   std::optional<SpeedFigures> SpeedFigures_;
   /// New or changed decisions on units of draining workers, for the metrics.
   std::vector<DepartureChoice> Departures_;
+  /// Usages of all accounts for the metrics, when they are due.
+  std::optional<std::vector<AccountUsage>> AccountUsages_;
   /// Time at which advanceHolder is to be called next.
   core::TimePoint WakeAt_ = core::TimePoint::max();
 };
--- a/lib/cell/src/holderloop.cpp
+++ b/lib/cell/src/holderloop.cpp
@@ -1,4 +1,4 @@
-#include "holdersteps.h"
+#include "accountorder.h"
 #include <algorithm>
 
 namespace nutmegwell::cell {
@@ -23,6 +23,7 @@
   repeatStops(State, Context.Now_);
   adjustPaces(State, Context, Out);
   expect::refreshSpeeds(State.Speeds_, Context.Now_);
+  updateUsage(State, Context, Out);
   schedule(State, Context, Out);
   reportSpeeds(State, Context.Now_, Out);
   collectRecords(State, Context, Out);
--- a/lib/cell/src/load.cpp
+++ b/lib/cell/src/load.cpp
@@ -77,7 +77,7 @@
   ServiceSums Sums;
   std::unordered_map<std::string_view, WorkerRoom> Rooms;
   for (const auto &[Name, Host] : State.Workers_)
-    if (isUsable(State, Host, Context)) {
+    if (isUsable(State.Policy_, Host, Context)) {
       const jobs::Resources &Capacity = Host.Info_->Capacity_;
       ServiceSum &Sum = Sums[Host.Info_->Service_];
       Sum.Load_.Capacity_ += Capacity;
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -1,6 +1,8 @@
-#include "holdersteps.h"
+#include "accountorder.h"
+#include "gangreservations.h"
 #include "nutmegwell/cell/preempt.h"
 #include "nutmegwell/cell/speedneed.h"
+#include "releases.h"
 #include <algorithm>
 
 namespace nutmegwell::cell {
@@ -42,7 +44,7 @@
   Placer(Holder &State, const HolderContext &Context, Effects &Out)
       : State_(State), Context_(Context), Out_(Out) {
     for (auto &[Name, Host] : State_.Workers_)
-      if (isUsable(State_, Host, Context_))
+      if (isUsable(State_.Policy_, Host, Context_))
         addTarget(Host);
     for (const auto &[Id, Run] : State_.Runs_)
       subtractResources(Run);
@@ -51,7 +53,8 @@
 
   void placeUnit(const Unit &Work) {
     // Tasks of a step are alike: when one cannot be placed, none can.
-    if (isAlike(Work, LastUnplaced_))
+    if (isAlike(Work, LastUnplaced_) ||
+        triesExhausted(State_.Policy_, Unplaced_, Work))
       return;
     PlacementRequest Request = requestFor(Work);
     countSameStep(Work, targetsOf(Work));
@@ -71,10 +74,16 @@
         return;
     }
     LastUnplaced_ = Work;
+    countUnplaced(Work, Unplaced_);
+    if (wantsReservation(State_.Policy_, Reserved_, Work, Context_.Now_))
+      reserveFor(Work, Request);
     if (needsApproval(Work))
       requestApproval(State_, Work, targetsOf(Work), Context_, Out_);
   }
 
+  const UnplacedUnits &unplaced() const { return Unplaced_; }
+  const GangReservations &reserved() const { return Reserved_; }
+
 private:
   /// Speed that a unit needs of its workers.
   struct SpeedNeed {
@@ -206,6 +215,30 @@
     return mayPreempt(Work) && preemptFor(Work, Request);
   }
 
+  /// Work that may preempt ignores the reservation as well: it would otherwise
+  /// stop other runs although reserved workers are free.
+  bool ignoresReservation(const Unit &Work) const {
+    return Work.Guaranteed_ || mayPreempt(Work);
+  }
+
+  void reserveFor(const Unit &Work, const PlacementRequest &Request) {
+    const std::vector<PlacementTarget> &Targets = targetsOf(Work);
+    recordReservation(
+        Reserved_, Work,
+        reserveForGang(
+            Request, Targets,
+            expectedReleases(State_.Runs_, rests(), Targets, Context_.Now_),
+            latestUsefulStart(State_.Policy_, Work, Context_.Now_)));
+  }
+
+  /// Returns the expected rests of the runs that existed when this decision
+  /// first needed them.
+  const ExpectedRests &rests() {
+    if (!Rests_)
+      Rests_ = expectedRests(State_, Context_);
+    return *Rests_;
+  }
+
   /// Returns how long the holder has known the job of \p Work.
   core::Duration waitingTime(const Unit &Work) const {
     return Context_.Now_ -
@@ -402,8 +435,9 @@
 
   /// Excludes the workers on which \p Work must not run: those without an
   /// approval, that of the run of which it is a copy, those with an open probe,
-  /// and those where it leaves headroom. Work runs on the rack of its data in
-  /// any case. Guaranteed work does not wait for the result of a probe.
+  /// those where it leaves headroom, and those kept for a gang. Work runs on
+  /// the rack of its data in any case. Guaranteed work does not wait for the
+  /// result of a probe.
   void excludeTargets(const Unit &Work, std::vector<PlacementTarget> &Targets) {
     const bool Approvals = needsApproval(Work);
     const bool LeavesHeadroom = leavesHeadroom(Work, Targets);
@@ -421,6 +455,8 @@
           State_, Work, State_.Workers_.at(Target.Host_), Context_.Now_);
       Target.Excluded_ |= !Answer || Answer->Ticket_.empty();
     }
+    if (!ignoresReservation(Work))
+      excludeReserved(Reserved_, Work, Context_.Now_, Targets);
   }
 
   /// Makes resources available for \p Work by preempting less urgent work.
@@ -430,7 +466,8 @@
                   bool Limited = false) {
     std::vector<PlacementTarget> Targets = targetsOf(Work);
     for (const auto &[Id, Run] : State_.Runs_)
-      if (Run.State_ == RunState::Stopping)
+      if (Run.State_ == RunState::Stopping ||
+          (!Work.Guaranteed_ && endsBeforeStop(Run)))
         returnResources(Run, Work, Targets);
     if (reserveFreed(Work, Request, Targets))
       return true;
@@ -449,6 +486,9 @@
       for (const auto &[Worker, Freed] : Candidates[I].FreedResources_)
         Targets[Worker].Free_ += Freed;
     }
+    // Stopped runs end earlier than expected so far.
+    if (!Chosen.empty())
+      Rests_.reset();
     return !Chosen.empty() && reserveFreed(Work, Request, Targets);
   }
 
@@ -503,9 +543,36 @@
     return Candidates;
   }
 
-  /// Returns true for less urgent runs, and for runs that borrow what the
-  /// account of \p Work is guaranteed.
+  /// Returns the rest of a run as measured by its progress, where preemption
+  /// weighs it.
+  std::optional<core::Duration> measuredRest(const TaskRun &Run) {
+    if (!State_.Policy_.ReserveForGangs_)
+      return std::nullopt;
+    auto It = rests().find(&Run);
+    if (It == rests().end() || !It->second.Measured_)
+      return std::nullopt;
+    return It->second.Rest_;
+  }
+
+  /// Returns whether \p Run is expected to end before a stop would free its
+  /// resources.
+  bool endsBeforeStop(const TaskRun &Run) {
+    const auto Rest = measuredRest(Run);
+    return Rest && *Rest <= State_.Policy_.Departure_.StopTime_;
+  }
+
+  /// Returns whether \p Run ends so soon that a stop would mostly repeat work.
+  bool endsSoon(const TaskRun &Run) {
+    const auto Rest = measuredRest(Run);
+    return Rest && isNearlyDone(*Rest, Context_.Now_ - Run.OrderedAt_,
+                                State_.Policy_.Departure_.StopTime_);
+  }
+
+  /// Returns true for less urgent runs that do not end soon, and for runs that
+  /// borrow what the account of \p Work is guaranteed.
   bool mayStop(const TaskRun &Run, const Unit &Work) {
+    if (!Work.Guaranteed_ && endsSoon(Run))
+      return false;
     if (Run.Priority_ != Work.Priority_ || !Work.Guaranteed_)
       return Run.Priority_ > Work.Priority_;
     if (!WithinGuarantee_)
@@ -568,6 +635,9 @@
   Effects &Out_;
   /// Last unit that could not be placed.
   Unit LastUnplaced_;
+  UnplacedUnits Unplaced_;
+  GangReservations Reserved_;
+  std::optional<ExpectedRests> Rests_;
   /// Accounts whose urgent work is guaranteed, once it has been looked up.
   std::optional<std::set<std::string>> WithinGuarantee_;
   /// Workers with a probe whose result is open.
@@ -583,6 +653,14 @@
       Index_;
 };
 
+/// Records what the decision leaves waiting.
+void recordWaiting(Holder &State, const UnplacedUnits &Unplaced,
+                   const GangReservations &Reserved,
+                   const HolderContext &Context, Effects &Out) {
+  recordWaitingAccounts(State, Unplaced);
+  logReservations(State, Reserved, Context, Out);
+}
+
 } // namespace
 
 void schedule(Holder &State, const HolderContext &Context, Effects &Out) {
@@ -590,10 +668,12 @@
     return;
   const std::vector<Unit> Units = readyUnits(State, Context, Out.WakeAt_);
   if (Units.empty())
-    return;
+    return recordWaiting(State, {}, {}, Context, Out);
   Placer WorkPlacer(State, Context, Out);
   for (const Unit &Work : Units)
     WorkPlacer.placeUnit(Work);
+  recordWaiting(State, WorkPlacer.unplaced(), WorkPlacer.reserved(), Context,
+                Out);
 }
 
 } // namespace nutmegwell::cell
--- a/lib/cell/src/stall.cpp
+++ b/lib/cell/src/stall.cpp
@@ -1,7 +1,7 @@
 // Runs that make no progress.
 
 #include "nutmegwell/cell/stall.h"
-#include "holdersteps.h"
+#include "releases.h"
 #include <algorithm>
 
 namespace nutmegwell::cell {
@@ -32,15 +32,6 @@
          (1 << std::min(Evidence.EarlierStalls_, MaxDoublings));
 }
 
-std::optional<core::Duration> timePerPercent(const TaskRun &Run) {
-  const double Gained = Run.Percent_ - Run.FirstChangePercent_;
-  if (!Run.FirstChangeAt_ || Gained < 1)
-    return std::nullopt;
-  return core::Duration(static_cast<std::int64_t>(
-      static_cast<double>((Run.ProgressedAt_ - *Run.FirstChangeAt_).count()) /
-      Gained));
-}
-
 namespace {
 
 void addMember(RunProgress &Sum, const TaskRun &Run) {
--- a/lib/cell/src/vacate.cpp
+++ b/lib/cell/src/vacate.cpp
@@ -1,6 +1,7 @@
 // Stops runs that draining workers would take with them.
 
 #include "holdersteps.h"
+#include "releases.h"
 #include <algorithm>
 
 namespace nutmegwell::cell {
--- a/lib/site/include/nutmegwell/site/entry.h
+++ b/lib/site/include/nutmegwell/site/entry.h
@@ -302,6 +302,9 @@
   std::optional<cell::SpeedFigures> SpeedFigures_;
   /// New or changed decisions on units of draining workers, for the metrics.
   std::vector<cell::DepartureChoice> Departures_;
+  /// Usages of all accounts for the metrics, when they are due; empty once this
+  /// host no longer holds the cell.
+  std::optional<std::vector<cell::AccountUsage>> AccountUsages_;
   core::TimePoint WakeAt_ = core::TimePoint::max();
 };
 
--- a/lib/site/src/election.cpp
+++ b/lib/site/src/election.cpp
@@ -74,6 +74,7 @@
        {{"term", std::to_string(State.Holder_->Term_)}, {"reason", Reason}}});
   Out.SpeedFigures_ = cell::SpeedFigures();
   State.Holder_.reset();
+  Out.AccountUsages_.emplace();
   State.HolderWriter_.reset();
 }
 
--- a/lib/site/src/entry.cpp
+++ b/lib/site/src/entry.cpp
@@ -77,6 +77,8 @@
   Out.ApprovalRequest_ = std::move(Effects.ApprovalRequest_);
   if (Effects.SpeedFigures_)
     Out.SpeedFigures_ = Effects.SpeedFigures_;
+  if (Effects.AccountUsages_)
+    Out.AccountUsages_ = std::move(Effects.AccountUsages_);
   if (!Effects.Append_.empty())
     State.HolderAppendToken_ =
         queueAppend(State, Writer::Holder, Effects.Append_);
--- a/lib/site/src/writers.cpp
+++ b/lib/site/src/writers.cpp
@@ -74,6 +74,7 @@
         {"tenure_fenced", {{"term", std::to_string(State.FencedTerm_)}}});
     Out.SpeedFigures_ = cell::SpeedFigures();
     State.Holder_.reset();
+    Out.AccountUsages_.emplace();
     State.HolderWriter_.reset();
     return;
   }
--- a/lib/sitehost/src/entryrole.cpp
+++ b/lib/sitehost/src/entryrole.cpp
@@ -1,6 +1,7 @@
 #include "nutmegwell/sitehost/roles.h"
 #include "nutmegwell/wire/cellbinary.h"
 #include "roleprocess.h"
+#include "usagegauges.h"
 #include <cmath>
 #include <map>
 
@@ -152,6 +153,8 @@
                    "Decisions on the runs of draining workers",
                    {{"decision", cell::name(Choice)}})
           .add();
+    if (Out.AccountUsages_)
+      UsageGauges_.show(*Out.AccountUsages_);
     if (Out.Replies_.empty() && Out.Sends_.empty() && Out.SendsTo_.empty() &&
         Out.Appends_.empty() && Out.Reads_.empty() &&
         Out.NewestReads_.empty() && !Out.ApprovalRequest_)
@@ -308,6 +311,8 @@
   core::TimePoint StopRequestedAt_{};
   // The control thread's state; the traffic thread reads only its policy.
   site::EntryState State_;
+  // Used by the control thread only.
+  UsageGauges UsageGauges_{Process_.Metrics_};
   // Written by the control thread, read by the traffic thread.
   std::atomic<bool> Ready_{false};
   std::atomic<bool> Drained_{false};
