Add process tests of clients that exceed resource limits

A process ran out of memory because of clients that sent endless trailers or left many bodies incomplete. The tests in tests/limits start an entry host and an agent with the platform's stand-ins of the soak, a memory limit of 24 MB and 400 descriptors, and let 8 to 800 clients misuse one port. They check that the process lives, that its peak memory and its descriptors stay within the limits and that an ordinary request is answered while the clients are still connected. They check no times and no shares.

--- a/lib/sitehost/src/sitesettings.cpp
+++ b/lib/sitehost/src/sitesettings.cpp
@@ -59,6 +59,14 @@
              "factor by which a task takes longer on a rack without its data")
       .duration("stop-time", DefaultStopTime, milliseconds(1), minutes(1),
                 "longest time that a worker takes to stop a run")
+      .optionalCount("memory-limit", 16, 1048576,
+                     "memory that this process may use; not bounded by it when "
+                     "not set")
+      .unit("MB")
+      .optionalCount("descriptor-limit", 64, 1048576,
+                     "file descriptors that this process may use; not bounded "
+                     "by it when not set")
+      .unit("descriptors")
       .flag("learn-run-times", "learn the speed of workers and the run time of "
                                "tasks, and place work by them")
       .flag("fair-shares", "let accounts that have used less lately go first "
--- a/tests/e2e/process.h
+++ b/tests/e2e/process.h
@@ -30,6 +30,7 @@
   std::vector<std::string> lines();
 
   void signal(int Signal);
+  pid_t id() const { return Pid_; }
 
   /// Waits for the end. Returns the exit code, or minus the signal that ended
   /// the process.
--- /dev/null
+++ b/tests/limits/limitstest.cpp
@@ -0,0 +1,296 @@
+#include "crowd.h"
+#include "soakcluster.h"
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+using namespace nutmegwell;
+using namespace std::chrono_literals;
+using limits::ClientPlan;
+using limits::Crowd;
+
+namespace {
+
+/// Settings of the processes under test. They are a fifth of the smallest
+/// host's memory and a tenth of its descriptors, so that a small crowd is
+/// enough.
+constexpr std::size_t MemoryLimitMb = 24;
+constexpr std::size_t DescriptorLimit = 400;
+
+/// Limits of a single request, as published to callers.
+constexpr std::size_t MaxHeader = 16384;
+constexpr std::size_t MaxBody = 262144;
+
+/// What a process may use.
+constexpr std::size_t MemoryBound = MemoryLimitMb * 1000000;
+
+/// Connections whose bodies take twice the memory limit.
+constexpr std::size_t BodyCrowd = 2 * MemoryBound / MaxBody;
+/// Twice as many connections as descriptors.
+constexpr std::size_t ConnectionCrowd = 2 * DescriptorLimit;
+/// Few connections that together send four times the memory limit.
+constexpr std::size_t EndlessCrowd = 8;
+constexpr std::size_t EndlessSize = 4 * MemoryBound / EndlessCrowd;
+/// Bytes of the lines that an endless request consists of.
+constexpr std::size_t LineSize = 900;
+
+constexpr std::size_t EntryNode = 0;
+constexpr std::size_t AgentNode = 1;
+
+const std::string Chunked =
+    "POST /q0/00000000000000aa HTTP/1.1\r\nHost: site\r\nApi-Key: key\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n";
+
+ClientPlan plan(std::string Head, std::string Repeated, std::size_t Size) {
+  return {std::move(Head), std::move(Repeated), Size};
+}
+
+/// Numbers of a process from /proc.
+struct Usage {
+  bool Alive_ = false;
+  std::size_t PeakBytes_ = 0;
+  std::size_t Descriptors_ = 0;
+};
+
+Usage usageOf(pid_t Process) {
+  const std::string Folder = "/proc/" + std::to_string(Process);
+  Usage Result;
+  std::ifstream Status(Folder + "/status");
+  for (std::string Line; std::getline(Status, Line);) {
+    if (Line.rfind("State:", 0) == 0)
+      Result.Alive_ = Line.find('Z') == std::string::npos;
+    if (Line.rfind("VmHWM:", 0) == 0)
+      Result.PeakBytes_ = 1024 * std::stoul(Line.substr(6));
+  }
+  std::error_code Failure;
+  for (auto It = std::filesystem::directory_iterator(Folder + "/fd", Failure);
+       !Failure && It != std::filesystem::directory_iterator(); ++It)
+    ++Result.Descriptors_;
+  return Result;
+}
+
+net::HttpRequest submission() {
+  net::HttpRequest Request;
+  Request.Method_ = "POST";
+  Request.Path_ = "/q0/00000000000000bb";
+  Request.Headers_ = {{"Host", "site"},
+                      {"Api-Key", "key"},
+                      {"X-Nutmegwell-Deadline-Ms", "5000"}};
+  Request.Body_ =
+      R"({"task_spec":"1 100","steps":[{"count":1,"cpu":1000,"mem_mb":1000,)"
+      R"("gpu":1,"estimated_duration_ms":100}]})";
+  return Request;
+}
+
+/// A notice that the agent reads and answers, whatever it makes of it.
+net::HttpRequest notice() {
+  net::HttpRequest Request;
+  Request.Method_ = "PUT";
+  Request.Path_ = "/executors/other";
+  Request.Body_ = "{}";
+  return Request;
+}
+
+} // namespace
+
+/// Each case starts an entry host and an agent with low limits, lets a crowd of
+/// clients misuse a port of one of them, and checks that the process lives,
+/// that its memory and its descriptors stay below the limits, and that an
+/// ordinary request is answered while the crowd is still connected.
+class LimitsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LimitsTest);
+  CPPUNIT_TEST(trailersToEntry);
+  CPPUNIT_TEST(trailersToAgent);
+  CPPUNIT_TEST(extensionsToEntry);
+  CPPUNIT_TEST(extensionsToAgent);
+  CPPUNIT_TEST(largeChunksToEntry);
+  CPPUNIT_TEST(largeChunksToAgent);
+  CPPUNIT_TEST(byteChunksToEntry);
+  CPPUNIT_TEST(byteChunksToAgent);
+  CPPUNIT_TEST(shortBodiesToEntry);
+  CPPUNIT_TEST(shortBodiesToAgent);
+  CPPUNIT_TEST(shortHeadersToEntry);
+  CPPUNIT_TEST(shortHeadersToAgent);
+  CPPUNIT_TEST(unreadResponsesOfEntry);
+  CPPUNIT_TEST(unreadResponsesOfAgent);
+  CPPUNIT_TEST(silentClientsOfEntry);
+  CPPUNIT_TEST(silentClientsOfAgent);
+  CPPUNIT_TEST(announcedFramesToEntry);
+  CPPUNIT_TEST_SUITE_END();
+
+  std::unique_ptr<soak::SoakCluster> Cluster_;
+
+  net::Address portOf(std::size_t Node) const {
+    return Node == EntryNode ? Cluster_->callerAddress(EntryNode)
+                             : Cluster_->noticeAddress(AgentNode);
+  }
+
+  /// Returns the highest usage until it stays the same for a while: the kernel
+  /// buffers what the process has not read when the crowd has sent everything.
+  Usage settledUsage(std::size_t Node) const {
+    constexpr int MaxReadings = 60;
+    constexpr int EqualReadings = 5;
+    soak::InterruptibleWait Between;
+    Usage Highest = usageOf(Cluster_->processId(Node));
+    for (int I = 0, Equal = 0; I < MaxReadings && Equal < EqualReadings; ++I) {
+      Between.wait(100ms);
+      const Usage Now = usageOf(Cluster_->processId(Node));
+      const bool Higher = Now.PeakBytes_ > Highest.PeakBytes_ ||
+                          Now.Descriptors_ > Highest.Descriptors_;
+      Equal = Higher ? 0 : Equal + 1;
+      Highest.Alive_ = Now.Alive_;
+      Highest.PeakBytes_ = std::max(Highest.PeakBytes_, Now.PeakBytes_);
+      Highest.Descriptors_ = std::max(Highest.Descriptors_, Now.Descriptors_);
+    }
+    return Highest;
+  }
+
+  void check(std::size_t Node, const std::string &When) const {
+    const Usage Now = settledUsage(Node);
+    std::cout << " " << When << ": peak " << Now.PeakBytes_ / 1000 << " KB of "
+              << MemoryBound / 1000 << ", descriptors " << Now.Descriptors_
+              << " of " << DescriptorLimit;
+    CPPUNIT_ASSERT_MESSAGE("the process has ended " + When, Now.Alive_);
+    CPPUNIT_ASSERT_MESSAGE("too much memory " + When,
+                           Now.PeakBytes_ <= MemoryBound);
+    CPPUNIT_ASSERT_MESSAGE("too many descriptors " + When,
+                           Now.Descriptors_ <= DescriptorLimit);
+  }
+
+  void checkAnswers(std::size_t Node) const {
+    net::HttpClient Client(portOf(Node));
+    const auto Response =
+        Client.call(Node == EntryNode ? submission() : notice(), 10s);
+    CPPUNIT_ASSERT_MESSAGE(Response.ok() ? "" : Response.status().ToString(),
+                           Response.ok());
+    std::cout << " status " << Response->Status_;
+    if (Node == EntryNode)
+      CPPUNIT_ASSERT_EQUAL(200u, Response->Status_);
+    else
+      CPPUNIT_ASSERT(Response->Status_ < 500);
+  }
+
+  void withstands(std::size_t Node, const net::Address &Server,
+                  std::size_t Count, const ClientPlan &Plan) {
+    check(Node, "before the crowd");
+    Crowd Clients(Server, Count, Plan);
+    Clients.run();
+    std::cout << "; " << Count << " clients sent " << Clients.sentBytes() / 1000
+              << " KB, " << Clients.disconnected() << " cut,";
+    check(Node, "after the crowd");
+    checkAnswers(Node);
+    check(Node, "after the request");
+  }
+
+  void withstands(std::size_t Node, std::size_t Count, const ClientPlan &Plan) {
+    withstands(Node, portOf(Node), Count, Plan);
+  }
+
+  void trailers(std::size_t Node) {
+    withstands(Node, EndlessCrowd,
+               plan(Chunked + "1\r\nx\r\n0\r\n",
+                    "T: " + std::string(LineSize, 't') + "\r\n", EndlessSize));
+  }
+
+  /// One extension without an end to a chunk, the form that is kept whole.
+  void extensions(std::size_t Node) {
+    withstands(
+        Node, EndlessCrowd,
+        plan(Chunked + "1", ";e=" + std::string(LineSize, 'e'), EndlessSize));
+  }
+
+  void largeChunks(std::size_t Node) {
+    const std::string Head = Chunked + "3ffff\r\n";
+    withstands(
+        Node, BodyCrowd,
+        plan(Head, std::string(LineSize, 'x'), Head.size() + MaxBody - 2));
+  }
+
+  /// Half of the other bodies' number, since each byte takes six on the wire.
+  void byteChunks(std::size_t Node) {
+    constexpr std::size_t ChunkSize = 6;
+    withstands(Node, BodyCrowd / 2,
+               plan(Chunked, "1\r\nx\r\n",
+                    Chunked.size() + ChunkSize * (MaxBody - 1)));
+  }
+
+  void shortBodies(std::size_t Node) {
+    const std::string Head =
+        "POST /q0/00000000000000aa HTTP/1.1\r\nHost: site\r\nContent-Length: " +
+        std::to_string(MaxBody) + "\r\n\r\n";
+    withstands(
+        Node, BodyCrowd,
+        plan(Head, std::string(LineSize, 'x'), Head.size() + MaxBody - 1));
+  }
+
+  /// Header lines of a few bytes, which cost most for their size.
+  void shortHeaders(std::size_t Node) {
+    withstands(Node, ConnectionCrowd,
+               plan("GET /q0/00000000000000aa HTTP/1.1\r\n", "a:b\r\n",
+                    MaxHeader - 100));
+  }
+
+  /// Pipelined requests for the largest response that the process has, more
+  /// than the socket buffers take.
+  void unreadResponses(std::size_t Node) {
+    withstands(Node, Cluster_->metricsAddress(Node), ConnectionCrowd,
+               plan("", "GET /metrics HTTP/1.1\r\nHost: site\r\n\r\n", 100000));
+  }
+
+  void silentClients(std::size_t Node) {
+    withstands(Node, ConnectionCrowd, ClientPlan());
+  }
+
+public:
+  void setUp() override {
+    Cluster_ = std::make_unique<soak::SoakCluster>(
+        1, 1, 1,
+        std::vector<std::string>{
+            "--memory-limit=" + std::to_string(MemoryLimitMb),
+            "--descriptor-limit=" + std::to_string(DescriptorLimit),
+            "--log-level=warning"});
+    CPPUNIT_ASSERT(Cluster_->waitReady(30s));
+  }
+
+  void tearDown() override { Cluster_.reset(); }
+
+  /// Guards against trailers that were stored without any limit: 8 connections
+  /// took a process to 209 MB.
+  void trailersToEntry() { trailers(EntryNode); }
+  void trailersToAgent() { trailers(AgentNode); }
+
+  /// Guards against chunk extensions that were buffered without any limit.
+  void extensionsToEntry() { extensions(EntryNode); }
+  void extensionsToAgent() { extensions(AgentNode); }
+
+  /// Guards against bodies that are each within their limit and together exceed
+  /// the memory: 700 took a process to 171 MB.
+  void largeChunksToEntry() { largeChunks(EntryNode); }
+  void largeChunksToAgent() { largeChunks(AgentNode); }
+  void byteChunksToEntry() { byteChunks(EntryNode); }
+  void byteChunksToAgent() { byteChunks(AgentNode); }
+  void shortBodiesToEntry() { shortBodies(EntryNode); }
+  void shortBodiesToAgent() { shortBodies(AgentNode); }
+
+  /// Guards against connections that hold a part of a header each.
+  void shortHeadersToEntry() { shortHeaders(EntryNode); }
+  void shortHeadersToAgent() { shortHeaders(AgentNode); }
+
+  /// Guards against connections that stay open because a response is not read.
+  void unreadResponsesOfEntry() { unreadResponses(EntryNode); }
+  void unreadResponsesOfAgent() { unreadResponses(AgentNode); }
+
+  /// Guards against connections that use up the descriptors.
+  void silentClientsOfEntry() { silentClients(EntryNode); }
+  void silentClientsOfAgent() { silentClients(AgentNode); }
+
+  /// Guards against frames whose announced length was allocated at once.
+  void announcedFramesToEntry() {
+    withstands(EntryNode, Cluster_->peersAddress(EntryNode), EndlessCrowd,
+               plan(std::string("\x00\x7f\xff\xff", 4), "x", 1000));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LimitsTest);
--- a/tests/soak/soakcluster.cpp
+++ b/tests/soak/soakcluster.cpp
@@ -23,8 +23,10 @@
   return {"127.0.0.1", net::reserveTcpPort()};
 }
 
-SoakCluster::SoakCluster(int EntryCount, int WorkerCount, std::uint64_t Seed)
-    : EntryCount_(static_cast<std::size_t>(EntryCount)) {
+SoakCluster::SoakCluster(int EntryCount, int WorkerCount, std::uint64_t Seed,
+                         std::vector<std::string> ExtraArguments)
+    : EntryCount_(static_cast<std::size_t>(EntryCount)),
+      ExtraArguments_(std::move(ExtraArguments)) {
   Store_ = std::make_unique<PlatformStore>(Loop_, reserveAddress());
   Store_->publish("config", Tables);
   for (int I = 0; I < EntryCount; ++I)
@@ -48,6 +50,8 @@
   const net::Address Peers = reserveAddress();
   ClusterNode.CallerAddress_ = reserveAddress();
   ClusterNode.ReadinessAddress_ = reserveAddress();
+  ClusterNode.PeersAddress_ = Peers;
+  ClusterNode.MetricsAddress_ = reserveAddress();
   ClusterNode.Proxy_ = std::make_unique<TcpProxy>(Peers);
   const net::Address Public{"127.0.0.1", ClusterNode.Proxy_->port()};
   SeedAddresses_ += (SeedAddresses_.empty() ? "" : ",") + addressText(Public);
@@ -60,6 +64,7 @@
       "--peers-listen=" + addressText(Peers),
       "--peers-address=" + addressText(Public),
       "--store-address=127.0.0.1:" + std::to_string(Store_->port()),
+      "--metrics-listen=" + addressText(ClusterNode.MetricsAddress_),
       "--max-hold=3s"};
   Nodes_.push_back(std::move(ClusterNode));
 }
@@ -68,6 +73,8 @@
   Node ClusterNode;
   const net::Address Agent = reserveAddress();
   const net::Address Worker = reserveAddress();
+  ClusterNode.NoticeAddress_ = Agent;
+  ClusterNode.MetricsAddress_ = reserveAddress();
   const std::string Domain = Index % 2 == 0 ? "a" : "b";
   Workers_.push_back(std::make_unique<PlatformWorker>(
       Loop_, Worker, Agent, "worker" + std::to_string(Index), Domain, History_,
@@ -77,6 +84,8 @@
                             "--domain=" + Domain,
                             "--worker-listen=" + addressText(Agent),
                             "--worker-address=" + addressText(Worker),
+                            "--metrics-listen=" +
+                                addressText(ClusterNode.MetricsAddress_),
                             "--max-hold=3s"};
   Nodes_.push_back(std::move(ClusterNode));
 }
@@ -87,6 +96,8 @@
     return;
   std::vector<std::string> Arguments = Target.Arguments_;
   Arguments.push_back("--seeds=" + SeedAddresses_);
+  Arguments.insert(Arguments.end(), ExtraArguments_.begin(),
+                   ExtraArguments_.end());
   Target.Process_ = std::make_unique<e2e::Process>(DAEMON_PROGRAM, Arguments);
 }
 
--- a/tests/soak/soakcluster.h
+++ b/tests/soak/soakcluster.h
@@ -37,7 +37,9 @@
 /// platform's store and workers in this process.
 class SoakCluster {
 public:
-  SoakCluster(int EntryCount, int WorkerCount, std::uint64_t Seed);
+  /// \p ExtraArguments are added to the arguments of every process.
+  SoakCluster(int EntryCount, int WorkerCount, std::uint64_t Seed,
+              std::vector<std::string> ExtraArguments = {});
   ~SoakCluster();
 
   /// Waits until the readiness endpoint of every entry host returns 200.
@@ -52,6 +54,23 @@
   net::Address callerAddress(std::size_t Entry) const {
     return Nodes_[Entry].CallerAddress_;
   }
+  /// Returns the address at which an entry host serves peers and agents,
+  /// without the proxy.
+  net::Address peersAddress(std::size_t Entry) const {
+    return Nodes_[Entry].PeersAddress_;
+  }
+  /// Returns the address at which the worker of agent node \p Node announces
+  /// itself.
+  net::Address noticeAddress(std::size_t Node) const {
+    return Nodes_[Node].NoticeAddress_;
+  }
+  net::Address metricsAddress(std::size_t Node) const {
+    return Nodes_[Node].MetricsAddress_;
+  }
+  /// Returns the process of a running node.
+  pid_t processId(std::size_t Node) const {
+    return Nodes_[Node].Process_->id();
+  }
 
   void kill(std::size_t Node);
   void stop(std::size_t Node);
@@ -77,6 +96,9 @@
     std::vector<std::string> Arguments_;
     net::Address CallerAddress_;
     net::Address ReadinessAddress_;
+    net::Address PeersAddress_;
+    net::Address NoticeAddress_;
+    net::Address MetricsAddress_;
     std::unique_ptr<TcpProxy> Proxy_;
     std::unique_ptr<e2e::Process> Process_;
     std::vector<std::string> EarlierLines_;
@@ -88,6 +110,7 @@
   void endProcess(Node &Target, int Signal);
 
   std::size_t EntryCount_;
+  std::vector<std::string> ExtraArguments_;
   aio::Loop Loop_;
   HistoryRecorder History_;
   std::unique_ptr<PlatformStore> Store_;
