--- a/lib/aio/tests/aiotest.cpp
+++ b/lib/aio/tests/aiotest.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(slowRequestIsClosed);
   CPPUNIT_TEST(silentConnectionsMakeRoom);
   CPPUNIT_TEST(serversShareTheirGuard);
+  CPPUNIT_TEST(crowdWithinTheLimitsIsServed);
   CPPUNIT_TEST(endlessResponseTrailersAreRefused);
   CPPUNIT_TEST(endlessResponseExtensionsAreRefused);
   CPPUNIT_TEST(silentLinksMakeRoom);
@@ -397,6 +398,60 @@
     close(Socket);
   }
 
+  /// Guards against limits that clients within the published ones notice: 600
+  /// connections, 30 of them with the largest body, that are idle between
+  /// two requests each, on the limits of the smallest host.
+  void crowdWithinTheLimitsIsServed() {
+    constexpr int Count = 600;
+    InputLimits Bounds;
+    Bounds.MaxBytes_ = 16000000;
+    Bounds.MaxConnections_ = 3384;
+    auto Server = serve(echo, {}, guardWith(Bounds));
+    std::vector<int> Sockets;
+    for (int I = 0; I < Count; ++I)
+      Sockets.push_back(connectTo(Server->port()));
+    for (int Round = 0; Round < 2; ++Round) {
+      const auto BodySize = [](int I) { return I % 20 == 0 ? 262144 : 100; };
+      std::vector<std::string> Rest;
+      for (int I = 0; I < Count; ++I) {
+        const std::string Request =
+            "POST /a HTTP/1.1\r\nContent-Length: " +
+            std::to_string(BodySize(I)) + "\r\n\r\n" +
+            std::string(static_cast<std::size_t>(BodySize(I)), 'x');
+        const std::size_t Half = Request.size() / 2;
+        sendAll(Sockets[I], Request.substr(0, Half));
+        Rest.push_back(Request.substr(Half));
+      }
+      for (int I = 0; I < Count; ++I)
+        sendAll(Sockets[I], Rest[I]);
+      for (int I = 0; I < Count; ++I) {
+        std::string Response;
+        char Buffer[16384];
+        while (Response.size() < static_cast<std::size_t>(BodySize(I))) {
+          const ssize_t Size = recv(Sockets[I], Buffer, sizeof(Buffer), 0);
+          CPPUNIT_ASSERT(Size > 0);
+          Response.append(Buffer, static_cast<std::size_t>(Size));
+        }
+        CPPUNIT_ASSERT_EQUAL(200u, statusOf(Response));
+        // The rest of the response, up to the end of the echoed body.
+        const std::size_t Body = Response.find("\r\n\r\n") + 4;
+        const std::size_t Expected = Body + std::string("POST/a").size() +
+                                     static_cast<std::size_t>(BodySize(I));
+        while (Response.size() < Expected) {
+          const ssize_t Size = recv(Sockets[I], Buffer, sizeof(Buffer), 0);
+          CPPUNIT_ASSERT(Size > 0);
+          Response.append(Buffer, static_cast<std::size_t>(Size));
+        }
+      }
+    }
+    onLoop([&] {
+      CPPUNIT_ASSERT(Refusals_.empty());
+      return 0;
+    });
+    for (int Socket : Sockets)
+      close(Socket);
+  }
+
   /// Guards against a server whose response exhausts the memory of its client.
   void endlessResponseTrailersAreRefused() {
     const absl::Status Result = callEndless(
