Bound the bodies that the cxxtools server holds together

Each body was bounded, but 256 of them were not bounded together. The server of the role entry counts the body bytes of all requests; while they exceed 64 MB, a body of more than 4,096 bytes is read and discarded, and its request refused with 503 as not run. The bytes are released with the request, also when its connection ends early. The library offers no bound on idle connections.

--- a/lib/daemon/src/entryrole.cpp
+++ b/lib/daemon/src/entryrole.cpp
@@ -112,6 +112,7 @@
 net::HttpLimits httpLimits(const settings::Settings &Values) {
   net::HttpLimits Limits;
   Limits.MaxBody_ = static_cast<std::size_t>(Values.count("max-body"));
+  Limits.MaxBodies_ = std::max(Limits.MaxBodies_, Limits.MaxBody_);
   Limits.MaxThreads_ = static_cast<unsigned>(Values.count("max-connections"));
   return Limits;
 }
--- a/lib/net/include/nutmegwell/net/http.h
+++ b/lib/net/include/nutmegwell/net/http.h
@@ -41,6 +41,11 @@
 /// Limits of an HTTP server.
 struct HttpLimits {
   std::size_t MaxBody_ = 1 << 20;
+  /// Maximum number of body bytes of all requests that are being received or
+  /// handled. While they are exceeded, requests with more than SmallBody_ bytes
+  /// are refused with 503 as not run.
+  std::size_t MaxBodies_ = 64 << 20;
+  std::size_t SmallBody_ = 4096;
   /// Maximum number of requests handled concurrently; each uses a thread.
   unsigned MaxThreads_ = 256;
   /// Timeout for receiving a request.
--- a/lib/net/src/httpserver.cpp
+++ b/lib/net/src/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "nutmegwell/net/http.h"
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <cxxtools/eventloop.h>
 #include <cxxtools/http/reply.h>
@@ -42,6 +43,9 @@
 class HandlerResponder : public cxxtools::http::Responder {
 public:
   explicit HandlerResponder(HandlerService &Owner);
+  HandlerResponder(const HandlerResponder &) = delete;
+  HandlerResponder &operator=(const HandlerResponder &) = delete;
+  ~HandlerResponder() override;
   void beginRequest(cxxtools::net::TcpSocket &Socket, std::istream &In,
                     cxxtools::http::Request &Request) override;
   std::size_t readBody(std::istream &In) override;
@@ -51,7 +55,11 @@
 private:
   HandlerService &Owner_;
   cxxtools::http::Request *Request_ = nullptr;
+  void store(char C);
+
   std::size_t BodySize_ = 0;
+  std::size_t StoredSize_ = 0;
+  bool Refused_ = false;
 };
 
 /// Creates a responder per request and records when the last request began.
@@ -76,6 +84,8 @@
 
   const HttpLimits Limits_;
   const HttpHandler Handler_;
+  /// Body bytes that all responders have stored.
+  std::atomic<std::size_t> StoredBytes_{0};
 
 protected:
   cxxtools::http::Responder *
@@ -99,6 +109,22 @@
 HandlerResponder::HandlerResponder(HandlerService &Owner)
     : cxxtools::http::Responder(Owner), Owner_(Owner) {}
 
+HandlerResponder::~HandlerResponder() { Owner_.StoredBytes_ -= StoredSize_; }
+
+/// Stores a byte of the body unless a limit is reached. Addresses many large
+/// bodies that stop short of their end.
+void HandlerResponder::store(char C) {
+  const HttpLimits &Limits = Owner_.Limits_;
+  if (BodySize_ > Limits.MaxBody_)
+    return;
+  if (BodySize_ > Limits.SmallBody_ && Owner_.StoredBytes_ >= Limits.MaxBodies_)
+    Refused_ = true;
+  if (Refused_)
+    return;
+  Request_->body().put(C);
+  ++StoredSize_;
+}
+
 void HandlerResponder::beginRequest(cxxtools::net::TcpSocket &Socket,
                                     std::istream &In,
                                     cxxtools::http::Request &Request) {
@@ -109,16 +135,17 @@
 
 std::size_t HandlerResponder::readBody(std::istream &In) {
   std::size_t Read = 0;
+  const std::size_t StoredBefore = StoredSize_;
   std::streambuf *Buffer = In.rdbuf();
   while (Buffer->in_avail() > 0) {
     char C = static_cast<char>(Buffer->sbumpc());
     ++Read;
-    // The rest of a body above MaxBody_ is read and discarded, so that the
-    // sender can read the response. The read timeout limits how long that
-    // takes.
-    if (++BodySize_ <= Owner_.Limits_.MaxBody_)
-      Request_->body().put(C);
+    // The rest of a refused body is read and discarded, so that the sender can
+    // read the response. The read timeout limits how long that takes.
+    ++BodySize_;
+    store(C);
   }
+  Owner_.StoredBytes_ += StoredSize_ - StoredBefore;
   return Read;
 }
 
@@ -130,6 +157,10 @@
     Response.Status_ = 413;
     Response.Body_ = R"({"code":"body_too_large","outcome":"not_run",)"
                      R"("step":"read","peer":"","message":"body too large"})";
+  } else if (Refused_) {
+    Response.Status_ = 503;
+    Response.Body_ = R"({"code":"busy","outcome":"not_run","step":"read",)"
+                     R"("peer":"","message":"too many large bodies"})";
   } else {
     Response = Owner_.Handler_(toHttpRequest(Request));
   }
--- a/lib/net/tests/httptest.cpp
+++ b/lib/net/tests/httptest.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST_SUITE(HttpTest);
   CPPUNIT_TEST(handlerReceivesWholeRequest);
   CPPUNIT_TEST(oversizedBodyIsRejected);
+  CPPUNIT_TEST(manyLargeBodiesAreRefused);
   CPPUNIT_TEST(refusedConnectionIsConnectError);
   CPPUNIT_TEST(connectTimeoutIsConnectError);
   CPPUNIT_TEST(timeoutAfterConnectIsExchangeError);
@@ -75,6 +76,46 @@
     CPPUNIT_ASSERT_EQUAL(413u, Response->Status_);
   }
 
+  /// Guards against bodies that are each within their limit and together
+  /// exhaust the memory, and against bytes that stay counted after their
+  /// connection.
+  void manyLargeBodiesAreRefused() {
+    constexpr std::size_t Size = 10000;
+    net::HttpLimits Limits;
+    Limits.MaxBodies_ = 2 * Size;
+    net::HttpServer Server(Address_, Limits, [](const net::HttpRequest &) {
+      return net::HttpResponse();
+    });
+    net::HttpClient Client(Address_);
+    const auto StatusOf = [&](std::size_t BodySize) {
+      const auto Response = Client.call(post(std::string(BodySize, 'x')), 5s);
+      return Response.ok() ? Response->Status_ : 0;
+    };
+    // Waits for a status, since the server reads other connections in parallel.
+    const auto Becomes = [&](unsigned Status) {
+      for (int I = 0; I < 100; ++I) {
+        if (StatusOf(Size) == Status)
+          return true;
+        std::this_thread::sleep_for(50ms);
+      }
+      return false;
+    };
+    {
+      std::vector<std::unique_ptr<cxxtools::net::TcpSocket>> Connections;
+      const std::string Incomplete =
+          "POST /a HTTP/1.1\r\nContent-Length: 10001\r\n\r\n" +
+          std::string(Size, 'x');
+      for (int I = 0; I < 3; ++I) {
+        Connections.push_back(std::make_unique<cxxtools::net::TcpSocket>());
+        Connections.back()->connect(Address_.Ip_, Address_.Port_);
+        Connections.back()->write(Incomplete.data(), Incomplete.size());
+      }
+      CPPUNIT_ASSERT(Becomes(503));
+      CPPUNIT_ASSERT_EQUAL(200u, StatusOf(1000));
+    }
+    CPPUNIT_ASSERT(Becomes(200));
+  }
+
   /// Guards against reporting that a request may have run when the server
   /// refused the connection.
   void refusedConnectionIsConnectError() {
