Let clients with incomplete bodies take part in the soak

Crowds of 40 clients, whose bodies stop short and together exceed the input budget of 8 MB, connect to one entry host after the other during the load and the other faults.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,3 +1,4 @@
+#include "crowd.h"
 #include "nutmegwell/history/rules.h"
 #include "soakcluster.h"
 #include <algorithm>
@@ -18,6 +19,8 @@
 constexpr int EntryCount = 3;
 constexpr int WorkerCount = 4;
 constexpr auto LoadDuration = 10s;
+/// The input budget of a process is an eighth of it, 8 MB.
+constexpr int MemoryLimitMb = 64;
 /// Twice the time in which 3 s leases and a 6 s tenure expire and a new holder
 /// takes over.
 constexpr auto JobsEndTimeout = 30s;
@@ -66,18 +69,21 @@
 public:
   Soak(std::uint64_t Seed, bool Verbose)
       : Seed_(Seed), Verbose_(Verbose),
-        Cluster_(EntryCount, WorkerCount, Seed) {}
+        Cluster_(EntryCount, WorkerCount, Seed,
+                 {"--memory-limit=" + std::to_string(MemoryLimitMb)}) {}
 
   /// Returns a message for each violation; empty if the run passed.
   std::vector<std::string> run() {
     if (!Cluster_.waitReady(20s))
       return {"the entry hosts did not become ready before the load"};
     std::thread Faults([this] { injectFaults(); });
+    std::thread Misuse([this] { sendIncompleteBodies(); });
     std::thread Callers([this] { submitJobs(); });
     Callers.join();
     LoadEnded_ = true;
     Pause_.interrupt();
     Faults.join();
+    Misuse.join();
     recover();
     queryJobs();
     check();
@@ -137,6 +143,26 @@
     Jobs_[Job] = View;
   }
 
+  /// Lets crowds of clients, one after the other, send bodies that stop short
+  /// and together exceed the input budget of an entry host.
+  void sendIncompleteBodies() {
+    std::mt19937_64 Random(Seed_ * 104729 + 1);
+    constexpr std::size_t BodySize = 262144;
+    constexpr std::size_t ClientCount = 40;
+    limits::ClientPlan Plan;
+    Plan.Head_ = "POST /q0/00000000000000aa HTTP/1.1\r\nHost: site\r\n"
+                 "Api-Key: key\r\nContent-Length: " +
+                 std::to_string(BodySize) + "\r\n\r\n";
+    Plan.Repeated_ = std::string(1000, 'x');
+    Plan.Size_ = Plan.Head_.size() + BodySize - 1;
+    while (!LoadEnded_) {
+      limits::Crowd Clients(Cluster_.callerAddress(Random() % EntryCount),
+                            ClientCount, Plan);
+      Clients.run();
+      Pause_.wait(std::chrono::milliseconds(500));
+    }
+  }
+
   void injectFaults() {
     std::mt19937_64 Random(Seed_ * 7919 + 1);
     while (!LoadEnded_) {
