--- a/bench/replay/main.cpp
+++ b/bench/replay/main.cpp
@@ -74,9 +74,10 @@
          Result.Threads_ > 0;
 }
 
+using NamedPolicies = std::vector<std::pair<std::string, cell::HolderPolicy>>;
+
 /// Returns the policies to compare, the product's own first.
-std::vector<std::pair<std::string, cell::HolderPolicy>>
-policies(const Day &Table) {
+NamedPolicies policies() {
   cell::HolderPolicy Own;
   cell::HolderPolicy Lost = Own;
   Lost.WorstPreemptingStatus_ = cell::ObjectiveStatus::Expired;
@@ -94,15 +95,6 @@
   Both.FairShares_ = true;
   cell::HolderPolicy None = Own;
   None.ChooseVictims_ = chooseNoVictims;
-  // On a day on which workers leave, only their handling is compared.
-  if (std::any_of(Table.Troubles_.begin(), Table.Troubles_.end(),
-                  [](const WorkerTrouble &Each) {
-                    return Each.Kind_ == WorkerFault::Leave;
-                  })) {
-    cell::HolderPolicy Vacating = Own;
-    Vacating.Departure_.Enabled_ = true;
-    return {{"vacating", Vacating}, {"no_vacating", Own}};
-  }
   return {{"policy", Own},
           {"lost_preempts", Lost},
           {"near_first", Near},
@@ -113,6 +105,22 @@
           {"no_preemption", None}};
 }
 
+/// Returns the policies to compare on a day. On one on which workers leave,
+/// only their handling is compared.
+NamedPolicies policiesFor(const Day &Table) {
+  const bool WorkersLeave =
+      std::any_of(Table.Troubles_.begin(), Table.Troubles_.end(),
+                  [](const WorkerTrouble &Each) {
+                    return Each.Kind_ == WorkerFault::Leave;
+                  });
+  if (!WorkersLeave)
+    return policies();
+  const cell::HolderPolicy Own;
+  cell::HolderPolicy Vacating = Own;
+  Vacating.Departure_.Enabled_ = true;
+  return {{"vacating", Vacating}, {"no_vacating", Own}};
+}
+
 /// Plays the day once for each seed, some seeds at a time.
 std::vector<DayResult> playDays(const Day &Table, const Options &Chosen,
                                 const cell::HolderPolicy &Policy) {
@@ -143,7 +151,7 @@
     return false;
   }
   std::vector<NamedSummary> Rows;
-  auto Policies = policies(Table);
+  auto Policies = policiesFor(Table);
   if (Chosen.PolicyOnly_)
     Policies.resize(1);
   for (const auto &[Name, Policy] : Policies) {
