Anchor speeds by workers without restored speeds only

Change: only workers that were not restored determine the median. The test of a gang's run time sets exact speeds, since the progress that it reports now refines them (1.2147 in place of 1.2); its bound stays.

--- a/lib/cell/tests/expectationstest.cpp
+++ b/lib/cell/tests/expectationstest.cpp
@@ -89,9 +89,9 @@
   void gangCountsOnceByItsSlowestMember() {
     FakeCell Cell;
     startLearning(Cell, 3);
-    expect::restoreSpeed(Cell.Holder_.Speeds_, "w0", {1.6, 0.1});
-    expect::restoreSpeed(Cell.Holder_.Speeds_, "w1", {0.6, 0.1});
-    expect::restoreSpeed(Cell.Holder_.Speeds_, "w2", {1.6, 0.1});
+    expect::restoreSpeed(Cell.Holder_.Speeds_, "w0", {1.6, 0.001});
+    expect::restoreSpeed(Cell.Holder_.Speeds_, "w1", {0.6, 0.001});
+    expect::restoreSpeed(Cell.Holder_.Speeds_, "w2", {1.6, 0.001});
     Cell.acceptJob(
         "g", jobs::JobSpecBuilder().step(3, Each_, 2s).gang(true).build());
     Cell.advance();
--- a/lib/expect/include/nutmegwell/expect/speeds.h
+++ b/lib/expect/include/nutmegwell/expect/speeds.h
@@ -66,6 +66,8 @@
   struct Entry {
     /// Steps in the order of their first sample.
     std::vector<StepRuns> Steps_;
+    /// The starting point was restored, relative to the ordinary speed then.
+    bool Restored_ = false;
     double PriorLogSpeed_ = 0;
     double PriorVariance_ = 0;
     double LogSpeed_ = 0;
--- a/lib/expect/src/speeds.cpp
+++ b/lib/expect/src/speeds.cpp
@@ -95,16 +95,19 @@
 
   /// Shifts all estimates so that the median worker has speed 1: samples tell
   /// only differences, and a wrong starting point of one worker would shift the
-  /// others. With few workers the median is uncertain and counts less.
+  /// others. With few workers the median is uncertain and counts less. Restored
+  /// speeds were relative to the whole service and do not count.
   void anchor() {
     constexpr double WorkersForHalf = 4;
     std::vector<double> Speeds;
     for (const auto &[Name, Known] : Model_.Workers_)
-      Speeds.push_back(Known.LogSpeed_);
+      if (!Known.Restored_)
+        Speeds.push_back(Known.LogSpeed_);
     if (Speeds.empty())
       return;
     const auto Count = static_cast<double>(Speeds.size());
-    const double Shift = medianOf(Speeds) * Count / (Count + WorkersForHalf);
+    const double Shift =
+        medianOf(std::move(Speeds)) * Count / (Count + WorkersForHalf);
     for (auto &[Name, Known] : Model_.Workers_)
       Known.LogSpeed_ -= Shift;
   }
@@ -187,6 +190,7 @@
       !std::isfinite(Known.LogError_) || Known.LogError_ <= 0)
     return;
   Entry &Restored = entryOf(Model, Worker);
+  Restored.Restored_ = true;
   Restored.PriorLogSpeed_ = Restored.LogSpeed_ = std::log(Known.Speed_);
   Restored.PriorVariance_ = Restored.Variance_ =
       Known.LogError_ * Known.LogError_;
