Use learned run times only where declared times prove wrong

Change: estimates replace declared times in a queue once eight or more finished tasks show a root mean square error of 0.5 in ln(declared time).

--- a/lib/cell/src/expectations.cpp
+++ b/lib/cell/src/expectations.cpp
@@ -160,6 +160,9 @@
                                const jobs::StepSpec &Step) {
   if (!State.Policy_.LearnRunTimes_ || Step.LongRunning_ || Step.BestEffort_)
     return Step.Estimate_;
+  if (Step.Estimate_ > core::Duration(0) &&
+      !expect::declaredTimesAreWrong(State.RunTimes_, Job.Queue_))
+    return Step.Estimate_;
   return expect::expectedWork(State.RunTimes_, {Job.Queue_, Job.Account_},
                               Step.Estimate_)
       .Median_;
--- a/lib/cell/src/holdersteps.h
+++ b/lib/cell/src/holdersteps.h
@@ -86,7 +86,7 @@
 
 /// Returns how long a task of \p Step is expected to take on a worker of
 /// ordinary speed near its data: the declared time, unless run times are
-/// learned.
+/// learned and the declared times of the queue have proved wrong.
 core::Duration expectedRunTime(const Holder &State,
                                const jobs::JobAccepted &Job,
                                const jobs::StepSpec &Step);
--- a/lib/expect/include/nutmegwell/expect/runtimes.h
+++ b/lib/expect/include/nutmegwell/expect/runtimes.h
@@ -26,6 +26,11 @@
   /// if they were this far, because a few tasks take several times as long as
   /// their siblings.
   double MaxResidual_ = 2.5;
+  /// Root mean square error of ln(declared time) from which the declared times
+  /// of a queue count as wrong, a factor of 1.6, and the weight of the samples
+  /// that have to show it.
+  double WrongDeclaredError_ = 0.5;
+  double MinWrongWeight_ = 8;
   /// Classes that are kept; beyond that, samples count for their queue only.
   /// Also the number of queues that are kept.
   std::size_t MaxClasses_ = 4096;
@@ -85,4 +90,12 @@
 ExpectedWork expectedWork(const RunTimeModel &Model, const TaskClass &Class,
                           core::Duration Declared);
 
+/// Returns true when finished tasks of a queue have shown that its declared
+/// times are wrong.
+///
+/// Load pattern: queues whose callers declare their times well, beside others
+/// whose times are off by up to 1.9 either way. Estimates replace only the
+/// latter.
+bool declaredTimesAreWrong(const RunTimeModel &Model, const std::string &Queue);
+
 } // namespace nutmegwell::expect
--- a/lib/expect/src/runtimes.cpp
+++ b/lib/expect/src/runtimes.cpp
@@ -144,4 +144,17 @@
           Queue->second.Work_.Weight_};
 }
 
+bool declaredTimesAreWrong(const RunTimeModel &Model,
+                           const std::string &Queue) {
+  const auto Known = Model.Queues_.find(Queue);
+  if (Known == Model.Queues_.end())
+    return false;
+  const LogMoments &Error = Known->second.DeclaredError_;
+  if (Error.Weight_ < Model.Policy_.MinWrongWeight_)
+    return false;
+  const double MeanSquare =
+      Error.Mean_ * Error.Mean_ + Error.SquaredDeviation_ / Error.Weight_;
+  return std::sqrt(MeanSquare) >= Model.Policy_.WrongDeclaredError_;
+}
+
 } // namespace nutmegwell::expect
--- a/lib/expect/tests/runtimestest.cpp
+++ b/lib/expect/tests/runtimestest.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(invalidInputChangesNothing);
   CPPUNIT_TEST(stateIsBounded);
   CPPUNIT_TEST(everyEstimateIsUsable);
+  CPPUNIT_TEST(declaredTimesProveWrong);
   CPPUNIT_TEST_SUITE_END();
 
   const TaskClass Class_{"q0", "acme"};
@@ -225,5 +226,22 @@
             RC_ASSERT(Known.Work_.Weight_ <= Model.Policy_.MaxWeight_ + 1);
         }));
   }
+
+  /// Guards against estimates that replace declared times which are right, or
+  /// that replace wrong ones by what a few tasks have shown.
+  void declaredTimesProveWrong() {
+    std::normal_distribution<double> Small(0, 0.2);
+    std::normal_distribution<double> Large(0, 0.8);
+    for (const bool Wrong : {false, true}) {
+      RunTimeModel Model;
+      for (int I = 0; I < 40; ++I) {
+        const double Error = Wrong ? Large(Random_) : Small(Random_);
+        recordWork(Model, Class_, seconds(2 * std::exp(Error)), 2s);
+        CPPUNIT_ASSERT(I >= 7 || !declaredTimesAreWrong(Model, Class_.Queue_));
+      }
+      CPPUNIT_ASSERT_EQUAL(Wrong, declaredTimesAreWrong(Model, Class_.Queue_));
+    }
+    CPPUNIT_ASSERT(!declaredTimesAreWrong(RunTimeModel(), Class_.Queue_));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RunTimesTest);
