Serve bodies in chunks of any size

Cause: the framing of chunks counted against the header limit, so that a request inside the published limits, such as 4,000 bytes in chunks of one byte, was refused with 431; and a request of less than 1,024 bytes that took longer than 3 s was closed, although 5 s are allowed. Change: only extensions, padded sizes and trailers count beside the header; the minimum rate is 64 bytes a second.

--- a/lib/aio/include/nutmegwell/aio/inputbudget.h
+++ b/lib/aio/include/nutmegwell/aio/inputbudget.h
@@ -23,7 +23,7 @@
   std::size_t MaxConnections_ = 2048;
   /// Rate in bytes a second at which a request has to arrive once RateGrace_ is
   /// over.
-  std::size_t MinBytesPerSecond_ = 1024;
+  std::size_t MinBytesPerSecond_ = 64;
   core::Duration RateGrace_ = std::chrono::seconds(3);
 };
 
--- a/lib/aio/src/httpserver.cpp
+++ b/lib/aio/src/httpserver.cpp
@@ -114,7 +114,8 @@
         static_cast<std::uint32_t>(Server_->Limits_.MaxHeader_));
     Parser_->body_limit(Server_->Limits_.MaxBody_);
     Parser_->eager(true);
-    Consumed_ = 0;
+    Parser_->on_chunk_header(OnChunkHeader_);
+    Consumed_ = Framing_ = 0;
     if (Buffer_.size() > 0) {
       Stream_.expires_after(Server_->Limits_.ReadTimeout_);
       return parse();
@@ -149,8 +150,20 @@
         });
   }
 
+  /// Counts the framing that a chunk needs: the digits of its size, and the
+  /// ends of lines after these and after the data.
+  void onChunkHeader(std::uint64_t Size) {
+    constexpr std::size_t LineEnds = 4;
+    std::size_t Digits = 1;
+    while (Size >>= 4)
+      ++Digits;
+    Framing_ += Digits + LineEnds;
+  }
+
   /// Parses what has arrived. The parser limits a header and a body, but
-  /// neither the sum of chunk headers and extensions nor trailers.
+  /// neither extensions and padded sizes of chunks nor trailers. The framing
+  /// that chunks need does not count, so that a body may come in chunks of any
+  /// size.
   void parse() {
     Error Failure;
     std::size_t Used = 1;
@@ -163,14 +176,17 @@
       return onMalformed(Failure);
     const std::size_t Unparsed = Parser_->is_done() ? 0 : Buffer_.size();
     const auto &Message = Parser_->get();
-    const std::size_t Overhead = Consumed_ + Unparsed - Message.body().size();
+    const std::size_t Needed = Message.body().size() + Framing_;
+    const std::size_t Arrived = Consumed_ + Unparsed;
+    // The data of a chunk arrives after its header.
+    const std::size_t Overhead = Arrived > Needed ? Arrived - Needed : 0;
     if (Overhead > Server_->Limits_.MaxHeader_)
       return reject(InputRefusal::Header);
     if (Parser_->is_done())
       return handle();
     const auto Fields =
         static_cast<std::size_t>(std::distance(Message.begin(), Message.end()));
-    Server_->Guard_->input(Id_, Consumed_ + Unparsed,
+    Server_->Guard_->input(Id_, Arrived,
                            Buffer_.capacity() + Message.body().capacity() +
                                Overhead + Fields * FieldSize);
     if (!Closed_)
@@ -299,8 +315,14 @@
   InputId Id_ = 0;
   beast::flat_buffer Buffer_;
   std::optional<Parser> Parser_;
-  /// Bytes of the current request that the parser has taken.
+  /// Bytes of the current request that the parser has taken, and those among
+  /// them that frame its chunks.
   std::size_t Consumed_ = 0;
+  std::size_t Framing_ = 0;
+  std::function<void(std::uint64_t, boost::string_view, Error &)>
+      OnChunkHeader_ = [this](std::uint64_t Size, boost::string_view, Error &) {
+        onChunkHeader(Size);
+      };
   http::response<http::string_body> Message_;
   bool KeepAlive_ = true;
   bool Rejected_ = false;
--- a/lib/aio/tests/inputbudgettest.cpp
+++ b/lib/aio/tests/inputbudgettest.cpp
@@ -137,6 +137,7 @@
 
   void slowRequestsAreNamedInTime() {
     InputBudget Budget = budgetOf(100000);
+    Budget.Limits_.MinBytesPerSecond_ = 1024;
     onConnected(Budget, 1, "peer", at(0ms));
     core::TimePoint Wake;
     CPPUNIT_ASSERT(slowInputs(Budget, at(1h), Wake).empty());
