Move the speed that units need out of schedule.cpp

Change: unitspeed.cpp holds these decisions as free functions; a service's speeds are looked at once in a decision. Two times in aio get names. No decision changes.

--- a/lib/aio/src/inputbudget.cpp
+++ b/lib/aio/src/inputbudget.cpp
@@ -35,11 +35,11 @@
   Target.Received_ = 0;
 }
 
-/// Bytes held multiplied by the time for which they are held. The time counts
-/// from 1 ms, so that of connections of the same age the largest comes first.
+/// Bytes held multiplied by the time for which they are held. A minimum time
+/// lets the largest of several new connections come first.
 double holding(const Entry &Candidate, core::TimePoint Now) {
-  const std::chrono::duration<double> Age =
-      Now - Candidate.Since_ + std::chrono::milliseconds(1);
+  constexpr auto MinAge = std::chrono::milliseconds(1);
+  const std::chrono::duration<double> Age = Now - Candidate.Since_ + MinAge;
   return static_cast<double>(Candidate.Held_) * Age.count();
 }
 
--- a/lib/aio/src/loopimpl.h
+++ b/lib/aio/src/loopimpl.h
@@ -32,7 +32,8 @@
 /// again, while no descriptor is free.
 template <typename Function>
 void retryLater(boost::asio::steady_timer &Timer, Function Accept) {
-  Timer.expires_after(std::chrono::milliseconds(100));
+  constexpr auto AcceptPause = std::chrono::milliseconds(100);
+  Timer.expires_after(AcceptPause);
   Timer.async_wait(
       [Accept = std::move(Accept)](const boost::system::error_code &Failure) {
         if (!Failure)
--- a/lib/cell/include/nutmegwell/cell/placement.h
+++ b/lib/cell/include/nutmegwell/cell/placement.h
@@ -85,4 +85,7 @@
 bool rackExists(const std::vector<PlacementTarget> &Targets,
                 const std::string &Rack);
 
+/// Returns the share of the accelerators of \p Targets that is free.
+double freeShare(const std::vector<PlacementTarget> &Targets);
+
 } // namespace nutmegwell::cell
--- a/lib/cell/src/placement.cpp
+++ b/lib/cell/src/placement.cpp
@@ -184,4 +184,14 @@
   return std::nullopt;
 }
 
+double freeShare(const std::vector<PlacementTarget> &Targets) {
+  std::int64_t Free = 0;
+  std::int64_t Total = 0;
+  for (const PlacementTarget &Target : Targets) {
+    Free += Target.Free_.Accelerators_;
+    Total += Target.Capacity_.Accelerators_;
+  }
+  return Total > 0 ? static_cast<double>(Free) / static_cast<double>(Total) : 1;
+}
+
 } // namespace nutmegwell::cell
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -1,8 +1,8 @@
 #include "accountorder.h"
 #include "gangreservations.h"
 #include "nutmegwell/cell/preempt.h"
-#include "nutmegwell/cell/speedneed.h"
 #include "releases.h"
+#include "unitspeed.h"
 #include <algorithm>
 
 namespace nutmegwell::cell {
@@ -33,10 +33,6 @@
   return Sum;
 }
 
-/// Share of a service's accelerators that must be free for work to try workers
-/// of unknown speed, since it then spreads over more workers than it needs.
-constexpr double MinFreeShareForTrials = 0.5;
-
 /// Collects the free resources of the usable workers by service, and places
 /// units on them.
 class Placer {
@@ -58,13 +54,16 @@
       return;
     PlacementRequest Request = requestFor(Work);
     countSameStep(Work, targetsOf(Work));
-    const SpeedNeed Need = speedNeedOf(Work);
+    const SpeedNeed Need =
+        speedNeedOf(State_, Context_, Work, speedsOf(Work), targetsOf(Work));
     if (Need.ExcludesWorkers_ && placeOnFastEnough(Work, Request, Need))
       return;
     excludeTargets(Work, targetsOf(Work));
     Request.AllowRemote_ = allowRemote(Work, targetsOf(Work));
-    Request.Speed_ = Need.ExcludesWorkers_ ? SpeedPreference::Fast
-                                           : preferredSpeed(Work, Need);
+    Request.Speed_ =
+        Need.ExcludesWorkers_
+            ? SpeedPreference::Fast
+            : preferredSpeed(Work, Need, speedsOf(Work), targetsOf(Work));
     if (startOrPreempt(Work, Request))
       return;
     if (Work.Guaranteed_ && !Request.AllowRemote_ &&
@@ -85,44 +84,13 @@
   const GangReservations &reserved() const { return Reserved_; }
 
 private:
-  /// Speed that a unit needs of its workers.
-  struct SpeedNeed {
-    /// Speed with which the unit meets its objective when it starts now, and
-    /// when it first waits for the stop of other work.
-    double Now_ = 0;
-    double AfterStop_ = 0;
-    /// Some workers of the service are too slow for the unit, and some are not.
-    bool ExcludesWorkers_ = false;
-  };
-
-  SpeedNeed speedNeedOf(const Unit &Work) {
-    SpeedNeed Need;
-    const std::vector<PlacementTarget> &Targets = targetsOf(Work);
-    if (!State_.Policy_.LearnRunTimes_ || Work.spec().LongRunning_ ||
-        !speedsDiffer(Targets))
-      return Need;
-    Need.Now_ = speedFor(Work, Work.Slack_);
-    Need.AfterStop_ =
-        speedFor(Work, Work.Slack_ - State_.Policy_.Departure_.StopTime_);
-    const auto Slow = std::count_if(Targets.begin(), Targets.end(),
-                                    [&](const PlacementTarget &Worker) {
-                                      return isTooSlow(Worker, Need.Now_);
-                                    });
-    Need.ExcludesWorkers_ =
-        Slow > 0 && Slow < static_cast<std::ptrdiff_t>(Targets.size());
-    return Need;
-  }
-
-  /// Returns the speed with which \p Work meets its objective with \p Slack, or
-  /// 0 when none does. The declared time may be far too short, so that the
-  /// speed is at least the one that long work of the queue needs.
-  double speedFor(const Unit &Work, core::Duration Slack) const {
-    const double Speed = requiredSpeed(
-        expectedRunTime(State_, Work.Job_->Accepted_, Work.spec()), Slack);
-    const jobs::Queue *Queue =
-        Context_.Tables_.queue(Work.Job_->Accepted_.Queue_);
-    return Speed > 0 && Queue ? std::max(Speed, demandedSpeed(Queue->Stretch_))
-                              : Speed;
+  const ServiceSpeeds &speedsOf(const Unit &Work) {
+    const std::string &Service = Work.Job_->Accepted_.Service_;
+    auto [It, Added] = Speeds_.try_emplace(Service);
+    if (Added)
+      It->second = serviceSpeeds(State_.Policy_, Context_.Tables_, Service,
+                                 targetsOf(Work));
+    return It->second;
   }
 
   /// Places \p Work on workers that are fast enough for its objective, or
@@ -138,7 +106,7 @@
     excludeTargets(Work, Targets);
     excludeSlower(Targets, Need.Now_);
     Request.AllowRemote_ = allowRemote(Work, Targets);
-    Request.Speed_ = preferredSpeed(Work, Need);
+    Request.Speed_ = preferredSpeed(Work, Need, speedsOf(Work), Targets);
     if (auto Chosen = cell::placeTasks(Request, Targets)) {
       startUnit(Work, Targets, *Chosen);
       return true;
@@ -152,52 +120,6 @@
     return preemptFor(Work, Request, /*Limited=*/true);
   }
 
-  static void excludeSlower(std::vector<PlacementTarget> &Targets,
-                            double Speed) {
-    for (PlacementTarget &Target : Targets)
-      Target.Excluded_ |= isTooSlow(Target, Speed);
-  }
-
-  /// Work that is not urgent goes to slow workers, so that the others stay
-  /// free, and makes the speed of untried workers known while the service is
-  /// not busy.
-  SpeedPreference preferredSpeed(const Unit &Work, const SpeedNeed &Need) {
-    const std::vector<PlacementTarget> &Targets = targetsOf(Work);
-    if (!State_.Policy_.LearnRunTimes_ || Work.spec().LongRunning_ ||
-        !speedsDiffer(Targets))
-      return SpeedPreference::None;
-    if (Work.Priority_ == 0)
-      return SpeedPreference::Sampled;
-    const bool EndsInTimeAnywhere =
-        Need.Now_ < demandedSpeedOf(Work.Job_->Accepted_.Service_);
-    if (EndsInTimeAnywhere && !Work.spec().Gang_ &&
-        freeShare(Targets) >= MinFreeShareForTrials)
-      return SpeedPreference::UntriedThenSlow;
-    return SpeedPreference::Slow;
-  }
-
-  /// Returns the speed that the service's most demanding queue needs.
-  double demandedSpeedOf(const std::string &Service) {
-    auto [It, Added] = DemandedSpeeds_.try_emplace(Service, 0);
-    if (Added)
-      for (const jobs::Queue &Queue : Context_.Tables_.Queues_)
-        if (Queue.Service_ == Service)
-          It->second = std::max(It->second, demandedSpeed(Queue.Stretch_));
-    return It->second;
-  }
-
-  /// Returns the share of the accelerators that is free.
-  static double freeShare(const std::vector<PlacementTarget> &Targets) {
-    std::int64_t Free = 0;
-    std::int64_t Total = 0;
-    for (const PlacementTarget &Target : Targets) {
-      Free += Target.Free_.Accelerators_;
-      Total += Target.Capacity_.Accelerators_;
-    }
-    return Total > 0 ? static_cast<double>(Free) / static_cast<double>(Total)
-                     : 1;
-  }
-
   /// Returns true for tasks of one step, and for copies of one run.
   static bool isAlike(const Unit &A, const Unit &B) {
     return A.Job_ == B.Job_ && A.Occurrence_ == B.Occurrence_ &&
@@ -286,7 +208,7 @@
     Request.Count_ = Work.Count_;
     if (Work.spec().SameRack_ && Work.Count_ == 1)
       Request.PreferredRack_ = rackOfSiblings(Work);
-    Request.DemandedSpeed_ = demandedSpeedOf(Work.Job_->Accepted_.Service_);
+    Request.DemandedSpeed_ = speedsOf(Work).Demanded_;
     return Request;
   }
 
@@ -642,8 +564,8 @@
   std::optional<std::set<std::string>> WithinGuarantee_;
   /// Workers with a probe whose result is open.
   std::set<std::string> ProbedHosts_;
-  /// Results of demandedSpeedOf, by service.
-  std::map<std::string, double> DemandedSpeeds_;
+  /// Results of speedsOf, by service.
+  std::map<std::string, ServiceSpeeds> Speeds_;
   /// Racks on which less urgent work leaves headroom, by service.
   std::map<std::string, std::set<std::string>> HeadroomRacks_;
   /// Mean declared work of the jobs of a queue, by queue.
