--- a/review/testbed/executor.cpp
+++ b/review/testbed/executor.cpp
@@ -21,6 +21,8 @@
 }
 
 Milliseconds lengthOf(const std::string &Spec, const std::string &Task) {
+  if (Spec.empty())
+    return Milliseconds(0);
   std::size_t At = 0;
   long Length = std::stol(Spec, &At);
   if (At < Spec.size() && Spec[At] == '+')
