--- a/review/testbed/executor.cpp
+++ b/review/testbed/executor.cpp
@@ -74,23 +74,92 @@
 
 std::optional<Response> Executor::handle(const Request &Message) {
   std::unique_lock<std::mutex> Lock(Mutex_);
+  if (Down_)
+    return std::nullopt;
   const std::string Expected = Message.header("x-nutmegwell-expected-instance");
   if (!Expected.empty() && Expected != Settings_.Id_)
     return jsonResponse(421, basics());
   const Json Body = Json::parse(Message.Body_, nullptr, false);
   if (!Body.is_object())
     return jsonResponse(400, basics());
+  if (delaysStart(Message, Body))
+    return std::nullopt;
+  if (Message.Path_ != "/hold")
+    return carryOut(Message.Path_, Body);
+  const Response Answer = hold(Body, Lock);
+  return Down_ ? std::nullopt : std::optional<Response>(Answer);
+}
+
+bool Executor::delaysStart(const Request &Message, const Json &Body) {
+  if (Message.Path_ != "/run-start" || DelayEach_ == 0 ||
+      ++StartOrders_ % DelayEach_ != 0)
+    return false;
+  const auto Delay = Milliseconds(2000 + Random_() % 10000);
+  Delayed_.push_back({Clock::now() + Delay, Body});
+  Record_.add(Settings_.Id_ + ": leaves the start of " +
+              Body.at("task").get<std::string>() + " run " +
+              std::to_string(Body.at("run").get<std::uint64_t>()) +
+              " unanswered for " + std::to_string(Delay.count()) + " ms");
+  return true;
+}
+
+void Executor::carryOutDelayed() {
+  for (auto It = Delayed_.begin(); It != Delayed_.end();) {
+    if (Clock::now() < It->Due_) {
+      ++It;
+      continue;
+    }
+    const Response Answer = carryOut("/run-start", It->Body_);
+    Record_.add(Settings_.Id_ + ": carries out the late start of " +
+                It->Body_.at("task").get<std::string>() + ": " +
+                std::to_string(Answer.Status_) + " " + Answer.Body_);
+    It = Delayed_.erase(It);
+  }
+}
+
+Response Executor::carryOut(const std::string &Path, const Json &Body) {
   const auto Fence = Body.value("fencing_token", std::uint64_t(0));
   if (Fence < Fence_)
     return refuse("fence");
   Fence_ = Fence;
-  if (Message.Path_ == "/run-start")
+  if (Path == "/run-start")
     return start(Body);
-  if (Message.Path_ == "/run-stop")
+  if (Path == "/run-stop")
     return stop(Body);
-  if (Message.Path_ == "/hold")
-    return hold(Body, Lock);
-  return jsonResponse(Message.Path_ == "/pace" ? 200 : 404, basics());
+  return jsonResponse(Path == "/pace" ? 200 : 404, basics());
+}
+
+void Executor::delayStarts(unsigned Each) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  DelayEach_ = Each;
+}
+
+void Executor::crash() {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  Down_ = true;
+  for (const auto &[Key, Active] : Runs_)
+    Ledger_.ended(Key.first, Key.second, "lost with its executor");
+  Record_.add(Settings_.Id_ + ": crashes with " + std::to_string(Runs_.size()) +
+              " runs");
+  Runs_.clear();
+  Ends_.clear();
+  HighestEnded_.clear();
+  Ended_.notify_all();
+}
+
+void Executor::startAgain() {
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Fence_ = 0;
+    LeaseUntil_ = 0;
+    NextEnd_ = 1;
+    BeganAt_ = Clock::now();
+    Born_ = unixMilliseconds();
+    Sequence_ = 0;
+    Down_ = false;
+    Record_.add(Settings_.Id_ + ": started again");
+  }
+  sendHeartbeat(heartbeat(++Sequence_));
 }
 
 void Executor::extendLease(const Json &Body) {
@@ -127,6 +196,10 @@
 }
 
 Response Executor::hold(const Json &Body, std::unique_lock<std::mutex> &Lock) {
+  const auto Fence = Body.value("fencing_token", std::uint64_t(0));
+  if (Fence < Fence_)
+    return refuse("fence");
+  Fence_ = Fence;
   extendLease(Body);
   const auto LastSeen = Body.value("last_seen", std::uint64_t(0));
   while (!Ends_.empty() && Ends_.front().Number_ <= LastSeen) {
@@ -134,7 +207,7 @@
     Ends_.pop_front();
   }
   Ended_.wait_for(Lock, Milliseconds(Body.value("wait_ms", 0)),
-                  [this] { return !Ends_.empty() || Closing_; });
+                  [this] { return !Ends_.empty() || Closing_ || Down_; });
   Json Answer = basics();
   Answer["running"] = Json::array();
   Answer["ended"] = Json::array();
@@ -169,6 +242,9 @@
   while (!Closing_) {
     std::this_thread::sleep_for(WatchInterval);
     std::lock_guard<std::mutex> Lock(Mutex_);
+    if (Down_)
+      continue;
+    carryOutDelayed();
     std::vector<std::pair<RunKey, std::string>> Ending;
     const bool Lapsed = clock() > LeaseUntil_;
     for (const auto &[Key, Active] : Runs_)
@@ -220,7 +296,8 @@
 
 void Executor::announce() {
   while (!Closing_) {
-    sendHeartbeat(heartbeat(++Sequence_));
+    if (!Down_)
+      sendHeartbeat(heartbeat(++Sequence_));
     for (Milliseconds Waited(0);
          Waited < Settings_.HeartbeatInterval_ && !Closing_;
          Waited += Milliseconds(50))
--- a/review/testbed/executor.h
+++ b/review/testbed/executor.h
@@ -5,6 +5,7 @@
 #include <condition_variable>
 #include <deque>
 #include <nlohmann/json.hpp>
+#include <random>
 
 namespace testbed {
 
@@ -36,6 +37,14 @@
   /// Sends the agent a heartbeat for this executor as another writer may: the
   /// fields of its capacity are missing, and it counts on its own.
   void announceAsAnotherWriter();
+  /// Leaves one in \p Each start orders unanswered from now on, and carries it
+  /// out 2 to 12 s later, also after a restart; 0 ends that for new orders.
+  void delayStarts(unsigned Each);
+  /// Ends the process with all that it runs and knows. Nothing is answered
+  /// until startAgain().
+  void crash();
+  /// Starts the next process under the same id.
+  void startAgain();
   std::size_t runningCount();
 
 private:
@@ -52,7 +61,15 @@
     std::string How_;
   };
 
+  struct DelayedStart {
+    Clock::time_point Due_{};
+    Json Body_;
+  };
+
   std::optional<Response> handle(const Request &Message);
+  bool delaysStart(const Request &Message, const Json &Body);
+  void carryOutDelayed();
+  Response carryOut(const std::string &Path, const Json &Body);
   Response start(const Json &Body);
   Response stop(const Json &Body);
   Response hold(const Json &Body, std::unique_lock<std::mutex> &Lock);
@@ -79,6 +96,11 @@
   std::map<std::string, std::uint64_t> HighestEnded_;
   std::deque<End> Ends_;
   std::uint64_t NextEnd_ = 1;
+  unsigned DelayEach_ = 0;
+  unsigned StartOrders_ = 0;
+  std::mt19937 Random_;
+  std::vector<DelayedStart> Delayed_;
+  std::atomic<bool> Down_{false};
   std::atomic<int> ControlPort_{0};
   std::atomic<long> Sequence_{0};
   std::atomic<bool> Closing_{false};
