Keep tasks whose ends a worker has yet to list

Cause: a worker lists its 500 oldest ends until they are acknowledged, which waits for their records. The decoder, the agent and the holder took the list for complete, so that the holder dropped each run that was in no list and placed its task again. A new holder took the first report of a worker for complete in the same way.

Change: the codec tells whether a list of ends may be partial, and the report carries it. A run that is missing from a report with partial ends keeps its task from starting again and holds no resources until its end is listed or a complete report lacks it. A new holder waits for a complete report of each listed worker, or for the end of its leases.

Rolling restart: the condition shares the byte of WorkerReachable_. A holder of the version before reads it as reachable; an agent of the version before never sets it. Until both are replaced, the fault remains as it was.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -114,7 +114,10 @@
   Ordered,
   Running,
   /// A stop order was sent; the run still holds its resources.
-  Stopping
+  Stopping,
+  /// The worker does not run it any more and has yet to list how it ended. The
+  /// run holds no resources, and its task does not start again.
+  EndUnlisted
 };
 
 /// A run that exists or may exist on a worker.
@@ -168,7 +171,7 @@
   std::string Host_;
   bool Connected_ = false;
   core::TimePoint ConnectedAt_{};
-  /// The worker has adopted this term, so that its lists are complete.
+  /// The worker has adopted this term, so that its lists show all that runs.
   bool Synced_ = false;
   /// The worker responds to its agent.
   bool Reachable_ = true;
@@ -234,7 +237,8 @@
   Gone
 };
 
-/// A listed worker that has not yet reported under this holder's term.
+/// A listed worker that has not yet reported all of its runs and ends under
+/// this holder's term.
 struct UnsyncedWorker {
   /// No task that an earlier holder started runs on the worker after this time.
   core::TimePoint RunsEndBy_{};
@@ -296,7 +300,8 @@
   TaskRunMap Runs_;
   std::map<std::string, Worker> Workers_;
   std::map<std::string, LiveJob> Jobs_;
-  /// Listed workers that may still run tasks of an earlier holder, by host.
+  /// Listed workers that may still run tasks of an earlier holder, or may have
+  /// ended some without having listed it, by host.
   std::map<std::string, UnsyncedWorker> UnsyncedWorkers_;
 
   /// Use by accounts, by service; empty unless the policy has FairShares_. A
--- a/lib/cell/include/nutmegwell/cell/messages.h
+++ b/lib/cell/include/nutmegwell/cell/messages.h
@@ -94,7 +94,8 @@
   RefusalKind Kind_ = RefusalKind::Invalid;
 };
 
-/// State of a worker as its agent knows it. Each report is complete.
+/// State of a worker as its agent knows it. Each report is complete, except for
+/// the ends of a worker that lists only some of them.
 struct AgentReport {
   std::string Host_;
   core::Incarnation AgentIncarnation_ = 0;
@@ -114,6 +115,9 @@
   std::uint64_t ProcessedOrders_ = 0;
   std::vector<RunningTask> Running_;
   std::vector<EndedTask> Ended_;
+  /// False while the worker may have ends that it does not list yet. A run that
+  /// no list contains may then have ended in any way.
+  bool EndsComplete_ = true;
   /// Starts whose outcome is not known yet. Without a worker, those that its
   /// next process may still carry out.
   std::vector<RunId> Pending_;
--- a/lib/cell/src/expectations.cpp
+++ b/lib/cell/src/expectations.cpp
@@ -67,8 +67,8 @@
                const std::vector<const TaskRun *> &RunsOfStep,
                core::TimePoint Now) {
   return Run.FromStart_ && Run.State_ != RunState::Stopping &&
-         !Run.BestEffort_ && !Run.LongRunning_ &&
-         !ranRemotely(State, Step, Run, RunsOfStep) &&
+         Run.State_ != RunState::EndUnlisted && !Run.BestEffort_ &&
+         !Run.LongRunning_ && !ranRemotely(State, Step, Run, RunsOfStep) &&
          !wasPaused(State.Policy_, Run, Now);
 }
 
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -218,6 +218,15 @@
   Run.FirstChangePercent_ = Percent;
 }
 
+/// Gives a run that is listed again the resources of its step.
+void restoreResources(TaskRun &Run, const jobs::View &View) {
+  auto Job = View.Jobs_.find(Run.Id_.Task_.Job_);
+  if (Job != View.Jobs_.end() &&
+      Run.Id_.Task_.Step_ < Job->second.Accepted_.Spec_.Steps_.size())
+    Run.Resources_ = requiredResources(
+        Job->second.Accepted_.Spec_.Steps_[Run.Id_.Task_.Step_]);
+}
+
 void applyRunning(Holder &State, Worker &Host, const AgentReport &Report,
                   const HolderContext &Context, Effects &Out) {
   Host.HasOrphanRun_ = false;
@@ -231,7 +240,10 @@
     if (auto Job = State.Jobs_.find(Task.Id_.Task_.Job_);
         Job != State.Jobs_.end())
       noteTaskStarted(State, Job->first, Job->second);
-    if (Run.State_ == RunState::Ordered) {
+    if (Run.State_ == RunState::EndUnlisted)
+      restoreResources(Run, Context.View_);
+    if (Run.State_ == RunState::Ordered ||
+        Run.State_ == RunState::EndUnlisted) {
       Run.State_ = RunState::Running;
       Run.ProgressedAt_ = Run.ListedAt_ = Context.Now_;
       Run.Percent_ = Run.ListedPercent_ = Task.Percent_;
@@ -280,17 +292,47 @@
   return Row->second.Closed_ ? Listing::Closed : Listing::Open;
 }
 
-/// Drops the runs that are certainly not on the worker.
+/// Returns the refused starts whose runs have certainly never begun. One that a
+/// later run has superseded may have ended before.
+std::set<RunId> neverBegun(const AgentReport &Report) {
+  std::set<RunId> Runs;
+  for (const RefusedStart &Refusal : Report.Refused_)
+    if (Refusal.Kind_ != RefusalKind::SupersededRun)
+      Runs.insert(Refusal.Id_);
+  return Runs;
+}
+
+/// Keeps a run that the worker does not run any more until its end is listed.
+void awaitEnd(TaskRun &Run, Effects &Out) {
+  if (Run.State_ == RunState::EndUnlisted)
+    return;
+  Run.State_ = RunState::EndUnlisted;
+  Run.Resources_ = {};
+  Out.LogEvents_.push_back({"run_end_unlisted",
+                            {{"task", toString(Run.Id_.Task_)},
+                             {"run", std::to_string(Run.Id_.Run_)},
+                             {"host", Run.Host_}}});
+}
+
+/// Drops the runs that are certainly not on the worker. While the worker lists
+/// only some of its ends, a run that is missing may have completed its task, so
+/// that only starts which the worker has refused are dropped.
 void dropMissing(Holder &State, const Worker &Host, const AgentReport &Report,
                  core::TimePoint Now, Effects &Out) {
   if (Now < Host.UncertainUntil_)
     return;
   const std::set<RunId> Reported = reportedRuns(Report);
+  const std::set<RunId> NeverBegun = neverBegun(Report);
   std::vector<RunId> Missing;
-  for (const auto &[Id, Run] : State.Runs_)
-    if (Run.Host_ == Host.Host_ &&
-        Run.OrderSequence_ <= Report.ProcessedOrders_ && !Reported.count(Id))
+  for (auto &[Id, Run] : State.Runs_) {
+    if (Run.Host_ != Host.Host_ ||
+        Run.OrderSequence_ > Report.ProcessedOrders_ || Reported.count(Id))
+      continue;
+    if (Report.EndsComplete_ || NeverBegun.count(Id))
       Missing.push_back(Id);
+    else
+      awaitEnd(Run, Out);
+  }
   for (const RunId &Id : Missing) {
     auto It = State.Runs_.find(Id);
     if (It != State.Runs_.end())
@@ -435,7 +477,6 @@
     Host.Synced_ = true;
     // An earlier holder may have granted a lease until just now.
     Host.LeaseEnds_ = leaseBound(State.Policy_, Context.Now_);
-    State.UnsyncedWorkers_.erase(Host.Host_);
     // A worker that was recorded as gone is listed again before its next start,
     // even while that record is in flight.
     const Listing Newest = newestListing(State, Host.Host_, Context.View_);
@@ -454,6 +495,9 @@
   applyRefusals(State, Host, Report, Context.Now_, Out);
   applyRunning(State, Host, Report, Context, Out);
   handleEnds(State, Host, Report, Context, Out);
+  // The ends that are not listed yet may be of tasks that seem to wait.
+  if (Report.EndsComplete_)
+    State.UnsyncedWorkers_.erase(Host.Host_);
   dropMissing(State, Host, Report, Context.Now_, Out);
 }
 
--- a/lib/cell/src/orders.cpp
+++ b/lib/cell/src/orders.cpp
@@ -9,7 +9,7 @@
 
 void stopRun(Holder &State, TaskRun &Run, const std::string &Reason,
              core::TimePoint Now, Effects &Out) {
-  if (Run.State_ == RunState::Stopping)
+  if (Run.State_ == RunState::Stopping || Run.State_ == RunState::EndUnlisted)
     return;
   Run.State_ = RunState::Stopping;
   Run.StopSentAt_ = Now;
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -242,7 +242,8 @@
       return;
     for (auto It = firstOfStep(Work); sameStep(It, Work); ++It)
       for (PlacementTarget &Target : Targets)
-        Target.StepTaskCount_ += Target.Host_ == It->second.Host_;
+        Target.StepTaskCount_ += Target.Host_ == It->second.Host_ &&
+                                 It->second.State_ != RunState::EndUnlisted;
   }
 
   bool allowRemote(const Unit &Work,
@@ -442,7 +443,8 @@
     std::vector<Victim> Candidates;
     for (const auto &[Id, Run] : State_.Runs_) {
       auto It = Index_.find(Run.Host_);
-      if (Run.State_ == RunState::Stopping || Run.LongRunning_ ||
+      if (Run.State_ == RunState::Stopping ||
+          Run.State_ == RunState::EndUnlisted || Run.LongRunning_ ||
           It == Index_.end() || It->second.first != &targetsOf(Work) ||
           !mayStop(Run, Work))
         continue;
--- a/lib/cell/src/vacate.cpp
+++ b/lib/cell/src/vacate.cpp
@@ -93,7 +93,8 @@
   Result.Unit_.LongRunning_ = Run.LongRunning_;
   for (const RunId &Id : Result.Members_) {
     const TaskRun &Member = State.Runs_.at(Id);
-    if (Member.State_ == RunState::Stopping || isSuperseded(State, Member))
+    if (Member.State_ == RunState::Stopping ||
+        Member.State_ == RunState::EndUnlisted || isSuperseded(State, Member))
       return std::nullopt;
     const auto Left = timeUntilDeparture(State, State.Workers_.at(Member.Host_),
                                          Context.Now_);
--- a/lib/cell/src/workers.cpp
+++ b/lib/cell/src/workers.cpp
@@ -78,6 +78,11 @@
   }
   std::vector<std::string> Expired;
   for (const auto &[Name, Unsynced] : State.UnsyncedWorkers_) {
+    // The leases of a worker that reports under this term are extended. Its
+    // ends count until it has listed them or its own lease has expired.
+    auto Host = State.Workers_.find(Name);
+    if (Host != State.Workers_.end() && Host->second.Synced_)
+      continue;
     if (isExpired(State, Unsynced.RunsEndBy_, Context.Now_))
       Expired.push_back(Name);
     else if (Context.Now_ < Unsynced.RunsEndBy_)
--- a/lib/cell/tests/fakecell.cpp
+++ b/lib/cell/tests/fakecell.cpp
@@ -67,7 +67,11 @@
   Effects Out;
   for (auto &[Host, Report] : Agents_) {
     ++Report.Sequence_;
-    onReport(Holder_, Report, context(), Out);
+    AgentReport Listed = Report;
+    Listed.EndsComplete_ = Report.Ended_.size() < MaxListedEnds_;
+    if (!Listed.EndsComplete_)
+      Listed.Ended_.resize(MaxListedEnds_);
+    onReport(Holder_, Listed, context(), Out);
     Report.Refused_.clear();
   }
   if (TenureConfirmed_)
--- a/lib/cell/tests/fakecell.h
+++ b/lib/cell/tests/fakecell.h
@@ -30,6 +30,8 @@
   std::vector<DepartureChoice> Departures_;
   /// Open request to the approval service.
   std::optional<ApprovalRequest> ApprovalRequest_;
+  /// Maximum number of ends that a worker lists at a time, the oldest ones.
+  std::size_t MaxListedEnds_ = 500;
   /// Workers refuse all starts as unhealthy.
   bool RefusesStarts_ = false;
   /// Stop orders do not reach the workers.
--- a/lib/site/include/nutmegwell/site/agent.h
+++ b/lib/site/include/nutmegwell/site/agent.h
@@ -117,7 +117,10 @@
 /// The runs that a worker lists at one time of its clock.
 struct WorkerRuns {
   std::vector<cell::RunningTask> Running_;
+  /// Oldest ends that have not been acknowledged.
   std::vector<cell::EndedTask> Ended_;
+  /// False when the worker may have ended runs that are not in Ended_.
+  bool EndsComplete_ = true;
 };
 
 /// The response to a call, or the lack of one.
@@ -169,6 +172,7 @@
   WorkerTime RunsListedAt_{0};
   std::vector<cell::RunningTask> Running_;
   std::vector<cell::EndedTask> Ended_;
+  bool EndsComplete_ = true;
   /// A start of unknown outcome, and its deadline on the worker's clock.
   struct Pending {
     WorkerTime Deadline_{0};
--- a/lib/site/src/agent.cpp
+++ b/lib/site/src/agent.cpp
@@ -94,6 +94,7 @@
   for (const cell::EndedTask &End : State.Ended_)
     if (End.Number_ > State.AcknowledgedUpTo_)
       Report.Ended_.push_back(End);
+  Report.EndsComplete_ = State.EndsComplete_;
   for (const auto &[Id, Start] : State.Pending_)
     Report.Pending_.push_back(Id);
   Report.Refused_ = std::move(State.Refused_);
--- a/lib/site/src/agentworker.cpp
+++ b/lib/site/src/agentworker.cpp
@@ -55,6 +55,8 @@
   State.ReportNeeded_ |= !sameRuns(State.Running_, Response.Runs_->Running_);
   State.Running_ = Response.Runs_->Running_;
   State.Ended_ = Response.Runs_->Ended_;
+  State.ReportNeeded_ |= State.EndsComplete_ != Response.Runs_->EndsComplete_;
+  State.EndsComplete_ = Response.Runs_->EndsComplete_;
   if (!State.Ended_.empty() && State.Ended_.back().Number_ > LastEnd)
     State.ReportNeeded_ = true;
   if (Poll.Term_ == State.Term_ && State.SyncedTerm_ != Poll.Term_) {
@@ -150,6 +152,7 @@
   State.RunsListedAt_ = WorkerTime(0);
   State.Running_.clear();
   State.Ended_.clear();
+  State.EndsComplete_ = true;
   State.Refused_.clear();
   State.AcknowledgedUpTo_ = 0;
   State.SyncedTerm_ = 0;
--- a/lib/site/tests/agenttest.cpp
+++ b/lib/site/tests/agenttest.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(responseOfANewIncarnationPreventsStarts);
   CPPUNIT_TEST(onlyListedEndsAreAcknowledged);
   CPPUNIT_TEST(startAroundANewIncarnationIsFenced);
+  CPPUNIT_TEST(partialListOfEndsIsReportedAsPartial);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -296,6 +297,25 @@
     CPPUNIT_ASSERT(State_.Pending_.empty());
     CPPUNIT_ASSERT(Report_->Pending_.empty());
   }
+
+  /// Guards against a holder that takes a partial list of ends for all of them,
+  /// and against one that waits for further ends although all are listed.
+  void partialListOfEndsIsReportedAsPartial() {
+    connect();
+    CPPUNIT_ASSERT(Report_->EndsComplete_);
+    WorkerRuns Runs;
+    Runs.Ended_.push_back({1, run(), cell::EndKind::Done, ""});
+    Runs.EndsComplete_ = false;
+    Now_ += 1s;
+    collect({});
+    respondToPoll(200ms, Runs);
+    CPPUNIT_ASSERT(!Report_->EndsComplete_);
+    Runs.EndsComplete_ = true;
+    Now_ += 200ms;
+    collect({});
+    respondToPoll(400ms, Runs);
+    CPPUNIT_ASSERT(Report_->EndsComplete_);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentTest);
--- a/lib/site/tests/fakeworker.cpp
+++ b/lib/site/tests/fakeworker.cpp
@@ -151,7 +151,9 @@
                           static_cast<double>(Row.RunTime_.count() + 1);
       Response.Runs_->Running_.push_back({Id, "", 100 * Part, 0});
     }
-    Response.Runs_->Ended_ = Ended_;
+    const auto Listed = std::min(Ended_.size(), FakeListedEnds);
+    Response.Runs_->Ended_.assign(Ended_.begin(), Ended_.begin() + Listed);
+    Response.Runs_->EndsComplete_ = Listed < FakeListedEnds;
     Poll.Reply_(Response);
   }
 }
--- a/lib/site/tests/fakeworker.h
+++ b/lib/site/tests/fakeworker.h
@@ -106,5 +106,8 @@
 /// Accelerators that each task of a simulated job takes.
 constexpr std::uint32_t FakeTaskAccelerators = 2;
 constexpr std::uint32_t FakeWorkerAccelerators = 8;
+/// Maximum number of ends that a worker lists at a time, the oldest ones. Fewer
+/// than the tasks of a worker, so that lists are often partial.
+constexpr std::size_t FakeListedEnds = 2;
 
 } // namespace nutmegwell::site
--- a/lib/wire/src/cellfields.h
+++ b/lib/wire/src/cellfields.h
@@ -142,10 +142,23 @@
   wire::serializeEnum(Fields, V.Kind_, RefusalKind::OtherIncarnation);
 }
 
+/// Encodes two conditions in the byte that versions without EndsComplete_ read
+/// as WorkerReachable_: any value but 0 means reachable to them.
+template <class A> void serializeListing(A &Fields, AgentReport &V) {
+  constexpr std::uint8_t Reachable = 1;
+  constexpr std::uint8_t EndsIncomplete = 2;
+  std::uint8_t Byte = 0;
+  if (V.WorkerReachable_)
+    Byte = V.EndsComplete_ ? Reachable : Reachable | EndsIncomplete;
+  Fields(Byte);
+  V.WorkerReachable_ = Byte != 0;
+  V.EndsComplete_ = (Byte & EndsIncomplete) == 0;
+}
+
 template <class A> void serialize(A &Fields, AgentReport &V) {
-  Fields(V.Host_, V.AgentIncarnation_, V.Sequence_, V.Term_, V.Worker_,
-         V.WorkerReachable_, V.ProcessedOrders_, V.Running_, V.Ended_,
-         V.Pending_, V.Refused_);
+  Fields(V.Host_, V.AgentIncarnation_, V.Sequence_, V.Term_, V.Worker_);
+  serializeListing(Fields, V);
+  Fields(V.ProcessedOrders_, V.Running_, V.Ended_, V.Pending_, V.Refused_);
 }
 
 template <class A> void serialize(A &Fields, StartOrder &V) {
--- a/lib/wire/tests/cellbinarytest.cpp
+++ b/lib/wire/tests/cellbinarytest.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(loadReportSurvivesRoundTrip);
   CPPUNIT_TEST(truncatedLoadReportsAreRejected);
   CPPUNIT_TEST(kindsOfMessagesKeepTheirNumbers);
+  CPPUNIT_TEST(partialEndsShareAByteWithReachability);
   CPPUNIT_TEST_SUITE_END();
 
   /// Position of the kind of a record in its encoding.
@@ -145,6 +146,29 @@
     CPPUNIT_ASSERT_EQUAL(7, KindOf(cell::RecordsRequest()));
     CPPUNIT_ASSERT_EQUAL(8, KindOf(cell::LoadReport()));
   }
+
+  /// Guards against reports that hosts of the version before cannot read: they
+  /// read any value of the byte but 0 as a reachable worker.
+  void partialEndsShareAByteWithReachability() {
+    // The kind, the host, the agent's incarnation, the sequence, the term and
+    // the flag of the absent worker precede the byte.
+    constexpr std::size_t ByteAt = KindAt + 4 + 4 + 3 * 8 + 1;
+    const auto Encoded = [](bool Reachable, bool Complete) {
+      cell::AgentReport Report;
+      Report.AgentIncarnation_ = 1;
+      Report.WorkerReachable_ = Reachable;
+      Report.EndsComplete_ = Complete;
+      return wire::encode(cell::PeerMessage(Report));
+    };
+    CPPUNIT_ASSERT_EQUAL(0, int(Encoded(false, true)[ByteAt]));
+    CPPUNIT_ASSERT_EQUAL(1, int(Encoded(true, true)[ByteAt]));
+    CPPUNIT_ASSERT_EQUAL(3, int(Encoded(true, false)[ByteAt]));
+    const auto Decoded = wire::decodePeerMessage(Encoded(true, false));
+    CPPUNIT_ASSERT(Decoded.ok());
+    const auto &Read = std::get<cell::AgentReport>(*Decoded);
+    CPPUNIT_ASSERT(Read.WorkerReachable_);
+    CPPUNIT_ASSERT(!Read.EndsComplete_);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CellBinaryTest);
