--- a/lib/cell/include/nutmegwell/cell/approval.h
+++ b/lib/cell/include/nutmegwell/cell/approval.h
@@ -2,6 +2,7 @@
 
 #include "nutmegwell/core/status.h"
 #include "nutmegwell/core/time.h"
+#include "nutmegwell/jobs/spec.h"
 #include <cstdint>
 #include <map>
 #include <string>
@@ -13,7 +14,7 @@
 /// One step of one occurrence of a job.
 struct StepId {
   std::string Job_;
-  std::uint32_t Occurrence_ = 0;
+  jobs::OccurrenceNumber Occurrence_ = 0;
   std::uint32_t Step_ = 0;
 
   friend bool operator<(const StepId &A, const StepId &B) {
--- a/lib/cell/include/nutmegwell/cell/placement.h
+++ b/lib/cell/include/nutmegwell/cell/placement.h
@@ -7,6 +7,10 @@
 
 namespace nutmegwell::cell {
 
+/// Maximum number of runs on a worker, which bounds the work for tasks that
+/// take next to nothing of it.
+constexpr std::int64_t MaxRunsPerWorker = 1024;
+
 /// Resources and constraints of one worker, as seen by placement.
 struct PlacementTarget {
   std::string Host_;
@@ -14,6 +18,8 @@
   std::vector<std::string> Labels_;
   jobs::Resources Capacity_;
   jobs::Resources Free_;
+  /// Number of further runs on the worker.
+  std::int64_t FreeRuns_ = MaxRunsPerWorker;
   /// Consecutive failures on the worker; 0 when the last one is not recent.
   unsigned FailureScore_ = 0;
   /// Tasks of the step being placed that already run on the worker; set by the
--- a/lib/cell/src/approvals.cpp
+++ b/lib/cell/src/approvals.cpp
@@ -82,14 +82,23 @@
 
 namespace {
 
-/// Removes the answers for jobs that have ended.
+bool hasEnded(const Holder &State, const StepId &Step,
+              const HolderContext &Context) {
+  auto Job = Context.View_.Jobs_.find(Step.Job_);
+  if (Job == Context.View_.Jobs_.end() ||
+      jobs::isFinal(Job->second.reportedState()))
+    return true;
+  auto Live = State.Jobs_.find(Step.Job_);
+  return Live != State.Jobs_.end() &&
+         Live->second.Progress_.stepDone(Step.Occurrence_, Step.Step_);
+}
+
+/// Removes the answers for steps that have ended, of which a scheduled job has
+/// ever more.
 void dropEndedSteps(Holder &State, const HolderContext &Context) {
-  for (auto It = State.Approvals_.begin(); It != State.Approvals_.end();) {
-    auto Job = Context.View_.Jobs_.find(It->first.Job_);
-    const bool Ended = Job == Context.View_.Jobs_.end() ||
-                       jobs::isFinal(Job->second.reportedState());
-    It = Ended ? State.Approvals_.erase(It) : std::next(It);
-  }
+  for (auto It = State.Approvals_.begin(); It != State.Approvals_.end();)
+    It = hasEnded(State, It->first, Context) ? State.Approvals_.erase(It)
+                                             : std::next(It);
 }
 
 } // namespace
--- a/lib/cell/src/ends.cpp
+++ b/lib/cell/src/ends.cpp
@@ -54,7 +54,6 @@
   const jobs::JobEntry &Job_;
   LiveJob &Live_;
   const jobs::StepSpec &Step_;
-  jobs::StepProgress &Progress_;
 };
 
 bool taskExists(const jobs::JobSpec &Spec, const TaskId &Task) {
@@ -84,14 +83,17 @@
                      core::TimePoint Now, Effects &Out) {
   if (Target.Step_.LongRunning_)
     return;
-  if (Target.Step_.Gang_) {
+  jobs::JobProgress &Progress = Target.Live_.Progress_;
+  const TaskId &Task = Id.Task_;
+  if (!Progress.taskDone(Task)) {
+    jobs::StepProgress &Step = Progress.step(Task.Occurrence_, Task.Step_);
+    Step.finish(Task.Index_);
     // The completion of one member completes the whole gang.
-    for (jobs::TaskProgress &Task : Target.Progress_.Tasks_)
-      Task.Done_ = true;
-  } else {
-    Target.Progress_.Tasks_[Id.Task_.Index_].Done_ = true;
-    stopCopies(State, Id.Task_, Now, Out);
+    if (Target.Step_.Gang_ || Step.Done_.firstMissing(0) >= Target.Step_.Count_)
+      Progress.finishStep(Task.Occurrence_, Task.Step_);
   }
+  if (!Target.Step_.Gang_)
+    stopCopies(State, Task, Now, Out);
   State.JobsToRecord_.insert(Id.Task_.Job_);
   finishIfDone(State, Target, Out);
 }
@@ -123,8 +125,12 @@
   TaskId Counted = Id.Task_;
   if (Target.Step_.Gang_)
     Counted.Index_ = 0;
-  jobs::TaskProgress &Task = Target.Progress_.Tasks_[Counted.Index_];
-  if (Task.Done_ || !countFailure(Target.Live_, Task, Counted, Id.Run_))
+  if (Target.Live_.Progress_.taskDone(Counted))
+    return;
+  jobs::TaskProgress &Task =
+      Target.Live_.Progress_.step(Counted.Occurrence_, Counted.Step_)
+          .Tasks_[Counted.Index_];
+  if (!countFailure(Target.Live_, Task, Counted, Id.Run_))
     return;
   State.JobsToRecord_.insert(Id.Task_.Job_);
   Target.Live_.NotBefore_ = Now + State.Policy_.RetryBackoff_;
@@ -144,13 +150,9 @@
                      const EndedTask &End) {
   if (End.Checkpoint_.empty() || !Target.Step_.Checkpoints_)
     return;
-  const TaskId &Task = End.Id_.Task_;
-  if (Target.Step_.Gang_)
-    for (jobs::TaskProgress &Member : Target.Progress_.Tasks_)
-      Member.Checkpoint_ = End.Checkpoint_;
-  else
-    Target.Progress_.Tasks_[Task.Index_].Checkpoint_ = End.Checkpoint_;
-  State.JobsToRecord_.insert(Task.Job_);
+  saveCheckpoint(Target.Live_, End.Id_.Task_, Target.Step_.Gang_,
+                 End.Checkpoint_);
+  State.JobsToRecord_.insert(End.Id_.Task_.Job_);
 }
 
 void applyEnd(Holder &State, const EndedTask &End, const HolderContext &Context,
@@ -165,9 +167,7 @@
   if (jobs::isFinal(Live.Progress_.State_))
     return;
   noteTaskStarted(State, Task.Job_, Live);
-  const EndTarget Target{
-      Job, Live, Job.Accepted_.Spec_.Steps_[Task.Step_],
-      Live.Progress_.step(Job.Accepted_.Spec_, Task.Occurrence_, Task.Step_)};
+  const EndTarget Target{Job, Live, Job.Accepted_.Spec_.Steps_[Task.Step_]};
   applyCheckpoint(State, Target, End);
   if (End.Kind_ == EndKind::Done)
     applyCompletion(State, Target, End.Id_, Context.Now_, Out);
@@ -192,6 +192,18 @@
 
 } // namespace
 
+void saveCheckpoint(LiveJob &Live, const TaskId &Task, bool Gang,
+                    const std::string &Checkpoint) {
+  TaskId Saved = Task;
+  if (Gang)
+    Saved.Index_ = 0;
+  if (Live.Progress_.taskDone(Saved))
+    return;
+  Live.Progress_.step(Saved.Occurrence_, Saved.Step_)
+      .Tasks_[Saved.Index_]
+      .Checkpoint_ = Checkpoint;
+}
+
 void handleEnds(Holder &State, Worker &Host, const AgentReport &Report,
                 const HolderContext &Context, Effects &Out) {
   for (const EndedTask &End : Report.Ended_) {
--- a/lib/cell/src/expectations.cpp
+++ b/lib/cell/src/expectations.cpp
@@ -112,13 +112,6 @@
   ++Figures.Known_;
 }
 
-bool isDone(const LiveJob &Live, const TaskId &Task) {
-  const jobs::StepProgress *Progress =
-      Live.Progress_.find(Task.Occurrence_, Task.Step_);
-  return Progress && Task.Index_ < Progress->Tasks_.size() &&
-         Progress->Tasks_[Task.Index_].Done_;
-}
-
 } // namespace
 
 void recordFinishedWork(Holder &State, const TaskRun &Run,
@@ -130,7 +123,7 @@
   const auto Live = State.Jobs_.find(Task.Job_);
   if (Entry == Context.View_.Jobs_.end() || Live == State.Jobs_.end() ||
       Task.Step_ >= Entry->second.Accepted_.Spec_.Steps_.size() ||
-      isDone(Live->second, Task))
+      Live->second.Progress_.taskDone(Task))
     return;
   const jobs::JobAccepted &Job = Entry->second.Accepted_;
   const jobs::StepSpec &Step = Job.Spec_.Steps_[Task.Step_];
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -186,11 +186,7 @@
     Run.Pace_ = Run.BestEffort_ ? 0 : 100;
     LiveJob &Live = liveJob(State, Job, Context.Now_);
     noteTaskStarted(State, Task.Id_.Task_.Job_, Live);
-    const jobs::StepProgress *Progress =
-        Live.Progress_.find(Task.Id_.Task_.Occurrence_, Task.Id_.Task_.Step_);
-    const bool Done = Progress &&
-                      Task.Id_.Task_.Index_ < Progress->Tasks_.size() &&
-                      Progress->Tasks_[Task.Id_.Task_.Index_].Done_;
+    const bool Done = Live.Progress_.taskDone(Task.Id_.Task_);
     const bool Duplicate =
         !Step.Speculative_ &&
         findRun(State.Runs_, Task.Id_.Task_) != State.Runs_.end();
@@ -378,20 +374,9 @@
                              {"run", std::to_string(Run.Id_.Run_)},
                              {"host", Run.Host_},
                              {"reason", Reason}}});
-  if (!Run.Checkpoint_.empty()) {
-    auto Job = State.Jobs_.find(Run.Id_.Task_.Job_);
-    if (Job != State.Jobs_.end()) {
-      auto Steps =
-          Job->second.Progress_.Occurrences_.find(Run.Id_.Task_.Occurrence_);
-      if (Steps != Job->second.Progress_.Occurrences_.end() &&
-          Run.Id_.Task_.Step_ < Steps->second.size())
-        for (std::size_t I = 0;
-             I < Steps->second[Run.Id_.Task_.Step_].Tasks_.size(); ++I)
-          if (Run.Gang_ || I == Run.Id_.Task_.Index_)
-            Steps->second[Run.Id_.Task_.Step_].Tasks_[I].Checkpoint_ =
-                Run.Checkpoint_;
-    }
-  }
+  auto Job = State.Jobs_.find(Run.Id_.Task_.Job_);
+  if (!Run.Checkpoint_.empty() && Job != State.Jobs_.end())
+    saveCheckpoint(Job->second, Run.Id_.Task_, Run.Gang_, Run.Checkpoint_);
   State.Runs_.erase(It);
 }
 
--- a/lib/cell/src/holdersteps.h
+++ b/lib/cell/src/holdersteps.h
@@ -6,12 +6,14 @@
 
 namespace nutmegwell::cell {
 
-/// Tasks of a step that are scheduled together: a whole gang, or one task.
+/// Tasks of a step that are scheduled together: a whole gang, one task, or a
+/// copy of a run.
 struct Unit {
   const jobs::JobEntry *Job_ = nullptr;
-  std::uint32_t Occurrence_ = 0;
+  jobs::OccurrenceNumber Occurrence_ = 0;
   std::uint32_t Step_ = 0;
-  /// First task and number of tasks.
+  /// First task and number of tasks. Without a gang, the further tasks of the
+  /// step that wait follow the first one.
   std::uint32_t Index_ = 0;
   std::uint32_t Count_ = 1;
   /// Time by which the start can still be delayed without missing the job's
@@ -48,9 +50,35 @@
 bool acceptsRemotePlacement(const HolderPolicy &Policy, const Unit &Work,
                             double FreeShare, core::Duration Waited);
 
-/// Returns whether a step has tasks left and all that it depends on is done.
-bool stepReady(const jobs::JobSpec &Spec, const jobs::JobProgress &Progress,
-               std::uint32_t Occurrence, std::uint32_t Step);
+/// Due occurrences of a step by the status that they have against their
+/// objective when the step starts now.
+struct DueOccurrences {
+  jobs::NumberRange OnTime_;
+  jobs::NumberRange Late_;
+  jobs::NumberRange Expired_;
+};
+
+/// Returns the due occurrences of a step whose longest chain of work to the end
+/// of the job is \p Chain.
+DueOccurrences dueOccurrences(const HolderPolicy &Policy,
+                              const jobs::JobAccepted &Job,
+                              core::Duration Objective, core::Duration Chain,
+                              jobs::WallTime Now);
+
+/// Returns the first task of the step of \p Work from \p From on that is not
+/// done, has no run and cannot be running on a worker that has yet to report.
+/// Takes time logarithmic in the runs for each run that is passed.
+std::optional<std::uint32_t>
+nextWaitingTask(const Holder &State, const Unit &Work, std::uint32_t From);
+
+/// Units that may start now.
+struct ReadyUnits {
+  /// In the order of placement.
+  std::vector<Unit> Units_;
+  /// False when a job has more occurrences that may start than one decision
+  /// considers.
+  bool Complete_ = true;
+};
 
 /// Returns the first attempt of \p Task, or the end of the map.
 TaskRunMap::iterator findRun(TaskRunMap &Runs, const TaskId &Task);
@@ -66,6 +94,10 @@
 /// waits. An ordered start does not show that, since the worker may refuse it.
 void noteTaskStarted(Holder &State, const std::string &Job, LiveJob &Live);
 
+/// Keeps the newest checkpoint of a task, or that of a gang, unless it is done.
+void saveCheckpoint(LiveJob &Live, const TaskId &Task, bool Gang,
+                    const std::string &Checkpoint);
+
 /// Processes the ends that a report lists and the holder has not handled yet.
 void handleEnds(Holder &State, Worker &Host, const AgentReport &Report,
                 const HolderContext &Context, Effects &Out);
@@ -208,9 +240,9 @@
 std::set<std::string> accountsWithinGuarantee(const Holder &State,
                                               const HolderContext &Context);
 
-/// Returns the units that may start now, in the order of placement.
-std::vector<Unit> readyUnits(Holder &State, const HolderContext &Context,
-                             core::TimePoint &Wake);
+/// Returns the units that may start now.
+ReadyUnits readyUnits(Holder &State, const HolderContext &Context,
+                      core::TimePoint &Wake);
 
 /// Places ready units and orders their starts.
 void schedule(Holder &State, const HolderContext &Context, Effects &Out);
--- a/lib/cell/src/load.cpp
+++ b/lib/cell/src/load.cpp
@@ -2,6 +2,7 @@
 #include "holdersteps.h"
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 
@@ -155,31 +156,61 @@
   }
 }
 
+/// Returns the occurrences in which each step of a job has a run or some
+/// progress.
+std::vector<std::set<jobs::OccurrenceNumber>>
+begunOccurrences(const Holder &State, const jobs::JobAccepted &Job,
+                 const jobs::JobProgress &Progress) {
+  std::vector<std::set<jobs::OccurrenceNumber>> Begun(Job.Spec_.Steps_.size());
+  const auto Add = [&](std::uint32_t Step, jobs::OccurrenceNumber Occurrence) {
+    if (Step < Begun.size())
+      Begun[Step].insert(Occurrence);
+  };
+  for (const auto &[Position, Step] : Progress.BegunSteps_)
+    Add(Position.second, Position.first);
+  for (auto It = State.Runs_.lower_bound({{Job.Job_, 0, 0, 0}, 0});
+       It != State.Runs_.end() && It->first.Task_.Job_ == Job.Job_; ++It)
+    Add(It->first.Task_.Step_, It->first.Task_.Occurrence_);
+  return Begun;
+}
+
 /// Returns how many tasks of a step are left and have no run. Of a gang that
 /// has a run, none can start.
-std::uint32_t waitingTasks(const Holder &State, const jobs::JobEntry &Job,
+std::uint64_t waitingTasks(const Holder &State, const jobs::JobEntry &Job,
                            const jobs::JobProgress &Progress,
-                           std::uint32_t Occurrence, std::uint32_t Step) {
+                           jobs::OccurrenceNumber Occurrence,
+                           std::uint32_t Step) {
   const std::string &Name = Job.Accepted_.Job_;
   const jobs::StepSpec &Spec = Job.Accepted_.Spec_.Steps_[Step];
-  const jobs::StepProgress *Done = Progress.find(Occurrence, Step);
-  auto Run = State.Runs_.lower_bound({{Name, Occurrence, Step, 0}, 0});
-  const auto InStep = [&] {
-    return Run != State.Runs_.end() && Run->first.Task_.Step_ == Step &&
-           Run->first.Task_.Occurrence_ == Occurrence &&
-           Run->first.Task_.Job_ == Name;
-  };
-  std::uint32_t Waiting = 0;
-  for (std::uint32_t I = 0; I < Spec.Count_; ++I) {
-    while (InStep() && Run->first.Task_.Index_ < I)
-      ++Run;
-    const bool Runs = InStep() && Run->first.Task_.Index_ == I;
-    if (Runs && Spec.Gang_)
+  const jobs::StepProgress *Begun = Progress.find(Occurrence, Step);
+  std::uint64_t Taken = Begun ? Begun->Done_.countIn({0, Spec.Count_}) : 0;
+  const TaskId *Previous = nullptr;
+  for (auto Run = State.Runs_.lower_bound({{Name, Occurrence, Step, 0}, 0});
+       Run != State.Runs_.end() && Run->first.Task_.Step_ == Step &&
+       Run->first.Task_.Occurrence_ == Occurrence &&
+       Run->first.Task_.Job_ == Name;
+       ++Run) {
+    const TaskId &Task = Run->first.Task_;
+    if (Spec.Gang_)
       return 0;
-    const bool Ended = Done && I < Done->Tasks_.size() && Done->Tasks_[I].Done_;
-    Waiting += !Runs && !Ended;
+    const bool Copy = Previous && *Previous == Task;
+    Taken += !Copy && !(Begun && Begun->isDone(Task.Index_));
+    Previous = &Task;
   }
-  return Waiting;
+  return Spec.Count_ - std::min<std::uint64_t>(Taken, Spec.Count_);
+}
+
+/// Far above the work of any service, and far below what a sum can hold.
+constexpr double MaxAmount = 1e12;
+
+/// Adds waiting work as far as a valid report can tell it.
+void addWork(QueueLoad &Queue, double Work, ObjectiveStatus Status) {
+  const double Added = std::min(Work, MaxAmount - Queue.Waiting_);
+  Queue.Waiting_ += Added;
+  if (Status == ObjectiveStatus::Late)
+    Queue.Late_ += Added;
+  else if (Status == ObjectiveStatus::Expired)
+    Queue.Expired_ += Added;
 }
 
 /// Adds the ready work of one job.
@@ -194,58 +225,60 @@
 
   void add(const jobs::JobProgress &Progress) {
     const jobs::JobSpec &Spec = Job_.Accepted_.Spec_;
-    for (std::uint32_t Occurrence = 0; Occurrence < Spec.occurrences();
-         ++Occurrence) {
-      if (Spec.timed() &&
-          Context_.Wall_ < Spec.dueAt(Occurrence) + State_.Policy_.DueMargin_)
-        return;
-      for (std::uint32_t Step = 0; Step < Spec.Steps_.size(); ++Step)
-        if (!Spec.Steps_[Step].LongRunning_ &&
-            stepReady(Spec, Progress, Occurrence, Step))
-          addStep(Progress, Occurrence, Step);
+    const auto Begun = begunOccurrences(State_, Job_.Accepted_, Progress);
+    for (std::uint32_t Step = 0; Step < Spec.Steps_.size(); ++Step) {
+      if (Spec.Steps_[Step].LongRunning_)
+        continue;
+      const DueOccurrences Due =
+          dueOccurrences(State_.Policy_, Job_.Accepted_, Objective_,
+                         Chains_[Step], Context_.Wall_);
+      addStep(Step, waitingIn(Progress, Step, Due.OnTime_, Begun[Step]),
+              ObjectiveStatus::OnTime);
+      addStep(Step, waitingIn(Progress, Step, Due.Late_, Begun[Step]),
+              ObjectiveStatus::Late);
+      addStep(Step, waitingIn(Progress, Step, Due.Expired_, Begun[Step]),
+              ObjectiveStatus::Expired);
     }
   }
 
 private:
-  void addStep(const jobs::JobProgress &Progress, std::uint32_t Occurrence,
-               std::uint32_t Step) {
+  /// Returns how many tasks of a step wait in the occurrences \p Within. Takes
+  /// time by those that have begun and by the gaps between those that are done.
+  double waitingIn(const jobs::JobProgress &Progress, std::uint32_t Step,
+                   jobs::NumberRange Within,
+                   const std::set<jobs::OccurrenceNumber> &Begun) const {
+    const jobs::JobSpec &Spec = Job_.Accepted_.Spec_;
+    double Tasks = 0;
+    for (auto Ready = jobs::nextReady(Spec, Progress, Step, Within);
+         !Ready.empty();
+         Ready = jobs::nextReady(Spec, Progress, Step, Within)) {
+      std::uint64_t Untouched = Ready.count();
+      for (auto It = Begun.lower_bound(Ready.First_);
+           It != Begun.end() && *It < Ready.End_; ++It) {
+        --Untouched;
+        Tasks += static_cast<double>(
+            waitingTasks(State_, Job_, Progress, *It, Step));
+      }
+      Tasks += static_cast<double>(Untouched) * Spec.Steps_[Step].Count_;
+      Within.First_ = Ready.End_;
+    }
+    return Tasks;
+  }
+
+  void addStep(std::uint32_t Step, double Tasks, ObjectiveStatus Status) {
     const jobs::StepSpec &Spec = Job_.Accepted_.Spec_.Steps_[Step];
-    const std::uint32_t Tasks =
-        waitingTasks(State_, Job_, Progress, Occurrence, Step);
     if (Tasks == 0 || !fitsOn(Sum_.Workers_, Spec))
       return;
     const double Work =
         Seconds(Spec.Estimate_).count() * Tasks *
         acceleratorsOf(requiredResources(Spec), Sum_.Load_.Capacity_);
     QueueLoad &Queue = queueOf(Sum_, Job_);
-    Queue.Waiting_ += Work;
-    switch (statusOf(Occurrence, Step)) {
-    case ObjectiveStatus::OnTime:
-      break;
-    case ObjectiveStatus::Late:
-      Queue.Late_ += Work;
-      break;
-    case ObjectiveStatus::Expired:
-      Queue.Expired_ += Work;
-      break;
-    }
+    addWork(Queue, Work, Status);
     core::Duration &Shortest =
         Sum_.Objectives_.try_emplace(Queue.Queue_, Objective_).first->second;
     Shortest = std::min(Shortest, Objective_);
   }
 
-  ObjectiveStatus statusOf(std::uint32_t Occurrence, std::uint32_t Step) const {
-    const jobs::JobSpec &Spec = Job_.Accepted_.Spec_;
-    Unit Work;
-    Work.Job_ = &Job_;
-    Work.Step_ = Step;
-    Work.Objective_ = Objective_;
-    Work.Slack_ =
-        (Spec.timed() ? Spec.dueAt(Occurrence) : Job_.Accepted_.Submitted_) +
-        Objective_ - Context_.Wall_ - Chains_[Step];
-    return objectiveStatusOf(State_.Policy_, Work);
-  }
-
   const Holder &State_;
   const HolderContext &Context_;
   const jobs::JobEntry &Job_;
@@ -285,11 +318,7 @@
   return false;
 }
 
-bool isValid(double Amount) {
-  /// Far above the work of any service, and far below what a sum can hold.
-  constexpr double MaxAmount = 1e12;
-  return Amount >= 0 && Amount <= MaxAmount;
-}
+bool isValid(double Amount) { return Amount >= 0 && Amount <= MaxAmount; }
 
 bool isValid(const jobs::Resources &Value) {
   return isValid(static_cast<double>(Value.Cpu_)) &&
@@ -299,6 +328,13 @@
 
 } // namespace
 
+namespace {
+
+/// Bounds the sum of declared run times.
+constexpr core::Duration LongestChain = std::chrono::hours(24 * 365 * 100);
+
+} // namespace
+
 std::vector<core::Duration> longestChains(const jobs::JobSpec &Spec) {
   std::vector<core::Duration> Declared;
   for (const jobs::StepSpec &Step : Spec.Steps_)
@@ -311,7 +347,7 @@
               const std::vector<core::Duration> &RunTimes) {
   std::vector<core::Duration> Chain(Spec.Steps_.size());
   for (std::size_t I = Spec.Steps_.size(); I-- > 0;) {
-    Chain[I] += RunTimes[I];
+    Chain[I] = std::min(Chain[I] + RunTimes[I], LongestChain);
     for (std::uint32_t Dependency : Spec.Steps_[I].DependsOn_)
       Chain[Dependency] = std::max(Chain[Dependency], Chain[I]);
   }
--- a/lib/cell/src/orders.cpp
+++ b/lib/cell/src/orders.cpp
@@ -1,4 +1,5 @@
 #include "holdersteps.h"
+#include "nutmegwell/jobs/progressrecords.h"
 
 namespace nutmegwell::cell {
 
@@ -146,13 +147,16 @@
 
 /// Adds the progress of a job to the append, and before it the failures that it
 /// counts and does not name.
-void addProgress(const std::string &Job, LiveJob &Live, Effects &Out) {
+void addProgress(const jobs::JobEntry &Entry, LiveJob &Live, Effects &Out) {
+  const std::string &Job = Entry.Accepted_.Job_;
   if (!jobs::isFinal(Live.Progress_.State_))
     for (const jobs::StepPosition &Step : Live.FailuresToRecord_)
-      Out.Append_.push_back(jobs::FailuresCounted{Job, Step.first, Step.second,
-                                                  Live.EarlierFailures_[Step]});
+      Out.Append_.push_back(
+          jobs::FailuresCounted{Job, static_cast<std::uint32_t>(Step.first),
+                                Step.second, Live.EarlierFailures_[Step]});
   Live.FailuresToRecord_.clear();
-  Out.Append_.push_back(jobs::JobProgressed{Job, Live.Progress_});
+  Out.Append_.push_back(jobs::JobProgressed{
+      Job, jobs::toRecord(Entry.Accepted_.Spec_, Live.Progress_)});
 }
 
 void acknowledgeEnds(Worker &Host, std::uint64_t UpTo) {
@@ -170,9 +174,10 @@
   closeWorkers(State, Context.Now_);
   addListings(State, Context, Out);
   for (const std::string &Job : State.JobsToRecord_) {
-    auto It = State.Jobs_.find(Job);
-    if (It != State.Jobs_.end())
-      addProgress(Job, It->second, Out);
+    auto Live = State.Jobs_.find(Job);
+    auto Entry = Context.View_.Jobs_.find(Job);
+    if (Live != State.Jobs_.end() && Entry != Context.View_.Jobs_.end())
+      addProgress(Entry->second, Live->second, Out);
   }
   State.JobsToRecord_.clear();
   if (!State.SettledRecordQueued_ &&
--- a/lib/cell/src/placement.cpp
+++ b/lib/cell/src/placement.cpp
@@ -79,6 +79,7 @@
   auto Undo = [&] {
     for (std::size_t I : Chosen) {
       Targets[I].Free_ += Each;
+      ++Targets[I].FreeRuns_;
       --Targets[I].StepTaskCount_;
     }
   };
@@ -89,7 +90,7 @@
       if (!Rack.empty() && Targets[I].Rack_ != Rack)
         continue;
       if (!satisfiesConstraints(Targets[I], Step) ||
-          !Targets[I].Free_.covers(Each))
+          !Targets[I].Free_.covers(Each) || Targets[I].FreeRuns_ <= 0)
         continue;
       const std::int64_t Score =
           scoreOf(Request, Targets[I], Each, RackFree[Targets[I].Rack_]);
@@ -103,6 +104,7 @@
       return std::nullopt;
     }
     Targets[Best].Free_ -= Each;
+    --Targets[Best].FreeRuns_;
     RackFree[Targets[Best].Rack_] -= Each.Accelerators_;
     ++Targets[Best].StepTaskCount_;
     Chosen.push_back(Best);
--- a/lib/cell/src/queue.cpp
+++ b/lib/cell/src/queue.cpp
@@ -10,9 +10,9 @@
 
 /// Returns the accelerators that all unfinished priority 0 jobs need, by
 /// account.
-std::map<std::string, std::int64_t>
-guaranteedNeeds(const Holder &State, const HolderContext &Context) {
-  std::map<std::string, std::int64_t> Needs;
+std::map<std::string, double> guaranteedNeeds(const Holder &State,
+                                              const HolderContext &Context) {
+  std::map<std::string, double> Needs;
   for (const auto &[Name, Job] : Context.View_.Jobs_) {
     if (Job.Accepted_.Job_.empty() || Job.Accepted_.Priority_ != 0)
       continue;
@@ -24,20 +24,38 @@
       continue;
     for (const jobs::StepSpec &Step : Job.Accepted_.Spec_.Steps_)
       Needs[Job.Accepted_.Account_] +=
-          Step.PerTask_.Accelerators_ * Step.Count_;
+          static_cast<double>(Step.PerTask_.Accelerators_) * Step.Count_;
   }
   return Needs;
 }
 
+/// Occurrences of a step with one status that one decision considers. Bounds
+/// the work for a job of which many are due.
+constexpr std::size_t MaxOccurrencesConsidered = 64;
+
+/// Returns whether \p It is a run of the step of \p Work.
+bool isRunOf(const Holder &State, TaskRunMap::const_iterator It,
+             const Unit &Work) {
+  return It != State.Runs_.end() &&
+         It->first.Task_.Job_ == Work.Job_->Accepted_.Job_ &&
+         It->first.Task_.Occurrence_ == Work.Occurrence_ &&
+         It->first.Task_.Step_ == Work.Step_;
+}
+
+/// Returns the first run of the step of \p Work from task \p From on, or the
+/// run behind them.
+TaskRunMap::const_iterator firstRunFrom(const Holder &State, const Unit &Work,
+                                        std::uint32_t From) {
+  return State.Runs_.lower_bound(
+      {{Work.Job_->Accepted_.Job_, Work.Occurrence_, Work.Step_, From}, 0});
+}
+
 /// Adds a copy of a task whose only run is far behind its declared time.
-void addCopy(const Holder &State, Unit Work, core::TimePoint Now,
-             std::vector<Unit> &Units) {
+void addCopy(const Holder &State, TaskRunMap::const_iterator It, Unit Work,
+             core::TimePoint Now, std::vector<Unit> &Units) {
   const HolderPolicy &Policy = State.Policy_;
-  const TaskId Task{Work.Job_->Accepted_.Job_, Work.Occurrence_, Work.Step_,
-                    Work.Index_};
-  auto It = State.Runs_.lower_bound({Task, 0});
   auto Next = std::next(It);
-  if (Next != State.Runs_.end() && Next->first.Task_ == Task)
+  if (Next != State.Runs_.end() && Next->first.Task_ == It->first.Task_)
     return;
   const TaskRun &Run = It->second;
   const auto CopyDelay = std::chrono::duration_cast<core::Duration>(
@@ -48,8 +66,22 @@
       Run.Percent_ >= Policy.NearlyDonePercent_ ||
       Now - Run.OrderedAt_ < CopyDelay)
     return;
+  Work.Index_ = It->first.Task_.Index_;
   Work.OriginalHost_ = Run.Host_;
-  Units.push_back(Work);
+  Units.push_back(std::move(Work));
+}
+
+/// Adds copies of the slow tasks of a step.
+void addCopies(const Holder &State, const Unit &Template, const LiveJob &Live,
+               core::TimePoint Now, std::vector<Unit> &Units) {
+  const TaskId *Previous = nullptr;
+  for (auto It = firstRunFrom(State, Template, 0); isRunOf(State, It, Template);
+       ++It) {
+    const TaskId &Task = It->first.Task_;
+    if (!(Previous && *Previous == Task) && !Live.Progress_.taskDone(Task))
+      addCopy(State, It, Template, Now, Units);
+    Previous = &Task;
+  }
 }
 
 /// Returns true when \p Task may be running on a closed worker that has not
@@ -62,41 +94,46 @@
                      });
 }
 
-/// Adds units for the tasks of a step that have no run, and copies of slow
-/// tasks.
-void addUnits(Holder &State, const Unit &Template, LiveJob &Live,
+/// Returns whether a member of a gang has a run, or may have one on a worker
+/// that has not reported yet.
+bool hasMember(const Holder &State, const Unit &Gang) {
+  if (isRunOf(State, firstRunFrom(State, Gang, 0), Gang))
+    return true;
+  const TaskId First{Gang.Job_->Accepted_.Job_, Gang.Occurrence_, Gang.Step_,
+                     0};
+  return std::any_of(State.UnsyncedWorkers_.begin(),
+                     State.UnsyncedWorkers_.end(), [&](const auto &Row) {
+                       if (!Row.second.Tasks_)
+                         return false;
+                       const auto It = Row.second.Tasks_->lower_bound(First);
+                       return It != Row.second.Tasks_->end() &&
+                              It->Job_ == First.Job_ &&
+                              It->Occurrence_ == First.Occurrence_ &&
+                              It->Step_ == First.Step_;
+                     });
+}
+
+/// Adds a unit for the tasks of a step that have no run, and copies of slow
+/// tasks. Returns whether tasks wait.
+bool addUnits(const Holder &State, const Unit &Template, const LiveJob &Live,
               core::TimePoint Now, std::vector<Unit> &Units) {
-  const std::string &Job = Template.Job_->Accepted_.Job_;
   const jobs::StepSpec &Step = Template.spec();
-  auto MayBeRunning = [&](std::uint32_t Index) {
-    return mayRunOnUnsyncedWorker(
-        State, {Job, Template.Occurrence_, Template.Step_, Index});
-  };
-  auto HasNoRun = [&](std::uint32_t Index) {
-    return findRun(State.Runs_, {Job, Template.Occurrence_, Template.Step_,
-                                 Index}) == State.Runs_.end();
-  };
+  Unit Waiting = Template;
   if (Step.Gang_) {
-    for (std::uint32_t I = 0; I < Step.Count_; ++I)
-      if (!HasNoRun(I) || MayBeRunning(I))
-        return;
-    Unit Whole = Template;
-    Whole.Count_ = Step.Count_;
-    Units.push_back(Whole);
-    return;
-  }
-  const jobs::StepProgress &Progress = Live.Progress_.step(
-      Template.Job_->Accepted_.Spec_, Template.Occurrence_, Template.Step_);
-  for (std::uint32_t I = 0; I < Step.Count_; ++I) {
-    Unit One = Template;
-    One.Index_ = I;
-    if (Progress.Tasks_[I].Done_ || MayBeRunning(I))
-      continue;
-    if (HasNoRun(I))
-      Units.push_back(One);
-    else if (Step.Speculative_)
-      addCopy(State, One, Now, Units);
+    if (hasMember(State, Template))
+      return false;
+    Waiting.Count_ = Step.Count_;
+    Units.push_back(std::move(Waiting));
+    return true;
   }
+  if (Step.Speculative_)
+    addCopies(State, Template, Live, Now, Units);
+  const auto First = nextWaitingTask(State, Template, 0);
+  if (!First)
+    return false;
+  Waiting.Index_ = *First;
+  Units.push_back(std::move(Waiting));
+  return true;
 }
 
 /// Removes copies that exceed their budget, the last ones first.
@@ -135,39 +172,69 @@
     return A.UsageRank_ < B.UsageRank_;
   if (A.Slack_ != B.Slack_)
     return A.Slack_ < B.Slack_;
-  return A.Job_->Accepted_.Job_ < B.Job_->Accepted_.Job_;
+  return std::tie(A.Job_->Accepted_.Job_, A.Occurrence_, A.Step_, A.Index_) <
+         std::tie(B.Job_->Accepted_.Job_, B.Occurrence_, B.Step_, B.Index_);
 }
 
 /// Collects the units of one job and the time of its next occurrence.
 class JobScan {
 public:
-  JobScan(Holder &State, const HolderContext &Context, const JobEntry &Job,
-          bool Guaranteed)
+  JobScan(const Holder &State, const HolderContext &Context,
+          const JobEntry &Job, bool Guaranteed)
       : State_(State), Context_(Context), Job_(Job), Guaranteed_(Guaranteed),
         Chains_(expectedChains(State, Job.Accepted_)),
-        Queue_(Context.Tables_.queue(Job.Accepted_.Queue_)) {}
+        Objective_(objectiveOf(Context.Tables_.queue(Job.Accepted_.Queue_),
+                               Chains_)) {}
 
-  void collect(LiveJob &Live, std::vector<Unit> &Units, core::TimePoint &Wake) {
+  void collect(const LiveJob &Live, ReadyUnits &Ready, core::TimePoint &Wake) {
     const jobs::JobSpec &Spec = Job_.Accepted_.Spec_;
-    for (std::uint32_t Occurrence = 0; Occurrence < Spec.occurrences();
-         ++Occurrence) {
-      if (Spec.timed()) {
-        const jobs::WallTime Start =
-            Spec.dueAt(Occurrence) + State_.Policy_.DueMargin_;
-        if (Context_.Wall_ < Start) {
-          Wake = std::min(Wake, Context_.Now_ + (Start - Context_.Wall_));
-          break;
+    for (std::uint32_t Step = 0; Step < Spec.Steps_.size(); ++Step) {
+      const DueOccurrences Due =
+          dueOccurrences(State_.Policy_, Job_.Accepted_, Objective_,
+                         Chains_[Step], Context_.Wall_);
+      for (jobs::NumberRange Range : {Due.OnTime_, Due.Late_, Due.Expired_})
+        collectStep(Live, Step, Range, Ready);
+    }
+    wakeForNext(Wake);
+  }
+
+private:
+  /// Collects the units of a step in the occurrences \p Within.
+  void collectStep(const LiveJob &Live, std::uint32_t Step,
+                   jobs::NumberRange Within, ReadyUnits &Ready) {
+    const jobs::JobSpec &Spec = Job_.Accepted_.Spec_;
+    std::size_t Considered = 0;
+    for (auto Next = jobs::nextReady(Spec, Live.Progress_, Step, Within);
+         !Next.empty();
+         Next = jobs::nextReady(Spec, Live.Progress_, Step, Within)) {
+      for (auto Occurrence = Next.First_; Occurrence < Next.End_;
+           ++Occurrence) {
+        if (Considered >= MaxOccurrencesConsidered) {
+          Ready.Complete_ = false;
+          return;
         }
+        Considered += addUnits(State_, makeUnit(Occurrence, Step), Live,
+                               Context_.Now_, Ready.Units_);
       }
-      for (std::uint32_t Step = 0; Step < Spec.Steps_.size(); ++Step)
-        if (stepReady(Spec, Live.Progress_, Occurrence, Step))
-          addUnits(State_, makeUnit(Occurrence, Step), Live, Context_.Now_,
-                   Units);
+      Within.First_ = Next.End_;
     }
   }
 
-private:
-  Unit makeUnit(std::uint32_t Occurrence, std::uint32_t Step) const {
+  /// Wakes the holder when the next occurrence is due.
+  void wakeForNext(core::TimePoint &Wake) const {
+    /// Limits the sum of times; the holder wakes far more often.
+    constexpr core::Duration LongestSleep = std::chrono::hours(1);
+    const jobs::JobSpec &Spec = Job_.Accepted_.Spec_;
+    const jobs::OccurrenceNumber Due =
+        Spec.dueCount(Context_.Wall_ - State_.Policy_.DueMargin_);
+    if (!Spec.timed() || Due >= Spec.occurrences())
+      return;
+    const core::Duration Wait =
+        Spec.dueAt(Due) - (Context_.Wall_ - State_.Policy_.DueMargin_);
+    Wake = std::min(Wake, Context_.Now_ + std::min(Wait, LongestSleep));
+  }
+
+  Unit makeUnit(jobs::OccurrenceNumber Occurrence, std::uint32_t Step) const {
     Unit Work;
     Work.Job_ = &Job_;
     Work.Occurrence_ = Occurrence;
@@ -177,28 +244,71 @@
     const jobs::JobSpec &Spec = Job_.Accepted_.Spec_;
     Work.Begin_ =
         Spec.timed() ? Spec.dueAt(Occurrence) : Job_.Accepted_.Submitted_;
-    Work.Objective_ = objectiveOf(Queue_, Chains_);
+    Work.Objective_ = Objective_;
     Work.Slack_ =
         Work.Begin_ + Work.Objective_ - Context_.Wall_ - Chains_[Step];
     return Work;
   }
 
-  Holder &State_;
+  const Holder &State_;
   const HolderContext &Context_;
   const JobEntry &Job_;
   bool Guaranteed_;
   std::vector<core::Duration> Chains_;
-  const jobs::Queue *Queue_;
+  core::Duration Objective_;
 };
 
 } // namespace
 
-bool stepReady(const jobs::JobSpec &Spec, const jobs::JobProgress &Progress,
-               std::uint32_t Occurrence, std::uint32_t Step) {
-  for (std::uint32_t Dependency : Spec.Steps_[Step].DependsOn_)
-    if (!Progress.stepDone(Occurrence, Dependency))
-      return false;
-  return !Progress.stepDone(Occurrence, Step);
+DueOccurrences dueOccurrences(const HolderPolicy &Policy,
+                              const jobs::JobAccepted &Job,
+                              core::Duration Objective, core::Duration Chain,
+                              jobs::WallTime Now) {
+  const jobs::WallTime OnTimeFrom = Now + Chain - Objective;
+  const jobs::WallTime LateFrom =
+      OnTimeFrom - Objective * (Policy.LateFactor_ - 1);
+  const jobs::JobSpec &Spec = Job.Spec_;
+  DueOccurrences Due;
+  if (!Spec.timed()) {
+    jobs::NumberRange &Only = Job.Submitted_ >= OnTimeFrom ? Due.OnTime_
+                              : Job.Submitted_ >= LateFrom ? Due.Late_
+                                                           : Due.Expired_;
+    Only = {0, 1};
+    return Due;
+  }
+  constexpr core::Duration Tick(1);
+  const auto All = Spec.dueCount(Now - Policy.DueMargin_);
+  const auto BeforeOnTime = std::min(All, Spec.dueCount(OnTimeFrom - Tick));
+  const auto BeforeLate =
+      std::min(BeforeOnTime, Spec.dueCount(LateFrom - Tick));
+  Due.OnTime_ = {BeforeOnTime, All};
+  Due.Late_ = {BeforeLate, BeforeOnTime};
+  Due.Expired_ = {0, BeforeLate};
+  return Due;
+}
+
+std::optional<std::uint32_t>
+nextWaitingTask(const Holder &State, const Unit &Work, std::uint32_t From) {
+  const std::string &Job = Work.Job_->Accepted_.Job_;
+  auto Live = State.Jobs_.find(Job);
+  const jobs::StepProgress *Begun =
+      Live == State.Jobs_.end()
+          ? nullptr
+          : Live->second.Progress_.find(Work.Occurrence_, Work.Step_);
+  std::uint64_t Index = From;
+  while (true) {
+    if (Begun)
+      Index = Begun->Done_.firstMissing(Index);
+    if (Index >= Work.spec().Count_)
+      return std::nullopt;
+    const auto Task = static_cast<std::uint32_t>(Index);
+    const auto Run = firstRunFrom(State, Work, Task);
+    if ((!isRunOf(State, Run, Work) || Run->first.Task_.Index_ != Task) &&
+        !mayRunOnUnsyncedWorker(State,
+                                {Job, Work.Occurrence_, Work.Step_, Task}))
+      return Task;
+    ++Index;
+  }
 }
 
 std::set<std::string> accountsWithinGuarantee(const Holder &State,
@@ -206,7 +316,8 @@
   std::set<std::string> Names;
   for (const auto &[Name, Need] : guaranteedNeeds(State, Context)) {
     const jobs::Account *Account = Context.Tables_.account(Name);
-    if (Account && Need <= Account->GuaranteedAccelerators_)
+    if (Account &&
+        Need <= static_cast<double>(Account->GuaranteedAccelerators_))
       Names.insert(Name);
   }
   return Names;
@@ -236,9 +347,10 @@
          (!OnTime || Work.Slack_ >= Slowdown);
 }
 
-std::vector<Unit> readyUnits(Holder &State, const HolderContext &Context,
-                             core::TimePoint &Wake) {
-  std::vector<Unit> Units;
+ReadyUnits readyUnits(Holder &State, const HolderContext &Context,
+                      core::TimePoint &Wake) {
+  ReadyUnits Ready;
+  std::vector<Unit> &Units = Ready.Units_;
   const bool MayRunAnyTask = std::any_of(
       State.UnsyncedWorkers_.begin(), State.UnsyncedWorkers_.end(),
       [](const auto &Row) { return !Row.second.Tasks_.has_value(); });
@@ -259,14 +371,14 @@
     }
     const bool Guaranteed = Job.Accepted_.Priority_ == 0 &&
                             WithinGuarantee.count(Job.Accepted_.Account_) > 0;
-    JobScan(State, Context, Job, Guaranteed).collect(Live, Units, Wake);
+    JobScan(State, Context, Job, Guaranteed).collect(Live, Ready, Wake);
   }
   rankUnits(State, Context, Units);
   std::sort(Units.begin(), Units.end(), [&](const Unit &A, const Unit &B) {
     return precedes(State.Policy_, A, B);
   });
   limitCopies(State, Units);
-  return Units;
+  return Ready;
 }
 
 } // namespace nutmegwell::cell
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -26,6 +26,13 @@
          coresOf(requiredResources(Step));
 }
 
+/// Returns the checkpoint from which a task resumes; empty for none.
+std::string checkpointOf(const jobs::JobProgress &Progress, const TaskId &Task,
+                         bool Gang) {
+  const jobs::StepProgress *Step = Progress.find(Task.Occurrence_, Task.Step_);
+  return Step ? Step->checkpoint(Gang ? 0 : Task.Index_) : std::string();
+}
+
 double declaredWork(const jobs::JobSpec &Spec) {
   double Sum = 0;
   for (const jobs::StepSpec &Step : Spec.Steps_)
@@ -47,17 +54,33 @@
     collectOpenProbes();
   }
 
-  void placeUnit(const Unit &Work) {
-    // Tasks of a step are alike: when one cannot be placed, none can.
+  /// Places the tasks of \p Work and the further ones of its step, which are
+  /// alike: when one cannot be placed, none can.
+  void placeTasks(const Unit &Work) {
+    if (Work.spec().Gang_ || !Work.OriginalHost_.empty()) {
+      placeUnit(Work);
+      return;
+    }
+    Unit Next = Work;
+    while (placeUnit(Next)) {
+      const auto Index = nextWaitingTask(State_, Next, Next.Index_ + 1);
+      if (!Index)
+        return;
+      Next.Index_ = *Index;
+    }
+  }
+
+  /// Returns whether \p Work was placed, or other work was stopped for it.
+  bool placeUnit(const Unit &Work) {
     if (isAlike(Work, LastUnplaced_) ||
         triesExhausted(State_.Policy_, Unplaced_, Work))
-      return;
+      return false;
     PlacementRequest Request = requestFor(Work);
     countSameStep(Work, targetsOf(Work));
     const SpeedNeed Need =
         speedNeedOf(State_, Context_, Work, speedsOf(Work), targetsOf(Work));
     if (Need.ExcludesWorkers_ && placeOnFastEnough(Work, Request, Need))
-      return;
+      return true;
     excludeTargets(Work, targetsOf(Work));
     Request.AllowRemote_ = allowRemote(Work, targetsOf(Work));
     Request.Speed_ =
@@ -65,12 +88,12 @@
             ? SpeedPreference::Fast
             : preferredSpeed(Work, Need, speedsOf(Work), targetsOf(Work));
     if (startOrPreempt(Work, Request))
-      return;
+      return true;
     if (Work.Guaranteed_ && !Request.AllowRemote_ &&
         waitingTime(Work) >= State_.Policy_.GuaranteedLocalityWait_) {
       Request.AllowRemote_ = true;
       if (startOrPreempt(Work, Request))
-        return;
+        return true;
     }
     LastUnplaced_ = Work;
     countUnplaced(Work, Unplaced_);
@@ -78,8 +101,10 @@
       reserveFor(Work, Request);
     if (needsApproval(Work))
       requestApproval(State_, Work, targetsOf(Work), Context_, Out_);
+    return false;
   }
 
+  bool hasStarted() const { return Started_; }
   const UnplacedUnits &unplaced() const { return Unplaced_; }
   const GangReservations &reserved() const { return Reserved_; }
 
@@ -194,8 +219,11 @@
 
   void subtractResources(const TaskRun &Run) {
     auto It = Index_.find(Run.Host_);
-    if (It != Index_.end())
-      (*It->second.first)[It->second.second].Free_ -= Run.Resources_;
+    if (It == Index_.end() || Run.State_ == RunState::EndUnlisted)
+      return;
+    PlacementTarget &Target = (*It->second.first)[It->second.second];
+    Target.Free_ -= Run.Resources_;
+    --Target.FreeRuns_;
   }
 
   std::vector<PlacementTarget> &targetsOf(const Unit &Work) {
@@ -265,6 +293,7 @@
 
   void startUnit(const Unit &Work, const std::vector<PlacementTarget> &Targets,
                  const std::vector<std::size_t> &Chosen) {
+    Started_ = true;
     const RunNumber Run = nextRun();
     LiveJob &Live = State_.Jobs_.at(Work.Job_->Accepted_.Job_);
     for (std::uint32_t I = 0; I < Work.Count_; ++I)
@@ -305,11 +334,7 @@
     New.OrderSequence_ = Host.NextOrder_;
     New.OrderedAt_ = Context_.Now_;
     New.ProgressedAt_ = Context_.Now_;
-    New.Checkpoint_ =
-        Live.Progress_
-            .step(Work.Job_->Accepted_.Spec_, Work.Occurrence_, Work.Step_)
-            .Tasks_[Step.Gang_ ? 0 : Index]
-            .Checkpoint_;
+    New.Checkpoint_ = checkpointOf(Live.Progress_, New.Id_.Task_, Step.Gang_);
     New.FromStart_ = New.Checkpoint_.empty();
     Host.Starts_.push_back({New.Id_, Work.Job_->Accepted_.Spec_.Command_,
                             New.Checkpoint_, ticketFor(Work, Host)});
@@ -557,6 +582,7 @@
   Holder &State_;
   const HolderContext &Context_;
   Effects &Out_;
+  bool Started_ = false;
   /// Last unit that could not be placed.
   Unit LastUnplaced_;
   UnplacedUnits Unplaced_;
@@ -590,12 +616,15 @@
 void schedule(Holder &State, const HolderContext &Context, Effects &Out) {
   if (Context.Now_ >= State.TenureConfirmedAt_ + State.Policy_.TenureValidity_)
     return;
-  const std::vector<Unit> Units = readyUnits(State, Context, Out.WakeAt_);
-  if (Units.empty())
+  const ReadyUnits Ready = readyUnits(State, Context, Out.WakeAt_);
+  if (Ready.Units_.empty())
     return recordWaiting(State, {}, {}, Context, Out);
   Placer WorkPlacer(State, Context, Out);
-  for (const Unit &Work : Units)
-    WorkPlacer.placeUnit(Work);
+  for (const Unit &Work : Ready.Units_)
+    WorkPlacer.placeTasks(Work);
+  // The next decision considers the occurrences that this one has left out.
+  if (!Ready.Complete_ && WorkPlacer.hasStarted())
+    Out.WakeAt_ = std::min(Out.WakeAt_, Context.Now_);
   recordWaiting(State, WorkPlacer.unplaced(), WorkPlacer.reserved(), Context,
                 Out);
 }
--- a/lib/cell/src/vacate.cpp
+++ b/lib/cell/src/vacate.cpp
@@ -66,10 +66,7 @@
   if (Job == State.Jobs_.end())
     return false;
   const jobs::JobProgress &Progress = Job->second.Progress_;
-  const jobs::StepProgress *Step = Progress.find(Task.Occurrence_, Task.Step_);
-  return jobs::isFinal(Progress.State_) ||
-         (Step && Task.Index_ < Step->Tasks_.size() &&
-          Step->Tasks_[Task.Index_].Done_);
+  return jobs::isFinal(Progress.State_) || Progress.taskDone(Task);
 }
 
 std::optional<core::Duration> expectedRest(const DeparturePolicy &Policy,
--- a/lib/cell/tests/holdertest.cpp
+++ b/lib/cell/tests/holdertest.cpp
@@ -452,7 +452,8 @@
     Cell.runFor(1s);
     CPPUNIT_ASSERT(Cell.runsOf("j").empty());
     Cell.runFor(1s);
-    CPPUNIT_ASSERT_EQUAL(1u, Cell.runsOf("j").at(0).Task_.Occurrence_);
+    CPPUNIT_ASSERT_EQUAL(jobs::OccurrenceNumber(1),
+                         Cell.runsOf("j").at(0).Task_.Occurrence_);
   }
 };
 
--- a/lib/cell/tests/takeovertest.cpp
+++ b/lib/cell/tests/takeovertest.cpp
@@ -102,7 +102,7 @@
         std::none_of(Cell.Records_.begin(), Cell.Records_.end(), IsFailure));
     const RunId Repeated = Cell.runsOf("j")[0];
     const RunNumber First =
-        Cell.View_.Jobs_.at("j").Progress_.find(0, 0)->Tasks_[0].FailedRun_;
+        Cell.View_.Jobs_.at("j").Progress_.find(0, 0)->Tasks_.at(0).FailedRun_;
     Cell.endRun(Repeated, EndKind::Failed);
     Cell.Records_.clear();
     Cell.runFor(300ms);
--- a/lib/cell/tests/vacatetest.cpp
+++ b/lib/cell/tests/vacatetest.cpp
@@ -184,7 +184,7 @@
     expectMoved(Cell, "j", Host, 1);
     CPPUNIT_ASSERT_EQUAL(
         0u,
-        Cell.Holder_.Jobs_.at("j").Progress_.find(0, 0)->Tasks_[0].Failures_);
+        Cell.Holder_.Jobs_.at("j").Progress_.step(0, 0).Tasks_[0].Failures_);
   }
 
   /// Guards against a decision by a declared time that is off by a factor of
--- a/lib/jobs/include/nutmegwell/jobs/progress.h
+++ b/lib/jobs/include/nutmegwell/jobs/progress.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "nutmegwell/jobs/numberset.h"
 #include "nutmegwell/jobs/spec.h"
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -13,7 +15,7 @@
 /// Identifies one task of a job.
 struct TaskId {
   std::string Job_;
-  std::uint32_t Occurrence_ = 0;
+  OccurrenceNumber Occurrence_ = 0;
   std::uint32_t Step_ = 0;
   std::uint32_t Index_ = 0;
 
@@ -68,31 +70,55 @@
 using EarlierFailures = std::map<std::uint32_t, std::vector<RunNumber>>;
 
 /// Occurrence and number of a step within its job.
-using StepPosition = std::pair<std::uint32_t, std::uint32_t>;
+using StepPosition = std::pair<OccurrenceNumber, std::uint32_t>;
 
 /// Tasks of one step of one occurrence.
 struct StepProgress {
-  std::vector<TaskProgress> Tasks_;
-
-  bool done() const;
+  /// Tasks that are done.
+  NumberSet Done_;
+  /// Failures and checkpoints of the other tasks that have any. A gang has
+  /// those of its first task.
+  std::map<std::uint32_t, TaskProgress> Tasks_;
+
+  /// Marks a task as done.
+  void finish(std::uint32_t Index);
+  bool isDone(std::uint32_t Index) const { return Done_.contains(Index); }
+  /// Returns the newest checkpoint of a task; empty for none.
+  std::string checkpoint(std::uint32_t Index) const;
 };
 
 /// Progress of a job that is never taken back: completed tasks, counted
-/// failures and saved checkpoints.
+/// failures and saved checkpoints. Its size goes by the steps that have begun
+/// and are not done, not by those that are done or have yet to begin.
 struct JobProgress {
   JobState State_ = JobState::Queued;
-  /// By occurrence, then by step; an occurrence without an entry has no
-  /// progress.
-  std::map<std::uint32_t, std::vector<StepProgress>> Occurrences_;
-
-  /// Returns the progress of a step, and adds an empty one if there is none.
-  StepProgress &step(const JobSpec &Spec, std::uint32_t Occurrence,
-                     std::uint32_t Step);
-  /// Returns the progress of a step, or nullptr when it has none.
-  const StepProgress *find(std::uint32_t Occurrence, std::uint32_t Step) const;
-  bool stepDone(std::uint32_t Occurrence, std::uint32_t Step) const;
-  bool occurrenceDone(const JobSpec &Spec, std::uint32_t Occurrence) const;
+  /// Occurrences of which a step is done, by step; may end before the last
+  /// step.
+  std::vector<NumberSet> DoneSteps_;
+  /// Steps with some progress that are not done.
+  std::map<StepPosition, StepProgress> BegunSteps_;
+
+  /// Returns the progress of a step that is not done, and adds an empty one if
+  /// there is none.
+  StepProgress &step(OccurrenceNumber Occurrence, std::uint32_t Step);
+  /// Returns the progress of a step that has begun and is not done, or nullptr.
+  const StepProgress *find(OccurrenceNumber Occurrence,
+                           std::uint32_t Step) const;
+  bool stepDone(OccurrenceNumber Occurrence, std::uint32_t Step) const;
+  bool taskDone(const TaskId &Task) const;
+  /// Marks a step as done and drops what is known of its tasks.
+  void finishStep(OccurrenceNumber Occurrence, std::uint32_t Step);
   bool allDone(const JobSpec &Spec) const;
+  /// Returns the occurrences of which a step is done.
+  const NumberSet &doneOccurrences(std::uint32_t Step) const;
+  /// Drops everything but the state.
+  void forgetSteps();
 };
 
+/// Returns the first consecutive occurrences of \p Within in which the step is
+/// not done and all that it depends on is, or an empty range. Takes time
+/// logarithmic in the gaps of the done occurrences for each one passed.
+NumberRange nextReady(const JobSpec &Spec, const JobProgress &Progress,
+                      std::uint32_t Step, NumberRange Within);
+
 } // namespace nutmegwell::jobs
--- a/lib/jobs/include/nutmegwell/jobs/records.h
+++ b/lib/jobs/include/nutmegwell/jobs/records.h
@@ -2,6 +2,7 @@
 
 #include "nutmegwell/core/ids.h"
 #include "nutmegwell/jobs/progress.h"
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -26,10 +27,23 @@
   std::string Job_;
 };
 
+/// Tasks of a step as one record holds them; empty for a step without progress.
+struct RecordedStep {
+  std::vector<TaskProgress> Tasks_;
+};
+
+/// Progress of a job as one record holds it.
+struct RecordedProgress {
+  JobState State_ = JobState::Queued;
+  /// By occurrence, then by step; an occurrence without an entry has no
+  /// progress.
+  std::map<std::uint32_t, std::vector<RecordedStep>> Occurrences_;
+};
+
 /// Progress of a job; replaces the record before it.
 struct JobProgressed {
   std::string Job_;
-  JobProgress Progress_;
+  RecordedProgress Progress_;
 };
 
 /// Earlier failures of a step's tasks; replaces the record before it. Belongs
--- a/lib/jobs/include/nutmegwell/jobs/spec.h
+++ b/lib/jobs/include/nutmegwell/jobs/spec.h
@@ -12,6 +12,9 @@
 using WallTime =
     std::chrono::time_point<std::chrono::system_clock, core::Duration>;
 
+/// Number of an occurrence of a job.
+using OccurrenceNumber = std::uint64_t;
+
 /// Resources of a worker, or those that a task takes of it.
 struct Resources {
   /// Thousandths of a core.
@@ -23,7 +26,8 @@
   bool covers(const Resources &Other) const;
   Resources &operator+=(const Resources &Other);
   Resources &operator-=(const Resources &Other);
-  /// Returns these resources \p Count times.
+  /// Returns these resources \p Count times, or amounts that no worker has
+  /// where the products are too large.
   Resources times(std::int64_t Count) const;
 };
 
@@ -67,14 +71,17 @@
   std::string Command_;
   std::vector<StepSpec> Steps_;
   /// Number of times that the steps run; 0 for a single run without a due time.
-  std::uint32_t Repetitions_ = 0;
+  OccurrenceNumber Repetitions_ = 0;
   WallTime FirstDue_{};
   core::Duration Interval_{0};
 
   bool timed() const { return Repetitions_ > 0; }
-  std::uint32_t occurrences() const { return timed() ? Repetitions_ : 1; }
-  /// Returns when occurrence \p Index is due.
-  WallTime dueAt(std::uint32_t Index) const;
+  OccurrenceNumber occurrences() const { return timed() ? Repetitions_ : 1; }
+  /// Returns when occurrence \p Index is due, or WallTime::max() for a time
+  /// beyond it. A negative interval counts as none.
+  WallTime dueAt(OccurrenceNumber Index) const;
+  /// Returns how many occurrences are due at \p Wall, which are the first ones.
+  OccurrenceNumber dueCount(WallTime Wall) const;
   /// Returns true when some step runs until the job is cancelled.
   bool longRunning() const;
 };
@@ -96,7 +103,7 @@
   JobSpecBuilder &dataRack(std::string Rack);
   JobSpecBuilder &spread(std::uint32_t Limit);
   JobSpecBuilder &longRunning();
-  JobSpecBuilder &repeat(std::uint32_t Times, WallTime First,
+  JobSpecBuilder &repeat(OccurrenceNumber Times, WallTime First,
                          core::Duration Interval);
   JobSpec build() const { return Spec_; }
 
--- a/lib/jobs/src/progress.cpp
+++ b/lib/jobs/src/progress.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-bool parseNumber(const std::string &Text, std::size_t &At,
-                 std::uint32_t &Value) {
+template <typename Number>
+bool parseNumber(const std::string &Text, std::size_t &At, Number &Value) {
   if (At >= Text.size() || Text[At] != '.')
     return false;
   const char *First = Text.data() + At + 1;
@@ -52,47 +52,85 @@
   return "unknown";
 }
 
-bool StepProgress::done() const {
-  return std::all_of(Tasks_.begin(), Tasks_.end(),
-                     [](const TaskProgress &Task) { return Task.Done_; });
+void StepProgress::finish(std::uint32_t Index) {
+  Done_.insert(Index);
+  Tasks_.erase(Index);
 }
 
-StepProgress &JobProgress::step(const JobSpec &Spec, std::uint32_t Occurrence,
+std::string StepProgress::checkpoint(std::uint32_t Index) const {
+  auto It = Tasks_.find(Index);
+  return It == Tasks_.end() ? std::string() : It->second.Checkpoint_;
+}
+
+StepProgress &JobProgress::step(OccurrenceNumber Occurrence,
                                 std::uint32_t Step) {
-  std::vector<StepProgress> &Steps = Occurrences_[Occurrence];
-  Steps.resize(Spec.Steps_.size());
-  StepProgress &Entry = Steps[Step];
-  Entry.Tasks_.resize(Spec.Steps_[Step].Count_);
-  return Entry;
+  return BegunSteps_[{Occurrence, Step}];
 }
 
-const StepProgress *JobProgress::find(std::uint32_t Occurrence,
+const StepProgress *JobProgress::find(OccurrenceNumber Occurrence,
                                       std::uint32_t Step) const {
-  auto It = Occurrences_.find(Occurrence);
-  if (It == Occurrences_.end() || Step >= It->second.size() ||
-      It->second[Step].Tasks_.empty())
-    return nullptr;
-  return &It->second[Step];
+  auto It = BegunSteps_.find({Occurrence, Step});
+  return It == BegunSteps_.end() ? nullptr : &It->second;
 }
 
-bool JobProgress::stepDone(std::uint32_t Occurrence, std::uint32_t Step) const {
-  const StepProgress *Entry = find(Occurrence, Step);
-  return Entry && Entry->done();
+bool JobProgress::stepDone(OccurrenceNumber Occurrence,
+                           std::uint32_t Step) const {
+  return doneOccurrences(Step).contains(Occurrence);
 }
 
-bool JobProgress::occurrenceDone(const JobSpec &Spec,
-                                 std::uint32_t Occurrence) const {
-  for (std::uint32_t Step = 0; Step < Spec.Steps_.size(); ++Step)
-    if (!stepDone(Occurrence, Step))
-      return false;
-  return true;
+bool JobProgress::taskDone(const TaskId &Task) const {
+  if (stepDone(Task.Occurrence_, Task.Step_))
+    return true;
+  const StepProgress *Begun = find(Task.Occurrence_, Task.Step_);
+  return Begun && Begun->isDone(Task.Index_);
+}
+
+void JobProgress::finishStep(OccurrenceNumber Occurrence, std::uint32_t Step) {
+  if (DoneSteps_.size() <= Step)
+    DoneSteps_.resize(Step + 1);
+  DoneSteps_[Step].insert(Occurrence);
+  BegunSteps_.erase({Occurrence, Step});
 }
 
 bool JobProgress::allDone(const JobSpec &Spec) const {
-  for (std::uint32_t I = 0; I < Spec.occurrences(); ++I)
-    if (!occurrenceDone(Spec, I))
+  for (std::uint32_t Step = 0; Step < Spec.Steps_.size(); ++Step)
+    if (doneOccurrences(Step).firstMissing(0) < Spec.occurrences())
       return false;
   return true;
 }
 
+const NumberSet &JobProgress::doneOccurrences(std::uint32_t Step) const {
+  static const NumberSet None;
+  return Step < DoneSteps_.size() ? DoneSteps_[Step] : None;
+}
+
+void JobProgress::forgetSteps() {
+  DoneSteps_.clear();
+  BegunSteps_.clear();
+}
+
+NumberRange nextReady(const JobSpec &Spec, const JobProgress &Progress,
+                      std::uint32_t Step, NumberRange Within) {
+  const NumberSet &Done = Progress.doneOccurrences(Step);
+  while (!Within.empty()) {
+    Within.First_ = Done.firstMissing(Within.First_);
+    NumberRange Ready = Within;
+    const NumberRange NextDone = Done.firstRange(Ready.First_);
+    if (!NextDone.empty())
+      Ready.End_ = std::min(Ready.End_, NextDone.First_);
+    for (std::uint32_t Dependency : Spec.Steps_[Step].DependsOn_) {
+      const NumberRange Possible =
+          Progress.doneOccurrences(Dependency).firstRange(Ready.First_);
+      if (Possible.empty())
+        return {};
+      Ready.First_ = Possible.First_;
+      Ready.End_ = std::min(Ready.End_, Possible.End_);
+    }
+    if (!Ready.empty())
+      return Ready;
+    Within.First_ = Ready.First_;
+  }
+  return {};
+}
+
 } // namespace nutmegwell::jobs
--- a/lib/jobs/src/spec.cpp
+++ b/lib/jobs/src/spec.cpp
@@ -1,5 +1,6 @@
 #include "nutmegwell/jobs/spec.h"
 #include <algorithm>
+#include <limits>
 
 namespace nutmegwell::jobs {
 
@@ -23,11 +24,42 @@
 }
 
 Resources Resources::times(std::int64_t Count) const {
-  return {Cpu_ * Count, MemoryMb_ * Count, Accelerators_ * Count};
-}
-
-WallTime JobSpec::dueAt(std::uint32_t Index) const {
-  return FirstDue_ + Interval_ * Index;
+  // Half of the limit leaves room for a sum.
+  constexpr std::int64_t Largest = std::numeric_limits<std::int64_t>::max() / 2;
+  const auto Product = [Count](std::int64_t Amount) -> std::int64_t {
+    std::int64_t Result = 0;
+    if (__builtin_mul_overflow(Amount, Count, &Result))
+      return Largest;
+    return Result < Largest ? Result : Largest;
+  };
+  return {Product(Cpu_), Product(MemoryMb_), Product(Accelerators_)};
+}
+
+WallTime JobSpec::dueAt(OccurrenceNumber Index) const {
+  if (Interval_ <= core::Duration(0))
+    return FirstDue_;
+  const core::Duration SinceEpoch = FirstDue_.time_since_epoch();
+  // The time left until WallTime::max() exceeds a signed number when the first
+  // occurrence was due before the epoch.
+  const auto Left = static_cast<std::uint64_t>(core::Duration::max().count()) -
+                    static_cast<std::uint64_t>(SinceEpoch.count());
+  const auto Interval = static_cast<std::uint64_t>(Interval_.count());
+  if (Index > Left / Interval)
+    return WallTime::max();
+  return WallTime(core::Duration(static_cast<std::int64_t>(
+      static_cast<std::uint64_t>(SinceEpoch.count()) + Interval * Index)));
+}
+
+OccurrenceNumber JobSpec::dueCount(WallTime Wall) const {
+  if (Wall < FirstDue_)
+    return 0;
+  if (Interval_ <= core::Duration(0))
+    return occurrences();
+  const auto Elapsed =
+      static_cast<std::uint64_t>(Wall.time_since_epoch().count()) -
+      static_cast<std::uint64_t>(FirstDue_.time_since_epoch().count());
+  return std::min(occurrences(),
+                  Elapsed / static_cast<std::uint64_t>(Interval_.count()) + 1);
 }
 
 bool JobSpec::longRunning() const {
@@ -105,7 +137,7 @@
   return *this;
 }
 
-JobSpecBuilder &JobSpecBuilder::repeat(std::uint32_t Times, WallTime First,
+JobSpecBuilder &JobSpecBuilder::repeat(OccurrenceNumber Times, WallTime First,
                                        core::Duration Interval) {
   Spec_.Repetitions_ = Times;
   Spec_.FirstDue_ = First;
--- a/lib/jobs/src/view.cpp
+++ b/lib/jobs/src/view.cpp
@@ -1,4 +1,5 @@
 #include "nutmegwell/jobs/view.h"
+#include "nutmegwell/jobs/progressrecords.h"
 #include <algorithm>
 
 namespace nutmegwell::jobs {
@@ -32,7 +33,7 @@
   void operator()(const JobProgressed &Value) const {
     // Pages of newest records can contain a job's progress before its
     // acceptance.
-    State_.Jobs_[Value.Job_].Progress_ = Value.Progress_;
+    State_.Jobs_[Value.Job_].Progress_ = fromRecord(Value.Progress_);
   }
 
   void operator()(const FailuresCounted &Value) const {
--- a/lib/wire/src/cellfields.h
+++ b/lib/wire/src/cellfields.h
@@ -3,7 +3,9 @@
 #include "archive.h"
 #include "nutmegwell/cell/peers.h"
 #include "nutmegwell/jobs/records.h"
+#include <algorithm>
 #include <cereal/types/optional.hpp>
+#include <limits>
 
 /// Field order of the encoded structs of a cell's records and messages. The
 /// order is part of the binary format.
@@ -35,23 +37,39 @@
          V.BestEffort_, V.MaxUnavailable_);
 }
 
+/// Encodes a number in four bytes, as the versions do that know only such
+/// numbers. The largest one announces eight further bytes.
+template <class A> void serializeLong(A &Fields, std::uint64_t &V) {
+  constexpr auto Long = std::numeric_limits<std::uint32_t>::max();
+  auto Short = static_cast<std::uint32_t>(std::min<std::uint64_t>(V, Long));
+  Fields(Short);
+  if (Short == Long)
+    Fields(V);
+  else
+    V = Short;
+}
+
 template <class A> void serialize(A &Fields, JobSpec &V) {
-  Fields(V.Command_, V.Steps_, V.Repetitions_, V.FirstDue_, V.Interval_);
+  Fields(V.Command_, V.Steps_);
+  serializeLong(Fields, V.Repetitions_);
+  Fields(V.FirstDue_, V.Interval_);
 }
 
 template <class A> void serialize(A &Fields, TaskId &V) {
-  Fields(V.Job_, V.Occurrence_, V.Step_, V.Index_);
+  Fields(V.Job_);
+  serializeLong(Fields, V.Occurrence_);
+  Fields(V.Step_, V.Index_);
 }
 
 template <class A> void serialize(A &Fields, TaskProgress &V) {
   Fields(V.Done_, V.Failures_, V.FailedRun_, V.Checkpoint_);
 }
 
-template <class A> void serialize(A &Fields, StepProgress &V) {
+template <class A> void serialize(A &Fields, RecordedStep &V) {
   Fields(V.Tasks_);
 }
 
-template <class A> void serialize(A &Fields, JobProgress &V) {
+template <class A> void serialize(A &Fields, RecordedProgress &V) {
   wire::serializeEnum(Fields, V.State_, JobState::Cancelled);
   Fields(V.Occurrences_);
 }
--- a/lib/wire/tests/cellbinarytest.cpp
+++ b/lib/wire/tests/cellbinarytest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(truncatedLoadReportsAreRejected);
   CPPUNIT_TEST(kindsOfMessagesKeepTheirNumbers);
   CPPUNIT_TEST(partialEndsShareAByteWithReachability);
+  CPPUNIT_TEST(largeOccurrencesExtendTheEncoding);
   CPPUNIT_TEST_SUITE_END();
 
   /// Position of the kind of a record in its encoding.
@@ -169,6 +170,28 @@
     CPPUNIT_ASSERT(Read.WorkerReachable_);
     CPPUNIT_ASSERT(!Read.EndsComplete_);
   }
+
+  /// Guards against occurrences that change their number on their way, and
+  /// against an encoding that hosts of the version before cannot read: they
+  /// know four bytes.
+  void largeOccurrencesExtendTheEncoding() {
+    const auto Encoded = [](jobs::OccurrenceNumber Number) {
+      cell::AgentReport Report;
+      Report.Pending_ = {{{"j", Number, 1, 2}, 3}};
+      return wire::encode(cell::PeerMessage(Report));
+    };
+    const std::size_t Short = Encoded(7).size();
+    CPPUNIT_ASSERT_EQUAL(Short, Encoded(UINT32_MAX - 1).size());
+    CPPUNIT_ASSERT_EQUAL(Short + 8, Encoded(UINT32_MAX).size());
+    for (jobs::OccurrenceNumber Number :
+         {0ul, 7ul, 0xfffffffeul, 0xfffffffful, 0x100000000ul, UINT64_MAX}) {
+      const auto Decoded = wire::decodePeerMessage(Encoded(Number));
+      CPPUNIT_ASSERT(Decoded.ok());
+      CPPUNIT_ASSERT_EQUAL(Number, std::get<cell::AgentReport>(*Decoded)
+                                       .Pending_.at(0)
+                                       .Task_.Occurrence_);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CellBinaryTest);
