Record progress in parts, and drop records that the store rejects

Cause: the progress of a job was one record with every task so far, and the store takes 262,144 bytes. The appender took a refusal for size for one that may pass and sent the same batch for ever; the holder collects nothing else while an append is in flight.

Change: progress stays one record up to 64 KiB. Beyond, the job has a record of its state and of ranges of done steps, and each begun step has records for parts of 512 tasks, which go by the gaps between done tasks and are removed once they are covered. An ended job keeps its state only. The appender divides a rejected batch, drops the records that the store does not take (record_rejected) and appends the others; it sends none above the limit, and no call above 2 MiB. Acceptances with many steps have an encoding that is no larger than the request. Ids that name no task or key are invalid. Removed keys leave the memory of the entry hosts.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -12,6 +12,7 @@
 #include "nutmegwell/core/logevent.h"
 #include "nutmegwell/expect/runtimes.h"
 #include "nutmegwell/expect/speeds.h"
+#include "nutmegwell/jobs/progressrecords.h"
 #include "nutmegwell/jobs/tables.h"
 #include "nutmegwell/jobs/view.h"
 #include "nutmegwell/share/usage.h"
@@ -221,6 +222,9 @@
   std::map<jobs::StepPosition, jobs::EarlierFailures> EarlierFailures_;
   /// Steps whose earlier failures have yet to be recorded.
   std::set<jobs::StepPosition> FailuresToRecord_;
+  /// Parts of steps whose progress has changed since their record, while the
+  /// progress is recorded in parts.
+  std::set<jobs::StepPart> PartsToRecord_;
   /// Earliest time of the job's next attempt at any task.
   core::TimePoint NotBefore_{};
   /// When this holder first considered the job.
--- a/lib/cell/src/ends.cpp
+++ b/lib/cell/src/ends.cpp
@@ -88,6 +88,7 @@
   if (!Progress.taskDone(Task)) {
     jobs::StepProgress &Step = Progress.step(Task.Occurrence_, Task.Step_);
     Step.finish(Task.Index_);
+    noteTaskChanged(Target.Live_, Task, Target.Step_.Gang_);
     // The completion of one member completes the whole gang.
     if (Target.Step_.Gang_ || Step.Done_.firstMissing(0) >= Target.Step_.Count_)
       Progress.finishStep(Task.Occurrence_, Task.Step_);
@@ -132,6 +133,7 @@
           .Tasks_[Counted.Index_];
   if (!countFailure(Target.Live_, Task, Counted, Id.Run_))
     return;
+  noteTaskChanged(Target.Live_, Counted, Target.Step_.Gang_);
   State.JobsToRecord_.insert(Id.Task_.Job_);
   Target.Live_.NotBefore_ = Now + State.Policy_.RetryBackoff_;
   if (Task.Failures_ < Target.Job_.Accepted_.MaxAttempts_)
@@ -199,6 +201,7 @@
     Saved.Index_ = 0;
   if (Live.Progress_.taskDone(Saved))
     return;
+  noteTaskChanged(Live, Saved, Gang);
   Live.Progress_.step(Saved.Occurrence_, Saved.Step_)
       .Tasks_[Saved.Index_]
       .Checkpoint_ = Checkpoint;
--- a/lib/cell/src/holdersteps.h
+++ b/lib/cell/src/holdersteps.h
@@ -94,6 +94,13 @@
 /// waits. An ordered start does not show that, since the worker may refuse it.
 void noteTaskStarted(Holder &State, const std::string &Job, LiveJob &Live);
 
+/// Notes that the progress of a task, or that of its gang, has to be recorded.
+void noteTaskChanged(LiveJob &Live, const TaskId &Task, bool Gang);
+
+/// Adds the records of a job's progress that have changed to \p Records.
+void addProgress(const jobs::JobAccepted &Job, LiveJob &Live,
+                 std::vector<jobs::Record> &Records);
+
 /// Keeps the newest checkpoint of a task, or that of a gang, unless it is done.
 void saveCheckpoint(LiveJob &Live, const TaskId &Task, bool Gang,
                     const std::string &Checkpoint);
--- a/lib/cell/src/orders.cpp
+++ b/lib/cell/src/orders.cpp
@@ -1,5 +1,4 @@
 #include "holdersteps.h"
-#include "nutmegwell/jobs/progressrecords.h"
 
 namespace nutmegwell::cell {
 
@@ -145,20 +144,6 @@
   State.ListingsToRecord_.clear();
 }
 
-/// Adds the progress of a job to the append, and before it the failures that it
-/// counts and does not name.
-void addProgress(const jobs::JobEntry &Entry, LiveJob &Live, Effects &Out) {
-  const std::string &Job = Entry.Accepted_.Job_;
-  if (!jobs::isFinal(Live.Progress_.State_))
-    for (const jobs::StepPosition &Step : Live.FailuresToRecord_)
-      Out.Append_.push_back(
-          jobs::FailuresCounted{Job, static_cast<std::uint32_t>(Step.first),
-                                Step.second, Live.EarlierFailures_[Step]});
-  Live.FailuresToRecord_.clear();
-  Out.Append_.push_back(jobs::JobProgressed{
-      Job, jobs::toRecord(Entry.Accepted_.Spec_, Live.Progress_)});
-}
-
 void acknowledgeEnds(Worker &Host, std::uint64_t UpTo) {
   if (UpTo <= Host.EndsDurable_)
     return;
@@ -177,7 +162,7 @@
     auto Live = State.Jobs_.find(Job);
     auto Entry = Context.View_.Jobs_.find(Job);
     if (Live != State.Jobs_.end() && Entry != Context.View_.Jobs_.end())
-      addProgress(Entry->second, Live->second, Out);
+      addProgress(Entry->second.Accepted_, Live->second, Out.Append_);
   }
   State.JobsToRecord_.clear();
   if (!State.SettledRecordQueued_ &&
--- a/lib/cell/tests/manytaskstest.cpp
+++ b/lib/cell/tests/manytaskstest.cpp
@@ -111,6 +111,10 @@
     Cell.acceptJob("j", oneStep(1'000'000'000, {8000, 8000, 1}));
     Cell.advance();
     CPPUNIT_ASSERT_EQUAL(std::size_t(16), Cell.runsOf("j").size());
+    endRuns(Cell, "j");
+    Cell.advance();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(16), Cell.runsOf("j").size());
+    CPPUNIT_ASSERT_EQUAL(16u, Cell.runsOf("j").at(0).Task_.Index_);
   }
 
   /// Guards against the same for the members of a gang.
--- a/lib/jobs/include/nutmegwell/jobs/progress.h
+++ b/lib/jobs/include/nutmegwell/jobs/progress.h
@@ -97,6 +97,8 @@
   std::vector<NumberSet> DoneSteps_;
   /// Steps with some progress that are not done.
   std::map<StepPosition, StepProgress> BegunSteps_;
+  /// The progress is recorded in parts, because it has outgrown one record.
+  bool InParts_ = false;
 
   /// Returns the progress of a step that is not done, and adds an empty one if
   /// there is none.
--- a/lib/jobs/include/nutmegwell/jobs/records.h
+++ b/lib/jobs/include/nutmegwell/jobs/records.h
@@ -22,6 +22,13 @@
   JobSpec Spec_;
 };
 
+/// An accepted job with more steps than the encoding of JobAccepted has room
+/// for in one record. Its own encoding takes no more bytes than a caller's
+/// request.
+struct LargeJobAccepted {
+  JobAccepted Job_;
+};
+
 /// A caller's cancellation of a job.
 struct JobCancelled {
   std::string Job_;
@@ -40,12 +47,60 @@
   std::map<std::uint32_t, std::vector<RecordedStep>> Occurrences_;
 };
 
-/// Progress of a job; replaces the record before it.
+/// Progress of a job; replaces the record before it. Once the progress has
+/// outgrown one record, only a final state is recorded so.
 struct JobProgressed {
   std::string Job_;
   RecordedProgress Progress_;
 };
 
+/// Steps that are done in the same occurrences.
+struct DoneSteps {
+  NumberRange Steps_;
+  std::vector<NumberRange> Occurrences_;
+};
+
+/// State of a job and its steps that are done; replaces the record before it.
+/// The steps that have begun have records of their own.
+struct ProgressSummarized {
+  std::string Job_;
+  JobState State_ = JobState::Queued;
+  std::vector<DoneSteps> DoneSteps_;
+};
+
+/// Parts of a step of which all tasks are done; replaces the record before it.
+struct PartsDone {
+  std::string Job_;
+  OccurrenceNumber Occurrence_ = 0;
+  std::uint32_t Step_ = 0;
+  std::vector<NumberRange> Parts_;
+};
+
+/// A task that is not done.
+struct RecordedTask {
+  std::uint32_t Index_ = 0;
+  TaskProgress Progress_;
+  /// Runs whose failures were counted before TaskProgress::FailedRun_.
+  std::vector<RunNumber> EarlierFailedRuns_;
+};
+
+/// Progress of one part of a step; replaces the record before it.
+struct TasksProgressed {
+  std::string Job_;
+  OccurrenceNumber Occurrence_ = 0;
+  std::uint32_t Step_ = 0;
+  std::uint32_t Part_ = 0;
+  /// Tasks that are done.
+  std::vector<NumberRange> Done_;
+  std::vector<RecordedTask> Tasks_;
+};
+
+/// Removes the record of a key. Has no encoding of its own: the store keeps no
+/// value for the key.
+struct RecordRemoved {
+  std::string Key_;
+};
+
 /// Earlier failures of a step's tasks; replaces the record before it. Belongs
 /// to the job's progress, which comes after it in the same append.
 struct FailuresCounted {
@@ -103,13 +158,18 @@
   std::vector<LearnedSpeed> Workers_;
 };
 
-using Record = std::variant<JobAccepted, JobCancelled, JobProgressed,
-                            CellClaimed, WorkerListed, EntryHostListed,
-                            TenureSettled, FailuresCounted, LearnedSpeeds>;
+using Record =
+    std::variant<JobAccepted, JobCancelled, JobProgressed, CellClaimed,
+                 WorkerListed, EntryHostListed, TenureSettled, FailuresCounted,
+                 LearnedSpeeds, ProgressSummarized, PartsDone, TasksProgressed,
+                 RecordRemoved, LargeJobAccepted>;
 
 /// Returns the key under which the store keeps the newest record of this kind.
 std::string keyOf(const Record &Value);
 
+/// Returns the job that a record accepts, or nullptr.
+const JobAccepted *acceptedJob(const Record &Value);
+
 /// A record and its offset in the store's partition.
 struct StoredRecord {
   core::Offset Offset_ = 0;
--- a/lib/jobs/include/nutmegwell/jobs/spec.h
+++ b/lib/jobs/include/nutmegwell/jobs/spec.h
@@ -86,6 +86,10 @@
   bool longRunning() const;
 };
 
+/// Returns whether \p Id can name a job: tasks and records are named by it,
+/// with dots between the parts and in keys of limited length.
+bool isValidJobId(const std::string &Id);
+
 /// Returns what is wrong with \p Spec, or an empty string.
 std::string validationError(const JobSpec &Spec);
 
--- a/lib/jobs/src/records.cpp
+++ b/lib/jobs/src/records.cpp
@@ -4,10 +4,18 @@
 
 namespace {
 
+std::string positionName(const std::string &Job, OccurrenceNumber Occurrence,
+                         std::uint32_t Step) {
+  return Job + "." + std::to_string(Occurrence) + "." + std::to_string(Step);
+}
+
 struct KeyOf {
   std::string operator()(const JobAccepted &Value) const {
     return "j/" + Value.Job_;
   }
+  std::string operator()(const LargeJobAccepted &Value) const {
+    return (*this)(Value.Job_);
+  }
   std::string operator()(const JobCancelled &Value) const {
     return "c/" + Value.Job_;
   }
@@ -15,8 +23,20 @@
     return "p/" + Value.Job_;
   }
   std::string operator()(const FailuresCounted &Value) const {
-    return "f/" + Value.Job_ + "." + std::to_string(Value.Occurrence_) + "." +
-           std::to_string(Value.Step_);
+    return "f/" + positionName(Value.Job_, Value.Occurrence_, Value.Step_);
+  }
+  std::string operator()(const ProgressSummarized &Value) const {
+    return "q/" + Value.Job_;
+  }
+  std::string operator()(const PartsDone &Value) const {
+    return "u/" + positionName(Value.Job_, Value.Occurrence_, Value.Step_);
+  }
+  std::string operator()(const TasksProgressed &Value) const {
+    return "t/" + positionName(Value.Job_, Value.Occurrence_, Value.Step_) +
+           "." + std::to_string(Value.Part_);
+  }
+  std::string operator()(const RecordRemoved &Value) const {
+    return Value.Key_;
   }
   std::string operator()(const CellClaimed &) const { return "h"; }
   std::string operator()(const TenureSettled &) const { return "s"; }
@@ -33,6 +53,12 @@
 
 } // namespace
 
+const JobAccepted *acceptedJob(const Record &Value) {
+  if (const auto *Large = std::get_if<LargeJobAccepted>(&Value))
+    return &Large->Job_;
+  return std::get_if<JobAccepted>(&Value);
+}
+
 std::string keyOf(const Record &Value) { return std::visit(KeyOf(), Value); }
 
 } // namespace nutmegwell::jobs
--- a/lib/jobs/src/spec.cpp
+++ b/lib/jobs/src/spec.cpp
@@ -67,6 +67,13 @@
                      [](const StepSpec &Step) { return Step.LongRunning_; });
 }
 
+bool isValidJobId(const std::string &Id) {
+  /// Far above the 16 digits that callers use.
+  constexpr std::size_t MaxBytes = 64;
+  return !Id.empty() && Id.size() <= MaxBytes &&
+         Id.find('.') == std::string::npos;
+}
+
 std::string validationError(const JobSpec &Spec) {
   if (Spec.Steps_.empty())
     return "the job has no steps";
--- a/lib/jobs/src/view.cpp
+++ b/lib/jobs/src/view.cpp
@@ -22,6 +22,8 @@
     Job.CancelRequested_ |= State_.EarlyCancels_.erase(Value.Job_) > 0;
   }
 
+  void operator()(const LargeJobAccepted &Value) const { (*this)(Value.Job_); }
+
   void operator()(const JobCancelled &Value) const {
     auto It = State_.Jobs_.find(Value.Job_);
     if (It == State_.Jobs_.end())
@@ -33,12 +35,34 @@
   void operator()(const JobProgressed &Value) const {
     // Pages of newest records can contain a job's progress before its
     // acceptance.
-    State_.Jobs_[Value.Job_].Progress_ = fromRecord(Value.Progress_);
+    JobEntry &Job = State_.Jobs_[Value.Job_];
+    if (isFinal(Value.Progress_.State_)) {
+      Job.Progress_.State_ = Value.Progress_.State_;
+      Job.Progress_.forgetSteps();
+      Job.EarlierFailures_.clear();
+    } else if (!Job.Progress_.InParts_) {
+      Job.Progress_ = fromRecord(Value.Progress_);
+    }
+  }
+
+  void operator()(const ProgressSummarized &Value) const {
+    jobs::applyRecord(State_.Jobs_[Value.Job_], Value);
+  }
+
+  void operator()(const PartsDone &Value) const {
+    jobs::applyRecord(State_.Jobs_[Value.Job_], Value);
+  }
+
+  void operator()(const TasksProgressed &Value) const {
+    jobs::applyRecord(State_.Jobs_[Value.Job_], Value);
   }
 
+  void operator()(const RecordRemoved &) const {}
+
   void operator()(const FailuresCounted &Value) const {
-    State_.Jobs_[Value.Job_]
-        .EarlierFailures_[{Value.Occurrence_, Value.Step_}] = Value.Runs_;
+    JobEntry &Job = State_.Jobs_[Value.Job_];
+    if (!Job.Progress_.InParts_)
+      Job.EarlierFailures_[{Value.Occurrence_, Value.Step_}] = Value.Runs_;
   }
 
   void operator()(const CellClaimed &Value) const {
@@ -89,7 +113,7 @@
   std::visit(Applier{State, Entry.Offset_}, Entry.Value_);
   // The newest record of an id may repeat an acceptance that an earlier holder
   // has already read, so that its offset does not tell the job's age.
-  if (const auto *Accepted = std::get_if<JobAccepted>(&Entry.Value_))
+  if (const JobAccepted *Accepted = acceptedJob(Entry.Value_))
     State.Jobs_[Accepted->Job_].AcceptedAt_ = 0;
 }
 
--- a/lib/jobs/tests/progresstest.cpp
+++ b/lib/jobs/tests/progresstest.cpp
@@ -1,4 +1,6 @@
 #include "nutmegwell/jobs/progressrecords.h"
+#include "nutmegwell/jobs/view.h"
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <random>
 #include <set>
@@ -17,6 +19,11 @@
   CPPUNIT_TEST(stepsBecomeReadyByOccurrence);
   CPPUNIT_TEST(doneStepsTakeNoMemory);
   CPPUNIT_TEST(recordKeepsTheProgress);
+  CPPUNIT_TEST(partsKeepTheProgressInAnyOrder);
+  CPPUNIT_TEST(oneRecordDoesNotReplaceParts);
+  CPPUNIT_TEST(finalStateReplacesParts);
+  CPPUNIT_TEST(wideStepsHaveFewParts);
+  CPPUNIT_TEST(manyDoneStepsAreOneRow);
   CPPUNIT_TEST(largeResourcesDoNotOverflow);
   CPPUNIT_TEST_SUITE_END();
 
@@ -160,6 +167,118 @@
     CPPUNIT_ASSERT_EQUAL(std::string("c"), Step->checkpoint(0));
   }
 
+  static constexpr std::uint32_t Wide = 3 * TasksPerPart + 7;
+
+  static StepProgress someProgress() {
+    StepProgress Step;
+    Step.Done_.insert({0, TasksPerPart + 5});
+    Step.Done_.insert(2 * TasksPerPart + 1);
+    Step.Tasks_[2 * TasksPerPart] = {false, 2, 71, "c"};
+    return Step;
+  }
+
+  static JobEntry entryOf(const std::vector<Record> &Records) {
+    View State;
+    for (std::size_t I = 0; I < Records.size(); ++I)
+      applyNewestRecord(State, {I, Records[I]});
+    return State.Jobs_.at("j");
+  }
+
+  /// Returns the records of a job in which occurrences 0 and 1 of the first
+  /// step are done, and occurrence 2 has someProgress().
+  static std::vector<Record> recordsInParts() {
+    JobProgress Progress;
+    Progress.State_ = JobState::Running;
+    Progress.finishStep(0, 0);
+    Progress.finishStep(1, 0);
+    const StepProgress Step = someProgress();
+    std::vector<Record> Records{summaryOf("j", Progress),
+                                partsDone("j", {2, 0}, Step, Wide)};
+    for (std::uint32_t Part : begunParts(Step))
+      Records.push_back(
+          recordOf("j", {{2, 0}, Part}, Step, {{2 * TasksPerPart, {70}}}));
+    // A part of a step that is done, whose removal was not read.
+    Records.push_back(TasksProgressed{"j", 1, 0, 0, {{0, 3}}, {}});
+    return Records;
+  }
+
+  /// Guards against tasks that are repeated, or failures that are forgotten,
+  /// because records of one job are read in another order than written: pages
+  /// of keys come in the order of keys, relays in that of offsets.
+  void partsKeepTheProgressInAnyOrder() {
+    std::vector<Record> Records = recordsInParts();
+    for (unsigned Seed = 1; Seed <= 100; ++Seed) {
+      std::shuffle(Records.begin(), Records.end(), std::mt19937(Seed));
+      const JobEntry Job = entryOf(Records);
+      const JobProgress &Progress = Job.Progress_;
+      CPPUNIT_ASSERT(Progress.State_ == JobState::Running);
+      CPPUNIT_ASSERT((Progress.doneOccurrences(0).ranges() ==
+                      std::vector<NumberRange>{{0, 2}}));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), Progress.BegunSteps_.size());
+      const StepProgress *Step = Progress.find(2, 0);
+      CPPUNIT_ASSERT(Step && Step->Done_ == someProgress().Done_);
+      const TaskProgress &Task = Step->Tasks_.at(2 * TasksPerPart);
+      CPPUNIT_ASSERT_EQUAL(2u, Task.Failures_);
+      CPPUNIT_ASSERT_EQUAL(RunNumber(71), Task.FailedRun_);
+      CPPUNIT_ASSERT_EQUAL(std::string("c"), Task.Checkpoint_);
+      CPPUNIT_ASSERT((Job.EarlierFailures_.at({2, 0}) ==
+                      EarlierFailures{{2 * TasksPerPart, {70}}}));
+    }
+  }
+
+  /// Guards against progress that goes back to the last record before the
+  /// parts, which the store keeps.
+  void oneRecordDoesNotReplaceParts() {
+    JobProgressed Before{"j", {JobState::Running, {}}};
+    Before.Progress_.Occurrences_[7] = {{{TaskProgress{true, 0, 0, ""}}}};
+    std::vector<Record> Records = recordsInParts();
+    for (const bool First : {true, false}) {
+      std::vector<Record> Read = Records;
+      Read.insert(First ? Read.begin() : Read.end(), Before);
+      const JobEntry Job = entryOf(Read);
+      CPPUNIT_ASSERT(Job.Progress_.stepDone(1, 0));
+      CPPUNIT_ASSERT(Job.Progress_.find(2, 0));
+      CPPUNIT_ASSERT(!Job.Progress_.stepDone(7, 0));
+    }
+  }
+
+  /// Guards against a job that goes on after its end because a part of it is
+  /// read after the final state.
+  void finalStateReplacesParts() {
+    std::vector<Record> Records = recordsInParts();
+    Records.push_back(JobProgressed{"j", {JobState::Completed, {}}});
+    for (unsigned Seed = 1; Seed <= 100; ++Seed) {
+      std::shuffle(Records.begin(), Records.end(), std::mt19937(Seed));
+      const JobEntry Job = entryOf(Records);
+      CPPUNIT_ASSERT(Job.Progress_.State_ == JobState::Completed);
+      CPPUNIT_ASSERT(Job.Progress_.BegunSteps_.empty());
+    }
+  }
+
+  /// Guards against a record, or a number of records, that grows with the tasks
+  /// of a step that are done.
+  void wideStepsHaveFewParts() {
+    constexpr std::uint32_t Count = 1'000'000'000;
+    StepProgress Step;
+    Step.Done_.insert({0, Count / 2 + 1});
+    Step.Done_.insert({Count / 2 + 5, Count / 2 + 100'000'000});
+    CPPUNIT_ASSERT(begunParts(Step).size() <= 4);
+    const PartsDone Record = partsDone("j", {0, 0}, Step, Count);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Record.Parts_.size());
+    for (std::uint32_t Part : begunParts(Step))
+      CPPUNIT_ASSERT(recordOf("j", {{0, 0}, Part}, Step, {}).Done_.size() <= 2);
+  }
+
+  /// Guards against a record that grows with the steps of a job.
+  void manyDoneStepsAreOneRow() {
+    JobProgress Progress;
+    for (std::uint32_t Step = 0; Step < 50'000; ++Step)
+      Progress.finishStep(0, Step);
+    Progress.finishStep(0, 50'002);
+    const ProgressSummarized Record = summaryOf("j", Progress);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Record.DoneSteps_.size());
+  }
+
   /// Guards against a huge request that overflows into a small one.
   void largeResourcesDoNotOverflow() {
     const Resources Large{INT64_MAX / 3, 5, INT64_MAX};
--- a/lib/site/src/callers.cpp
+++ b/lib/site/src/callers.cpp
@@ -184,6 +184,17 @@
       queueAppend(State, Writer::Own, {jobs::JobCancelled{Job}});
 }
 
+/// Returns the record of an accepted job, in the encoding that earlier versions
+/// read unless that one is too large.
+jobs::Record recordOf(const EntryState &State, jobs::JobAccepted Job) {
+  jobs::Record Record = std::move(Job);
+  if (store::isStorable(
+          State.OwnWriter_.Policy_,
+          {0, jobs::keyOf(Record), State.Codec_.EncodeRecord_(Record)}))
+    return Record;
+  return jobs::LargeJobAccepted{std::get<jobs::JobAccepted>(std::move(Record))};
+}
+
 void submit(const CallContext &Context, CallerRequest Request,
             const std::string &Job, const jobs::Queue &Queue,
             const jobs::Account *Account, jobs::WallTime Wall) {
@@ -191,6 +202,9 @@
   if (isKnown(State, Job))
     return Context.replyWith(Request, Job, ReplyKind::Accepted,
                              "already accepted");
+  if (!jobs::isValidJobId(Job))
+    return Context.replyWith(Request, Job, ReplyKind::Invalid,
+                             "the id cannot name a job");
   if (!Request.Spec_)
     return Context.replyWith(Request, Job, ReplyKind::Invalid,
                              Request.SpecError_);
@@ -224,7 +238,8 @@
   Record.Spec_ = *std::move(Request.Spec_);
   Request.Spec_.reset();
   WaitingCall &Call = Context.addWaitingCall(std::move(Request), Job);
-  Call.AppendToken_ = queueAppend(State, Writer::Own, {Record});
+  Call.AppendToken_ =
+      queueAppend(State, Writer::Own, {recordOf(State, std::move(Record))});
 }
 
 /// Cancels an append that has not been sent and refuses the calls that wait for
@@ -316,6 +331,9 @@
       State.UnreadAccepted_[Call.Job_].Job_ = Call.Job_;
     if (Appended && Submit)
       Context.replyWith(Call.Request_, Call.Job_, ReplyKind::Accepted);
+    else if (Result.Outcome_.Status_ == store::AppendStatus::Rejected)
+      Context.replyWith(Call.Request_, Call.Job_, ReplyKind::Invalid,
+                        "the request is too large to be stored");
     else if (Appended)
       // A job that did not exist when its cancellation arrived does not exist
       // for the caller, although the record cancels it if it is accepted later.
--- a/lib/site/src/streams.cpp
+++ b/lib/site/src/streams.cpp
@@ -84,7 +84,7 @@
     jobs::applyNewestRecord(State.View_, Stored);
   if (State.View_.Term_ != TermBefore)
     recordClaim(State, ClaimBefore, TermBefore, InOrder, Now, Out);
-  if (const auto *Job = std::get_if<jobs::JobAccepted>(&Stored.Value_)) {
+  if (const jobs::JobAccepted *Job = jobs::acceptedJob(Stored.Value_)) {
     State.UnreadAccepted_.erase(Job->Job_);
     onJobRecord(State, Job->Job_, Now, Out);
   }
@@ -219,10 +219,16 @@
   store::KeyedRecord &Kept = Stream.NewestRecords_[Record.Key_];
   if (!Kept.Key_.empty() && Kept.Offset_ >= Record.Offset_)
     return;
+  // The records that cover a removed one are newer than it, so that its key
+  // need not be kept. Keys are removed throughout the life of a job.
+  if (Which == store::Stream::Cell && Record.Value_.empty()) {
+    Stream.NewestRecords_.erase(Record.Key_);
+    return;
+  }
   Kept = Record;
   if (Which == store::Stream::Operator)
     applyOperatorRecord(State, Record, Out);
-  else if (!Record.Value_.empty())
+  else
     applyCellRecord(State, Record, InOrder, Now, Out);
 }
 
--- a/lib/site/src/writers.cpp
+++ b/lib/site/src/writers.cpp
@@ -52,6 +52,10 @@
            {{"token", std::to_string(Result.Token_)},
             {"status", store::name(Result.Outcome_.Status_)},
             {"reason", Result.Outcome_.Reason_}}});
+    for (const std::string &Key : Result.RejectedKeys_)
+      Out.LogEvents_.push_back(
+          {"record_rejected",
+           {{"key", Key}, {"token", std::to_string(Result.Token_)}}});
     if (Which == Writer::Own) {
       completeCalls(State, Result, Now, Out);
       continue;
@@ -64,7 +68,8 @@
     }
     if (!State.Holder_ || Result.Token_ != State.HolderAppendToken_)
       continue;
-    if (Appended) {
+    // A record that the store cannot take must not hold up the others.
+    if (Appended || Result.Outcome_.Status_ == store::AppendStatus::Rejected) {
       cell::onAppended(*State.Holder_);
       continue;
     }
@@ -119,9 +124,12 @@
                                const std::vector<jobs::Record> &Records) {
   const store::AppendToken Token = State.NextAppendToken_++;
   std::vector<store::KeyedRecord> Encoded;
-  for (const jobs::Record &Record : Records)
+  for (const jobs::Record &Record : Records) {
+    const bool Removed = std::holds_alternative<jobs::RecordRemoved>(Record);
     Encoded.push_back(
-        {0, jobs::keyOf(Record), State.Codec_.EncodeRecord_(Record)});
+        {0, jobs::keyOf(Record),
+         Removed ? std::string() : State.Codec_.EncodeRecord_(Record)});
+  }
   if (store::Appender *Appender = findWriter(State, Which))
     store::enqueue(*Appender, Token, std::move(Encoded));
   return Token;
--- a/lib/site/tests/fakesite.cpp
+++ b/lib/site/tests/fakesite.cpp
@@ -26,6 +26,9 @@
 } // namespace
 
 store::AppendOutcome FakeStore::append(const store::AppendRequest &Request) {
+  for (const store::KeyedRecord &Record : Request.Records_)
+    if (RejectedKeys_.count(Record.Key_))
+      return {store::AppendStatus::Rejected, 0, 0, "rejected"};
   Writer &Known = Writers_[Request.Producer_];
   if (Request.Epoch_ < Known.Epoch_)
     return {store::AppendStatus::Fenced, 0, 0, "fenced"};
--- a/lib/site/tests/fakesite.h
+++ b/lib/site/tests/fakesite.h
@@ -38,6 +38,8 @@
   std::map<std::string, Writer> Writers_;
   /// Hosts whose calls the store refuses; "*" for all.
   std::set<std::string> RefusedHosts_;
+  /// Keys of records that the store does not take.
+  std::set<std::string> RejectedKeys_;
   /// Appends take effect, but their responses are lost.
   bool LosesResponses_ = false;
   /// Reads get no response, as on a connection that delivers nothing any more.
--- a/lib/store/include/nutmegwell/store/appender.h
+++ b/lib/store/include/nutmegwell/store/appender.h
@@ -3,6 +3,7 @@
 #include "nutmegwell/store/recordstore.h"
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -22,27 +23,44 @@
   /// Most records that are batched together, so that a batch stays far below
   /// the store's limit on a call.
   std::size_t MaxRecords_ = 64;
+  /// Largest key and value that the store takes as one record, with one byte
+  /// for the length of the key.
+  std::size_t MaxRecordBytes_ = 262144;
+  /// Most bytes of records in one call.
+  std::size_t MaxCallBytes_ = 2097152;
 };
 
+/// Returns whether the store takes a record of this size.
+bool isStorable(const AppendPolicy &Policy, const KeyedRecord &Record);
+
 /// Appends the records of one writer in order. One batch is in flight and is
 /// sent again until its outcome is certain; later appends are queued behind it.
 /// A batch that certainly has not taken effect is dissolved, so that its
-/// appends can still be cancelled.
+/// appends can still be cancelled. A batch that the store rejects for what it
+/// contains is divided until the records that it does not take are found; these
+/// are dropped, so that they hold up no others.
 struct Appender {
   AppendPolicy Policy_;
   std::string Producer_;
   std::uint64_t Epoch_ = 0;
   std::uint64_t NextSequence_ = 0;
 
+  /// An append, or a part of one.
   struct Pending {
     AppendToken Token_ = 0;
     std::vector<KeyedRecord> Records_;
+    /// The append ends with this part.
+    bool Last_ = true;
+    /// Part of a rejected batch, which is sent without other appends.
+    bool Alone_ = false;
   };
   std::deque<Pending> Waiting_;
-  /// An append of the batch in flight and the number of its records.
+  /// A part of the batch in flight and the number of its records.
   struct BatchEntry {
     AppendToken Token_ = 0;
     std::size_t Records_ = 0;
+    bool Last_ = true;
+    bool Alone_ = false;
   };
   std::vector<BatchEntry> BatchEntries_;
   std::optional<AppendRequest> Batch_;
@@ -55,6 +73,8 @@
   bool CallInFlight_ = false;
   core::TimePoint RetryAt_{};
   unsigned Attempts_ = 0;
+  /// Keys of the records that were dropped from unfinished appends.
+  std::map<AppendToken, std::vector<std::string>> RejectedKeys_;
 };
 
 /// The next call for a batch.
@@ -68,14 +88,18 @@
 /// A finished append.
 struct AppendResult {
   AppendToken Token_ = 0;
+  /// Rejected when some records were dropped; the others are appended.
   AppendOutcome Outcome_;
+  /// Keys of the records that were dropped.
+  std::vector<std::string> RejectedKeys_;
 };
 
 /// Returns an appender for the writer \p Producer.
 Appender makeAppender(const AppendPolicy &Policy, std::string Producer,
                       std::uint64_t Epoch);
 
-/// Queues records to be appended together.
+/// Queues records to be appended together, or in several calls in their order
+/// when they are too many for one. Drops those that are not storable.
 void enqueue(Appender &State, AppendToken Token,
              std::vector<KeyedRecord> Records);
 
@@ -83,7 +107,8 @@
 std::optional<AppendAttempt> nextAttempt(Appender &State, core::TimePoint Now);
 
 /// Applies the outcome of the call in flight and returns the finished appends.
-/// Unknown and NotAppended finish none, since the records are sent again.
+/// Unknown and NotAppended finish none, since the records are sent again, and
+/// Rejected finishes only an append whose last record it concerns.
 std::vector<AppendResult>
 onOutcome(Appender &State, const AppendOutcome &Outcome, core::TimePoint Now);
 
--- a/lib/store/include/nutmegwell/store/recordstore.h
+++ b/lib/store/include/nutmegwell/store/recordstore.h
@@ -57,7 +57,10 @@
   /// The store has seen a higher epoch of the producer.
   Fenced,
   /// The store expects another sequence.
-  OutOfSequence
+  OutOfSequence,
+  /// The store takes the call neither now nor later: some record, or all of
+  /// them together, have a form or size that it does not accept.
+  Rejected
 };
 
 const char *name(AppendStatus Status);
--- a/lib/store/src/appender.cpp
+++ b/lib/store/src/appender.cpp
@@ -5,18 +5,37 @@
 
 namespace {
 
+/// Returns the bytes of a record in a call: a length of four bytes, a length of
+/// the key of one byte, the key and the value.
+std::size_t sizeInCall(const KeyedRecord &Record) {
+  return 4 + 1 + Record.Key_.size() + Record.Value_.size();
+}
+
+std::size_t sizeInCall(const std::vector<KeyedRecord> &Records) {
+  std::size_t Bytes = 0;
+  for (const KeyedRecord &Record : Records)
+    Bytes += sizeInCall(Record);
+  return Bytes;
+}
+
 void formBatch(Appender &State, core::TimePoint Now) {
   AppendRequest Batch;
   Batch.Producer_ = State.Producer_;
   Batch.Epoch_ = State.Epoch_;
   Batch.Sequence_ = State.NextSequence_;
+  std::size_t Bytes = 0;
   while (!State.Waiting_.empty()) {
     Appender::Pending &First = State.Waiting_.front();
-    if (!Batch.Records_.empty() &&
-        Batch.Records_.size() + First.Records_.size() >
-            State.Policy_.MaxRecords_)
+    Bytes += sizeInCall(First.Records_);
+    const bool Separate = First.Alone_ ||
+                          Batch.Records_.size() + First.Records_.size() >
+                              State.Policy_.MaxRecords_ ||
+                          Bytes > State.Policy_.MaxCallBytes_;
+    if (!State.BatchEntries_.empty() &&
+        (Separate || State.BatchEntries_.back().Alone_))
       break;
-    State.BatchEntries_.push_back({First.Token_, First.Records_.size()});
+    State.BatchEntries_.push_back(
+        {First.Token_, First.Records_.size(), First.Last_, First.Alone_});
     std::move(First.Records_.begin(), First.Records_.end(),
               std::back_inserter(Batch.Records_));
     State.Waiting_.pop_front();
@@ -40,12 +59,51 @@
     auto Begin = End - static_cast<std::ptrdiff_t>(It->Records_);
     State.Waiting_.push_front(
         {It->Token_,
-         {std::make_move_iterator(Begin), std::make_move_iterator(End)}});
+         {std::make_move_iterator(Begin), std::make_move_iterator(End)},
+         It->Last_,
+         It->Alone_});
     End = Begin;
   }
   clearBatch(State);
 }
 
+/// Divides the batch in flight, so that the next calls find the records that
+/// the store does not take.
+void divideBatch(Appender &State) {
+  for (Appender::BatchEntry &Entry : State.BatchEntries_)
+    Entry.Alone_ = true;
+  const bool OneAppend = State.BatchEntries_.size() == 1;
+  dissolveBatch(State);
+  if (!OneAppend)
+    return;
+  Appender::Pending &First = State.Waiting_.front();
+  const auto Middle = First.Records_.begin() +
+                      static_cast<std::ptrdiff_t>(First.Records_.size() / 2);
+  Appender::Pending FirstHalf{First.Token_,
+                              {std::make_move_iterator(First.Records_.begin()),
+                               std::make_move_iterator(Middle)},
+                              /*Last=*/false,
+                              /*Alone=*/true};
+  First.Records_.erase(First.Records_.begin(), Middle);
+  State.Waiting_.push_front(std::move(FirstHalf));
+}
+
+/// Adds the result of an append that ends with the batch.
+void finish(Appender &State, const Appender::BatchEntry &Entry,
+            AppendOutcome Outcome, std::vector<AppendResult> &Finished) {
+  if (!Entry.Last_)
+    return;
+  AppendResult Result{Entry.Token_, std::move(Outcome), {}};
+  auto Rejected = State.RejectedKeys_.find(Entry.Token_);
+  if (Rejected != State.RejectedKeys_.end()) {
+    Result.RejectedKeys_ = std::move(Rejected->second);
+    State.RejectedKeys_.erase(Rejected);
+    if (Result.Outcome_.Status_ == AppendStatus::Appended)
+      Result.Outcome_.Status_ = AppendStatus::Rejected;
+  }
+  Finished.push_back(std::move(Result));
+}
+
 } // namespace
 
 const char *name(AppendStatus Status) {
@@ -60,10 +118,19 @@
     return "fenced";
   case AppendStatus::OutOfSequence:
     return "out of sequence";
+  case AppendStatus::Rejected:
+    return "rejected";
   }
   return "unknown";
 }
 
+bool isStorable(const AppendPolicy &Policy, const KeyedRecord &Record) {
+  constexpr std::size_t MaxKeyBytes = 255;
+  return Record.Key_.size() <= MaxKeyBytes &&
+         1 + Record.Key_.size() + Record.Value_.size() <=
+             Policy.MaxRecordBytes_;
+}
+
 Appender makeAppender(const AppendPolicy &Policy, std::string Producer,
                       std::uint64_t Epoch) {
   Appender State;
@@ -75,7 +142,21 @@
 
 void enqueue(Appender &State, AppendToken Token,
              std::vector<KeyedRecord> Records) {
-  State.Waiting_.push_back({Token, std::move(Records)});
+  State.Waiting_.push_back({Token, {}});
+  std::size_t Bytes = 0;
+  for (KeyedRecord &Record : Records) {
+    if (!isStorable(State.Policy_, Record)) {
+      State.RejectedKeys_[Token].push_back(Record.Key_);
+      continue;
+    }
+    Bytes += sizeInCall(Record);
+    if (Bytes > State.Policy_.MaxCallBytes_) {
+      State.Waiting_.back().Last_ = false;
+      State.Waiting_.push_back({Token, {}});
+      Bytes = sizeInCall(Record);
+    }
+    State.Waiting_.back().Records_.push_back(std::move(Record));
+  }
 }
 
 std::optional<AppendAttempt> nextAttempt(Appender &State, core::TimePoint Now) {
@@ -96,9 +177,10 @@
   if (!State.Batch_)
     return {};
   std::vector<AppendResult> Finished;
+  AppendOutcome Result = Outcome;
   auto FinishAll = [&] {
     for (const Appender::BatchEntry &Entry : State.BatchEntries_)
-      Finished.push_back({Entry.Token_, Outcome});
+      finish(State, Entry, Result, Finished);
     clearBatch(State);
     State.Attempts_ = 0;
     State.UnfinishedSince_.reset();
@@ -117,10 +199,7 @@
     // appended, and the store no longer keeps the call's outcome to repeat it.
     if (Outcome.ExpectedSequence_ == State.NextSequence_ + 1) {
       ++State.NextSequence_;
-      FinishAll();
-      for (AppendResult &Result : Finished)
-        Result.Outcome_.Status_ = AppendStatus::Appended;
-      break;
+      Result.Status_ = AppendStatus::Appended;
     }
     FinishAll();
     break;
@@ -133,6 +212,18 @@
     if (!State.MayHaveTakenEffect_)
       dissolveBatch(State);
     break;
+  case AppendStatus::Rejected:
+    State.RetryAt_ = Now;
+    if (State.Batch_->Records_.size() > 1) {
+      divideBatch(State);
+      break;
+    }
+    for (const Appender::BatchEntry &Entry : State.BatchEntries_)
+      if (Entry.Records_ > 0)
+        State.RejectedKeys_[Entry.Token_].push_back(
+            State.Batch_->Records_.front().Key_);
+    FinishAll();
+    break;
   }
   return Finished;
 }
--- a/lib/wire/src/cellfields.h
+++ b/lib/wire/src/cellfields.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "archive.h"
+#include "compactsteps.h"
 #include "nutmegwell/cell/peers.h"
 #include "nutmegwell/jobs/records.h"
 #include <algorithm>
@@ -79,6 +80,14 @@
          V.Submitted_, V.Spec_);
 }
 
+template <class A> void serialize(A &Fields, LargeJobAccepted &V) {
+  JobAccepted &Job = V.Job_;
+  Fields(Job.Job_, Job.Queue_, Job.Service_, Job.Account_, Job.Priority_,
+         Job.MaxAttempts_, Job.Submitted_, Job.Spec_.Command_,
+         Job.Spec_.Repetitions_, Job.Spec_.FirstDue_, Job.Spec_.Interval_);
+  wire::serializeSteps(Fields, Job.Spec_.Steps_);
+}
+
 template <class A> void serialize(A &Fields, JobCancelled &V) {
   Fields(V.Job_);
 }
@@ -91,6 +100,36 @@
   Fields(V.Job_, V.Occurrence_, V.Step_, V.Runs_);
 }
 
+template <class A> void serialize(A &Fields, NumberRange &V) {
+  Fields(V.First_, V.End_);
+}
+
+template <class A> void serialize(A &Fields, DoneSteps &V) {
+  Fields(V.Steps_, V.Occurrences_);
+}
+
+template <class A> void serialize(A &Fields, ProgressSummarized &V) {
+  Fields(V.Job_);
+  wire::serializeEnum(Fields, V.State_, JobState::Cancelled);
+  Fields(V.DoneSteps_);
+}
+
+template <class A> void serialize(A &Fields, PartsDone &V) {
+  Fields(V.Job_, V.Occurrence_, V.Step_, V.Parts_);
+}
+
+template <class A> void serialize(A &Fields, RecordedTask &V) {
+  Fields(V.Index_, V.Progress_, V.EarlierFailedRuns_);
+}
+
+template <class A> void serialize(A &Fields, TasksProgressed &V) {
+  Fields(V.Job_, V.Occurrence_, V.Step_, V.Part_, V.Done_, V.Tasks_);
+}
+
+template <class A> void serialize(A &Fields, RecordRemoved &V) {
+  Fields(V.Key_);
+}
+
 template <class A> void serialize(A &Fields, CellClaimed &V) {
   Fields(V.Host_, V.HolderIncarnation_, V.Held_);
 }
@@ -128,7 +167,7 @@
 }
 
 template <class A> void serialize(A &Fields, AppendOutcome &V) {
-  wire::serializeEnum(Fields, V.Status_, AppendStatus::OutOfSequence);
+  wire::serializeEnum(Fields, V.Status_, AppendStatus::Rejected);
   Fields(V.FirstOffset_, V.ExpectedSequence_, V.Reason_);
 }
 
--- a/lib/wire/tests/cellbinarytest.cpp
+++ b/lib/wire/tests/cellbinarytest.cpp
@@ -16,6 +16,10 @@
   CPPUNIT_TEST(kindsOfMessagesKeepTheirNumbers);
   CPPUNIT_TEST(partialEndsShareAByteWithReachability);
   CPPUNIT_TEST(largeOccurrencesExtendTheEncoding);
+  CPPUNIT_TEST(progressInPartsSurvivesRoundTrip);
+  CPPUNIT_TEST(largeJobSurvivesRoundTrip);
+  CPPUNIT_TEST(largeJobIsNoLargerThanItsRequest);
+  CPPUNIT_TEST(truncatedLargeJobsAreRejected);
   CPPUNIT_TEST_SUITE_END();
 
   /// Position of the kind of a record in its encoding.
@@ -192,6 +196,95 @@
                                        .Task_.Occurrence_);
     }
   }
+
+  /// Guards against progress that changes on its way, and against kinds of
+  /// records that change their numbers.
+  void progressInPartsSurvivesRoundTrip() {
+    const jobs::OccurrenceNumber Large = 1ull << 40;
+    const jobs::RecordedTask Task{2571, {false, 2, 71, "c"}, {70}};
+    const jobs::Record Records[] = {
+        jobs::ProgressSummarized{
+            "j", jobs::JobState::Running, {{{0, 3}, {{0, 7}, {9, Large}}}}},
+        jobs::PartsDone{"j", Large, 2, {{0, 4}}},
+        jobs::TasksProgressed{"j", Large, 2, 5, {{2560, 2570}}, {Task}}};
+    const char *Keys[] = {"q/j", "u/j.1099511627776.2",
+                          "t/j.1099511627776.2.5"};
+    for (int I = 0; I < 3; ++I) {
+      const std::string Bytes = wire::encode(Records[I]);
+      CPPUNIT_ASSERT_EQUAL(9 + I, int(Bytes[KindAt]));
+      const auto Decoded = wire::decodeRecord(Bytes);
+      CPPUNIT_ASSERT(Decoded.ok());
+      CPPUNIT_ASSERT_EQUAL(std::string(Keys[I]), jobs::keyOf(*Decoded));
+      CPPUNIT_ASSERT_EQUAL(Bytes, wire::encode(*Decoded));
+    }
+    const auto Tasks = *wire::decodeRecord(wire::encode(Records[2]));
+    const jobs::RecordedTask &Row =
+        std::get<jobs::TasksProgressed>(Tasks).Tasks_.at(0);
+    CPPUNIT_ASSERT_EQUAL(2571u, Row.Index_);
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), Row.Progress_.Checkpoint_);
+    CPPUNIT_ASSERT_EQUAL(jobs::RunNumber(70), Row.EarlierFailedRuns_.at(0));
+  }
+
+  static jobs::LargeJobAccepted sampleLargeJob() {
+    jobs::StepSpec Full;
+    Full.Count_ = UINT32_MAX;
+    Full.PerTask_ = {500, 1'000'000'000, 3};
+    Full.Estimate_ = std::chrono::hours(24 * 365);
+    Full.DependsOn_ = {0, 300};
+    Full.Checkpoints_ = Full.SameRack_ = Full.LongRunning_ = true;
+    Full.RequiredLabel_ = "label";
+    Full.DataRack_ = "r1";
+    Full.SpreadLimit_ = 2;
+    Full.Image_ = "image";
+    Full.TargetLatency_ = std::chrono::milliseconds(40);
+    Full.MaxUnavailable_ = 0;
+    jobs::StepSpec Flags;
+    Flags.Gang_ = Flags.Speculative_ = Flags.BestEffort_ = true;
+    jobs::LargeJobAccepted Value;
+    Value.Job_.Job_ = "j";
+    Value.Job_.Queue_ = "q";
+    Value.Job_.Priority_ = -1;
+    Value.Job_.Spec_.Command_ = "command";
+    Value.Job_.Spec_.Repetitions_ = 1ull << 40;
+    Value.Job_.Spec_.Interval_ = std::chrono::seconds(-5);
+    Value.Job_.Spec_.Steps_ = {Full, {}, Flags};
+    return Value;
+  }
+
+  /// Guards against a step that loses or gains a property in the record.
+  void largeJobSurvivesRoundTrip() {
+    const jobs::LargeJobAccepted Value = sampleLargeJob();
+    const std::string Bytes = wire::encode(jobs::Record(Value));
+    CPPUNIT_ASSERT_EQUAL(13, int(Bytes[KindAt]));
+    const auto Decoded = wire::decodeRecord(Bytes);
+    CPPUNIT_ASSERT(Decoded.ok());
+    CPPUNIT_ASSERT_EQUAL(std::string("j/j"), jobs::keyOf(*Decoded));
+    // The other encoding of the job names all fields.
+    CPPUNIT_ASSERT_EQUAL(
+        wire::encode(jobs::Record(Value.Job_)),
+        wire::encode(jobs::Record(*jobs::acceptedJob(*Decoded))));
+  }
+
+  /// Guards against a job that is refused although its request is within the
+  /// limits: a request of 256 KiB has room for 87,000 steps.
+  void largeJobIsNoLargerThanItsRequest() {
+    constexpr std::size_t MaxRequest = 262144;
+    jobs::LargeJobAccepted Value;
+    Value.Job_.Spec_.Steps_.resize(MaxRequest / std::string("{},").size());
+    CPPUNIT_ASSERT(wire::encode(jobs::Record(Value)).size() < MaxRequest);
+    const std::string Dependent = R"({"after":[10000]},)";
+    Value.Job_.Spec_.Steps_.resize(MaxRequest / Dependent.size());
+    for (jobs::StepSpec &Step : Value.Job_.Spec_.Steps_)
+      Step.DependsOn_ = {10000};
+    CPPUNIT_ASSERT(wire::encode(jobs::Record(Value)).size() < MaxRequest);
+  }
+
+  /// Guards against a forged count that ends the process or allocates much.
+  void truncatedLargeJobsAreRejected() {
+    const std::string Bytes = wire::encode(jobs::Record(sampleLargeJob()));
+    for (std::size_t Size = 0; Size < Bytes.size(); ++Size)
+      CPPUNIT_ASSERT(!wire::decodeRecord(Bytes.substr(0, Size)).ok());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CellBinaryTest);
