Fence the starts of an agent that restarts with its worker

Cause: only the agent's memory holds the starts that got no response. A restarted agent knows none, so that the holder dropped the runs as missing and started their tasks elsewhere, and nothing fenced the late calls.

Change: the holder keeps the starts of each host for as long as a call can be carried out late. When the agent has restarted and the worker begins anew under its id, it has the worker refuse them, and their tasks wait until the agent has reported that it does.

Rolling restart: no format changes.

--- a/lib/cell/include/nutmegwell/cell/holder.h
+++ b/lib/cell/include/nutmegwell/cell/holder.h
@@ -16,6 +16,7 @@
 #include "nutmegwell/jobs/tables.h"
 #include "nutmegwell/jobs/view.h"
 #include "nutmegwell/share/usage.h"
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -194,6 +195,12 @@
   /// ahead on the new clock, so that each extends the leases by the longest
   /// lease.
   core::TimePoint LateStartsUntil_{};
+  /// Starts that were ordered so recently that a call without a response may
+  /// still be carried out, in the order of their times. The worker's agent
+  /// knows the calls, but loses them when it restarts.
+  std::deque<std::pair<core::TimePoint, RunId>> RecentStarts_;
+  /// When the agent's newest process replaced another one.
+  std::optional<core::TimePoint> AgentReplacedAt_;
   std::uint64_t NextOrder_ = 1;
   std::uint64_t ProcessedOrders_ = 0;
   std::uint64_t EndsHandled_ = 0;
--- a/lib/cell/src/holder.cpp
+++ b/lib/cell/src/holder.cpp
@@ -24,10 +24,31 @@
                      });
 }
 
+/// Returns whether a start may be carried out by the worker's process that the
+/// report names, without its agent knowing: the worker and its agent have both
+/// restarted, and the worker under its id.
+bool hidesLateStarts(const Holder &State, const Worker &Host,
+                     const AgentReport &Report, core::TimePoint Now) {
+  return Host.Info_ && Host.Info_->Id_ == Report.Worker_->Id_ &&
+         Host.AgentReplacedAt_ &&
+         Now < *Host.AgentReplacedAt_ + State.Policy_.MaxCallDelay_;
+}
+
+/// Returns the starts of \p Host that may still be carried out.
+std::set<RunId> recentStarts(const Holder &State, const Worker &Host,
+                             core::TimePoint Now) {
+  std::set<RunId> Starts;
+  for (const auto &[OrderedAt, Id] : Host.RecentStarts_)
+    if (Now < OrderedAt + lateStartBound(State.Policy_))
+      Starts.insert(Id);
+  return Starts;
+}
+
 /// Drops the runs of the worker's earlier incarnation. Keeps starts that may
-/// have reached the new incarnation: those that the report names, and those
-/// that a restarted agent may have passed on before.
+/// have reached the new incarnation: those that the report names, those that a
+/// restarted agent may have passed on before, and \p LateStarts.
 void dropRunsOfEarlierIncarnation(Holder &State, const AgentReport &Report,
+                                  const std::set<RunId> &LateStarts,
                                   core::TimePoint Now, Effects &Out) {
   const std::set<RunId> Reported = reportedRuns(Report);
   const bool Uncertain = Now < State.Workers_[Report.Host_].UncertainUntil_;
@@ -35,6 +56,7 @@
     auto Current = It++;
     const TaskRun &Run = Current->second;
     const bool MayHaveStarted = Reported.count(Run.Id_) > 0 ||
+                                LateStarts.count(Run.Id_) > 0 ||
                                 (Uncertain && Run.State_ == RunState::Ordered);
     if (Run.Host_ == Report.Host_ && !MayHaveStarted)
       dropRun(State, Current, "the worker restarted", Out);
@@ -84,6 +106,28 @@
   Host.Paces_.clear();
 }
 
+/// Has the worker's new process refuse starts that it may still carry out.
+/// Their tasks start nowhere else before the agent has reported that it does.
+void fenceLateStarts(Holder &State, Worker &Host,
+                     const std::set<RunId> &LateStarts, core::TimePoint Now,
+                     Effects &Out) {
+  for (const RunId &Id : LateStarts) {
+    auto It = State.Runs_.find(Id);
+    if (It == State.Runs_.end() || It->second.Host_ != Host.Host_) {
+      // The run has ended; the worker does not know that any more.
+      Host.Stops_.push_back(Id);
+      continue;
+    }
+    It->second.State_ = RunState::Running;
+    It->second.OrderSequence_ = Host.NextOrder_;
+    stopRun(State, It->second, "its start may be carried out late", Now, Out);
+  }
+  Host.OrdersDue_ = true;
+  Out.LogEvents_.push_back(
+      {"late_starts_fenced",
+       {{"host", Host.Host_}, {"starts", std::to_string(LateStarts.size())}}});
+}
+
 /// Handles a report that no process of a worker runs on a host, and that none
 /// can carry out a start of an earlier one.
 void handleEmptyHost(Holder &State, Worker &Host, Effects &Out) {
@@ -98,9 +142,11 @@
                            const AgentReport &Report, core::TimePoint Now,
                            Effects &Out) {
   if (Host.AgentIncarnation_ != Report.AgentIncarnation_) {
-    if (Host.AgentIncarnation_ != 0)
+    if (Host.AgentIncarnation_ != 0) {
       Host.UncertainUntil_ =
           Now + State.Policy_.StartPermit_ + State.Policy_.ClockMargin_;
+      Host.AgentReplacedAt_ = Now;
+    }
     Host.AgentIncarnation_ = Report.AgentIncarnation_;
     Host.NextOrder_ = 1;
     Host.ProcessedOrders_ = 0;
@@ -119,8 +165,11 @@
     if (KnownIncarnation != 0 && Host.Info_->Id_ == Report.Worker_->Id_ &&
         hasOpenStart(State, Host.Host_))
       Host.LateStartsUntil_ = Now + State.Policy_.MaxCallDelay_;
+    std::set<RunId> LateStarts;
+    if (hidesLateStarts(State, Host, Report, Now))
+      LateStarts = recentStarts(State, Host, Now);
     if (KnownIncarnation != 0)
-      dropRunsOfEarlierIncarnation(State, Report, Now, Out);
+      dropRunsOfEarlierIncarnation(State, Report, LateStarts, Now, Out);
     Host.EndsHandled_ = 0;
     Host.EndsDurable_ = 0;
     // The append in flight covers only ends of the earlier incarnation.
@@ -131,6 +180,10 @@
     Host.Health_ = {};
     Host.Pace_ = {};
     Host.Departure_.reset();
+    if (!LateStarts.empty()) {
+      Host.LateStartsUntil_ = Now + State.Policy_.MaxCallDelay_;
+      fenceLateStarts(State, Host, LateStarts, Now, Out);
+    }
     Out.LogEvents_.push_back({"worker_seen",
                               {{"host", Host.Host_},
                                {"worker", Report.Worker_->Id_},
--- a/lib/cell/src/holderloop.cpp
+++ b/lib/cell/src/holderloop.cpp
@@ -27,6 +27,7 @@
   schedule(State, Context, Out);
   reportSpeeds(State, Context.Now_, Out);
   collectRecords(State, Context, Out);
+  forgetOldStarts(State, Context.Now_);
   collectOrders(State, Context.Now_, Out);
 }
 
--- a/lib/cell/src/holdersteps.h
+++ b/lib/cell/src/holdersteps.h
@@ -254,6 +254,13 @@
 /// Places ready units and orders their starts.
 void schedule(Holder &State, const HolderContext &Context, Effects &Out);
 
+/// Returns for how long after its order a start may be carried out when a call
+/// for it got no response.
+core::Duration lateStartBound(const HolderPolicy &Policy);
+
+/// Forgets the starts that cannot be carried out any more.
+void forgetOldStarts(Holder &State, core::TimePoint Now);
+
 /// Collects the messages to agents that are due.
 void collectOrders(Holder &State, core::TimePoint Now, Effects &Out);
 
--- a/lib/cell/src/orders.cpp
+++ b/lib/cell/src/orders.cpp
@@ -63,6 +63,18 @@
   return Now + Longest + Policy.ClockMargin_;
 }
 
+core::Duration lateStartBound(const HolderPolicy &Policy) {
+  return Policy.StartPermit_ + Policy.MaxCallDelay_ + Policy.ClockMargin_;
+}
+
+void forgetOldStarts(Holder &State, core::TimePoint Now) {
+  for (auto &[Name, Host] : State.Workers_)
+    while (!Host.RecentStarts_.empty() &&
+           Now >=
+               Host.RecentStarts_.front().first + lateStartBound(State.Policy_))
+      Host.RecentStarts_.pop_front();
+}
+
 void collectOrders(Holder &State, core::TimePoint Now, Effects &Out) {
   const bool Grant =
       Now < State.TenureConfirmedAt_ + State.Policy_.TenureValidity_;
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -339,6 +339,7 @@
     Host.Starts_.push_back({New.Id_, Work.Job_->Accepted_.Spec_.Command_,
                             New.Checkpoint_, ticketFor(Work, Host)});
     Host.OrdersDue_ = true;
+    Host.RecentStarts_.emplace_back(Context_.Now_, New.Id_);
     Out_.LogEvents_.push_back(
         {"task_starting",
          {{"task", toString(New.Id_.Task_)},
--- a/lib/cell/tests/latestarttest.cpp
+++ b/lib/cell/tests/latestarttest.cpp
@@ -17,6 +17,10 @@
   CPPUNIT_TEST(otherTasksOfTheWorkerDoNotWait);
   CPPUNIT_TEST(gangWaitsForItsLateMember);
   CPPUNIT_TEST(nextHolderKnowsTheLateStart);
+  CPPUNIT_TEST(startsOfARestartedAgentAreFenced);
+  CPPUNIT_TEST(fencesCoverRunsThatHaveEnded);
+  CPPUNIT_TEST(oldStartsAreNotFenced);
+  CPPUNIT_TEST(agentThatGoesOnFencesItsStartsItself);
   CPPUNIT_TEST_SUITE_END();
 
   /// Starts a job's tasks on w0 and w1 and lets the worker of the first end
@@ -156,6 +160,97 @@
     Cell.runFor(5s);
     CPPUNIT_ASSERT(Cell.runsOf("j").empty());
   }
+
+  /// Restarts a worker, and its agent with it or not, 2.5 s later.
+  static void restart(FakeCell &Cell, const std::string &Host, bool Agent) {
+    AgentReport &Report = Cell.Agents_[Host];
+    Report.Running_.clear();
+    Report.Ended_.clear();
+    Report.Term_ = 0;
+    if (Agent)
+      Report.AgentIncarnation_ = 2;
+    const WorkerInfo Info = *Report.Worker_;
+    Report.Worker_.reset();
+    Cell.runFor(2500ms);
+    Report.Worker_ = Info;
+    Report.Worker_->WorkerIncarnation_ = 2;
+    Cell.Orders_.clear();
+    Cell.advance();
+  }
+
+  static std::vector<RunId> stopsFor(const FakeCell &Cell,
+                                     const std::string &Worker) {
+    std::vector<RunId> Stops;
+    for (const auto &[Host, Orders] : Cell.Orders_)
+      if (Host == Worker)
+        Stops.insert(Stops.end(), Orders.Stops_.begin(), Orders.Stops_.end());
+    return Stops;
+  }
+
+  /// Guards against two runs of a task: an agent that has restarted together
+  /// with its worker does not know which starts the worker may still carry out.
+  void startsOfARestartedAgentAreFenced() {
+    FakeCell Cell;
+    startCell(Cell, 2);
+    Cell.acceptJob("j", oneTask());
+    Cell.advance();
+    const RunId Late = Cell.runsOf("j").at(0);
+    const std::string Host = Cell.hostOf(Late);
+    Cell.advance();
+    restart(Cell, Host, true);
+    CPPUNIT_ASSERT((stopsFor(Cell, Host) == std::vector<RunId>{Late}));
+    Cell.Agents_[Host].Pending_ = {Late};
+    Cell.Orders_.clear();
+    Cell.runFor(5s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsOf(Cell, "j"));
+    Cell.Agents_[Host].Pending_.clear();
+    Cell.runFor(500ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), startsOf(Cell, "j"));
+  }
+
+  /// Guards against a task that runs again after its end: a call without a
+  /// response may repeat a start that the worker has carried out before.
+  void fencesCoverRunsThatHaveEnded() {
+    FakeCell Cell;
+    startCell(Cell, 2);
+    Cell.acceptJob("j", oneTask());
+    Cell.advance();
+    const RunId Late = Cell.runsOf("j").at(0);
+    const std::string Host = Cell.hostOf(Late);
+    Cell.endRun(Late, EndKind::Done);
+    Cell.runFor(300ms);
+    CPPUNIT_ASSERT(Cell.stateOf("j") == jobs::JobState::Completed);
+    restart(Cell, Host, true);
+    CPPUNIT_ASSERT((stopsFor(Cell, Host) == std::vector<RunId>{Late}));
+  }
+
+  /// Guards against starts that are remembered for ever.
+  void oldStartsAreNotFenced() {
+    FakeCell Cell;
+    startCell(Cell, 2);
+    Cell.acceptJob("j", oneTask());
+    Cell.advance();
+    const RunId Old = Cell.runsOf("j").at(0);
+    const std::string Host = Cell.hostOf(Old);
+    for (int Percent = 1; Percent < 15; ++Percent) {
+      Cell.setProgress("j", Percent);
+      Cell.runFor(1s);
+    }
+    CPPUNIT_ASSERT(Cell.Holder_.Workers_.at(Host).RecentStarts_.empty());
+    restart(Cell, Host, true);
+    CPPUNIT_ASSERT(stopsFor(Cell, Host).empty());
+  }
+
+  /// Guards against needless stops.
+  void agentThatGoesOnFencesItsStartsItself() {
+    FakeCell Cell;
+    startCell(Cell, 2);
+    Cell.acceptJob("j", oneTask());
+    Cell.advance();
+    const std::string Host = Cell.hostOf(Cell.runsOf("j").at(0));
+    restart(Cell, Host, false);
+    CPPUNIT_ASSERT(stopsFor(Cell, Host).empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LateStartTest);
--- a/lib/site/src/agentorders.cpp
+++ b/lib/site/src/agentorders.cpp
@@ -46,6 +46,14 @@
   callWorker(State, std::move(Call), Policy.OrderTimeout_, Out);
 }
 
+/// Returns whether a run is listed by the worker, or its start is pending.
+bool isKnown(const AgentState &State, const cell::RunId &Id) {
+  const auto Names = [&](const auto &Row) { return Row.Id_ == Id; };
+  return State.Pending_.count(Id) > 0 ||
+         std::any_of(State.Running_.begin(), State.Running_.end(), Names) ||
+         std::any_of(State.Ended_.begin(), State.Ended_.end(), Names);
+}
+
 void applyGrant(AgentState &State, const cell::HolderOrders &Orders) {
   auto Sent = State.ReportSentAt_.find(Orders.ReportSequence_);
   if (!Orders.GrantsLease_ || Sent == State.ReportSentAt_.end())
@@ -101,6 +109,12 @@
     // No process runs, and the next one is sent a stop of each pending start.
     if (!State.Worker_)
       continue;
+    // The run may be a start of an earlier process of this agent.
+    if (!isKnown(State, Id)) {
+      State.Pending_[Id].Fencing_ = true;
+      State.ReportNeeded_ = true;
+      continue;
+    }
     callWorker(State, StopCall{Id, State.Term_},
                State.Settings_.Policy_.OrderTimeout_, Out);
   }
--- a/lib/site/tests/agentworkertest.cpp
+++ b/lib/site/tests/agentworkertest.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(lateAnnouncementChangesNothing);
   CPPUNIT_TEST(earlierBeginNeedsItsConfirmation);
   CPPUNIT_TEST(endedWorkerIsFollowedByOneThatBeganEarlier);
+  CPPUNIT_TEST(stopOfAnUnknownRunIsPendingUntilItIsAnswered);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -402,6 +403,30 @@
     CPPUNIT_ASSERT(State_.Worker_);
     CPPUNIT_ASSERT_EQUAL(std::int64_t(4), State_.Worker_->WorkerIncarnation_);
   }
+
+  /// Guards against a task that starts elsewhere before the worker refuses a
+  /// start which an earlier process of the agent has sent: the holder learns
+  /// from the report that the stop is not answered yet.
+  void stopOfAnUnknownRunIsPendingUntilItIsAnswered() {
+    connect();
+    cell::HolderOrders Orders = orders(Report_->Sequence_);
+    Orders.Stops_ = {run()};
+    deliver(Orders);
+    CPPUNIT_ASSERT(Stop_);
+    CPPUNIT_ASSERT(std::get<StopCall>(Stop_->Body_).Id_ == run());
+    CPPUNIT_ASSERT_EQUAL(Orders.Sequence_, Report_->ProcessedOrders_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Report_->Pending_.size());
+    WorkerResponse Response;
+    Response.Id_ = Stop_->Id_;
+    Response.Answered_ = true;
+    Response.WorkerClock_ = 200ms;
+    AgentEffects Out;
+    onWorkerResponse(State_, Response, Now_, Out);
+    collect(std::move(Out));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), State_.Pending_.size());
+    respondToPoll(201ms);
+    CPPUNIT_ASSERT(Report_->Pending_.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentWorkerTest);
