Read no removal from an empty page of keys

Cause: a page of newest records that is empty and is followed by others ended the listing, after which each key that no page had named counted as removed: a domain would be back in service.

Change: such a page is a failed read, and the listing starts again.

Evidence: emptyPageRemovesNoKey failed on the code before and passes.

--- a/lib/site/src/streams.cpp
+++ b/lib/site/src/streams.cpp
@@ -152,6 +152,15 @@
                                          : Policy.ReadWait_;
 }
 
+/// Returns the error of a page of newest records. An empty page that is not the
+/// last one tells neither which keys are missing nor where to go on.
+absl::Status checkPage(const absl::StatusOr<store::NewestRecordsPage> &Page) {
+  if (Page.ok() && Page->HasMore_ && Page->Records_.empty())
+    return core::makeError(absl::StatusCode::kDataLoss, "read", "store",
+                           "an empty page is followed by others");
+  return Page.status();
+}
+
 /// Gives up waiting for a read that has had no response for longer than usual.
 void abandonOverdueRead(EntryState &State, store::Stream Which,
                         core::TimePoint Now, EntryEffects &Out) {
@@ -287,8 +296,9 @@
   if (Stream.NextOffsetValid_ || Stream.ReadSentAt_ != Call.SentAt_)
     return;
   Stream.ReadSentAt_.reset();
-  if (!Page.ok()) {
-    recordReadFailure(State, Stream, Which, Page.status(), Now, Out);
+  const absl::Status Usable = checkPage(Page);
+  if (!Usable.ok()) {
+    recordReadFailure(State, Stream, Which, Usable, Now, Out);
     Stream.ResumeOffset_.reset();
     return;
   }
@@ -303,7 +313,7 @@
     Stream.PageKeys_.insert(Record.Key_);
     applyStoreRecord(State, Which, Record, false, Now, Out);
   }
-  if (Page->HasMore_ && !Page->Records_.empty()) {
+  if (Page->HasMore_) {
     Stream.ReadSentAt_ = Now;
     Out.NewestReads_.push_back({Which, Page->Records_.back().Key_, Now});
     return;
--- a/lib/site/tests/relaytest.cpp
+++ b/lib/site/tests/relaytest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(relayKeepsTheOtherKeys);
   CPPUNIT_TEST(outdatedPageRestoresNoRemovedKey);
   CPPUNIT_TEST(recordsOfTheCellAreNotRelayedInFull);
+  CPPUNIT_TEST(emptyPageRemovesNoKey);
   CPPUNIT_TEST_SUITE_END();
 
   static bool isOut(FakeSite &Site, const std::string &Host,
@@ -151,6 +152,29 @@
         for (const auto &[Key, Value] : Line.Fields_)
           CPPUNIT_ASSERT(Key != "records" || std::stoul(Value) < 10);
   }
+
+  /// Guards against a domain that is back in service at one host because a page
+  /// of keys was empty although further ones follow.
+  void emptyPageRemovesNoKey() {
+    FakeSite Site(1);
+    Site.run(2s);
+    Site.setDomainOutOfService("a", true);
+    Site.run(500ms);
+    EntryState State = Site.entry("e0");
+    StreamState &Stream = State.OperatorStream_;
+    const core::TimePoint SentAt = Site.Now_;
+    Stream.NextOffsetValid_ = false;
+    Stream.ResumeOffset_.reset();
+    Stream.ReadSentAt_ = SentAt;
+    store::NewestRecordsPage Page;
+    Page.HasMore_ = true;
+    Page.EndOffset_ = 100;
+    EntryEffects Out;
+    onNewestRead(State, {store::Stream::Operator, "", SentAt}, Page, Site.Now_,
+                 Out);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), State.OutOfServiceDomains_.count("a"));
+    CPPUNIT_ASSERT(!Stream.NextOffsetValid_);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
