Limit the runs of small tasks, and not those of others

Change: only tasks that take less than a 1,024th of a worker in each resource count; resources bound the others. A worker gets up to 256 of one job and 2,048 of all.

Ruled out: one limit for all small tasks, with which one job keeps the small tasks of others waiting.

--- a/lib/cell/include/nutmegwell/cell/placement.h
+++ b/lib/cell/include/nutmegwell/cell/placement.h
@@ -7,9 +7,13 @@
 
 namespace nutmegwell::cell {
 
-/// Maximum number of runs on a worker, which bounds the work for tasks that
-/// take next to nothing of it.
-constexpr std::int64_t MaxRunsPerWorker = 1024;
+/// A task is small on a worker that has each resource this many times as much.
+/// The resources bound the number of other runs.
+constexpr std::int64_t SmallTaskRatio = 1024;
+
+/// Maximum number of runs of small tasks on a worker, of one job and of all.
+constexpr std::int64_t MaxSmallRunsOfJob = 256;
+constexpr std::int64_t MaxSmallRuns = 2048;
 
 /// Resources and constraints of one worker, as seen by placement.
 struct PlacementTarget {
@@ -18,8 +22,8 @@
   std::vector<std::string> Labels_;
   jobs::Resources Capacity_;
   jobs::Resources Free_;
-  /// Number of further runs on the worker.
-  std::int64_t FreeRuns_ = MaxRunsPerWorker;
+  /// Number of further runs of the step being placed; set by the caller.
+  std::int64_t FreeRuns_ = MaxSmallRuns;
   /// Consecutive failures on the worker; 0 when the last one is not recent.
   unsigned FailureScore_ = 0;
   /// Tasks of the step being placed that already run on the worker; set by the
@@ -83,6 +87,10 @@
 candidateRacks(const PlacementRequest &Request,
                const std::vector<PlacementTarget> &Targets);
 
+/// Returns whether a task that takes \p Each is small on a worker with
+/// \p Capacity.
+bool isSmall(const jobs::Resources &Each, const jobs::Resources &Capacity);
+
 /// Returns the resources that a task of \p Step takes of its worker.
 jobs::Resources requiredResources(const jobs::StepSpec &Step);
 
--- a/lib/cell/src/placement.cpp
+++ b/lib/cell/src/placement.cpp
@@ -157,6 +157,10 @@
   return Step.SpreadLimit_ == 0 || Worker.StepTaskCount_ < Step.SpreadLimit_;
 }
 
+bool isSmall(const jobs::Resources &Each, const jobs::Resources &Capacity) {
+  return Capacity.covers(Each.times(SmallTaskRatio));
+}
+
 jobs::Resources requiredResources(const jobs::StepSpec &Step) {
   jobs::Resources Uses = Step.PerTask_;
   if (Step.BestEffort_)
--- a/lib/cell/src/schedule.cpp
+++ b/lib/cell/src/schedule.cpp
@@ -4,6 +4,7 @@
 #include "releases.h"
 #include "unitspeed.h"
 #include <algorithm>
+#include <limits>
 
 namespace nutmegwell::cell {
 
@@ -223,7 +224,30 @@
       return;
     PlacementTarget &Target = (*It->second.first)[It->second.second];
     Target.Free_ -= Run.Resources_;
-    --Target.FreeRuns_;
+    countSmall(Target, Run.Id_.Task_.Job_, Run.Resources_);
+  }
+
+  /// Counts a run if its task is small.
+  void countSmall(const PlacementTarget &Target, const std::string &Job,
+                  const jobs::Resources &Each) {
+    if (!isSmall(Each, Target.Capacity_))
+      return;
+    ++SmallRuns_[Target.Host_];
+    ++SmallRunsOfJobs_[{Target.Host_, Job}];
+  }
+
+  /// Returns how many further runs of \p Work the worker may get beside what
+  /// its resources allow. Small tasks of one job leave room for those of
+  /// others.
+  std::int64_t freeRuns(const Unit &Work, const PlacementTarget &Target) const {
+    if (!isSmall(requiredResources(Work.spec()), Target.Capacity_))
+      return std::numeric_limits<std::int64_t>::max();
+    const auto All = SmallRuns_.find(Target.Host_);
+    const auto OfJob =
+        SmallRunsOfJobs_.find({Target.Host_, Work.Job_->Accepted_.Job_});
+    return std::min(MaxSmallRuns - (All == SmallRuns_.end() ? 0 : All->second),
+                    MaxSmallRunsOfJob -
+                        (OfJob == SmallRunsOfJobs_.end() ? 0 : OfJob->second));
   }
 
   std::vector<PlacementTarget> &targetsOf(const Unit &Work) {
@@ -298,8 +322,11 @@
     LiveJob &Live = State_.Jobs_.at(Work.Job_->Accepted_.Job_);
     for (std::uint32_t I = 0; I < Work.Count_; ++I)
       orderStart(Work, Work.Index_ + I, Run, Targets[Chosen[I]].Host_, Live);
-    for (std::size_t I : Chosen)
+    for (std::size_t I : Chosen) {
       noteProbe(Targets[I].Host_, Work);
+      countSmall(Targets[I], Work.Job_->Accepted_.Job_,
+                 requiredResources(Work.spec()));
+    }
   }
 
   /// Keeps further work off a worker on probation that has just got \p Work.
@@ -393,6 +420,7 @@
     const std::set<std::string> &KeptRacks =
         headroomRacksOf(Work.Job_->Accepted_.Service_, Targets);
     for (PlacementTarget &Target : Targets) {
+      Target.FreeRuns_ = freeRuns(Work, Target);
       Target.Excluded_ =
           Target.Host_ == Work.OriginalHost_ ||
           (!Work.Guaranteed_ && ProbedHosts_.count(Target.Host_) > 0) ||
@@ -597,6 +625,9 @@
   std::map<std::string, ServiceSpeeds> Speeds_;
   /// Racks on which less urgent work leaves headroom, by service.
   std::map<std::string, std::set<std::string>> HeadroomRacks_;
+  /// Runs of small tasks by host, and by host and job.
+  std::map<std::string, std::int64_t> SmallRuns_;
+  std::map<std::pair<std::string, std::string>, std::int64_t> SmallRunsOfJobs_;
   /// Mean declared work of the jobs of a queue, by queue.
   std::map<std::string, double> MeanWork_;
   std::map<std::string, std::vector<PlacementTarget>> Targets_;
--- a/lib/cell/tests/manytaskstest.cpp
+++ b/lib/cell/tests/manytaskstest.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(wideStepTakesNoMemory);
   CPPUNIT_TEST(wideGangThatFitsNowhereTakesNoMemory);
   CPPUNIT_TEST(tasksWithoutNeedsAreBounded);
+  CPPUNIT_TEST(tasksWithoutNeedsLeaveRoomForOtherJobs);
   CPPUNIT_TEST(hugeLoadIsAValidReport);
   CPPUNIT_TEST_SUITE_END();
 
@@ -138,10 +139,24 @@
     startCell(Cell, 2);
     Cell.acceptJob("j", oneStep(1'000'000'000, {}));
     Cell.runFor(300ms);
-    CPPUNIT_ASSERT_EQUAL(std::size_t(2 * MaxRunsPerWorker),
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2 * MaxSmallRunsOfJob),
                          Cell.runsOf("j").size());
   }
 
+  /// Guards against jobs that wait on idle workers because a job has filled the
+  /// number of runs there.
+  void tasksWithoutNeedsLeaveRoomForOtherJobs() {
+    FakeCell Cell;
+    startCell(Cell, 2);
+    Cell.acceptJob("j", oneStep(1'000'000'000, {}));
+    Cell.runFor(300ms);
+    Cell.acceptJob("small", oneStep(4, {10, 10, 0}));
+    Cell.acceptJob("large", oneStep(2, {60000, 100000, 8}));
+    Cell.advance();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), Cell.runsOf("small").size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Cell.runsOf("large").size());
+  }
+
   /// Guards against a load that other hosts reject as malformed, so that they
   /// admit work without knowing the load.
   void hugeLoadIsAValidReport() {
--- a/lib/site/tests/sitelatestarttest.cpp
+++ b/lib/site/tests/sitelatestarttest.cpp
@@ -9,14 +9,14 @@
 /// Workers that carry out starts of an earlier process late.
 class SiteLateStartTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SiteLateStartTest);
+  CPPUNIT_TEST(lateStartRunsOnNoRestartedWorker);
   CPPUNIT_TEST(lateStartRunsOnNoWorkerThatRestartedWithItsAgent);
   CPPUNIT_TEST_SUITE_END();
 
-public:
-  /// Guards against two runs of a task: the agent has lost the list of its
-  /// unanswered starts when the worker's next process can be told to refuse
-  /// them.
-  void lateStartRunsOnNoWorkerThatRestartedWithItsAgent() {
+  /// Restarts workers while their starts are pending, alone or with their
+  /// agents. Returns the rule that was broken, or an empty string.
+  static std::string restartWorkersOfLateStarts(core::Duration Down,
+                                                bool WithAgents) {
     FakeSite Site(3);
     Site.addWorker("w0", "a", 1);
     Site.addWorker("w1", "a", 1);
@@ -34,18 +34,34 @@
       for (const char *Worker : {"w0", "w1"})
         if (!Site.agent(Worker).Pending_.empty()) {
           Site.crashWorker(Worker);
-          Site.killAgent(Worker);
-          Site.run(1500ms);
-          Site.startAgent(Worker);
+          if (WithAgents)
+            Site.killAgent(Worker);
+          Site.run(Down);
+          if (WithAgents)
+            Site.startAgent(Worker);
           Site.startWorker(Worker);
         }
       Site.run(30s);
     }
     const history::History Run =
         history::makeHistory(std::move(Site.Events_), true);
-    CPPUNIT_ASSERT_EQUAL(
-        std::string(),
-        history::describe(Run, history::checkTaskOnce(Run, history::Bounds())));
+    return history::describe(Run,
+                             history::checkTaskOnce(Run, history::Bounds()));
+  }
+
+public:
+  /// Guards against two runs of a task: its worker ends right after a start
+  /// that gets no response, and the worker's next process carries it out.
+  void lateStartRunsOnNoRestartedWorker() {
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         restartWorkersOfLateStarts(2500ms, false));
+  }
+
+  /// Guards against the same when the agent has lost the list of its unanswered
+  /// starts before the worker's next process can be told to refuse them.
+  void lateStartRunsOnNoWorkerThatRestartedWithItsAgent() {
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         restartWorkersOfLateStarts(1500ms, true));
   }
 };
 
--- a/lib/site/tests/sitetest.cpp
+++ b/lib/site/tests/sitetest.cpp
@@ -1,5 +1,4 @@
 #include "fakesite.h"
-#include "nutmegwell/history/rules.h"
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace nutmegwell;
@@ -32,7 +31,6 @@
   CPPUNIT_TEST(speedFiguresEndWithTheTenure);
   CPPUNIT_TEST(cancelOfAnUnreadJobIsNotLost);
   CPPUNIT_TEST(workerIsUsedAfterItsClockWasSetBack);
-  CPPUNIT_TEST(lateStartRunsOnNoRestartedWorker);
   CPPUNIT_TEST_SUITE_END();
 
   static bool has(const std::optional<ReplyKind> &Answer, ReplyKind Kind) {
@@ -442,39 +440,6 @@
     CPPUNIT_ASSERT(Site.entry("e0").View_.Jobs_.at("j").reportedState() ==
                    jobs::JobState::Completed);
   }
-
-  /// Guards against two runs of a task: its worker ends right after a start
-  /// that gets no response, and the worker's next process carries it out.
-  void lateStartRunsOnNoRestartedWorker() {
-    FakeSite Site(3);
-    Site.addWorker("w0", "a", 1);
-    Site.addWorker("w1", "a", 1);
-    Site.run(3s);
-    Site.setLateOrdersSurviveRestarts(true);
-    for (int I = 0; I < 8; ++I) {
-      Site.setLateOrders(1);
-      const std::string Job = "j" + std::to_string(I);
-      Site.submit("e0", Job,
-                  jobs::JobSpecBuilder()
-                      .command("9000")
-                      .step(1, {1000, 1000, FakeWorkerAccelerators}, 9s)
-                      .build());
-      Site.run(150ms);
-      Site.setLateOrders(0);
-      for (const char *Worker : {"w0", "w1"})
-        if (!Site.agent(Worker).Pending_.empty()) {
-          Site.crashWorker(Worker);
-          Site.run(2500ms);
-          Site.startWorker(Worker);
-        }
-      Site.run(30s);
-    }
-    const history::History Run =
-        history::makeHistory(std::move(Site.Events_), true);
-    CPPUNIT_ASSERT_EQUAL(
-        std::string(),
-        history::describe(Run, history::checkTaskOnce(Run, history::Bounds())));
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SiteTest);
