--- a/lib/cell/src/holdersteps.h
+++ b/lib/cell/src/holdersteps.h
@@ -109,6 +109,26 @@
 void handleEnds(Holder &State, Worker &Host, const AgentReport &Report,
                 const HolderContext &Context, Effects &Out);
 
+/// Returns the runs that a report accounts for: running, ended or pending.
+std::set<RunId> reportedRuns(const AgentReport &Report);
+
+/// Ends the runs of a worker whose process has ended, and stops the gangs that
+/// have lost a member. Keeps the runs whose starts the worker's next process
+/// may still carry out, as the report tells, so that their tasks are not
+/// started elsewhere meanwhile.
+void handleWorkerEnd(Holder &State, Worker &Host, const AgentReport &Report,
+                     core::TimePoint Now, Effects &Out);
+
+/// Handles a report that no process of a worker runs on a host, and that none
+/// can carry out a start of an earlier one.
+void handleEmptyHost(Holder &State, Worker &Host, Effects &Out);
+
+/// Resets the state that ended with an earlier incarnation of the worker or of
+/// its agent when the report comes from a new one.
+void handleNewIncarnations(Holder &State, Worker &Host,
+                           const AgentReport &Report, core::TimePoint Now,
+                           Effects &Out);
+
 /// Learns from the progress of a run that has changed.
 void observeProgress(Holder &State, const TaskRun &Run,
                      const HolderContext &Context);
