--- a/lib/site/include/nutmegwell/site/callers.h
+++ b/lib/site/include/nutmegwell/site/callers.h
@@ -27,6 +27,8 @@
   std::string SpecError_;
   /// How long the caller waits for an answer.
   core::Duration Timeout_ = std::chrono::seconds(3);
+  /// When the request reached this process.
+  core::TimePoint ArrivedAt_{};
 };
 
 enum class ReplyKind : std::uint8_t {
--- a/lib/site/include/nutmegwell/site/entry.h
+++ b/lib/site/include/nutmegwell/site/entry.h
@@ -279,12 +279,23 @@
   /// How long the store waits for a record, and when the call fails.
   core::Duration Wait_{0};
   core::Duration Timeout_{0};
+  /// When the response reached this process; set by the driver.
+  core::TimePoint ArrivedAt_{};
 };
 
 struct ReadNewestCall {
   store::Stream Stream_;
   std::string After_;
   core::TimePoint SentAt_{};
+  /// When the response reached this process; set by the driver.
+  core::TimePoint ArrivedAt_{};
+};
+
+/// Where a message of a peer comes from.
+struct MessageOrigin {
+  LinkId Link_ = 0;
+  /// When the message reached this process.
+  core::TimePoint ArrivedAt_{};
 };
 
 /// Work for the driver after a step of the control state.
@@ -330,8 +341,9 @@
                         const absl::StatusOr<cell::ApprovalResponse> &Response,
                         core::TimePoint Now, jobs::WallTime Wall,
                         EntryEffects &Out);
-void onMessage(EntryState &State, LinkId Link, const cell::PeerMessage &Message,
-               core::TimePoint Now, jobs::WallTime Wall, EntryEffects &Out);
+void onMessage(EntryState &State, const MessageOrigin &Origin,
+               const cell::PeerMessage &Message, core::TimePoint Now,
+               jobs::WallTime Wall, EntryEffects &Out);
 void onLinkClosed(EntryState &State, LinkId Link);
 void onStopRequested(EntryState &State, EntryEffects &Out);
 
--- a/lib/site/src/callers.cpp
+++ b/lib/site/src/callers.cpp
@@ -66,21 +66,44 @@
   void reply(const CallerRequest &Request, const std::string &Job,
              CallerReply Reply) const {
     Reply.Token_ = Request.Token_;
+    const bool DeniedByTables = Reply.Kind_ == ReplyKind::UnknownKey ||
+                                Reply.Kind_ == ReplyKind::UnknownQueue;
     // Queries change nothing and are counted, not logged.
-    if (Request.Kind_ != RequestKind::Query ||
-        Reply.Kind_ == ReplyKind::UnknownKey)
-      Out_.LogEvents_.push_back(
-          {"call_answered",
-           {{"call", nameOf(Request.Kind_)},
-            {"job", Job},
-            {"outcome", name(Reply.Kind_)},
-            {"reason", Reply.Message_},
-            {"tables", State_.Tables_ ? std::to_string(State_.Tables_->Version_)
-                                      : "none"},
-            {"view", std::to_string(State_.View_.NextOffset_)}}});
+    if (Request.Kind_ != RequestKind::Query || DeniedByTables) {
+      core::LogEvent Line{
+          "call_answered",
+          {{"call", nameOf(Request.Kind_)},
+           {"job", Job},
+           {"outcome", name(Reply.Kind_)},
+           {"reason", Reply.Message_},
+           {"tables",
+            State_.Tables_ ? std::to_string(State_.Tables_->Version_) : "none"},
+           {"view", std::to_string(State_.View_.NextOffset_)}}};
+      if (DeniedByTables)
+        addTablesState(Request, Line);
+      Out_.LogEvents_.push_back(std::move(Line));
+    }
     Out_.Replies_.push_back(std::move(Reply));
   }
 
+  /// Adds how recent the tables are that deny \p Request.
+  void addTablesState(const CallerRequest &Request,
+                      core::LogEvent &Line) const {
+    core::Offset PeerNext = 0;
+    for (const auto &[Host, Other] : State_.Peers_)
+      PeerNext = std::max(PeerNext, Other.Heartbeat_.OperatorNextOffset_);
+    const StreamState &Stream = State_.OperatorStream_;
+    const auto Since = [this](core::TimePoint Then) {
+      return std::to_string(core::wholeMilliseconds(Now_ - Then).count());
+    };
+    Line.Fields_.insert(
+        Line.Fields_.end(),
+        {{"operator_next", std::to_string(Stream.NextOffset_)},
+         {"operator_next_of_peers", std::to_string(PeerNext)},
+         {"operator_read_ms_ago", Since(Stream.LastFullReadSentAt_)},
+         {"waited_ms", Since(Request.ArrivedAt_)}});
+  }
+
   void refuse(const CallerRequest &Request, const std::string &Job,
               RefusalCause Cause, std::string Reason) const {
     refuse(Request, Job, Cause, std::move(Reason),
--- a/lib/site/src/entry.cpp
+++ b/lib/site/src/entry.cpp
@@ -121,12 +121,14 @@
           State.OutOfServiceDomains_, Now, Wall};
 }
 
-void onMessage(EntryState &State, LinkId Link, const cell::PeerMessage &Message,
-               core::TimePoint Now, jobs::WallTime Wall, EntryEffects &Out) {
+void onMessage(EntryState &State, const MessageOrigin &Origin,
+               const cell::PeerMessage &Message, core::TimePoint Now,
+               jobs::WallTime Wall, EntryEffects &Out) {
+  const LinkId Link = Origin.Link_;
   if (const auto *Heartbeat = std::get_if<cell::EntryHeartbeat>(&Message))
     onHeartbeat(State, *Heartbeat, Now, Out);
   else if (const auto *Relayed = std::get_if<cell::RelayedRecords>(&Message))
-    onRelayedRecords(State, *Relayed, Now, Out);
+    onRelayedRecords(State, *Relayed, Origin.ArrivedAt_, Now, Out);
   else if (const auto *Lacked = std::get_if<cell::RecordsRequest>(&Message))
     onRecordsRequest(State, Link, *Lacked, Out);
   else if (const auto *Request =
--- a/lib/site/src/entrysteps.h
+++ b/lib/site/src/entrysteps.h
@@ -4,10 +4,28 @@
 
 namespace nutmegwell::site {
 
+/// Way by which records reach this host.
+enum class RecordWay : std::uint8_t {
+  /// A read of the stream, in the order of offsets.
+  Read,
+  /// A page of the newest record of each key.
+  NewestPage,
+  Peer
+};
+
+/// The call or message that brings records.
+struct RecordSource {
+  RecordWay Way_ = RecordWay::Read;
+  /// When the records were requested, and when the answer reached this process.
+  core::TimePoint RequestedAt_{};
+  core::TimePoint ArrivedAt_{};
+};
+
 /// Applies a record of a stream to the control state.
 void applyStoreRecord(EntryState &State, store::Stream Which,
-                      const store::KeyedRecord &Record, bool InOrder,
-                      core::TimePoint Now, EntryEffects &Out);
+                      const store::KeyedRecord &Record,
+                      const RecordSource &Source, core::TimePoint Now,
+                      EntryEffects &Out);
 
 /// The keys of a stream that were changed within a range of offsets and still
 /// exist.
@@ -20,12 +38,14 @@
 
 /// Applies the removal of the keys that \p Listing shows to be missing.
 void dropMissingKeys(EntryState &State, const KeyListing &Listing,
-                     core::TimePoint Now, EntryEffects &Out);
+                     const RecordSource &Source, core::TimePoint Now,
+                     EntryEffects &Out);
 
 StreamState &streamOf(EntryState &State, store::Stream Which);
 
-/// Returns the name of a stream for logs.
+/// Return the name of a stream, or of a way, for logs.
 const char *name(store::Stream Which);
+const char *name(RecordWay Way);
 
 /// Adds the reads that are due to \p Out.
 void requestReads(EntryState &State, core::TimePoint Now, EntryEffects &Out);
@@ -107,7 +127,8 @@
 void onRecordsRequest(EntryState &State, LinkId Link,
                       const cell::RecordsRequest &Request, EntryEffects &Out);
 void onRelayedRecords(EntryState &State, const cell::RelayedRecords &Relayed,
-                      core::TimePoint Now, EntryEffects &Out);
+                      core::TimePoint ArrivedAt, core::TimePoint Now,
+                      EntryEffects &Out);
 
 /// Returns a time as of which the view contains every job that had been
 /// accepted, by this host's own reads or those of peers.
--- a/lib/site/src/relays.cpp
+++ b/lib/site/src/relays.cpp
@@ -95,8 +95,11 @@
 }
 
 void onRelayedRecords(EntryState &State, const cell::RelayedRecords &Relayed,
-                      core::TimePoint Now, EntryEffects &Out) {
+                      core::TimePoint ArrivedAt, core::TimePoint Now,
+                      EntryEffects &Out) {
   StreamState &Stream = streamOf(State, Relayed.Stream_);
+  const RecordSource Source{
+      RecordWay::Peer, Stream.RelayRequestedAt_.value_or(ArrivedAt), ArrivedAt};
   Stream.RelayRequestedAt_.reset();
   if (Relayed.From_ > Stream.NextOffset_ ||
       Relayed.NextOffset_ <= Stream.NextOffset_)
@@ -110,10 +113,10 @@
   KeyListing Listing{Relayed.Stream_, Relayed.From_, Relayed.NextOffset_, {}};
   for (const store::KeyedRecord &Record : Relayed.Records_) {
     Listing.Keys_.insert(Record.Key_);
-    applyStoreRecord(State, Relayed.Stream_, Record, false, Now, Out);
+    applyStoreRecord(State, Relayed.Stream_, Record, Source, Now, Out);
   }
   if (Relayed.Stream_ == store::Stream::Operator) {
-    dropMissingKeys(State, Listing, Now, Out);
+    dropMissingKeys(State, Listing, Source, Now, Out);
     // A relay of all keys lacks the removed ones, and so can any relay of a
     // process that does not keep track of them.
     Stream.RemovalsKnownFrom_ = Relayed.NextOffset_;
--- a/lib/site/src/streams.cpp
+++ b/lib/site/src/streams.cpp
@@ -5,7 +5,12 @@
 
 namespace {
 
+std::string millisecondsSince(core::TimePoint Then, core::TimePoint Now) {
+  return std::to_string(core::wholeMilliseconds(Now - Then).count());
+}
+
 void applyOperatorRecord(EntryState &State, const store::KeyedRecord &Record,
+                         const RecordSource &Source, core::TimePoint Now,
                          EntryEffects &Out) {
   const absl::StatusOr<OperatorChange> Change =
       State.Codec_.DecodeOperator_(Record);
@@ -21,9 +26,13 @@
     if (State.Tables_ && Tables->Version_ <= State.Tables_->Version_)
       return;
     State.Tables_ = *Tables;
-    Out.LogEvents_.push_back({"tables_in_force",
-                              {{"version", std::to_string(Tables->Version_)},
-                               {"offset", std::to_string(Record.Offset_)}}});
+    Out.LogEvents_.push_back(
+        {"tables_in_force",
+         {{"version", std::to_string(Tables->Version_)},
+          {"offset", std::to_string(Record.Offset_)},
+          {"way", name(Source.Way_)},
+          {"requested_ms_ago", millisecondsSince(Source.RequestedAt_, Now)},
+          {"arrived_ms_ago", millisecondsSince(Source.ArrivedAt_, Now)}}});
   } else if (const auto *Domain = std::get_if<DomainChange>(&*Change)) {
     const bool Changed =
         Domain->OutOfService_
@@ -201,7 +210,8 @@
 } // namespace
 
 void dropMissingKeys(EntryState &State, const KeyListing &Listing,
-                     core::TimePoint Now, EntryEffects &Out) {
+                     const RecordSource &Source, core::TimePoint Now,
+                     EntryEffects &Out) {
   std::vector<store::KeyedRecord> Dropped;
   for (const auto &[Key, Record] :
        streamOf(State, Listing.Stream_).NewestRecords_)
@@ -209,21 +219,34 @@
         Record.Offset_ + 1 < Listing.Until_ && !Listing.Keys_.count(Key))
       Dropped.push_back({Listing.Until_ - 1, Key, ""});
   for (const store::KeyedRecord &Record : Dropped)
-    applyStoreRecord(State, Listing.Stream_, Record, false, Now, Out);
+    applyStoreRecord(State, Listing.Stream_, Record, Source, Now, Out);
 }
 
 const char *name(store::Stream Which) {
   return Which == store::Stream::Operator ? "operator" : "cell";
 }
 
+const char *name(RecordWay Way) {
+  switch (Way) {
+  case RecordWay::Read:
+    return "read";
+  case RecordWay::NewestPage:
+    return "newest_page";
+  case RecordWay::Peer:
+    return "peer";
+  }
+  return "unknown";
+}
+
 StreamState &streamOf(EntryState &State, store::Stream Which) {
   return Which == store::Stream::Operator ? State.OperatorStream_
                                           : State.CellStream_;
 }
 
 void applyStoreRecord(EntryState &State, store::Stream Which,
-                      const store::KeyedRecord &Record, bool InOrder,
-                      core::TimePoint Now, EntryEffects &Out) {
+                      const store::KeyedRecord &Record,
+                      const RecordSource &Source, core::TimePoint Now,
+                      EntryEffects &Out) {
   StreamState &Stream = streamOf(State, Which);
   store::KeyedRecord &Kept = Stream.NewestRecords_[Record.Key_];
   if (!Kept.Key_.empty() && Kept.Offset_ >= Record.Offset_)
@@ -236,9 +259,9 @@
   }
   Kept = Record;
   if (Which == store::Stream::Operator)
-    applyOperatorRecord(State, Record, Out);
+    applyOperatorRecord(State, Record, Source, Now, Out);
   else
-    applyCellRecord(State, Record, InOrder, Now, Out);
+    applyCellRecord(State, Record, Source.Way_ == RecordWay::Read, Now, Out);
 }
 
 void onRead(EntryState &State, const ReadCall &Call,
@@ -267,11 +290,12 @@
   // Responses to repeated reads can arrive out of order.
   if (Call.From_ > Stream.NextOffset_)
     return;
+  const RecordSource Source{RecordWay::Read, Call.SentAt_, Call.ArrivedAt_};
   for (const store::KeyedRecord &Record : Page->Records_) {
     // A peer may have relayed the record while the read was in flight.
     if (Record.Offset_ < Stream.NextOffset_)
       continue;
-    applyStoreRecord(State, Which, Record, true, Now, Out);
+    applyStoreRecord(State, Which, Record, Source, Now, Out);
     Stream.NextOffset_ = Record.Offset_ + 1;
   }
   if (Which == store::Stream::Cell)
@@ -309,9 +333,11 @@
     Stream.ResumeOffset_ = Page->EndOffset_;
     Stream.PageKeys_.clear();
   }
+  const RecordSource Source{RecordWay::NewestPage, Call.SentAt_,
+                            Call.ArrivedAt_};
   for (const store::KeyedRecord &Record : Page->Records_) {
     Stream.PageKeys_.insert(Record.Key_);
-    applyStoreRecord(State, Which, Record, false, Now, Out);
+    applyStoreRecord(State, Which, Record, Source, Now, Out);
   }
   if (Page->HasMore_) {
     Stream.ReadSentAt_ = Now;
@@ -320,7 +346,7 @@
   }
   if (Which == store::Stream::Operator) {
     dropMissingKeys(State, {Which, 0, *Stream.ResumeOffset_, Stream.PageKeys_},
-                    Now, Out);
+                    Source, Now, Out);
     Stream.RemovalsKnownFrom_ =
         std::max(Stream.RemovalsKnownFrom_, *Stream.ResumeOffset_);
   }
--- a/lib/site/tests/fakeagents.cpp
+++ b/lib/site/tests/fakeagents.cpp
@@ -82,7 +82,7 @@
     schedule(Step, [this, Link = From.Link_, Entry = From.EntryHost_, Message] {
       deliver(Entry,
               [this, Link, Message](EntryState &State, EntryEffects &Effects) {
-                onMessage(State, Link, Message, Now_, Wall_, Effects);
+                onMessage(State, {Link, Now_}, Message, Now_, Wall_, Effects);
               });
     });
   }
--- a/lib/site/tests/fakesite.cpp
+++ b/lib/site/tests/fakesite.cpp
@@ -219,7 +219,7 @@
     return;
   schedule(Step, [this, From, To, Message] {
     deliver(To, [this, From, Message](EntryState &State, EntryEffects &Out) {
-      onMessage(State, linkOf(From), Message, Now_, Wall_, Out);
+      onMessage(State, {linkOf(From), Now_}, Message, Now_, Wall_, Out);
     });
   });
 }
@@ -339,6 +339,7 @@
   Request.Token_ = NextToken_++;
   Request.Host_ = "site";
   Request.ApiKey_ = "key";
+  Request.ArrivedAt_ = Now_;
   const CallToken Token = Request.Token_;
   const std::string Job = Request.Path_.substr(3);
   SentCalls_[Token] = {Job, Request.Kind_};
--- a/lib/site/tests/loadreportstest.cpp
+++ b/lib/site/tests/loadreportstest.cpp
@@ -79,7 +79,8 @@
   static void deliverReport(FakeSite &Site, const std::string &Host,
                             const cell::LoadReport &Report) {
     EntryEffects Out;
-    onMessage(Site.entry(Host), 1, Report, Site.Now_, Site.Wall_, Out);
+    onMessage(Site.entry(Host), {1, Site.Now_}, Report, Site.Now_, Site.Wall_,
+              Out);
     std::move(Out.LogEvents_.begin(), Out.LogEvents_.end(),
               std::back_inserter(Site.LogEvents_));
   }
--- a/lib/site/tests/sitetest.cpp
+++ b/lib/site/tests/sitetest.cpp
@@ -295,7 +295,7 @@
     cell::EntryHeartbeat New;
     New.Host_ = New.Address_ = "e7";
     EntryEffects Out;
-    onMessage(State, '7', New, Site.Now_, Site.Wall_, Out);
+    onMessage(State, {'7', Site.Now_}, New, Site.Now_, Site.Wall_, Out);
     CPPUNIT_ASSERT_EQUAL(std::size_t(5), CountWithHosts());
   }
 
--- a/lib/sitehost/src/agentrole.cpp
+++ b/lib/sitehost/src/agentrole.cpp
@@ -32,7 +32,7 @@
         State_(site::makeAgentState(agentSettings(Values),
                                     Process_.Clock_.Now_())),
         Control_(
-            Process_.Clock_,
+            Process_.Clock_, controlTimes(Process_.Metrics_),
             [this](core::TimePoint Now, site::AgentEffects &Out) {
               site::advanceAgent(State_, Now, Out);
             },
@@ -78,7 +78,8 @@
   void onFrame(aio::LinkId Link, const std::string &Frame) {
     dispatchFrame(Process_, Links_, Link, Frame, Control_,
                   [this, Link](const cell::PeerMessage &Message,
-                               core::TimePoint Now, Effects &Out) {
+                               core::TimePoint, core::TimePoint Now,
+                               Effects &Out) {
                     site::onAgentMessage(State_, Link, Message, Now, Out);
                   });
   }
--- a/lib/sitehost/src/control.h
+++ b/lib/sitehost/src/control.h
@@ -2,6 +2,7 @@
 
 #include "nutmegwell/core/eventqueue.h"
 #include "nutmegwell/core/time.h"
+#include "nutmegwell/metrics/quantiles.h"
 #include <exception>
 #include <functional>
 #include <thread>
@@ -16,6 +17,14 @@
 /// the thread busy.
 constexpr core::Duration FailedStepPause = std::chrono::milliseconds(100);
 
+/// Histograms of a control thread.
+struct ControlTimes {
+  /// Time that the first event of a step waited; later ones waited less.
+  metrics::Quantiles &Wait_;
+  /// Time of a step with all its events.
+  metrics::Quantiles &Step_;
+};
+
 /// Runs the control thread of a role: applies events in order, then advances
 /// the control state to the present time and passes the effects on. An
 /// exception of an event or a step is logged and ends only that event or step:
@@ -25,14 +34,16 @@
   /// Changes the control state and adds effects; called on the control thread.
   using Event = std::function<void(core::TimePoint, Effects &)>;
 
-  ControlThread(core::Clock Clock, Event Advance,
+  ControlThread(core::Clock Clock, const ControlTimes &Times, Event Advance,
                 std::function<void(Effects)> HandleEffects)
-      : Clock_(std::move(Clock)), Advance_(std::move(Advance)),
+      : Clock_(std::move(Clock)), Times_(Times), Advance_(std::move(Advance)),
         HandleEffects_(std::move(HandleEffects)), Events_(MaxQueuedEvents) {}
 
   /// Queues an event. Thread-safe. Returns false when the queue is full or
   /// closed.
-  bool post(Event Value) { return Events_.push(std::move(Value)); }
+  bool post(Event Value) {
+    return Events_.push({std::move(Value), Clock_.Now_()});
+  }
 
   void start() {
     Thread_ = std::thread([this] { run(); });
@@ -47,20 +58,30 @@
   }
 
 private:
+  struct PostedEvent {
+    Event Apply_;
+    core::TimePoint PostedAt_;
+  };
+
   void run() {
     core::TimePoint Wake = Clock_.Now_();
     while (!Events_.closed()) {
       Effects Out;
-      if (auto First = Events_.popUntil(toSteadyTime(Wake))) {
-        apply(*First, "event_failed", Out);
+      auto First = Events_.popUntil(toSteadyTime(Wake));
+      const core::TimePoint Begin = Clock_.Now_();
+      if (First) {
+        Times_.Wait_.observe(Begin - First->PostedAt_, Begin);
+        apply(First->Apply_, "event_failed", Out);
         // Decides once for all events that are queued by now.
         for (std::size_t Remaining = Events_.size(); Remaining > 0; --Remaining)
           if (auto Next = Events_.popUntil(core::TimePoint()))
-            apply(*Next, "event_failed", Out);
+            apply(Next->Apply_, "event_failed", Out);
       }
       if (!apply(Advance_, "step_failed", Out))
         Out.WakeAt_ = Clock_.Now_() + FailedStepPause;
       Wake = Out.WakeAt_;
+      const core::TimePoint End = Clock_.Now_();
+      Times_.Step_.observe(End - Begin, End);
       HandleEffects_(std::move(Out));
     }
   }
@@ -87,9 +108,10 @@
   }
 
   core::Clock Clock_;
+  ControlTimes Times_;
   Event Advance_;
   std::function<void(Effects)> HandleEffects_;
-  core::EventQueue<Event> Events_;
+  core::EventQueue<PostedEvent> Events_;
   std::thread Thread_;
 };
 
--- a/lib/sitehost/src/entryrole.cpp
+++ b/lib/sitehost/src/entryrole.cpp
@@ -72,7 +72,7 @@
         State_(site::makeEntryState(entrySettings(Values), Ports_.Codec_,
                                     Process_.Clock_.Now_())),
         Control_(
-            Process_.Clock_,
+            Process_.Clock_, controlTimes(Process_.Metrics_),
             [this](core::TimePoint Now, site::EntryEffects &Out) {
               site::advanceEntry(State_, Now, wallNow(), Out);
               Ready_ = site::isReady(State_);
@@ -118,8 +118,10 @@
   void onFrame(aio::LinkId Link, const std::string &Frame) {
     dispatchFrame(Process_, Links_, Link, Frame, Control_,
                   [this, Link](const cell::PeerMessage &Message,
-                               core::TimePoint Now, Effects &Out) {
-                    site::onMessage(State_, Link, Message, Now, wallNow(), Out);
+                               core::TimePoint ArrivedAt, core::TimePoint Now,
+                               Effects &Out) {
+                    site::onMessage(State_, {Link, ArrivedAt}, Message, Now,
+                                    wallNow(), Out);
                   });
   }
 
@@ -140,6 +142,7 @@
       return Respond(std::move(*Response));
     auto &Call = std::get<site::CallerRequest>(Decoded);
     Call.Token_ = NextToken_++;
+    Call.ArrivedAt_ = Process_.Clock_.Now_();
     OpenCalls_[Call.Token_] = {std::move(Respond), core::steadyClock().Now_()};
     Control_.post([this, Call = std::move(Call)](core::TimePoint Now,
                                                  Effects &Out) mutable {
@@ -243,10 +246,13 @@
   void read(const site::ReadCall &Call) {
     Ports_.Store_.Read_(Call.Stream_, Call.From_, Call.Wait_, Call.Timeout_,
                         [this, Call](absl::StatusOr<store::ReadPage> Page) {
-                          Control_.post([this, Call, Page = std::move(Page)](
-                                            core::TimePoint Now, Effects &Out) {
-                            site::onRead(State_, Call, Page, Now, Out);
-                          });
+                          site::ReadCall Answered = Call;
+                          Answered.ArrivedAt_ = Process_.Clock_.Now_();
+                          Control_.post(
+                              [this, Call = Answered, Page = std::move(Page)](
+                                  core::TimePoint Now, Effects &Out) {
+                                site::onRead(State_, Call, Page, Now, Out);
+                              });
                         });
   }
 
@@ -254,7 +260,9 @@
     Ports_.Store_.ReadNewest_(
         Call.Stream_, Call.After_, State_.Settings_.Policy_.ReadTimeout_,
         [this, Call](absl::StatusOr<store::NewestRecordsPage> Page) {
-          Control_.post([this, Call, Page = std::move(Page)](
+          site::ReadNewestCall Answered = Call;
+          Answered.ArrivedAt_ = Process_.Clock_.Now_();
+          Control_.post([this, Call = Answered, Page = std::move(Page)](
                             core::TimePoint Now, Effects &Out) {
             site::onNewestRead(State_, Call, Page, Now, Out);
           });
--- a/lib/sitehost/src/roleprocess.h
+++ b/lib/sitehost/src/roleprocess.h
@@ -60,6 +60,15 @@
   std::shared_ptr<aio::InputGuard> Guard_;
 };
 
+/// Returns the histograms of a process's control thread.
+inline ControlTimes controlTimes(metrics::Registry &Metrics) {
+  return {Metrics.quantiles("nutmegwell_control_wait_seconds",
+                            "Time that the first event of a step waited for "
+                            "the control thread"),
+          Metrics.quantiles("nutmegwell_control_step_seconds",
+                            "Time of a step of the control thread")};
+}
+
 /// Starts the control thread, the seed checks and the metrics server, and runs
 /// the loop until it is stopped. Logs start and stop. SIGHUP reads the settings
 /// again; \p OnStop is called for each SIGTERM or SIGINT.
@@ -98,7 +107,8 @@
       [&Target, Seeds](core::TimePoint, Effects &) { Target.Seeds_ = Seeds; });
 }
 
-/// Decodes a frame and passes its message to \p Handle on the control thread.
+/// Decodes a frame and passes its message and the time of its arrival to
+/// \p Handle on the control thread.
 /// Closes the link when the frame is malformed.
 template <typename Effects, typename Function>
 void dispatchFrame(RoleProcess &Process, aio::Links &Links, aio::LinkId Link,
@@ -107,10 +117,11 @@
   auto Message = readFrame(Frame, Process.Metrics_);
   if (!Message)
     return Links.close(Link);
-  Control.post([Handle, Message = *std::move(Message)](core::TimePoint Now,
-                                                       Effects &Out) {
-    Handle(Message, Now, Out);
-  });
+  Control.post(
+      [Handle, Message = *std::move(Message),
+       ArrivedAt = Process.Clock_.Now_()](core::TimePoint Now, Effects &Out) {
+        Handle(Message, ArrivedAt, Now, Out);
+      });
 }
 
 } // namespace nutmegwell::sitehost
