--- a/lib/site/tests/fakesite.cpp
+++ b/lib/site/tests/fakesite.cpp
@@ -18,6 +18,19 @@
   return std::string("e") + static_cast<char>(Link);
 }
 
+std::size_t sizeOf(const std::vector<store::KeyedRecord> &Records) {
+  std::size_t Size = 0;
+  for (const store::KeyedRecord &Record : Records)
+    Size += Record.Key_.size() + Record.Value_.size();
+  return Size;
+}
+
+std::size_t sizeOf(const cell::PeerMessage &Message) {
+  constexpr std::size_t OtherSize = 200;
+  const auto *Relayed = std::get_if<cell::RelayedRecords>(&Message);
+  return OtherSize + (Relayed ? sizeOf(Relayed->Records_) : 0);
+}
+
 absl::Status refusal() {
   return core::makeError(absl::StatusCode::kUnavailable, "read", "store",
                          "refused");
@@ -218,12 +231,46 @@
   if (!isConnected(From, To))
     return;
   schedule(Step, [this, From, To, Message] {
-    deliver(To, [this, From, Message](EntryState &State, EntryEffects &Out) {
-      onMessage(State, {linkOf(From), Now_}, Message, Now_, Wall_, Out);
+    transfer(To, From, sizeOf(Message), [this, From, To, Message] {
+      deliver(To, [this, From, Message](EntryState &State, EntryEffects &Out) {
+        onMessage(State, {linkOf(From), Now_}, Message, Now_, Wall_, Out);
+      });
     });
   });
 }
 
+void FakeSite::transfer(const std::string &To, const std::string &Connection,
+                        std::size_t Size, Delivery Item) {
+  if (!Links_.isLimited(To))
+    return Item();
+  Links_.add(
+      To, Connection, Size, [] {}, std::move(Item));
+}
+
+void FakeSite::transferPage(const std::string &Host,
+                            core::Incarnation Incarnation, const ReadCall &Call,
+                            const absl::StatusOr<store::ReadPage> &Page) {
+  const auto Respond = [this, Host, Incarnation,
+                        Call](const absl::StatusOr<store::ReadPage> &Result) {
+    deliverResponse(
+        Host, Incarnation,
+        [this, Call, Result](EntryState &State, EntryEffects &Effects) {
+          onRead(State, Call, Result, Now_, Effects);
+        });
+  };
+  if (!Links_.isLimited(Host) || !Page.ok())
+    return Respond(Page);
+  const std::string Connection = "read " + std::to_string(NextConnection_++);
+  const FakeLinks::TransferId Id = Links_.add(
+      Host, Connection, sizeOf(Page->Records_), [] {},
+      [Respond, Page] { Respond(Page); });
+  schedule(Call.SentAt_ + Call.Timeout_ - Now_, [this, Host, Respond, Id] {
+    if (Links_.remove(Host, Id))
+      Respond(core::makeError(absl::StatusCode::kDeadlineExceeded, "read",
+                              "store", "timeout"));
+  });
+}
+
 void FakeSite::applyEffects(const std::string &Host, EntryEffects &&Out) {
   if (Out.SpeedFigures_)
     SpeedFigures_[Host] = *Out.SpeedFigures_;
@@ -247,7 +294,7 @@
   for (const ReadCall &Call : Out.Reads_)
     schedule(Step, [this, Host, Incarnation, Call] {
       ++Store_.ReadCounts_[Host];
-      if (!Store_.DropsReads_)
+      if (!Store_.DropsReads_ && !Store_.SilentHosts_.count(Host))
         respondToRead(Host, Incarnation, Call, Now_ + Call.Wait_);
     });
   for (const ReadNewestCall &Call : Out.NewestReads_)
@@ -285,10 +332,7 @@
     return schedule(Step, [this, Host, Incarnation, Call, Until] {
       respondToRead(Host, Incarnation, Call, Until);
     });
-  deliverResponse(Host, Incarnation,
-                  [this, Call, Page](EntryState &State, EntryEffects &Effects) {
-                    onRead(State, Call, Page, Now_, Effects);
-                  });
+  transferPage(Host, Incarnation, Call, Page);
 }
 
 void FakeSite::append(const std::string &Host, const AppendCall &Call) {
@@ -318,6 +362,7 @@
   for (core::Duration Past(0); Past < Span; Past += Step) {
     Now_ += Step;
     Wall_ += Step;
+    Links_.advance(Step);
     while (!Deliveries_.empty() && Deliveries_.begin()->first <= Now_) {
       const Delivery Item = std::move(Deliveries_.begin()->second);
       Deliveries_.erase(Deliveries_.begin());
--- a/lib/site/tests/fakesite.h
+++ b/lib/site/tests/fakesite.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fakelinks.h"
 #include "fakeworker.h"
 #include "nutmegwell/site/agent.h"
 #include "nutmegwell/site/entry.h"
@@ -42,8 +43,10 @@
   std::set<std::string> RejectedKeys_;
   /// Appends take effect, but their responses are lost.
   bool LosesResponses_ = false;
-  /// Reads get no response, as on a connection that delivers nothing any more.
+  /// Reads get no response, as on a connection that delivers nothing any more;
+  /// of all hosts, or of some.
   bool DropsReads_ = false;
+  std::set<std::string> SilentHosts_;
   /// Number of reads by host.
   std::map<std::string, std::size_t> ReadCounts_;
   /// If not zero, appends get no response and take effect after this delay.
@@ -140,6 +143,7 @@
   std::vector<std::string> holders() const;
 
   FakeStore Store_;
+  FakeLinks Links_;
   core::TimePoint Now_{std::chrono::seconds(1000)};
   jobs::WallTime Wall_{std::chrono::seconds(5000)};
   std::map<CallToken, CallerReply> Replies_;
@@ -173,6 +177,14 @@
   /// Delivers the response to a call, unless the calling process has ended.
   void deliverResponse(const std::string &To, core::Incarnation Incarnation,
                        std::function<void(EntryState &, EntryEffects &)>);
+  /// Transfers a message of \p Size bytes, or delivers it at once to a host
+  /// whose link is not limited.
+  void transfer(const std::string &To, const std::string &Connection,
+                std::size_t Size, Delivery Item);
+  /// Transfers the response to a read, unless the read times out before.
+  void transferPage(const std::string &Host, core::Incarnation Incarnation,
+                    const ReadCall &Call,
+                    const absl::StatusOr<store::ReadPage> &Page);
   /// Responds to a read when a record is available, or at \p Until.
   void respondToRead(const std::string &Host, core::Incarnation Incarnation,
                      const ReadCall &Call, core::TimePoint Until);
@@ -215,6 +227,7 @@
   std::map<std::string, core::Term> Terms_;
   std::map<std::string, jobs::Record> EncodedRecords_;
   core::Incarnation NextIncarnation_ = 1;
+  std::uint64_t NextConnection_ = 1;
   CallToken NextToken_ = 1;
 };
 
--- a/lib/site/tests/tablestest.cpp
+++ b/lib/site/tests/tablestest.cpp
@@ -10,6 +10,7 @@
   CPPUNIT_TEST_SUITE(TablesTest);
   CPPUNIT_TEST(logTellsHowTablesArrived);
   CPPUNIT_TEST(logTellsHowOldDenyingTablesAre);
+  CPPUNIT_TEST(slowLinkStaysBehindAfterACut);
   CPPUNIT_TEST_SUITE_END();
 
   /// Returns a field of the newest line of \p Event, or an empty string.
@@ -23,6 +24,33 @@
     return Result;
   }
 
+  /// Publishes the next version of the tables, padded to \p Size bytes.
+  static core::Version publishTables(FakeSite &Site, std::size_t Size) {
+    const core::Version Next =
+        Site.Store_.Records_[store::Stream::Operator].size() + 1;
+    std::string Value = std::to_string(Next);
+    Value.resize(Size, ' ');
+    Site.Store_.publish("tables", Value);
+    return Next;
+  }
+
+  /// Runs until all \p Hosts use \p Version, at most for \p Limit. Returns the
+  /// time that it took.
+  static core::Duration timeUntilUsed(FakeSite &Site,
+                                      const std::vector<std::string> &Hosts,
+                                      core::Version Version,
+                                      core::Duration Limit) {
+    constexpr core::Duration Step = 10ms;
+    const auto IsBehind = [&](const std::string &Host) {
+      return Site.entry(Host).Tables_->Version_ < Version;
+    };
+    core::Duration Past(0);
+    for (; Past < Limit && std::any_of(Hosts.begin(), Hosts.end(), IsBehind);
+         Past += Step)
+      Site.run(Step);
+    return Past;
+  }
+
 public:
   /// Guards against late tables whose logs do not tell the store, a peer and
   /// the control thread apart.
@@ -64,6 +92,49 @@
     CPPUNIT_ASSERT(std::stoi(lastField(Site, "call_answered",
                                        "operator_read_ms_ago")) < 1000);
   }
+
+  /// Guards against a host that stays behind after it was cut off, because
+  /// several copies of each version share its slow link.
+  void slowLinkStaysBehindAfterACut() {
+    constexpr std::size_t TableSize = 262144;
+    // Half of a link of 10 Mbit/s; callers and jobs use the rest. A version
+    // takes 0.42 s.
+    constexpr std::size_t BytesPerSecond = 625000;
+    constexpr auto Interval = 1280ms;
+    // Time after which a host in contact has to use a version, and time for
+    // which it has to reach the store before it counts as in contact.
+    constexpr auto MaxLag = 2000ms;
+    constexpr auto ContactTime = 3000ms;
+    const std::vector<std::string> CutOff = {"e5", "e6"};
+    FakeSite Site(8);
+    for (const char *Host : {"e5", "e6", "e7"})
+      Site.Links_.limit(Host, BytesPerSecond);
+    Site.run(3s);
+    for (const std::string &Host : CutOff) {
+      Site.isolate(Host);
+      Site.Store_.SilentHosts_.insert(Host);
+    }
+    for (int I = 0; I < 6; ++I) {
+      publishTables(Site, TableSize);
+      Site.run(Interval);
+    }
+    for (const std::string &Host : CutOff)
+      Site.reconnect(Host);
+    Site.Store_.SilentHosts_.clear();
+    for (core::Duration Past(0); Past < ContactTime; Past += Interval) {
+      publishTables(Site, TableSize);
+      Site.run(Interval);
+    }
+    for (int I = 0; I < 8; ++I) {
+      const core::Version Newest = publishTables(Site, TableSize);
+      const core::Duration Lag = timeUntilUsed(Site, CutOff, Newest, MaxLag);
+      CPPUNIT_ASSERT_MESSAGE(
+          "version " + std::to_string(Newest) + " is late; e5 uses " +
+              std::to_string(Site.entry("e5").Tables_->Version_),
+          Lag < MaxLag);
+      Site.run(std::max(Interval - Lag, core::Duration(0)));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TablesTest);
