--- a/lib/aio/include/nutmegwell/aio/link.h
+++ b/lib/aio/include/nutmegwell/aio/link.h
@@ -25,7 +25,7 @@
   /// Maximum bytes queued for a slow peer; the link is closed when they exceed
   /// it.
   std::size_t MaxQueued_ = 16 << 20;
-  /// A link that receives no frame for this long is closed. Peers send at least
+  /// A link that receives nothing for this long is closed. Peers send at least
   /// every 500 ms.
   core::Duration SilenceTimeout_ = std::chrono::milliseconds(2000);
   core::Duration ConnectTimeout_ = std::chrono::milliseconds(1000);
--- a/lib/aio/src/link.cpp
+++ b/lib/aio/src/link.cpp
@@ -146,6 +146,9 @@
           if (Self->Closed_)
             return;
           Self->ReceivedSize_ += Read;
+          // A large frame can take longer than the time after which a link
+          // counts as silent.
+          Self->restartTimeout(Self->Owner_->Limits_.SilenceTimeout_);
           Self->readPart();
         });
   }
--- a/lib/aio/tests/aiotest.cpp
+++ b/lib/aio/tests/aiotest.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 using namespace nutmegwell;
 using namespace nutmegwell::aio;
@@ -45,6 +46,7 @@
   CPPUNIT_TEST(endlessResponseExtensionsAreRefused);
   CPPUNIT_TEST(silentLinksMakeRoom);
   CPPUNIT_TEST(largeFrameArrives);
+  CPPUNIT_TEST(linkIsSilentWhileALargeFrameArrives);
   CPPUNIT_TEST(silentServerTimesOut);
   CPPUNIT_TEST(refusedConnectionIsReportedAsNotSent);
   CPPUNIT_TEST(framesArriveInOrder);
@@ -539,6 +541,43 @@
     });
   }
 
+  /// Guards against a link that is closed in the middle of a large frame,
+  /// because only whole frames count as a sign of life.
+  void linkIsSilentWhileALargeFrameArrives() {
+    constexpr std::size_t PartSize = 65536;
+    constexpr std::size_t Parts = 6;
+    std::promise<std::size_t> Result;
+    bool Done = false;
+    const auto Finish = [&](std::size_t Received) {
+      if (!std::exchange(Done, true))
+        Result.set_value(Received);
+    };
+    LinkLimits Limits;
+    Limits.SilenceTimeout_ = 500ms;
+    LinkHandlers Handlers{
+        [](LinkId) {},
+        [&](LinkId, const std::string &Frame) { Finish(Frame.size()); },
+        [&](LinkId) { Finish(0); }};
+    auto Listener = onLoop(
+        [&] { return std::make_unique<Links>(*Loop_, Limits, Handlers); });
+    const std::uint16_t Port =
+        onLoop([&] { return Listener->listen(anyPort()); });
+    const int Socket = connectTo(Port);
+    sendAll(Socket, std::string("\0\x06\0\0", 4));
+    std::future<std::size_t> Arrived = Result.get_future();
+    // The frame takes more than the time of silence, each part less.
+    for (std::size_t I = 0; I < Parts; ++I) {
+      Arrived.wait_for(Limits.SilenceTimeout_ / 4);
+      sendAll(Socket, std::string(PartSize, 'x'));
+    }
+    CPPUNIT_ASSERT_EQUAL(Parts * PartSize, Arrived.get());
+    onLoop([&] {
+      Listener.reset();
+      return 0;
+    });
+    close(Socket);
+  }
+
   void silentServerTimesOut() {
     std::vector<Responder> Unanswered;
     auto Server =
