--- a/lib/site/include/nutmegwell/site/entry.h
+++ b/lib/site/include/nutmegwell/site/entry.h
@@ -28,6 +28,10 @@
   /// Time between two heartbeats to a peer. A peer counts as unreachable after
   /// several missed ones.
   core::Duration HeartbeatInterval_ = std::chrono::milliseconds(250);
+  /// Least time between two answers to a peer's heartbeats. Nothing else comes
+  /// back on the link on which it sends them, and links without input are
+  /// closed after 2 s.
+  core::Duration HeartbeatAnswerInterval_ = std::chrono::milliseconds(500);
   /// A holder without contact for this long counts as failed. Allows for
   /// several lost heartbeats, and is below the 2 s within which a new holder
   /// has to serve.
@@ -155,6 +159,9 @@
   /// shows that the peer's own heartbeat was sent after that time.
   std::map<std::uint64_t, core::TimePoint> HeartbeatSentAt_;
   std::uint64_t NextSequence_ = 1;
+  /// When the latest answer to its heartbeats was sent, and on which link.
+  core::TimePoint AnsweredAt_{};
+  LinkId AnsweredLink_ = 0;
 };
 
 /// A request whose caller has not been answered yet.
--- a/lib/site/src/entry.cpp
+++ b/lib/site/src/entry.cpp
@@ -126,7 +126,7 @@
                jobs::WallTime Wall, EntryEffects &Out) {
   const LinkId Link = Origin.Link_;
   if (const auto *Heartbeat = std::get_if<cell::EntryHeartbeat>(&Message))
-    onHeartbeat(State, *Heartbeat, Now, Out);
+    onHeartbeat(State, Link, *Heartbeat, Now, Out);
   else if (const auto *Relayed = std::get_if<cell::RelayedRecords>(&Message))
     onRelayedRecords(State, *Relayed, Origin.ArrivedAt_, Now, Out);
   else if (const auto *Lacked = std::get_if<cell::RecordsRequest>(&Message))
--- a/lib/site/src/entrysteps.h
+++ b/lib/site/src/entrysteps.h
@@ -111,8 +111,9 @@
 void noteUnknownOutcome(EntryState &State, const std::string &Job,
                         core::TimePoint Now);
 
-void onHeartbeat(EntryState &State, const cell::EntryHeartbeat &Heartbeat,
-                 core::TimePoint Now, EntryEffects &Out);
+void onHeartbeat(EntryState &State, LinkId Link,
+                 const cell::EntryHeartbeat &Heartbeat, core::TimePoint Now,
+                 EntryEffects &Out);
 
 /// Adds or replaces the address of an entry host.
 void learnHost(EntryState &State, const std::string &Host,
--- a/lib/site/src/peers.cpp
+++ b/lib/site/src/peers.cpp
@@ -81,6 +81,19 @@
   }
 }
 
+/// Shows a peer that the link on which it sends its heartbeats works. Every
+/// version ignores an EntryInfo from another entry host.
+void answerHeartbeat(const EntryState &State, Peer &Other, LinkId Link,
+                     core::TimePoint Now, EntryEffects &Out) {
+  const core::Duration Interval =
+      State.Settings_.Policy_.HeartbeatAnswerInterval_;
+  if (Other.AnsweredLink_ == Link && Now - Other.AnsweredAt_ < Interval)
+    return;
+  Other.AnsweredLink_ = Link;
+  Other.AnsweredAt_ = Now;
+  Out.Sends_.emplace_back(Link, cell::EntryInfo());
+}
+
 } // namespace
 
 bool isReachable(const EntryState &State, const Peer &Other,
@@ -131,8 +144,9 @@
   State.HostsChangedAt_ = Now;
 }
 
-void onHeartbeat(EntryState &State, const cell::EntryHeartbeat &Heartbeat,
-                 core::TimePoint Now, EntryEffects &Out) {
+void onHeartbeat(EntryState &State, LinkId Link,
+                 const cell::EntryHeartbeat &Heartbeat, core::TimePoint Now,
+                 EntryEffects &Out) {
   if (Heartbeat.Host_ == State.Settings_.Host_)
     return;
   Peer &Other = State.Peers_[Heartbeat.Host_];
@@ -155,6 +169,7 @@
   updateHolder(State, Heartbeat, Now);
   confirmTenureThrough(State, Other);
   notePeerOffsets(State, Heartbeat, Now);
+  answerHeartbeat(State, Other, Link, Now, Out);
 }
 
 } // namespace nutmegwell::site
--- a/lib/site/tests/relaytest.cpp
+++ b/lib/site/tests/relaytest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(outdatedPageRestoresNoRemovedKey);
   CPPUNIT_TEST(recordsOfTheCellAreNotRelayedInFull);
   CPPUNIT_TEST(emptyPageRemovesNoKey);
+  CPPUNIT_TEST(linkOfAPeersHeartbeatsLooksSilentToIt);
   CPPUNIT_TEST_SUITE_END();
 
   static bool isOut(FakeSite &Site, const std::string &Host,
@@ -175,6 +176,36 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), State.OutOfServiceDomains_.count("a"));
     CPPUNIT_ASSERT(!Stream.NextOffsetValid_);
   }
+
+  /// Guards against links that their senders close as silent, with the records
+  /// that are on the way, since no answer to a heartbeat comes back.
+  void linkOfAPeersHeartbeatsLooksSilentToIt() {
+    constexpr LinkId Link = 7;
+    constexpr core::Duration HeartbeatInterval = 250ms;
+    // Half of the time after which a link without input is closed.
+    constexpr core::Duration MaxSilence = 1s;
+    FakeSite Site(1);
+    Site.run(1s);
+    EntryState State = Site.entry("e0");
+    cell::EntryHeartbeat Heartbeat;
+    Heartbeat.Host_ = "e9";
+    Heartbeat.Address_ = "e9";
+    std::size_t Answers = 0;
+    core::TimePoint Now = Site.Now_;
+    core::TimePoint AnsweredAt = Now;
+    for (int I = 0; I < 40; ++I, Now += HeartbeatInterval) {
+      EntryEffects Out;
+      onMessage(State, {Link, Now}, Heartbeat, Now, Site.Wall_, Out);
+      for (const auto &[To, Message] : Out.Sends_) {
+        CPPUNIT_ASSERT_EQUAL(Link, To);
+        AnsweredAt = Now;
+        ++Answers;
+      }
+      CPPUNIT_ASSERT(Now - AnsweredAt < MaxSilence);
+    }
+    // Answers cost messages between all pairs of hosts.
+    CPPUNIT_ASSERT(Answers <= 20);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
