--- a/lib/aio/include/nutmegwell/aio/httpclient.h
+++ b/lib/aio/include/nutmegwell/aio/httpclient.h
@@ -15,6 +15,9 @@
 /// otherwise.
 using ResponseHandler = std::function<void(absl::StatusOr<net::HttpResponse>)>;
 
+/// Called on the loop's thread while bytes of a response arrive.
+using ProgressHandler = std::function<void()>;
+
 /// HTTP/1.1 client of one server. Reuses idle connections, and opens more, up
 /// to a bound, while all are busy. Never sends a request twice.
 class HttpClient {
@@ -29,9 +32,17 @@
   ~HttpClient();
 
   /// Sends \p Request. \p Timeout starts now and includes the wait for a
-  /// connection. Thread-safe.
+  /// connection. With \p OnProgress, it starts anew whenever bytes of the
+  /// response arrive, so that a large response on a slow link is not cut off;
+  /// the response then has to be complete within MaxTimeouts times \p Timeout.
+  /// \p OnProgress is called at most every ProgressInterval, and not for the
+  /// last bytes. Thread-safe.
   void call(net::HttpRequest Request, core::Duration Timeout,
-            ResponseHandler Handler);
+            ResponseHandler Handler, ProgressHandler OnProgress = {});
+
+  static constexpr int MaxTimeouts = 4;
+  static constexpr core::Duration ProgressInterval =
+      std::chrono::milliseconds(50);
 
   struct Impl;
 
--- a/lib/aio/include/nutmegwell/aio/link.h
+++ b/lib/aio/include/nutmegwell/aio/link.h
@@ -18,6 +18,8 @@
   std::function<void(LinkId)> Opened_;
   std::function<void(LinkId, std::string)> Received_;
   std::function<void(LinkId)> Closed_;
+  /// Optional; called for each part but the last of a frame of several parts.
+  std::function<void(LinkId)> Progress_{};
 };
 
 struct LinkLimits {
--- a/lib/aio/src/httpclient.cpp
+++ b/lib/aio/src/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "nutmegwell/aio/httpclient.h"
 #include "loopimpl.h"
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
@@ -33,7 +34,10 @@
   net::HttpRequest Request_;
   core::Duration Timeout_;
   ResponseHandler Handler_;
+  ProgressHandler OnProgress_;
   std::chrono::steady_clock::time_point Deadline_;
+  /// Latest time to which progress can put off the deadline.
+  std::chrono::steady_clock::time_point LastDeadline_;
 };
 
 http::request<http::string_body> toBeast(const net::HttpRequest &Request,
@@ -114,15 +118,34 @@
     Parser_.emplace();
     Parser_->body_limit(MaxResponseSize);
     Parser_->header_limit(MaxResponseHeader);
-    http::async_read(
+    Parser_->eager(true);
+    receiveMore();
+  }
+
+  void receiveMore() {
+    http::async_read_some(
         Stream_, Buffer_, *Parser_,
         [Self = shared_from_this()](const Error &Failure, std::size_t) {
           if (Failure)
             return Self->reportError("exchange", Failure);
-          Self->reportResponse();
+          if (Self->Parser_->is_done())
+            return Self->reportResponse();
+          Self->noteProgress();
+          Self->receiveMore();
         });
   }
 
+  void noteProgress() {
+    if (!Call_.OnProgress_)
+      return;
+    const auto Now = std::chrono::steady_clock::now();
+    Stream_.expires_at(std::min(Now + Call_.Timeout_, Call_.LastDeadline_));
+    if (Now - ProgressReportedAt_ < ProgressInterval)
+      return;
+    ProgressReportedAt_ = Now;
+    Call_.OnProgress_();
+  }
+
   void reportResponse() {
     http::response<http::string_body> Message = Parser_->release();
     net::HttpResponse Response;
@@ -167,6 +190,7 @@
   std::optional<http::response_parser<http::string_body>> Parser_;
   bool Connected_ = false;
   std::chrono::steady_clock::time_point IdleSince_{};
+  std::chrono::steady_clock::time_point ProgressReportedAt_{};
 };
 
 void HttpClient::Impl::enqueue(Call PendingCall) {
@@ -228,9 +252,11 @@
 HttpClient::~HttpClient() = default;
 
 void HttpClient::call(net::HttpRequest Request, core::Duration Timeout,
-                      ResponseHandler Handler) {
-  Call PendingCall{std::move(Request), Timeout, std::move(Handler),
-                   std::chrono::steady_clock::now() + Timeout};
+                      ResponseHandler Handler, ProgressHandler OnProgress) {
+  const auto Now = std::chrono::steady_clock::now();
+  Call PendingCall{std::move(Request), Timeout,
+                   std::move(Handler), std::move(OnProgress),
+                   Now + Timeout,      Now + MaxTimeouts * Timeout};
   asio::post(Impl_->Context_,
              [Impl = Impl_, PendingCall = std::move(PendingCall)]() mutable {
                Impl->enqueue(std::move(PendingCall));
--- a/lib/aio/src/link.cpp
+++ b/lib/aio/src/link.cpp
@@ -149,6 +149,9 @@
           // A large frame can take longer than the time after which a link
           // counts as silent.
           Self->restartTimeout(Self->Owner_->Limits_.SilenceTimeout_);
+          if (Self->ReceivedSize_ < Self->FrameSize_ &&
+              Self->Owner_->Handlers_.Progress_)
+            Self->Owner_->Handlers_.Progress_(Self->Id_);
           Self->readPart();
         });
   }
--- a/lib/aio/tests/aiotest.cpp
+++ b/lib/aio/tests/aiotest.cpp
@@ -48,6 +48,8 @@
   CPPUNIT_TEST(largeFrameArrives);
   CPPUNIT_TEST(linkIsSilentWhileALargeFrameArrives);
   CPPUNIT_TEST(silentServerTimesOut);
+  CPPUNIT_TEST(responseIsCutOffWhileItArrives);
+  CPPUNIT_TEST(responseThatStopsHalfwayTimesOut);
   CPPUNIT_TEST(refusedConnectionIsReportedAsNotSent);
   CPPUNIT_TEST(framesArriveInOrder);
   CPPUNIT_TEST(silentLinkIsClosed);
@@ -591,6 +593,51 @@
                          core::stepOf(Response.status()));
   }
 
+  /// Calls a server that sends \p Parts of ten parts of a response, one each
+  /// quarter of the call's timeout. Returns the response, and counts the calls
+  /// of the progress handler.
+  absl::StatusOr<net::HttpResponse> callSlowServer(std::size_t Parts,
+                                                   std::atomic<int> &Progress) {
+    constexpr core::Duration Timeout = 400ms;
+    constexpr std::size_t PartSize = 1000;
+    const auto [Listener, Port] = listenRaw();
+    HttpClient Client(*Loop_, {"127.0.0.1", Port}, 1, 10s);
+    std::promise<absl::StatusOr<net::HttpResponse>> Result;
+    Client.call(
+        get(), Timeout,
+        [&](auto Response) { Result.set_value(std::move(Response)); },
+        [&] { ++Progress; });
+    const int Socket = accept(Listener, nullptr, nullptr);
+    sendAll(Socket, "HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n");
+    auto Response = Result.get_future();
+    for (std::size_t I = 0; I < Parts; ++I) {
+      Response.wait_for(Timeout / 4);
+      sendAll(Socket, std::string(PartSize, 'x'));
+    }
+    auto Received = Response.get();
+    close(Socket);
+    close(Listener);
+    return Received;
+  }
+
+  /// Guards against large responses that a slow link delivers in vain, time and
+  /// again, because the call ends before the last byte.
+  void responseIsCutOffWhileItArrives() {
+    std::atomic<int> Progress{0};
+    const auto Response = callSlowServer(10, Progress);
+    CPPUNIT_ASSERT_MESSAGE(Response.status().ToString(), Response.ok());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(10000), Response->Body_.size());
+    CPPUNIT_ASSERT(Progress > 0);
+  }
+
+  /// Guards against a call that never ends because its connection has gone
+  /// silent after the first bytes.
+  void responseThatStopsHalfwayTimesOut() {
+    std::atomic<int> Progress{0};
+    CPPUNIT_ASSERT_EQUAL(absl::StatusCode::kDeadlineExceeded,
+                         callSlowServer(5, Progress).status().code());
+  }
+
   /// Guards against an append that was never sent, but is reported with an
   /// unknown outcome.
   void refusedConnectionIsReportedAsNotSent() {
--- a/lib/site/include/nutmegwell/site/entry.h
+++ b/lib/site/include/nutmegwell/site/entry.h
@@ -54,9 +54,16 @@
   /// hosts have accepted waits until the holder has read it.
   core::Duration HolderReadWait_ = std::chrono::milliseconds(250);
   core::Duration ReadTimeout_ = std::chrono::milliseconds(1300);
-  /// A read without a response for this long after its wait is repeated on
-  /// another connection, because its own may deliver nothing any more.
+  /// A read that has delivered nothing for this long, not counting its wait, is
+  /// repeated on another connection, because its own may deliver nothing any
+  /// more.
   core::Duration ReadRepeatDelay_ = std::chrono::milliseconds(250);
+  /// Reads of a stream that may be open at a time: one that callers have made
+  /// obsolete, one on a dead connection, and one more. Each can bring the same
+  /// records over the same link.
+  std::size_t MaxOpenReads_ = 3;
+  /// A read counts as open for at most this long; no call takes longer.
+  core::Duration MaxReadTime_ = std::chrono::milliseconds(6000);
   /// Least time between two reads of a stream by a host that does not hold the
   /// cell, so that a busy stream does not cost every host a call for each
   /// append. Also between two reads that callers need at once.
@@ -65,8 +72,13 @@
   /// RelayDelayWhileFailing_ while its own reads fail.
   core::Duration RelayDelay_ = std::chrono::milliseconds(250);
   core::Duration RelayDelayWhileFailing_ = std::chrono::milliseconds(50);
-  /// Time after which another peer is asked for records.
+  /// Another peer is asked for records when the one asked before has sent
+  /// nothing for this long.
   core::Duration RelayTimeout_ = std::chrono::milliseconds(500);
+  /// No peer is asked while a read of this host brings records, but at the
+  /// latest after this time: the path to the store may be slower than the one
+  /// to a peer, and new tables have to be in force within 2 s.
+  core::Duration MaxRelayDelay_ = std::chrono::milliseconds(1500);
   /// Pause after a failed read.
   core::Duration ReadBackoff_ = std::chrono::milliseconds(150);
   /// The store counts as unresponsive while no append has been finished for
@@ -126,6 +138,10 @@
   std::optional<core::TimePoint> ReadSentAt_;
   /// How long the store may wait for a record before it responds to that read.
   core::Duration ReadWait_{0};
+  /// Send times of the reads whose calls have not ended.
+  std::set<core::TimePoint> OpenReads_;
+  /// When a part of a response to a read last arrived.
+  core::TimePoint ReadProgressAt_{};
   /// When a read may next return at once because callers wait for it.
   core::TimePoint NextPromptReadAt_{};
   core::TimePoint NextReadAt_{};
@@ -145,8 +161,11 @@
   /// host has known it.
   core::Offset PeerOffset_ = 0;
   std::optional<core::TimePoint> BehindSince_;
-  /// When a peer was last asked for records, while it has not responded.
+  /// When a peer was last asked for records, while it has not responded, its
+  /// address, and when a part of its response last arrived.
   std::optional<core::TimePoint> RelayRequestedAt_;
+  std::string RelayAddress_;
+  core::TimePoint RelayProgressAt_{};
 };
 
 /// Another entry host.
@@ -340,6 +359,12 @@
 void onNewestRead(EntryState &State, const ReadNewestCall &Call,
                   const absl::StatusOr<store::NewestRecordsPage> &Page,
                   core::TimePoint Now, EntryEffects &Out);
+/// Notes that a part of a response to a read of \p Which has arrived.
+void onReadProgress(EntryState &State, store::Stream Which,
+                    core::TimePoint Now);
+/// Notes that a part of a response has arrived from the peer at \p Address.
+void onPeerProgress(EntryState &State, const std::string &Address,
+                    core::TimePoint Now);
 void onAppend(EntryState &State,
               const std::variant<OwnAppend, PeerAppend> &Origin,
               const store::AppendOutcome &Outcome, core::TimePoint Now,
--- a/lib/site/src/relays.cpp
+++ b/lib/site/src/relays.cpp
@@ -28,8 +28,34 @@
   return Addresses[State.NextRelayPeer_++ % Addresses.size()];
 }
 
+/// Returns when a peer is to be asked for the records that a stream lacks. A
+/// copy that is arriving comes first: a second one would share its link.
+core::TimePoint relayDueAt(const StreamState &Stream,
+                           const EntryPolicy &Policy) {
+  const core::TimePoint BehindSince = *Stream.BehindSince_;
+  core::TimePoint Due =
+      BehindSince + (Stream.ReadsFailing_ ? Policy.RelayDelayWhileFailing_
+                                          : Policy.RelayDelay_);
+  const core::TimePoint AfterRead = Stream.ReadProgressAt_ + Policy.RelayDelay_;
+  Due = std::max(Due, std::min(AfterRead, BehindSince + Policy.MaxRelayDelay_));
+  if (Stream.RelayRequestedAt_)
+    Due = std::max(
+        Due, std::max(*Stream.RelayRequestedAt_, Stream.RelayProgressAt_) +
+                 Policy.RelayTimeout_);
+  return Due;
+}
+
 } // namespace
 
+void onPeerProgress(EntryState &State, const std::string &Address,
+                    core::TimePoint Now) {
+  for (store::Stream Which : {store::Stream::Operator, store::Stream::Cell}) {
+    StreamState &Stream = streamOf(State, Which);
+    if (Stream.RelayRequestedAt_ && Stream.RelayAddress_ == Address)
+      Stream.RelayProgressAt_ = Now;
+  }
+}
+
 void notePeerOffsets(EntryState &State, const cell::EntryHeartbeat &Heartbeat,
                      core::TimePoint Now) {
   for (store::Stream Which : {store::Stream::Operator, store::Stream::Cell}) {
@@ -50,16 +76,13 @@
       Stream.BehindSince_.reset();
     if (!Stream.BehindSince_)
       continue;
-    core::TimePoint Due = *Stream.BehindSince_ +
-                          (Stream.ReadsFailing_ ? Policy.RelayDelayWhileFailing_
-                                                : Policy.RelayDelay_);
-    if (Stream.RelayRequestedAt_)
-      Due = std::max(Due, *Stream.RelayRequestedAt_ + Policy.RelayTimeout_);
+    core::TimePoint Due = relayDueAt(Stream, Policy);
     if (Now >= Due) {
       const std::string Address = chooseRelayPeer(State, Which, Now);
       if (Address.empty())
         continue;
       Stream.RelayRequestedAt_ = Now;
+      Stream.RelayAddress_ = Address;
       Due = Now + Policy.RelayTimeout_;
       Out.SendsTo_.emplace_back(
           Address, cell::RecordsRequest{Which, Stream.NextOffset_});
@@ -101,6 +124,7 @@
   const RecordSource Source{
       RecordWay::Peer, Stream.RelayRequestedAt_.value_or(ArrivedAt), ArrivedAt};
   Stream.RelayRequestedAt_.reset();
+  Stream.RelayProgressAt_ = {};
   if (Relayed.From_ > Stream.NextOffset_ ||
       Relayed.NextOffset_ <= Stream.NextOffset_)
     return;
--- a/lib/site/src/streams.cpp
+++ b/lib/site/src/streams.cpp
@@ -161,6 +161,12 @@
                                          : Policy.ReadWait_;
 }
 
+void endRead(StreamState &Stream, core::TimePoint SentAt) {
+  Stream.OpenReads_.erase(SentAt);
+  // The response is complete, so that nothing of it arrives any more.
+  Stream.ReadProgressAt_ = {};
+}
+
 /// Returns the error of a page of newest records. An empty page that is not the
 /// last one tells neither which keys are missing nor where to go on.
 absl::Status checkPage(const absl::StatusOr<store::NewestRecordsPage> &Page) {
@@ -170,7 +176,37 @@
   return Page.status();
 }
 
-/// Gives up waiting for a read that has had no response for longer than usual.
+/// Returns the time until which a read of the stream counts as arriving, unless
+/// a further part arrives.
+core::TimePoint readArrivesUntil(const EntryState &State,
+                                 const StreamState &Stream) {
+  return Stream.ReadProgressAt_ + State.Settings_.Policy_.ReadRepeatDelay_;
+}
+
+/// Returns when a further read can be sent as far as the link is concerned:
+/// copies of the same records on their way would only delay each other.
+core::TimePoint linkFreeAt(const EntryState &State, const StreamState &Stream) {
+  core::TimePoint FreeAt = readArrivesUntil(State, Stream);
+  if (Stream.ReadsFailing_ && Stream.RelayRequestedAt_)
+    FreeAt = std::max(FreeAt, Stream.RelayProgressAt_ +
+                                  State.Settings_.Policy_.ReadRepeatDelay_);
+  return FreeAt;
+}
+
+/// Returns when a further read can be sent as far as the number of open ones is
+/// concerned.
+core::TimePoint openReadsAllowAt(const EntryState &State, StreamState &Stream,
+                                 core::TimePoint Now) {
+  const EntryPolicy &Policy = State.Settings_.Policy_;
+  std::set<core::TimePoint> &Open = Stream.OpenReads_;
+  Open.erase(Open.begin(), Open.upper_bound(Now - Policy.MaxReadTime_));
+  return Open.size() < Policy.MaxOpenReads_
+             ? Now
+             : *Open.begin() + Policy.MaxReadTime_;
+}
+
+/// Gives up waiting for a read that has delivered nothing for longer than
+/// usual.
 void abandonOverdueRead(EntryState &State, store::Stream Which,
                         core::TimePoint Now, EntryEffects &Out) {
   /// Reads without a response after which the store counts as lost: one may
@@ -181,7 +217,8 @@
     return;
   const EntryPolicy &Policy = State.Settings_.Policy_;
   const core::TimePoint Overdue =
-      *Stream.ReadSentAt_ + Stream.ReadWait_ + Policy.ReadRepeatDelay_;
+      std::max(*Stream.ReadSentAt_ + Stream.ReadWait_ + Policy.ReadRepeatDelay_,
+               readArrivesUntil(State, Stream));
   if (Now < Overdue) {
     Out.WakeAt_ = std::min(Out.WakeAt_, Overdue);
     return;
@@ -201,10 +238,12 @@
   if (!Stream.ReadSentAt_ || Stream.ReadWait_ == core::Duration(0) ||
       !needsRead(State, *Stream.ReadSentAt_))
     return;
-  if (Now >= Stream.NextPromptReadAt_)
+  const core::TimePoint Due =
+      std::max(Stream.NextPromptReadAt_, readArrivesUntil(State, Stream));
+  if (Now >= Due)
     Stream.ReadSentAt_.reset();
   else
-    Out.WakeAt_ = std::min(Out.WakeAt_, Stream.NextPromptReadAt_);
+    Out.WakeAt_ = std::min(Out.WakeAt_, Due);
 }
 
 } // namespace
@@ -269,6 +308,7 @@
             EntryEffects &Out) {
   const store::Stream Which = Call.Stream_;
   StreamState &Stream = streamOf(State, Which);
+  endRead(Stream, Call.SentAt_);
   const bool Newest = Stream.ReadSentAt_ == Call.SentAt_;
   if (Newest)
     Stream.ReadSentAt_.reset();
@@ -311,11 +351,17 @@
     cell::onTenureConfirmed(*State.Holder_, Call.SentAt_);
 }
 
+void onReadProgress(EntryState &State, store::Stream Which,
+                    core::TimePoint Now) {
+  streamOf(State, Which).ReadProgressAt_ = Now;
+}
+
 void onNewestRead(EntryState &State, const ReadNewestCall &Call,
                   const absl::StatusOr<store::NewestRecordsPage> &Page,
                   core::TimePoint Now, EntryEffects &Out) {
   const store::Stream Which = Call.Stream_;
   StreamState &Stream = streamOf(State, Which);
+  endRead(Stream, Call.SentAt_);
   // A page that is older than a peer's records would restore removed keys.
   if (Stream.NextOffsetValid_ || Stream.ReadSentAt_ != Call.SentAt_)
     return;
@@ -341,7 +387,8 @@
   }
   if (Page->HasMore_) {
     Stream.ReadSentAt_ = Now;
-    Out.NewestReads_.push_back({Which, Page->Records_.back().Key_, Now});
+    Stream.OpenReads_.insert(Now);
+    Out.NewestReads_.push_back({Which, Page->Records_.back().Key_, Now, {}});
     return;
   }
   if (Which == store::Stream::Operator) {
@@ -366,22 +413,30 @@
       supersedeHeldRead(State, Stream, Now, Out);
     if (Stream.ReadSentAt_)
       continue;
-    if (Now < Stream.NextReadAt_) {
-      Out.WakeAt_ = std::min(Out.WakeAt_, Stream.NextReadAt_);
+    const core::TimePoint Due =
+        std::max({Stream.NextReadAt_, linkFreeAt(State, Stream),
+                  openReadsAllowAt(State, Stream, Now)});
+    if (Now < Due) {
+      Out.WakeAt_ = std::min(Out.WakeAt_, Due);
       continue;
     }
     const EntryPolicy &Policy = State.Settings_.Policy_;
     Stream.ReadSentAt_ = Now;
+    Stream.OpenReads_.insert(Now);
     Stream.ReadWait_ = readWait(State, Which, Now);
     if (Stream.ReadWait_ == core::Duration(0))
       Stream.NextPromptReadAt_ = Now + Policy.ReadSpacing_;
     if (!needsStreamAtOnce(State, Which))
       Stream.NextReadAt_ = Now + Policy.ReadSpacing_;
     if (Stream.NextOffsetValid_)
-      Out.Reads_.push_back({Which, Stream.NextOffset_, Now, Stream.ReadWait_,
-                            Policy.ReadTimeout_});
+      Out.Reads_.push_back({Which,
+                            Stream.NextOffset_,
+                            Now,
+                            Stream.ReadWait_,
+                            Policy.ReadTimeout_,
+                            {}});
     else
-      Out.NewestReads_.push_back({Which, "", Now});
+      Out.NewestReads_.push_back({Which, "", Now, {}});
   }
 }
 
--- a/lib/sitehost/src/entryrole.cpp
+++ b/lib/sitehost/src/entryrole.cpp
@@ -112,7 +112,26 @@
             [this](aio::LinkId Link, const std::string &Frame) {
               onFrame(Link, Frame);
             },
-            [this](aio::LinkId Link) { onClosed(Link); }};
+            [this](aio::LinkId Link) { onClosed(Link); },
+            [this](aio::LinkId Link) { onProgress(Link); }};
+  }
+
+  /// Only responses of peers are large on the links that this host dials.
+  void onProgress(aio::LinkId Link) {
+    for (const auto &[Address, Dialled] : LinksByAddress_)
+      if (Dialled == Link)
+        Control_.post(
+            [this, Address = Address](core::TimePoint Now, Effects &) {
+              site::onPeerProgress(State_, Address, Now);
+            });
+  }
+
+  std::function<void()> readProgressHandler(store::Stream Which) {
+    return [this, Which] {
+      Control_.post([this, Which](core::TimePoint Now, Effects &) {
+        site::onReadProgress(State_, Which, Now);
+      });
+    };
   }
 
   void onFrame(aio::LinkId Link, const std::string &Frame) {
@@ -244,16 +263,17 @@
   }
 
   void read(const site::ReadCall &Call) {
-    Ports_.Store_.Read_(Call.Stream_, Call.From_, Call.Wait_, Call.Timeout_,
-                        [this, Call](absl::StatusOr<store::ReadPage> Page) {
-                          site::ReadCall Answered = Call;
-                          Answered.ArrivedAt_ = Process_.Clock_.Now_();
-                          Control_.post(
-                              [this, Call = Answered, Page = std::move(Page)](
-                                  core::TimePoint Now, Effects &Out) {
-                                site::onRead(State_, Call, Page, Now, Out);
-                              });
-                        });
+    Ports_.Store_.Read_(
+        Call.Stream_, Call.From_, Call.Wait_, Call.Timeout_,
+        [this, Call](absl::StatusOr<store::ReadPage> Page) {
+          site::ReadCall Answered = Call;
+          Answered.ArrivedAt_ = Process_.Clock_.Now_();
+          Control_.post([this, Call = Answered, Page = std::move(Page)](
+                            core::TimePoint Now, Effects &Out) {
+            site::onRead(State_, Call, Page, Now, Out);
+          });
+        },
+        readProgressHandler(Call.Stream_));
   }
 
   void readNewest(const site::ReadNewestCall &Call) {
@@ -266,7 +286,8 @@
                             core::TimePoint Now, Effects &Out) {
             site::onNewestRead(State_, Call, Page, Now, Out);
           });
-        });
+        },
+        readProgressHandler(Call.Stream_));
   }
 
   void onStop() {
--- a/lib/store/include/nutmegwell/store/recordstore.h
+++ b/lib/store/include/nutmegwell/store/recordstore.h
@@ -76,7 +76,8 @@
 };
 
 /// Asynchronous calls to the durable store; tests supply a mock. The handlers
-/// run later, on the traffic thread.
+/// run later, on the traffic thread. Those of progress are called while bytes
+/// of a response arrive, and the timeout starts anew then.
 struct RecordStore {
   std::function<void(AppendRequest, core::Duration Timeout,
                      std::function<void(AppendOutcome)>)>
@@ -85,11 +86,13 @@
   /// OutOfRange when the store no longer retains the records from \p From on.
   std::function<void(Stream, core::Offset From, core::Duration Wait,
                      core::Duration Timeout,
-                     std::function<void(absl::StatusOr<ReadPage>)>)>
+                     std::function<void(absl::StatusOr<ReadPage>)>,
+                     std::function<void()> OnProgress)>
       Read_;
   /// Returns the newest records of the keys after \p After.
   std::function<void(Stream, std::string After, core::Duration Timeout,
-                     std::function<void(absl::StatusOr<NewestRecordsPage>)>)>
+                     std::function<void(absl::StatusOr<NewestRecordsPage>)>,
+                     std::function<void()> OnProgress)>
       ReadNewest_;
 };
 
