--- a/lib/site/include/nutmegwell/site/entry.h
+++ b/lib/site/include/nutmegwell/site/entry.h
@@ -7,6 +7,7 @@
 #include "nutmegwell/jobs/view.h"
 #include "nutmegwell/site/admission.h"
 #include "nutmegwell/site/callers.h"
+#include "nutmegwell/site/denials.h"
 #include "nutmegwell/site/loadadmission.h"
 #include "nutmegwell/site/loadreports.h"
 #include "nutmegwell/store/appender.h"
@@ -87,6 +88,7 @@
   /// A caller is answered this long before its own timeout.
   core::Duration AnswerMargin_ = std::chrono::milliseconds(150);
   AdmissionPolicy Admission_;
+  DenialPolicy Denial_;
   LoadAdmissionPolicy LoadAdmission_;
   store::AppendPolicy Append_;
   cell::HolderPolicy Holder_;
@@ -255,6 +257,8 @@
   unsigned NextRelayPeer_ = 0;
 
   std::map<CallToken, WaitingCall> Calls_;
+  /// Requests that the tables deny, while these may be out of date.
+  std::vector<CallerRequest> DeniedCalls_;
   /// Jobs that this host accepted and that the view does not contain yet.
   std::map<std::string, jobs::JobAccepted> UnreadAccepted_;
 
--- a/lib/site/src/callers.cpp
+++ b/lib/site/src/callers.cpp
@@ -265,6 +265,26 @@
       queueAppend(State, Writer::Own, {recordOf(State, std::move(Record))});
 }
 
+/// Answers a request that the tables deny, or keeps it until they are recent
+/// enough to deny it.
+void deny(const CallContext &Context, CallerRequest Request, ReplyKind Denial) {
+  EntryState &State = Context.State_;
+  const DenialPolicy &Policy = State.Settings_.Policy_.Denial_;
+  switch (decideDenial(denialState(State, Request, Context.Now_), Policy)) {
+  case DenialDecision::Deny:
+    return Context.replyWith(Request, "", Denial);
+  case DenialDecision::Wait:
+    if (State.DeniedCalls_.size() < Policy.MaxWaiting_) {
+      State.DeniedCalls_.push_back(std::move(Request));
+      return;
+    }
+    [[fallthrough]];
+  case DenialDecision::Refuse:
+    return Context.refuse(Request, "", RefusalCause::Store,
+                          "this host may lack the newest tables");
+  }
+}
+
 /// Cancels an append that has not been sent and refuses the calls that wait for
 /// it.
 void refuseUnsent(const CallContext &Context, store::AppendToken Token,
@@ -315,12 +335,10 @@
   if (!State.Tables_ || !State.CellStream_.Synced_)
     return Context.refuse(Request, "", RefusalCause::NotSynced,
                           "this host has not read the tables and records yet");
+  if (const auto Denial = denialByTables(*State.Tables_, Request))
+    return deny(Context, std::move(Request), *Denial);
   const jobs::Queue *Queue = State.Tables_->route(Request.Host_, Request.Path_);
-  if (!Queue)
-    return Context.replyWith(Request, "", ReplyKind::UnknownQueue);
   const jobs::Account *Account = State.Tables_->accountOf(Request.ApiKey_);
-  if (!Account && !Queue->Anonymous_)
-    return Context.replyWith(Request, "", ReplyKind::UnknownKey);
   const std::string Job = Request.Path_.substr(Queue->PathPrefix_.size());
   if (Job.empty() && Request.Kind_ == RequestKind::Query) {
     CallerReply Reply;
--- a/lib/site/src/entry.cpp
+++ b/lib/site/src/entry.cpp
@@ -180,6 +180,7 @@
   advanceElection(State, Now, Wall, Out);
   sendEntryInfo(State, Now, Out);
   runHolder(State, Now, Wall, Out);
+  answerDeniedCalls(State, Now, Wall, Out);
   answerForUnknownJobs(State, Now, Out);
   expireCalls(State, Now, Out);
   requestReads(State, Now, Out);
@@ -194,7 +195,8 @@
 }
 
 bool isDrained(const EntryState &State) {
-  return State.Stopping_ && State.Released_ && State.Calls_.empty();
+  return State.Stopping_ && State.Released_ && State.Calls_.empty() &&
+         State.DeniedCalls_.empty();
 }
 
 } // namespace nutmegwell::site
--- a/lib/site/src/entrysteps.h
+++ b/lib/site/src/entrysteps.h
@@ -134,11 +134,25 @@
 /// Returns a time as of which the view contains every job that had been
 /// accepted, by this host's own reads or those of peers.
 core::TimePoint viewCompleteAsOf(const EntryState &State);
-/// Returns true when a caller waits to learn whether a job exists.
-bool waitsForView(const EntryState &State);
-/// Returns true when a read that was sent at \p SentAt is too old for a caller
-/// who waits to learn whether a job exists.
-bool needsRead(const EntryState &State, core::TimePoint SentAt);
+/// Returns a time as of which this host had all tables that had been published,
+/// by its own reads or those of peers.
+core::TimePoint tablesCompleteAsOf(const EntryState &State);
+/// Returns why \p Tables deny a caller, or nothing when they do not.
+std::optional<ReplyKind> denialByTables(const jobs::ServiceTables &Tables,
+                                        const CallerRequest &Request);
+DenialState denialState(const EntryState &State, const CallerRequest &Request,
+                        core::TimePoint Now);
+/// Handles the requests again that waited for recent tables, as far as these
+/// decide by now or the wait is over.
+void answerDeniedCalls(EntryState &State, core::TimePoint Now,
+                       jobs::WallTime Wall, EntryEffects &Out);
+/// Returns true when a caller waits for a read of \p Which: to learn whether a
+/// job exists, or whether newer tables allow a request.
+bool callersWaitFor(const EntryState &State, store::Stream Which);
+/// Returns true when a read of \p Which that was sent at \p SentAt is too old
+/// for such a caller.
+bool needsRead(const EntryState &State, store::Stream Which,
+               core::TimePoint SentAt);
 
 /// Returns why the cell needs a new holder, or an empty string.
 std::string vacancyReason(const EntryState &State, core::TimePoint Now);
--- a/lib/site/src/freshness.cpp
+++ b/lib/site/src/freshness.cpp
@@ -1,5 +1,5 @@
-// How recent this host's view of the jobs is, for answers that a job does not
-// exist.
+// How recent this host's tables and its view of the jobs are, for answers that
+// a queue, a key or a job does not exist.
 
 #include "entrysteps.h"
 #include <algorithm>
@@ -30,14 +30,30 @@
   return AsOf;
 }
 
-bool needsRead(const EntryState &State, core::TimePoint SentAt) {
+core::TimePoint tablesCompleteAsOf(const EntryState &State) {
+  core::TimePoint AsOf = State.OperatorStream_.LastFullReadSentAt_;
+  // A heartbeat states the age of the reads of the cell's stream. A peer reads
+  // both streams from the same store.
+  for (const auto &[Host, Other] : State.Peers_)
+    if (Other.Heartbeat_.OperatorNextOffset_ <=
+        State.OperatorStream_.NextOffset_)
+      AsOf = std::max(AsOf, readByPeer(Other));
+  return AsOf;
+}
+
+bool needsRead(const EntryState &State, store::Stream Which,
+               core::TimePoint SentAt) {
+  if (Which == store::Stream::Operator)
+    return !State.DeniedCalls_.empty();
   return std::any_of(
       State.Calls_.begin(), State.Calls_.end(), [&](const auto &Row) {
         return waitsForView(Row.second) && Row.second.ArrivedAt_ > SentAt;
       });
 }
 
-bool waitsForView(const EntryState &State) {
+bool callersWaitFor(const EntryState &State, store::Stream Which) {
+  if (Which == store::Stream::Operator)
+    return !State.DeniedCalls_.empty();
   return std::any_of(State.Calls_.begin(), State.Calls_.end(),
                      [](const auto &Row) { return waitsForView(Row.second); });
 }
--- a/lib/site/src/streams.cpp
+++ b/lib/site/src/streams.cpp
@@ -152,9 +152,8 @@
                         core::TimePoint Now) {
   const EntryPolicy &Policy = State.Settings_.Policy_;
   const StreamState &Stream = streamOf(State, Which);
-  const bool CallerWaits = Which == store::Stream::Cell &&
-                           Now >= Stream.NextPromptReadAt_ &&
-                           waitsForView(State);
+  const bool CallerWaits =
+      Now >= Stream.NextPromptReadAt_ && callersWaitFor(State, Which);
   if (!Stream.Synced_ || Stream.ReadsFailing_ || CallerWaits)
     return core::Duration(0);
   return needsStreamAtOnce(State, Which) ? Policy.HolderReadWait_
@@ -233,10 +232,11 @@
 
 /// Stops waiting for a read that the store may hold for long, when a caller
 /// needs one that was sent later.
-void supersedeHeldRead(const EntryState &State, StreamState &Stream,
+void supersedeHeldRead(EntryState &State, store::Stream Which,
                        core::TimePoint Now, EntryEffects &Out) {
+  StreamState &Stream = streamOf(State, Which);
   if (!Stream.ReadSentAt_ || Stream.ReadWait_ == core::Duration(0) ||
-      !needsRead(State, *Stream.ReadSentAt_))
+      !needsRead(State, Which, *Stream.ReadSentAt_))
     return;
   const core::TimePoint Due =
       std::max(Stream.NextPromptReadAt_, readArrivesUntil(State, Stream));
@@ -409,8 +409,7 @@
   for (store::Stream Which : {store::Stream::Operator, store::Stream::Cell}) {
     StreamState &Stream = streamOf(State, Which);
     abandonOverdueRead(State, Which, Now, Out);
-    if (Which == store::Stream::Cell)
-      supersedeHeldRead(State, Stream, Now, Out);
+    supersedeHeldRead(State, Which, Now, Out);
     if (Stream.ReadSentAt_)
       continue;
     const core::TimePoint Due =
--- a/lib/site/tests/tablestest.cpp
+++ b/lib/site/tests/tablestest.cpp
@@ -11,6 +11,13 @@
   CPPUNIT_TEST(logTellsHowTablesArrived);
   CPPUNIT_TEST(logTellsHowOldDenyingTablesAre);
   CPPUNIT_TEST(slowLinkStaysBehindAfterACut);
+  CPPUNIT_TEST(outdatedTablesDenyANewKey);
+  CPPUNIT_TEST(deniedCallerIsServedByNewerTables);
+  CPPUNIT_TEST(deniedCallerIsRefusedAtOnceWithoutAStore);
+  CPPUNIT_TEST(recentTablesDenyAtOnce);
+  CPPUNIT_TEST(refusedHostDeniesByThePeersReads);
+  CPPUNIT_TEST(unknownKeysCostFewReads);
+  CPPUNIT_TEST(denialsAreDecidedByAgeAndWait);
   CPPUNIT_TEST_SUITE_END();
 
   /// Returns a field of the newest line of \p Event, or an empty string.
@@ -135,6 +142,120 @@
       Site.run(std::max(Interval - Lag, core::Duration(0)));
     }
   }
+
+  /// Lets e0 hear from no peer and its reads hang, and publishes tables with
+  /// the key of the callers.
+  static void outdateTables(FakeSite &Site) {
+    Site.Store_.publish("tables", "9");
+    Site.run(3s);
+    Site.isolate("e0");
+    Site.Store_.SilentHosts_ = {"e0"};
+    // A read that the store holds still ends.
+    Site.run(1s);
+    Site.Store_.publish("tables", "10");
+    Site.run(700ms);
+  }
+
+  /// Guards against a host that answers "unknown key" by tables that lack a
+  /// version in which the key exists.
+  void outdatedTablesDenyANewKey() {
+    FakeSite Site(2);
+    outdateTables(Site);
+    const CallToken Token = Site.call("e0", RequestKind::Submit, "j1");
+    Site.run(DenialPolicy().MaxWait_ + 50ms);
+    CPPUNIT_ASSERT(Site.replyKind(Token) == ReplyKind::Refused);
+    CPPUNIT_ASSERT(Site.Replies_.at(Token).RetryAfter_ > 0s);
+  }
+
+  /// Guards against a caller who is refused although newer tables arrive while
+  /// it waits.
+  void deniedCallerIsServedByNewerTables() {
+    FakeSite Site(2);
+    outdateTables(Site);
+    const CallToken Token = Site.call("e0", RequestKind::Submit, "j1");
+    Site.run(50ms);
+    CPPUNIT_ASSERT(!Site.replyKind(Token));
+    Site.Store_.SilentHosts_.clear();
+    Site.run(700ms);
+    CPPUNIT_ASSERT(Site.replyKind(Token) == ReplyKind::Accepted);
+  }
+
+  /// Guards against callers who wait at a host that cannot learn of new tables.
+  void deniedCallerIsRefusedAtOnceWithoutAStore() {
+    FakeSite Site(2);
+    Site.Store_.publish("tables", "9");
+    Site.run(3s);
+    Site.isolate("e0");
+    Site.Store_.RefusedHosts_ = {"e0"};
+    Site.run(3s);
+    const CallToken Token = Site.call("e0", RequestKind::Submit, "j1");
+    Site.run(20ms);
+    CPPUNIT_ASSERT(Site.replyKind(Token) == ReplyKind::Refused);
+  }
+
+  /// Guards against denials that wait in normal operation.
+  void recentTablesDenyAtOnce() {
+    FakeSite Site(2);
+    Site.Store_.publish("tables", "9");
+    Site.run(3s);
+    for (int I = 0; I < 300; ++I) {
+      const CallToken Token = Site.call("e0", RequestKind::Query, "j1");
+      CPPUNIT_ASSERT(Site.replyKind(Token) == ReplyKind::UnknownKey);
+      Site.run(10ms);
+    }
+  }
+
+  /// Guards against a host that refuses instead of denying, although its peers
+  /// read the store and it has their tables.
+  void refusedHostDeniesByThePeersReads() {
+    FakeSite Site(3);
+    Site.Store_.publish("tables", "9");
+    Site.run(3s);
+    Site.Store_.RefusedHosts_ = {"e0"};
+    Site.run(3s);
+    const CallToken Token = Site.call("e0", RequestKind::Query, "j1");
+    Site.run(20ms);
+    CPPUNIT_ASSERT(Site.replyKind(Token) == ReplyKind::UnknownKey);
+  }
+
+  /// Guards against unknown keys that cost the store a read each.
+  void unknownKeysCostFewReads() {
+    constexpr std::size_t MaxReadsPerSecond = 30;
+    FakeSite Site(1);
+    Site.Store_.publish("tables", "9");
+    Site.run(3s);
+    Site.Store_.SilentHosts_ = {"e0"};
+    Site.run(1600ms);
+    const std::size_t Before = Site.Store_.ReadCounts_["e0"];
+    for (int I = 0; I < 100; ++I) {
+      for (int Each = 0; Each < 10; ++Each)
+        Site.call("e0", RequestKind::Query, "j1");
+      Site.run(10ms);
+    }
+    CPPUNIT_ASSERT(Site.Store_.ReadCounts_["e0"] - Before <= MaxReadsPerSecond);
+    CPPUNIT_ASSERT(Site.entry("e0").DeniedCalls_.size() <=
+                   DenialPolicy().MaxWaiting_);
+  }
+
+  /// Guards against a denial by tables that may miss a version in force.
+  void denialsAreDecidedByAgeAndWait() {
+    const DenialPolicy Policy;
+    const core::Duration Timeout = 3s;
+    const auto Decide = [&](core::Duration Age, core::Duration Waited,
+                            bool Reachable) {
+      return decideDenial({Age, Waited, Timeout, Reachable}, Policy);
+    };
+    CPPUNIT_ASSERT(Decide(Policy.MaxTablesAge_, 0s, false) ==
+                   DenialDecision::Deny);
+    CPPUNIT_ASSERT(Decide(Policy.MaxTablesAge_ + 1ms, 0s, true) ==
+                   DenialDecision::Wait);
+    CPPUNIT_ASSERT(Decide(Policy.MaxTablesAge_ + 1ms, 0s, false) ==
+                   DenialDecision::Refuse);
+    CPPUNIT_ASSERT(Decide(Policy.MaxTablesAge_ + 1ms, Policy.MaxWait_, true) ==
+                   DenialDecision::Refuse);
+    // A caller who is refused has time left to ask another host.
+    CPPUNIT_ASSERT(longestWait({5s, 0s, 600ms, true}, Policy) == 300ms);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TablesTest);
