--- a/tests/limits/limitstest.cpp
+++ b/tests/limits/limitstest.cpp
@@ -1,4 +1,5 @@
 #include "crowd.h"
+#include "nutmegwell/wire/cellbinary.h"
 #include "soakcluster.h"
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
@@ -119,6 +120,17 @@
   CPPUNIT_TEST(silentClientsOfAgent);
   CPPUNIT_TEST(announcedFramesToEntry);
   CPPUNIT_TEST(shortFramesToEntry);
+  CPPUNIT_TEST(completeBodiesToEntry);
+  CPPUNIT_TEST(bodiesOfManyStepsToEntry);
+  CPPUNIT_TEST(bodiesOfManyStepsFromStrangers);
+  CPPUNIT_TEST(noticesOfManyLabelsToAgent);
+  CPPUNIT_TEST(nestedBodiesToEntry);
+  CPPUNIT_TEST(nestedBodiesToAgent);
+  CPPUNIT_TEST(pipelinedChunksToEntry);
+  CPPUNIT_TEST(pipelinedChunksToAgent);
+  CPPUNIT_TEST(longIdsToEntry);
+  CPPUNIT_TEST(forgedContainersToEntry);
+  CPPUNIT_TEST(unreadRecordsOfEntry);
   CPPUNIT_TEST_SUITE_END();
 
   std::unique_ptr<soak::SoakCluster> Cluster_;
@@ -244,6 +256,62 @@
     withstands(Node, ConnectionCrowd, ClientPlan());
   }
 
+  /// Returns a JSON object of the largest size whose list has many equal items.
+  static std::string listBody(const std::string &Head,
+                              const std::string &Item) {
+    constexpr std::size_t Tail = 2; // "]}"
+    std::string Body = Head + Item;
+    while (Body.size() + Item.size() + 1 + Tail <= MaxBody)
+      Body += "," + Item;
+    return Body + "]}";
+  }
+
+  /// Complete requests with \p Body, each for another id below \p Path, from
+  /// clients that do not read.
+  void completeBodies(std::size_t Node, const std::string &Path,
+                      const std::string &Body) {
+    const std::string Method = Node == EntryNode ? "POST " : "PUT ";
+    const std::string Request = Method + Path +
+                                "00000000000000aa HTTP/1.1\r\nHost: site\r\n"
+                                "Api-Key: key\r\nContent-Length: " +
+                                std::to_string(Body.size()) + "\r\n\r\n" + Body;
+    withstands(Node, BodyCrowd, plan("", Request, Request.size()));
+  }
+
+  /// Chunked requests one after the other on each connection; the last one
+  /// stops short.
+  void pipelinedChunks(std::size_t Node) {
+    std::string Request = Chunked;
+    for (int I = 0; I < 1000; ++I)
+      Request += "1\r\nx\r\n";
+    Request += "0\r\n\r\n";
+    withstands(Node, BodyCrowd, plan("", Request, 40 * Request.size() - 10));
+  }
+
+  /// Returns a frame's length prefix for \p Size, and the beginning of the
+  /// frame.
+  static std::string frameOf(const std::string &Begin, std::size_t Size) {
+    std::string Bytes;
+    for (int Shift = 24; Shift >= 0; Shift -= 8)
+      Bytes.push_back(static_cast<char>(Size >> Shift));
+    return Bytes + Begin;
+  }
+
+  /// Returns the beginning of an agent's report whose list of runs has as many
+  /// elements as a frame of the largest size has bytes.
+  static std::string forgedReport() {
+    cell::AgentReport Report;
+    const std::string Bytes = wire::encode(cell::PeerMessage(Report));
+    cell::AgentReport WithRun = Report;
+    WithRun.Running_.emplace_back();
+    const std::string Longer = wire::encode(cell::PeerMessage(WithRun));
+    // The first difference is the length of the list.
+    const auto Found =
+        std::mismatch(Bytes.begin(), Bytes.end(), Longer.begin()).first;
+    return std::string(Bytes.begin(), Found) +
+           std::string("\x00\x00\x7f\x00", 4);
+  }
+
 public:
   void setUp() override {
     Cluster_ = std::make_unique<soak::SoakCluster>(
@@ -300,6 +368,67 @@
                plan(std::string("\x00\x7f\xff\xff", 4),
                     std::string(LineSize, 'x'), FrameSize));
   }
+
+  /// Guards against complete submissions that a process holds while it handles
+  /// them.
+  void completeBodiesToEntry() {
+    const std::string Body =
+        R"({"task_spec":")" + std::string(MaxBody - 100, 'x') +
+        R"(","steps":[{"count":1,"cpu":1000,"mem_mb":1000,"gpu":1}]})";
+    completeBodies(EntryNode, "/q0/", Body);
+  }
+
+  /// Guards against bodies whose decoded form is many times as large.
+  void bodiesOfManyStepsToEntry() {
+    completeBodies(EntryNode, "/q0/", listBody(R"({"steps":[)", "{}"));
+  }
+  void bodiesOfManyStepsFromStrangers() {
+    completeBodies(EntryNode, "/other/", listBody(R"({"steps":[)", "{}"));
+  }
+  void noticesOfManyLabelsToAgent() {
+    completeBodies(AgentNode, "/executors/",
+                   listBody(R"({"service":"service","labels":[)", R"("")"));
+  }
+
+  /// Guards against values nested so deeply that handling them ends the
+  /// process.
+  void nestedBodiesToEntry() {
+    completeBodies(EntryNode, "/q0/", std::string(MaxBody, '['));
+  }
+  void nestedBodiesToAgent() {
+    completeBodies(AgentNode, "/executors/", std::string(MaxBody, '['));
+  }
+
+  /// Guards against requests in a pipeline whose responses nobody reads.
+  void pipelinedChunksToEntry() { pipelinedChunks(EntryNode); }
+  void pipelinedChunksToAgent() { pipelinedChunks(AgentNode); }
+
+  /// Guards against calls for jobs with long ids, which wait for the view.
+  void longIdsToEntry() {
+    const std::string Id(MaxHeader - 1000, 'a');
+    const std::string Request =
+        "DELETE /q0/" + Id + " HTTP/1.1\r\nHost: site\r\nApi-Key: key\r\n\r\n";
+    withstands(EntryNode, ConnectionCrowd,
+               plan("", Request, 4 * Request.size()));
+  }
+
+  /// Guards against frames that announce containers of many large elements.
+  void forgedContainersToEntry() {
+    constexpr std::size_t FrameSize = 0x7fffff;
+    withstands(EntryNode, Cluster_->peersAddress(EntryNode), EndlessCrowd,
+               plan(frameOf(forgedReport(), FrameSize),
+                    std::string(LineSize, '\0'), FrameSize + 4));
+  }
+
+  /// Guards against records that are queued for peers that do not read.
+  void unreadRecordsOfEntry() {
+    constexpr std::size_t Requests = 100;
+    Cluster_->store().publish("padding", std::string(MaxBody - 100, 'x'));
+    std::string Frame = wire::encode(cell::PeerMessage(cell::RecordsRequest()));
+    Frame = frameOf(Frame, Frame.size());
+    withstands(EntryNode, Cluster_->peersAddress(EntryNode), EndlessCrowd,
+               plan("", Frame, Requests * Frame.size()));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LimitsTest);
