--- a/lib/sitehost/include/nutmegwell/sitehost/ports.h
+++ b/lib/sitehost/include/nutmegwell/sitehost/ports.h
@@ -15,6 +15,9 @@
 struct EntryPorts {
   store::RecordStore Store_;
   site::EntryCodec Codec_;
+  /// Returns an upper bound of the memory in bytes that a request takes while
+  /// it is decoded and handled.
+  std::function<std::size_t(const net::HttpRequest &)> MemoryOf_;
   /// Returns the caller's request, or an error response when it cannot be
   /// decoded.
   std::function<std::variant<site::CallerRequest, net::HttpResponse>(
@@ -40,6 +43,9 @@
   std::function<void(site::WorkerCall,
                      std::function<void(site::WorkerResponse)>)>
       CallWorker_;
+  /// Returns an upper bound of the memory in bytes that a notice takes while it
+  /// is decoded and handled.
+  std::function<std::size_t(const net::HttpRequest &)> MemoryOf_;
   std::function<WorkerNotice(const net::HttpRequest &)> DecodeNotice_;
   /// Returns the response that acknowledges or rejects a notice.
   std::function<net::HttpResponse(const WorkerNotice &)> EncodeNoticeResponse_;
--- a/lib/sitehost/src/agentrole.cpp
+++ b/lib/sitehost/src/agentrole.cpp
@@ -87,12 +87,16 @@
   /// The response acknowledges the notice, so it is sent only after the control
   /// thread has processed the notice.
   void onNotice(const net::HttpRequest &Request,
-                const aio::Responder &Respond) {
+                const aio::Responder &Uncounted) {
+    const std::optional<aio::Responder> Respond =
+        admitRequest(Process_, Ports_.MemoryOf_(Request), Uncounted);
+    if (!Respond)
+      return;
     WorkerNotice Notice = Ports_.DecodeNotice_(Request);
     net::HttpResponse Response = Ports_.EncodeNoticeResponse_(Notice);
     Control_.post([this, Notice = std::move(Notice),
                    Response = std::move(Response),
-                   Respond](core::TimePoint Now, Effects &Out) {
+                   Respond = *Respond](core::TimePoint Now, Effects &Out) {
       if (const auto *Announcement =
               std::get_if<site::WorkerAnnouncement>(&Notice))
         site::onWorkerAnnounced(State_, *Announcement, Now, Out);
--- a/lib/sitehost/src/entryrole.cpp
+++ b/lib/sitehost/src/entryrole.cpp
@@ -87,7 +87,7 @@
         Process_.Loop_, addressOf(Process_.Values_.address("callers-listen")),
         Limits,
         [this](net::HttpRequest Request, aio::Responder Respond) {
-          onCall(std::move(Request), std::move(Respond));
+          onCall(std::move(Request), Respond);
         },
         Process_.Guard_);
     ReadinessServer_ = std::make_unique<aio::HttpServer>(
@@ -155,7 +155,12 @@
     });
   }
 
-  void onCall(net::HttpRequest Request, aio::Responder Respond) {
+  void onCall(net::HttpRequest Request, const aio::Responder &Uncounted) {
+    std::optional<aio::Responder> Counted =
+        admitRequest(Process_, Ports_.MemoryOf_(Request), Uncounted);
+    if (!Counted)
+      return;
+    aio::Responder Respond = *std::move(Counted);
     auto Decoded = Ports_.DecodeRequest_(Request);
     if (auto *Response = std::get_if<net::HttpResponse>(&Decoded))
       return Respond(std::move(*Response));
--- a/lib/sitehost/src/resourcelimits.cpp
+++ b/lib/sitehost/src/resourcelimits.cpp
@@ -9,6 +9,10 @@
 /// responses that are being sent. The smallest host has 128 MB, of which a
 /// process without load uses 10 MB.
 constexpr std::size_t InputPart = 8;
+/// Part of the memory for requests that have arrived and have no answer yet. On
+/// the smallest host, these are 16 MB: a body of the largest size with 20,000
+/// steps is estimated at 10 MB.
+constexpr std::size_t HandledPart = 8;
 /// Part of the memory for connections, each at ConnectionBytes: a session, its
 /// parser and its first read buffer, rounded up.
 constexpr std::size_t ConnectionPart = 4;
@@ -39,6 +43,7 @@
   }
   if (MemoryBytes) {
     Result.Input_.MaxBytes_ = *MemoryBytes / InputPart;
+    Result.MaxHandled_ = *MemoryBytes / HandledPart;
     Result.Input_.MaxConnections_ =
         std::min(Result.Input_.MaxConnections_,
                  *MemoryBytes / ConnectionPart / ConnectionBytes);
--- a/lib/sitehost/src/resourcelimits.h
+++ b/lib/sitehost/src/resourcelimits.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "handlinglimit.h"
 #include "nutmegwell/aio/inputbudget.h"
 #include "nutmegwell/aio/link.h"
 #include "nutmegwell/core/logevent.h"
@@ -14,6 +15,8 @@
   /// For the HTTP servers of the process together.
   aio::InputLimits Input_;
   aio::LinkLimits Links_;
+  /// Memory in bytes of all requests that have arrived and have no answer yet.
+  std::size_t MaxHandled_ = HandledMemory().MaxBytes_;
 };
 
 /// Derives the limits from the memory and the file descriptors that the process
--- a/lib/sitehost/src/roleprocess.h
+++ b/lib/sitehost/src/roleprocess.h
@@ -20,7 +20,9 @@
         Log_(static_cast<std::size_t>(Settings.count("log-queue")), Metrics_),
         Limits_(readLimits(Settings)),
         Guard_(std::make_shared<aio::InputGuard>(Loop_, Limits_.Input_,
-                                                 refusalHandler("request"))) {}
+                                                 refusalHandler("request"))) {
+    Handled_.MaxBytes_ = Limits_.MaxHandled_;
+  }
 
   static ResourceLimits readLimits(const settings::Settings &Settings) {
     constexpr std::size_t BytesPerMb = 1000000;
@@ -56,10 +58,18 @@
   aio::Loop Loop_;
   // Used by the traffic thread only.
   ResourceLimits Limits_;
+  HandledMemory Handled_;
   RefusalLog Refusals_;
   std::shared_ptr<aio::InputGuard> Guard_;
 };
 
+/// Counts a request that takes \p Bytes until it is answered. Returns the
+/// responder to use for it, or nothing when the request was refused instead,
+/// which has had no effect. Call it on the traffic thread.
+std::optional<aio::Responder> admitRequest(RoleProcess &Process,
+                                           std::size_t Bytes,
+                                           const aio::Responder &Respond);
+
 /// Returns the histograms of a process's control thread.
 inline ControlTimes controlTimes(metrics::Registry &Metrics) {
   return {Metrics.quantiles("nutmegwell_control_wait_seconds",
