--- a/lib/wire/src/cellbinary.cpp
+++ b/lib/wire/src/cellbinary.cpp
@@ -5,6 +5,14 @@
 
 namespace nutmegwell::wire {
 
+namespace {
+
+/// Memory in bytes that the elements of a message may take beyond their encoded
+/// size. Records take none; the names of 16,000 empty workers take a quarter.
+constexpr std::size_t MaxMessageExcess = 524288;
+
+} // namespace
+
 std::string encode(const jobs::Record &Value) {
   return encodeAs(MessageKind::CellRecord, Value);
 }
@@ -18,7 +26,8 @@
 }
 
 absl::StatusOr<cell::PeerMessage> decodePeerMessage(std::string_view Bytes) {
-  return decodeAs<cell::PeerMessage>(MessageKind::PeerMessage, Bytes);
+  return decodeAs<cell::PeerMessage>(MessageKind::PeerMessage, Bytes,
+                                     MaxMessageExcess);
 }
 
 } // namespace nutmegwell::wire
--- a/lib/wire/src/envelope.h
+++ b/lib/wire/src/envelope.h
@@ -36,8 +36,11 @@
                          Message);
 }
 
+/// Fails when the elements of all containers take more than \p MaxExcess bytes
+/// of memory beyond their encoded size.
 template <typename T>
-absl::StatusOr<T> decodeAs(MessageKind Kind, std::string_view Bytes) {
+absl::StatusOr<T> decodeAs(MessageKind Kind, std::string_view Bytes,
+                           std::size_t MaxExcess = SIZE_MAX) {
   if (Bytes.size() < HeaderSize || Bytes[0] != Magic[0] || Bytes[1] != Magic[1])
     return invalid("the header is not that of a nutmegwell message");
   if (static_cast<unsigned char>(Bytes[2]) != FormatVersion)
@@ -45,7 +48,7 @@
   if (static_cast<unsigned char>(Bytes[3]) != static_cast<unsigned char>(Kind))
     return invalid("the message is not of the expected kind");
   try {
-    InputArchive Archive(Bytes.substr(HeaderSize));
+    InputArchive Archive(Bytes.substr(HeaderSize), MaxExcess);
     T Value;
     Archive(Value);
     if (Archive.remaining() != 0)
--- a/lib/wire/tests/cellbinarytest.cpp
+++ b/lib/wire/tests/cellbinarytest.cpp
@@ -1,4 +1,5 @@
 #include "nutmegwell/wire/cellbinary.h"
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace nutmegwell;
@@ -20,6 +21,8 @@
   CPPUNIT_TEST(largeJobSurvivesRoundTrip);
   CPPUNIT_TEST(largeJobIsNoLargerThanItsRequest);
   CPPUNIT_TEST(truncatedLargeJobsAreRejected);
+  CPPUNIT_TEST(forgedLengthIsRejectedBeforeItIsAllocated);
+  CPPUNIT_TEST(largestOrdinaryMessagesAreRead);
   CPPUNIT_TEST_SUITE_END();
 
   /// Position of the kind of a record in its encoding.
@@ -285,6 +288,43 @@
     for (std::size_t Size = 0; Size < Bytes.size(); ++Size)
       CPPUNIT_ASSERT(!wire::decodeRecord(Bytes.substr(0, Size)).ok());
   }
+
+  /// Guards against a frame that makes the receiver allocate many times its
+  /// size: zeros are valid runs of the least encoded size.
+  void forgedLengthIsRejectedBeforeItIsAllocated() {
+    constexpr std::size_t FrameSize = 1 << 20;
+    cell::AgentReport Report;
+    const std::string Bytes = wire::encode(cell::PeerMessage(Report));
+    Report.Running_.emplace_back();
+    const std::string Longer = wire::encode(cell::PeerMessage(Report));
+    const auto Length =
+        std::mismatch(Bytes.begin(), Bytes.end(), Longer.begin()).first;
+    std::string Forged(Bytes.begin(), Length);
+    Forged += std::string("\x00\x40\x00\x00", 4); // 16,384 runs
+    Forged.resize(FrameSize);
+    const auto Decoded = wire::decodePeerMessage(Forged);
+    CPPUNIT_ASSERT(!Decoded.ok());
+    CPPUNIT_ASSERT(Decoded.status().ToString().find("too much memory") !=
+                   std::string::npos);
+  }
+
+  /// Guards against a bound that messages of a cell at the design size meet.
+  void largestOrdinaryMessagesAreRead() {
+    constexpr int Workers = 16000;
+    constexpr int Records = 40000;
+    cell::EntryHeartbeat Heartbeat;
+    cell::RelayedRecords Relayed;
+    for (int I = 0; I < Workers; ++I)
+      Heartbeat.EmptyWorkers_.push_back("side-region-" + std::to_string(I));
+    for (int I = 0; I < Records; ++I)
+      Relayed.Records_.push_back(
+          {core::Offset(I), "p/" + std::to_string(I), std::string(60, 'x')});
+    CPPUNIT_ASSERT(
+        wire::decodePeerMessage(wire::encode(cell::PeerMessage(Heartbeat)))
+            .ok());
+    CPPUNIT_ASSERT(
+        wire::decodePeerMessage(wire::encode(cell::PeerMessage(Relayed))).ok());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CellBinaryTest);
