--- a/lib/aio/include/nutmegwell/aio/link.h
+++ b/lib/aio/include/nutmegwell/aio/link.h
@@ -18,7 +18,8 @@
   std::function<void(LinkId)> Opened_;
   std::function<void(LinkId, std::string)> Received_;
   std::function<void(LinkId)> Closed_;
-  /// Optional; called for each part but the last of a frame of several parts.
+  /// Optional; called while a frame arrives that takes several reads, at most
+  /// every ProgressInterval.
   std::function<void(LinkId)> Progress_{};
 };
 
@@ -67,6 +68,9 @@
   /// closed.
   void close(LinkId Id);
 
+  static constexpr core::Duration ProgressInterval =
+      std::chrono::milliseconds(50);
+
   struct Impl;
 
 private:
--- a/lib/aio/src/link.cpp
+++ b/lib/aio/src/link.cpp
@@ -22,9 +22,12 @@
 /// Size in bytes of the big-endian frame length that precedes each frame.
 constexpr std::size_t PrefixSize = 4;
 
-/// Bytes of a part of a frame. The announced length of a frame alone allocates
-/// no more.
-constexpr std::size_t PartSize = 65536;
+/// Bytes of the first part of a frame. The announced length of a frame alone
+/// allocates no more.
+constexpr std::size_t FirstPartSize = 65536;
+/// Bytes of the other parts. The allocator maps each of them, so that the
+/// memory of a part is returned as soon as it has been copied into the frame.
+constexpr std::size_t PartSize = 262144;
 
 InputLimits inputLimits(const LinkLimits &Limits) {
   InputLimits Result;
@@ -130,7 +133,8 @@
   void readPart() {
     if (ReceivedSize_ == FrameSize_)
       return onFrame();
-    const std::size_t Size = std::min(FrameSize_ - ReceivedSize_, PartSize);
+    const std::size_t Size = std::min(
+        FrameSize_ - ReceivedSize_, Parts_.empty() ? FirstPartSize : PartSize);
     // Before the allocation, so that others make room for it first.
     if (GuardId_)
       Owner_->Guard_.input(*GuardId_, ReceivedSize_ + PrefixSize,
@@ -138,24 +142,47 @@
     if (Closed_)
       return;
     Parts_.emplace_back(Size, '\0');
-    asio::async_read(
-        Socket_, asio::buffer(Parts_.back().data(), Size),
+    PartReceived_ = 0;
+    readIntoPart();
+  }
+
+  void readIntoPart() {
+    std::string &Part = Parts_.back();
+    Socket_.async_read_some(
+        asio::buffer(Part.data() + PartReceived_, Part.size() - PartReceived_),
         [Self = shared_from_this()](const Error &Failure, std::size_t Read) {
           if (Failure)
             return Self->close();
           if (Self->Closed_)
             return;
-          Self->ReceivedSize_ += Read;
-          // A large frame can take longer than the time after which a link
-          // counts as silent.
-          Self->restartTimeout(Self->Owner_->Limits_.SilenceTimeout_);
-          if (Self->ReceivedSize_ < Self->FrameSize_ &&
-              Self->Owner_->Handlers_.Progress_)
-            Self->Owner_->Handlers_.Progress_(Self->Id_);
-          Self->readPart();
+          Self->onBytes(Read);
         });
   }
 
+  void onBytes(std::size_t Read) {
+    PartReceived_ += Read;
+    ReceivedSize_ += Read;
+    // A large frame can take longer than the time after which a link counts as
+    // silent.
+    restartTimeout(Owner_->Limits_.SilenceTimeout_);
+    if (PartReceived_ < Parts_.back().size()) {
+      noteProgress();
+      return readIntoPart();
+    }
+    if (ReceivedSize_ < FrameSize_)
+      noteProgress();
+    readPart();
+  }
+
+  void noteProgress() {
+    const auto Now = std::chrono::steady_clock::now();
+    if (!Owner_->Handlers_.Progress_ ||
+        Now - ProgressReportedAt_ < Links::ProgressInterval)
+      return;
+    ProgressReportedAt_ = Now;
+    Owner_->Handlers_.Progress_(Id_);
+  }
+
   void onFrame() {
     restartTimeout(Owner_->Limits_.SilenceTimeout_);
     std::string Frame = joinParts();
@@ -178,7 +205,8 @@
     Frame.reserve(FrameSize_);
     for (std::string &Part : Parts) {
       Frame += Part;
-      Part = std::string();
+      // An assignment would keep the buffer.
+      std::string().swap(Part);
     }
     return Frame;
   }
@@ -242,6 +270,9 @@
   std::size_t FrameSize_ = 0;
   std::size_t ReceivedSize_ = 0;
   std::vector<std::string> Parts_;
+  /// Bytes of the last part that have arrived.
+  std::size_t PartReceived_ = 0;
+  std::chrono::steady_clock::time_point ProgressReportedAt_{};
   /// Set for accepted links.
   std::optional<InputId> GuardId_;
   std::deque<std::string> Queue_;
