--- a/lib/aio/include/nutmegwell/aio/link.h
+++ b/lib/aio/include/nutmegwell/aio/link.h
@@ -28,6 +28,9 @@
   /// Maximum bytes queued for a slow peer; the link is closed when they exceed
   /// it.
   std::size_t MaxQueued_ = 16 << 20;
+  /// Maximum bytes queued for all peers together. Beyond it, the links with the
+  /// longest queues are closed, but not one whose only frame was queued last.
+  std::size_t MaxQueuedTotal_ = 16 << 20;
   /// A link that receives nothing for this long is closed. Peers send at least
   /// every 500 ms.
   core::Duration SilenceTimeout_ = std::chrono::milliseconds(2000);
--- a/lib/aio/src/link.cpp
+++ b/lib/aio/src/link.cpp
@@ -58,6 +58,9 @@
 
   void accept();
   std::shared_ptr<Connection> addConnection(Tcp::socket Socket);
+  /// Closes links until the queues are within their limit. \p Last has queued
+  /// the latest frame.
+  void trimQueues(const Connection &Last);
 
   asio::io_context &Context_;
   Tcp::acceptor Acceptor_;
@@ -68,6 +71,7 @@
   InputGuard Guard_;
   LinkId NextId_ = 1;
   std::map<LinkId, std::shared_ptr<Connection>> OpenLinks_;
+  std::size_t QueuedBytes_ = 0;
 };
 
 struct Links::Impl::Connection
@@ -212,13 +216,24 @@
   }
 
   void send(const std::string &Frame) {
-    QueuedBytes_ += Frame.size() + PrefixSize;
+    countQueued(Frame.size() + PrefixSize);
     if (QueuedBytes_ > Owner_->Limits_.MaxQueued_)
       return close();
     Queue_.push_back(withLengthPrefix(Frame));
+    Owner_->trimQueues(*this);
     write();
   }
 
+  void countQueued(std::size_t Size) {
+    QueuedBytes_ += Size;
+    Owner_->QueuedBytes_ += Size;
+  }
+
+  void uncountQueued(std::size_t Size) {
+    QueuedBytes_ -= Size;
+    Owner_->QueuedBytes_ -= Size;
+  }
+
   void write() {
     if (Writing_ || !Connected_ || Closed_ || Queue_.empty())
       return;
@@ -229,7 +244,9 @@
           Self->Writing_ = false;
           if (Failure)
             return Self->close();
-          Self->QueuedBytes_ -= Self->Queue_.front().size();
+          if (Self->Closed_)
+            return;
+          Self->uncountQueued(Self->Queue_.front().size());
           Self->Queue_.pop_front();
           Self->write();
         });
@@ -255,6 +272,7 @@
   /// Closes the link without calling Closed_.
   void closeWithoutNotice() {
     Closed_ = true;
+    uncountQueued(QueuedBytes_);
     if (GuardId_)
       Owner_->Guard_.disconnect(*GuardId_);
     Error Ignored; // The socket is not used again in either case.
@@ -291,6 +309,22 @@
   return NewLink;
 }
 
+void Links::Impl::trimQueues(const Connection &Last) {
+  while (QueuedBytes_ > Limits_.MaxQueuedTotal_) {
+    std::shared_ptr<Connection> Longest;
+    for (const auto &[Id, Link] : OpenLinks_) {
+      const bool OnlyFrame = Link.get() == &Last && Link->Queue_.size() == 1;
+      if (!OnlyFrame && Link->QueuedBytes_ > 0 &&
+          (!Longest || Link->QueuedBytes_ > Longest->QueuedBytes_))
+        Longest = Link;
+    }
+    if (!Longest)
+      return;
+    Guard_.refused(InputRefusal::Budget, peerOf(Longest->Socket_));
+    Longest->close();
+  }
+}
+
 void Links::Impl::accept() {
   Acceptor_.async_accept(
       [Self = shared_from_this()](const Error &Failure, Tcp::socket Socket) {
--- a/lib/aio/tests/aiotest.cpp
+++ b/lib/aio/tests/aiotest.cpp
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(framesArriveInOrder);
   CPPUNIT_TEST(silentLinkIsClosed);
   CPPUNIT_TEST(oversizedFrameClosesTheLink);
+  CPPUNIT_TEST(unreadFramesStayWithinTheirTotal);
   CPPUNIT_TEST(destroyedLinksCallNoHandler);
   CPPUNIT_TEST(failedTaskDoesNotEndTheLoop);
   CPPUNIT_TEST_SUITE_END();
@@ -718,6 +719,48 @@
     });
   }
 
+  /// Guards against peers that do not read: the frames for each of them are
+  /// within their limit, those for all together are not.
+  void unreadFramesStayWithinTheirTotal() {
+    constexpr std::size_t Peers = 4;
+    constexpr std::size_t FrameSize = 1000000;
+    constexpr int Frames = 10;
+    LinkLimits Limits;
+    Limits.MaxQueuedTotal_ = 6 * FrameSize;
+    std::vector<LinkId> Opened;
+    std::promise<void> AllOpen;
+    std::size_t Closed = 0;
+    LinkHandlers Handlers{[&](LinkId Id) {
+                            Opened.push_back(Id);
+                            if (Opened.size() == Peers)
+                              AllOpen.set_value();
+                          },
+                          [](LinkId, const std::string &) {},
+                          [&](LinkId) { ++Closed; }};
+    auto Listener = onLoop(
+        [&] { return std::make_unique<Links>(*Loop_, Limits, Handlers); });
+    const std::uint16_t Port =
+        onLoop([&] { return Listener->listen(anyPort()); });
+    std::vector<int> Sockets;
+    for (std::size_t I = 0; I < Peers; ++I)
+      Sockets.push_back(connectTo(Port));
+    AllOpen.get_future().wait();
+    // The sockets take a part of the frames; 40 MB are far more than that.
+    const std::size_t ClosedLinks = onLoop([&] {
+      for (int I = 0; I < Frames; ++I)
+        for (LinkId Id : std::vector<LinkId>(Opened))
+          Listener->send(Id, std::string(FrameSize, 'x'));
+      return Closed;
+    });
+    CPPUNIT_ASSERT(ClosedLinks > 0);
+    for (int Socket : Sockets)
+      close(Socket);
+    onLoop([&] {
+      Listener.reset();
+      return 0;
+    });
+  }
+
   /// Guards against handlers that are called after their owner was destroyed:
   /// open links used to live on until their silence timeout.
   void destroyedLinksCallNoHandler() {
--- a/lib/site/include/nutmegwell/site/entry.h
+++ b/lib/site/include/nutmegwell/site/entry.h
@@ -80,6 +80,10 @@
   /// latest after this time: the path to the store may be slower than the one
   /// to a peer, and new tables have to be in force within 2 s.
   core::Duration MaxRelayDelay_ = std::chrono::milliseconds(1500);
+  /// Bytes of records that a host sends to its peers at once, and per second
+  /// after that. A larger relay is sent when nothing was sent for long enough.
+  std::size_t RelayBurst_ = 2 << 20;
+  std::size_t RelayBytesPerSecond_ = 8 << 20;
   /// Pause after a failed read.
   core::Duration ReadBackoff_ = std::chrono::milliseconds(150);
   /// The store counts as unresponsive while no append has been finished for
@@ -255,6 +259,9 @@
   bool DirectAppendFailing_ = false;
   unsigned NextPeer_ = 0;
   unsigned NextRelayPeer_ = 0;
+  /// Bytes of records that were sent to peers beyond the rate, as of a time.
+  std::size_t RelayedBytes_ = 0;
+  core::TimePoint RelayedAsOf_{};
 
   std::map<CallToken, WaitingCall> Calls_;
   /// Requests that the tables deny, while these may be out of date.
--- a/lib/site/src/entry.cpp
+++ b/lib/site/src/entry.cpp
@@ -130,7 +130,7 @@
   else if (const auto *Relayed = std::get_if<cell::RelayedRecords>(&Message))
     onRelayedRecords(State, *Relayed, Origin.ArrivedAt_, Now, Out);
   else if (const auto *Lacked = std::get_if<cell::RecordsRequest>(&Message))
-    onRecordsRequest(State, Link, *Lacked, Out);
+    onRecordsRequest(State, Link, *Lacked, Now, Out);
   else if (const auto *Request =
                std::get_if<cell::ForwardedAppendRequest>(&Message))
     onForwardedAppendRequest(State, Link, *Request, Out);
--- a/lib/site/src/entrysteps.h
+++ b/lib/site/src/entrysteps.h
@@ -126,7 +126,8 @@
 void requestRelays(EntryState &State, core::TimePoint Now, EntryEffects &Out);
 /// Sends the requested records to the peer behind \p Link.
 void onRecordsRequest(EntryState &State, LinkId Link,
-                      const cell::RecordsRequest &Request, EntryEffects &Out);
+                      const cell::RecordsRequest &Request, core::TimePoint Now,
+                      EntryEffects &Out);
 void onRelayedRecords(EntryState &State, const cell::RelayedRecords &Relayed,
                       core::TimePoint ArrivedAt, core::TimePoint Now,
                       EntryEffects &Out);
--- a/lib/site/src/relays.cpp
+++ b/lib/site/src/relays.cpp
@@ -45,6 +45,33 @@
   return Due;
 }
 
+std::size_t relaySize(const StreamState &Stream, core::Offset From) {
+  std::size_t Size = 0;
+  for (const auto &[Key, Record] : Stream.NewestRecords_)
+    if (Record.Offset_ >= From)
+      Size += Key.size() + Record.Value_.size();
+  return Size;
+}
+
+/// Counts a relay of \p Size bytes. Returns false when it exceeds the rate; the
+/// peer then asks another one. Addresses peers that ask without end and do not
+/// read.
+bool admitRelay(EntryState &State, std::size_t Size, core::TimePoint Now) {
+  const EntryPolicy &Policy = State.Settings_.Policy_;
+  const std::chrono::duration<double> Past = Now - State.RelayedAsOf_;
+  const double Sent = static_cast<double>(Policy.RelayBytesPerSecond_) *
+                      std::max(Past.count(), 0.0);
+  const double Left =
+      std::max(static_cast<double>(State.RelayedBytes_) - Sent, 0.0);
+  State.RelayedBytes_ = static_cast<std::size_t>(Left);
+  State.RelayedAsOf_ = Now;
+  if (State.RelayedBytes_ > 0 &&
+      State.RelayedBytes_ + Size > Policy.RelayBurst_)
+    return false;
+  State.RelayedBytes_ += Size;
+  return true;
+}
+
 } // namespace
 
 void onPeerProgress(EntryState &State, const std::string &Address,
@@ -92,7 +119,8 @@
 }
 
 void onRecordsRequest(EntryState &State, LinkId Link,
-                      const cell::RecordsRequest &Request, EntryEffects &Out) {
+                      const cell::RecordsRequest &Request, core::TimePoint Now,
+                      EntryEffects &Out) {
   const StreamState &Stream = streamOf(State, Request.Stream_);
   if (!Stream.Synced_ || Request.From_ >= Stream.NextOffset_)
     return;
@@ -102,6 +130,8 @@
   // of all keys shows that they are gone.
   Relay.From_ = Request.From_ < Stream.RemovalsKnownFrom_ ? 0 : Request.From_;
   Relay.NextOffset_ = Stream.NextOffset_;
+  if (!admitRelay(State, relaySize(Stream, Relay.From_), Now))
+    return;
   for (const auto &[Key, Record] : Stream.NewestRecords_)
     if (Record.Offset_ >= Relay.From_)
       Relay.Records_.push_back(Record);
--- a/lib/site/tests/relaytest.cpp
+++ b/lib/site/tests/relaytest.cpp
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(recordsOfTheCellAreNotRelayedInFull);
   CPPUNIT_TEST(emptyPageRemovesNoKey);
   CPPUNIT_TEST(linkOfAPeersHeartbeatsLooksSilentToIt);
+  CPPUNIT_TEST(peerThatAsksWithoutEndTakesAllMemory);
+  CPPUNIT_TEST(largeRelayIsSentAfterAPause);
   CPPUNIT_TEST_SUITE_END();
 
   static bool isOut(FakeSite &Site, const std::string &Host,
@@ -206,6 +208,42 @@
     // Answers cost messages between all pairs of hosts.
     CPPUNIT_ASSERT(Answers <= 20);
   }
+
+  /// Guards against copies of records that are made for each request of a peer,
+  /// faster than any link takes them.
+  void peerThatAsksWithoutEndTakesAllMemory() {
+    constexpr std::size_t TableSize = 262144;
+    FakeSite Site(1);
+    Site.Store_.publish("tables", "2" + std::string(TableSize, ' '));
+    Site.run(2s);
+    EntryState State = Site.entry("e0");
+    EntryEffects Out;
+    for (int I = 0; I < 1000; ++I)
+      onMessage(State, {7, Site.Now_},
+                cell::RecordsRequest{store::Stream::Operator, 0}, Site.Now_,
+                Site.Wall_, Out);
+    const std::size_t Bytes = Out.Sends_.size() * TableSize;
+    CPPUNIT_ASSERT(!Out.Sends_.empty());
+    CPPUNIT_ASSERT(Bytes <= EntryPolicy().RelayBurst_);
+  }
+
+  /// Guards against records that no peer gets because all of them together
+  /// exceed what is sent at once.
+  void largeRelayIsSentAfterAPause() {
+    FakeSite Site(1);
+    Site.Store_.publish("tables",
+                        "2" + std::string(2 * EntryPolicy().RelayBurst_, ' '));
+    Site.run(2s);
+    EntryState State = Site.entry("e0");
+    for (int I = 0; I < 2; ++I) {
+      EntryEffects Out;
+      onMessage(State, {7, Site.Now_},
+                cell::RecordsRequest{store::Stream::Operator, 0}, Site.Now_,
+                Site.Wall_, Out);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), Out.Sends_.size());
+      Site.run(1s);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
--- a/lib/sitehost/src/resourcelimits.cpp
+++ b/lib/sitehost/src/resourcelimits.cpp
@@ -13,6 +13,8 @@
 /// the smallest host, these are 16 MB: a body of the largest size with 20,000
 /// steps is estimated at 10 MB.
 constexpr std::size_t HandledPart = 8;
+/// Part of the memory for frames that wait until their peers read.
+constexpr std::size_t QueuedPart = 8;
 /// Part of the memory for connections, each at ConnectionBytes: a session, its
 /// parser and its first read buffer, rounded up.
 constexpr std::size_t ConnectionPart = 4;
@@ -44,6 +46,7 @@
   if (MemoryBytes) {
     Result.Input_.MaxBytes_ = *MemoryBytes / InputPart;
     Result.MaxHandled_ = *MemoryBytes / HandledPart;
+    Result.Links_.MaxQueuedTotal_ = *MemoryBytes / QueuedPart;
     Result.Input_.MaxConnections_ =
         std::min(Result.Input_.MaxConnections_,
                  *MemoryBytes / ConnectionPart / ConnectionBytes);
