--- a/tests/e2e/cluster.h
+++ b/tests/e2e/cluster.h
@@ -50,6 +50,12 @@
                      std::vector<std::string> Flags = {},
                      const std::string &Entries = "");
 
+  /// Returns the address at which an entry host that was started serves
+  /// callers.
+  const Address &httpAddress(int Entry) const {
+    return Addresses_.at(Entry).Http_;
+  }
+
   /// Returns the UDP addresses of all entry hosts.
   std::vector<Address> entryAddresses() const;
 
--- a/tests/limits/limitstest.cpp
+++ b/tests/limits/limitstest.cpp
@@ -1,10 +1,9 @@
 #include "crowd.h"
 #include "nutmegwell/wire/cellbinary.h"
+#include "processusage.h"
 #include "soakcluster.h"
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
-#include <filesystem>
-#include <fstream>
 #include <iostream>
 
 using namespace nutmegwell;
@@ -48,30 +47,6 @@
   return {std::move(Head), std::move(Repeated), Size};
 }
 
-/// Numbers of a process from /proc.
-struct Usage {
-  bool Alive_ = false;
-  std::size_t PeakBytes_ = 0;
-  std::size_t Descriptors_ = 0;
-};
-
-Usage usageOf(pid_t Process) {
-  const std::string Folder = "/proc/" + std::to_string(Process);
-  Usage Result;
-  std::ifstream Status(Folder + "/status");
-  for (std::string Line; std::getline(Status, Line);) {
-    if (Line.rfind("State:", 0) == 0)
-      Result.Alive_ = Line.find('Z') == std::string::npos;
-    if (Line.rfind("VmHWM:", 0) == 0)
-      Result.PeakBytes_ = 1024 * std::stoul(Line.substr(6));
-  }
-  std::error_code Failure;
-  for (auto It = std::filesystem::directory_iterator(Folder + "/fd", Failure);
-       !Failure && It != std::filesystem::directory_iterator(); ++It)
-    ++Result.Descriptors_;
-  return Result;
-}
-
 net::HttpRequest submission() {
   net::HttpRequest Request;
   Request.Method_ = "POST";
@@ -140,28 +115,8 @@
                              : Cluster_->noticeAddress(AgentNode);
   }
 
-  /// Returns the highest usage until it stays the same for a while: the kernel
-  /// buffers what the process has not read when the crowd has sent everything.
-  Usage settledUsage(std::size_t Node) const {
-    constexpr int MaxReadings = 60;
-    constexpr int EqualReadings = 5;
-    soak::InterruptibleWait Between;
-    Usage Highest = usageOf(Cluster_->processId(Node));
-    for (int I = 0, Equal = 0; I < MaxReadings && Equal < EqualReadings; ++I) {
-      Between.wait(100ms);
-      const Usage Now = usageOf(Cluster_->processId(Node));
-      const bool Higher = Now.PeakBytes_ > Highest.PeakBytes_ ||
-                          Now.Descriptors_ > Highest.Descriptors_;
-      Equal = Higher ? 0 : Equal + 1;
-      Highest.Alive_ = Now.Alive_;
-      Highest.PeakBytes_ = std::max(Highest.PeakBytes_, Now.PeakBytes_);
-      Highest.Descriptors_ = std::max(Highest.Descriptors_, Now.Descriptors_);
-    }
-    return Highest;
-  }
-
   void check(std::size_t Node, const std::string &When) const {
-    const Usage Now = settledUsage(Node);
+    const limits::Usage Now = limits::settledUsage(Cluster_->processId(Node));
     std::cout << " " << When << ": peak " << Now.PeakBytes_ / 1000 << " KB of "
               << MemoryBound / 1000 << ", descriptors " << Now.Descriptors_
               << " of " << DescriptorLimit;
