--- a/lib/site/tests/tablestest.cpp
+++ b/lib/site/tests/tablestest.cpp
@@ -1,5 +1,6 @@
 #include "fakesite.h"
 #include <cppunit/extensions/HelperMacros.h>
+#include <functional>
 
 using namespace nutmegwell;
 using namespace nutmegwell::site;
@@ -18,6 +19,7 @@
   CPPUNIT_TEST(refusedHostDeniesByThePeersReads);
   CPPUNIT_TEST(unknownKeysCostFewReads);
   CPPUNIT_TEST(denialsAreDecidedByAgeAndWait);
+  CPPUNIT_TEST(tablesAreLateThroughTwoFaults);
   CPPUNIT_TEST_SUITE_END();
 
   /// Returns a field of the newest line of \p Event, or an empty string.
@@ -256,6 +258,56 @@
     // A caller who is refused has time left to ask another host.
     CPPUNIT_ASSERT(longestWait({5s, 0s, 600ms, true}, Policy) == 300ms);
   }
+
+  /// Guards against fall-backs that each take their time and together exceed
+  /// the time in which tables have to be in force: any two faults on the paths
+  /// of a host that is not cut off from all others.
+  void tablesAreLateThroughTwoFaults() {
+    // The shortest time of all deployments.
+    constexpr auto MaxLag = 2000ms;
+    struct Fault {
+      const char *Name_;
+      std::function<void(FakeSite &)> Begin_;
+    };
+    const std::vector<Fault> Faults = {
+        {"the store refuses e0",
+         [](FakeSite &Site) { Site.Store_.RefusedHosts_.insert("e0"); }},
+        {"the store does not answer e0",
+         [](FakeSite &Site) { Site.Store_.SilentHosts_.insert("e0"); }},
+        {"the store refuses e1",
+         [](FakeSite &Site) { Site.Store_.RefusedHosts_.insert("e1"); }},
+        {"the store does not answer e1",
+         [](FakeSite &Site) { Site.Store_.SilentHosts_.insert("e1"); }},
+        {"e0 and e1 are cut off from each other",
+         [](FakeSite &Site) { Site.cutLink("e0", "e1"); }},
+        {"e1 is suspended", [](FakeSite &Site) { Site.pause("e1"); }},
+        {"e1 has ended", [](FakeSite &Site) { Site.kill("e1"); }},
+        {"e2 is cut off", [](FakeSite &Site) { Site.isolate("e2"); }},
+        {"the history is dropped",
+         [](FakeSite &Site) { Site.Store_.dropHistory(); }}};
+    // The second fault strikes when the version is published, at some point
+    // between two heartbeats and reads, or before the time for which a host has
+    // to be in contact.
+    const std::vector<core::Duration> Gaps = {0ms,   80ms,  160ms, 240ms,
+                                              400ms, 650ms, 900ms, 3s};
+    for (const Fault &First : Faults)
+      for (const Fault &Second : Faults)
+        for (core::Duration Gap : Gaps) {
+          FakeSite Site(4);
+          Site.run(3s);
+          First.Begin_(Site);
+          Site.run(3s);
+          Second.Begin_(Site);
+          Site.run(Gap);
+          const core::Version Newest = publishTables(Site, 100);
+          const core::Duration Lag =
+              timeUntilUsed(Site, {"e0"}, Newest, 2 * MaxLag);
+          CPPUNIT_ASSERT_MESSAGE(
+              std::string(First.Name_) + ", " + Second.Name_ + ": " +
+                  std::to_string(core::wholeMilliseconds(Lag).count()) + " ms",
+              Lag <= MaxLag);
+        }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TablesTest);
